Format generated code with the project's own settings

Cause: the generator formats before optional sections get their defaults, so the check of generated code against the schema failed. Both the committed and the checked copy now go through the formatter last.

--- a/Makefile
+++ b/Makefile
@@ -29,9 +29,11 @@
 
 generate: $(STAMP)
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python tools/generate.py teaselwall/generated
+	$(BIN)/ruff format -q teaselwall/generated
 
 check-generated: $(STAMP)
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python tools/generate.py build/generated
+	$(BIN)/ruff format -q build/generated
 	diff -r -x __pycache__ build/generated teaselwall/generated
 
 $(STAMP): requirements.txt pyproject.toml
