Fake the calls between entry hosts for tests on the mock clock

Cause: claims, duties and configuration are each tested over several hosts in one process. The fake loses calls by cut link, dead host and lost reply.

--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -1,6 +1,8 @@
 """Fakes at the interfaces, driven by trio's clock."""
 
 import expression
+import msgspec
+import trio
 
 from teaselwall import clock, errors, logservice
 from teaselwall.generated import messages
@@ -80,3 +82,64 @@
 
 def _refused(outcome):
     return expression.Error(errors.Unavailable("The log is away.", outcome=outcome))
+
+
+class FakeNetwork:
+    """Calls between entry hosts of one test, with links that can be cut.
+
+    Attributes
+    ----------
+    handlers : dict of str to dict
+        By address: the handlers by path, as ``control.Control.handlers`` has them.
+    down : set of str
+        Addresses whose host died.
+    cut : set of (str, str)
+        Pairs of addresses, sender first, whose calls are lost.
+    n_lose_replies : int
+        Coming calls that take effect and are answered with an unknown outcome.
+    """
+
+    def __init__(self):
+        self.clock = clock.Clock()
+        self.handlers = {}
+        self.down = set()
+        self.cut = set()
+        self.n_lose_replies = 0
+        self.n_calls = 0
+
+    def peers(self, address):
+        """Return the client that the host at an address uses."""
+        return FakePeers(self, address)
+
+
+class FakePeers:
+    """Client of one entry host; has the ``call`` of ``peers.Peers``."""
+
+    def __init__(self, network, address):
+        self.network = network
+        self.address = address
+
+    async def call(self, address, path, message, timeout_ms):
+        """Send a message to a peer; see ``peers.Peers.call``."""
+        network = self.network
+        network.n_calls += 1
+        message = msgspec.json.decode(msgspec.json.encode(message))
+        await network.clock.sleep_ms(CALL_MS)
+        if address in network.down:
+            return _refused(errors.Outcome.NOT_RUN)
+        if (self.address, address) in network.cut:
+            await network.clock.sleep_ms(timeout_ms)
+            return _refused(errors.Outcome.UNKNOWN)
+        try:
+            with trio.fail_after(timeout_ms / clock.MS_PER_S):
+                reply = await network.handlers[address][path](message)
+                await network.clock.sleep_ms(CALL_MS)
+        except trio.TooSlowError:
+            return _refused(errors.Outcome.UNKNOWN)
+        except errors.Error as error:
+            return expression.Error(error)
+        if address in network.down or network.n_lose_replies > 0:
+            network.n_lose_replies = max(0, network.n_lose_replies - 1)
+            await network.clock.sleep_ms(timeout_ms)
+            return _refused(errors.Outcome.UNKNOWN)
+        return expression.Ok(msgspec.json.decode(msgspec.json.encode(reply)))
