--- a/teaselwall/tools/callers.py
+++ b/teaselwall/tools/callers.py
@@ -9,6 +9,7 @@
 from teaselwall.generated import messages
 
 MS_PER_S = 1000
+ASK_AGAIN_S = 0.1
 NS_PER_MS = 1e6
 
 
@@ -56,6 +57,62 @@
         self.trace = ""
 
 
+class AddressBook:
+    """The entry hosts that a caller may use, asked for again when they lapse.
+
+    Parameters
+    ----------
+    calls : transport.Transport
+    first : list of str
+        Addresses known from the start.
+    random : random.Random
+    """
+
+    __slots__ = ("calls", "first", "random", "answer", "asked_ns")
+
+    def __init__(self, calls, first, random):
+        self.calls = calls
+        self.first = first
+        self.random = random
+        self.answer = None
+        self.asked_ns = 0
+
+    async def choose(self):
+        """Return the address of an entry host, drawn by weight."""
+        answer = await self._current()
+        hosts = answer.entry_hosts
+        weights = [host.weight for host in hosts]
+        return self.random.choices(hosts, weights)[0].address
+
+    async def key_prefix(self):
+        """Return the prefix that idempotency keys need."""
+        return (await self._current()).key_prefix
+
+    async def _current(self):
+        while self._lapsed():
+            known = (
+                [host.address for host in self.answer.entry_hosts]
+                if self.answer
+                else []
+            )
+            for address in known + self.first:
+                asked_ns = time.perf_counter_ns()
+                answer = await addresses(self.calls, address)
+                if answer is not None and answer.entry_hosts:
+                    self.answer = answer
+                    self.asked_ns = asked_ns
+                    break
+            else:
+                await trio.sleep(ASK_AGAIN_S)
+        return self.answer
+
+    def _lapsed(self):
+        if self.answer is None:
+            return True
+        kept_ms = (time.perf_counter_ns() - self.asked_ns) / NS_PER_MS
+        return kept_ms >= self.answer.keep_ms
+
+
 async def addresses(calls, address, timeout_ms=2000):
     """Ask an entry host which hosts to use; None where it does not answer."""
     result = await calls.call("GET", address, "/v1/entry-hosts", None, timeout_ms)
--- /dev/null
+++ b/teaselwall/tools/demo.py
@@ -0,0 +1,217 @@
+"""The demo: a sample deployment under mixed requests, with a data centre out.
+
+``python -m teaselwall.tools.demo --deployment directorate|maldari [--keep]``
+"""
+
+import argparse
+import pathlib
+import random
+import shutil
+import sys
+import tomllib
+
+import trio
+
+from teaselwall import metrics, services
+from teaselwall.tools import callers, checks, deployments
+
+FOLDER = pathlib.Path("build/demo")
+N_ENTRY_HOSTS = 3
+ANSWER_KEPT_MS = 1000
+LOAD_S = 12.0
+OUT_AT_S = 4.0
+BACK_AT_S = 8.0
+INTERVAL_S = 0.06
+
+
+class Demo:
+    """One run of the demo.
+
+    Parameters
+    ----------
+    deployment : deployments.Deployment
+    """
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.random = random.Random(1)
+        folder = deployments.SAMPLES / deployment.name
+        self.inputs = tomllib.loads((folder / "inputs.toml").read_text())["inputs"]
+        self.documents = {
+            path.stem: services.read(path).ok
+            for path in (folder / "services").glob("*.toml")
+        }
+        self.metrics = metrics.Metrics()
+        self.n_calls = 0
+        self.n_refused = 0
+        self.n_lost = 0
+        self.n_misdelivered = 0
+        self.n_late = 0
+        self.answers = callers.AddressBook(
+            deployment.transport,
+            [host.callers for host in deployment.entry_hosts],
+            self.random,
+        )
+
+    async def run(self):
+        """Send the mixed requests and take a data centre out and back."""
+        centre = self.deployment.plan["data_centres"][0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._load, nursery)
+            await trio.sleep(OUT_AT_S)
+            print(f"taking data centre {centre} out", flush=True)
+            await self.deployment.set_data_centre(centre, out=True)
+            await trio.sleep(BACK_AT_S - OUT_AT_S)
+            print(f"bringing data centre {centre} back", flush=True)
+            await self.deployment.set_data_centre(centre, out=False)
+
+    async def _load(self, nursery):
+        n_calls = int(LOAD_S / INTERVAL_S)
+        for index in range(n_calls):
+            chosen = self.inputs[index % len(self.inputs)]
+            text = f"{chosen['text']} ({index})"
+            nursery.start_soon(self._request, chosen, text, index)
+            await trio.sleep(INTERVAL_S)
+
+    async def _request(self, chosen, text, index):
+        document = self.documents[chosen["service"]]
+        prefix = await self.answers.key_prefix()
+        key = "" if document.idempotent else f"{prefix}demo-{index}"
+        n_sends = 1 if document.idempotent else 2
+        async with trio.open_nursery() as nursery:
+            for _ in range(n_sends):
+                nursery.start_soon(self._send, document, chosen, text, key)
+
+    async def _send(self, document, chosen, text, key):
+        address = await self.answers.choose()
+        options = {"key": key} if key else {}
+        done = await callers.call(
+            self.deployment.transport,
+            address,
+            document.service,
+            chosen["organisation"],
+            text,
+            **options,
+        )
+        self._judge(document, text, done)
+
+    def _judge(self, document, text, done):
+        self.n_calls += 1
+        service = document.service
+        if done.whole:
+            if not checks.is_own_answer(document, text, done.key, done.answer):
+                self.n_misdelivered += 1
+            self.n_late += done.elapsed_ms > document.deadline_ms
+            self.metrics.observe_ms("end", done.elapsed_ms, service=service)
+            if done.first_ms is not None:
+                self.metrics.observe_ms("first", done.first_ms, service=service)
+        elif done.outcome == "not_run":
+            self.n_refused += 1
+        else:
+            self.n_lost += 1
+            print("lost:", service, done.status, done.answer, flush=True)
+
+    async def report(self):
+        """Print the table; return whether nothing doubled, got lost or strayed."""
+        records = []
+        for pool in self.deployment.plan["pools"]:
+            if pool["kind"] == "plain":
+                records.extend(await self.deployment.runs(pool["name"]))
+        n_doubled = checks.n_doubled(records)
+        self._print_latencies()
+        await self._print_costs()
+        n_met = self.n_calls - self.n_refused - self.n_lost - self.n_late
+        print(f"requests {self.n_calls}, deadlines met {n_met}", end=", ")
+        print(f"refused (not run) {self.n_refused}, late {self.n_late}")
+        print(f"doubled {n_doubled}, lost {self.n_lost}", end=", ")
+        print(f"misdelivered {self.n_misdelivered}", flush=True)
+        return not (n_doubled or self.n_lost or self.n_misdelivered)
+
+    def _print_latencies(self):
+        print(f"{'service':24}{'first token p50/p95/p99 ms':>30}{'end ms':>26}")
+        for service in sorted(self.documents):
+            first = self._quantiles("first", service)
+            end = self._quantiles("end", service)
+            print(f"{service:24}{first:>30}{end:>26}")
+
+    def _quantiles(self, name, service):
+        values = [
+            self.metrics.quantile_ms(name, percent, service=service)
+            for percent in (50, 95, 99)
+        ]
+        if values[0] is None:
+            return "-"
+        return " / ".join(f"{value:.0f}" for value in values)
+
+    async def _print_costs(self):
+        totals = {}
+        for host in self.deployment.entry_hosts:
+            result = await self.deployment.transport.call(
+                "GET", host.callers, "/metrics", None, deployments.TIMEOUT_MS
+            )
+            if result.is_ok():
+                _add_costs(result.ok.body.decode(), totals)
+        costs = (f"{stage} {ms:.0f} ms" for stage, ms in sorted(totals.items()))
+        print("server time by stage:", ", ".join(costs))
+
+
+def _add_costs(text, totals):
+    for line in text.splitlines():
+        if line.startswith("teaselwall_stage_server_ms_total{"):
+            stage = line.split('stage="', 1)[1].split('"', 1)[0]
+            totals[stage] = totals.get(stage, 0) + float(line.rsplit(" ", 1)[1])
+
+
+async def run(arguments):
+    """Run the demo; return the exit status."""
+    shutil.rmtree(FOLDER, ignore_errors=True)
+    deployment = deployments.Deployment(
+        arguments.deployment,
+        FOLDER,
+        n_entry_hosts=N_ENTRY_HOSTS,
+        overrides={"membership": {"answer_kept_ms": ANSWER_KEPT_MS}},
+    )
+    try:
+        await deployment.start()
+        if arguments.keep:
+            _print_hints(deployment)
+            await trio.sleep_forever()
+        demo = Demo(deployment)
+        await demo.run()
+        right = await demo.report()
+        return 0 if right else 1
+    finally:
+        await deployment.stop()
+
+
+def _print_hints(deployment):
+    host = deployment.entry_hosts[0]
+    plan = deployment.plan
+    for entry in deployment.entry_hosts:
+        print(f"{entry.name}: callers {entry.callers}, control {entry.peers}")
+    hosts = ",".join(entry.peers for entry in deployment.entry_hosts)
+    print("\nTry:")
+    print(f"  curl http://{host.callers}/v1/entry-hosts")
+    print(f"  export TEASELWALL_HOSTS={hosts}")
+    print(f"  export TEASELWALL_KEY={deployments.OPERATOR_KEY}")
+    print("  teaselwall status")
+    print(f"  teaselwall zone out {plan['data_centres'][0]}")
+    print("Ctrl-C ends it.", flush=True)
+
+
+def main():
+    """Run the demo from the command line; return the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--deployment", default="directorate", choices=("directorate", "maldari")
+    )
+    parser.add_argument("--keep", action="store_true", help="leave all running")
+    arguments = parser.parse_args()
+    try:
+        return trio.run(run, arguments)
+    except KeyboardInterrupt:
+        return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -169,6 +169,13 @@
             if result.is_error():
                 raise result.error
 
+    async def set_data_centre(self, name, out):
+        """Take a data centre out of service, or bring it back."""
+        record = {"kind": "data_centre", "name": name, "out": out}
+        result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
+        if result.is_error():
+            raise result.error
+
     def start_entry_hosts(self):
         """Start the entry hosts, spread over the data centres."""
         addresses = [
--- a/teaselwall/tools/stages.py
+++ b/teaselwall/tools/stages.py
@@ -10,6 +10,12 @@
 from teaselwall.tools import backends
 
 
+def output_of(stage, inputs):
+    """Return the output that any server gives for a stage's inputs."""
+    digest = xxhash.xxh3_64_hexdigest(msgspec.json.encode(inputs))
+    return {"stage": stage, "digest": digest}
+
+
 class Stage(backends.Backend):
     """Answers each call with a digest of its inputs."""
 
@@ -17,10 +23,7 @@
         """Wait the service time and answer."""
         call = msgspec.json.decode(body, type=messages.StageCall)
         await self.clock.sleep_ms(self.service_ms * self.slowdown())
-        output = {
-            "stage": call.stage,
-            "digest": xxhash.xxh3_64_hexdigest(msgspec.json.encode(call.inputs)),
-        }
+        output = output_of(call.stage, call.inputs)
         reply = messages.StageReply(
             request=call.request, attempt=call.attempt, output=output
         )
