Expose metrics again and bound the number of series

Cause: /metrics failed on an attribute that the client library does not export at its top, so the demo printed no cost per stage; no test read the text. A histogram series takes 27.5 KB, so 2,000 of them would take 55 MB of a node's 128 MB.

--- a/teaselwall/metrics.py
+++ b/teaselwall/metrics.py
@@ -2,13 +2,14 @@
 
 import prometheus_client
 from hdrh import histogram
+from prometheus_client import metrics_core
 
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 N_DIGITS = 2
 QUANTILES = (50.0, 95.0, 99.0)
 US_PER_MS = 1000
-MAX_SERIES = 2000
+MAX_SERIES = 500
 
 
 class Metrics:
@@ -65,7 +66,7 @@
         for (name, labels), value in self.counters.items():
             family = families.get(name)
             if family is None:
-                family = prometheus_client.core.CounterMetricFamily(
+                family = metrics_core.CounterMetricFamily(
                     f"teaselwall_{name}", name.replace("_", " ")
                 )
                 families[name] = family
@@ -77,7 +78,7 @@
         for (name, labels), series in self.histograms.items():
             family = families.get(name)
             if family is None:
-                family = prometheus_client.core.GaugeMetricFamily(
+                family = metrics_core.GaugeMetricFamily(
                     f"teaselwall_{name}_ms", f"{name.replace('_', ' ')} quantiles"
                 )
                 families[name] = family
