--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -63,12 +63,26 @@
         Whether backend servers start warm.
     overrides : dict, optional
         Sections of settings laid over the defaults.
+    plan : dict, optional
+        In place of the sample's ``deployment.toml``.
+    documents : dict of str to str, optional
+        Service documents by name, in place of the sample's.
     """
 
-    def __init__(self, name, folder, n_entry_hosts=None, warm=True, overrides=None):
+    def __init__(
+        self,
+        name,
+        folder,
+        n_entry_hosts=None,
+        warm=True,
+        overrides=None,
+        plan=None,
+        documents=None,
+    ):
         self.name = name
         self.folder = pathlib.Path(folder)
-        self.plan = tomllib.loads((SAMPLES / name / "deployment.toml").read_text())
+        self.plan = plan or read_plan(name)
+        self.documents = documents or read_documents(name)
         self.n_entry_hosts = n_entry_hosts or self.plan["n_entry_hosts"]
         self.warm = warm
         self.overrides = overrides or {}
@@ -159,12 +173,8 @@
 
     async def publish_services(self):
         """Publish the sample's service documents."""
-        for path in sorted((SAMPLES / self.name / "services").glob("*.toml")):
-            record = {
-                "kind": "service",
-                "name": path.stem,
-                "document": path.read_text(),
-            }
+        for name, document in self.documents.items():
+            record = {"kind": "service", "name": name, "document": document}
             result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
             if result.is_error():
                 raise result.error
@@ -252,6 +262,10 @@
                 process.wait()
             await self.transport.close()
 
+    async def await_listening(self, address):
+        """Wait until something answers at an address."""
+        await self._await_answer(address, "/v1/load")
+
     async def _await_addresses(self, addresses):
         for address in addresses:
             await self._await_answer(address, "/v1/load")
@@ -267,6 +281,17 @@
                 await self.clock.sleep_ms(POLL_MS)
 
 
+def read_plan(name):
+    """Return a sample's plan of data centres and pools."""
+    return tomllib.loads((SAMPLES / name / "deployment.toml").read_text())
+
+
+def read_documents(name):
+    """Return the texts of a sample's service documents by name."""
+    paths = sorted((SAMPLES / name / "services").glob("*.toml"))
+    return {path.stem: path.read_text() for path in paths}
+
+
 def free_address():
     """Return an ``IP:port`` on loopback that was free a moment ago."""
     with socket.socket() as probe:
