Try reading engine streams at a pace so that tokens arrive together

Cause looked for: a profile of 60 streams shows no single hot place; reading through httpcore and writing through hypercorn take about 45% and 40% of the time, spread over trio's scheduler, timeouts and h11. A longer pause breaks 39 ms between tokens.

--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -84,7 +84,9 @@
         backends = {
             "pool": pools.HttpStagePool(self.transport),
             "plain": pools.HttpPlainService(self.transport),
-            "engine": engines.HttpModelEngine(self.transport),
+            "engine": engines.HttpModelEngine(
+                self.transport, self.settings.limits.pace_ms
+            ),
         }
         return dispatch.Dispatcher(
             self.clock,
