--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -92,7 +92,8 @@
         try:
             headers = responses.headers_of(scope)
             request = await self._read(service, headers, receive)
-            reply = self._reply(headers, send)
+            streams = "text/event-stream" in headers.get("accept", "")
+            reply = StreamReply(send) if streams else WholeReply(send)
             await self._run(request, reply, receive)
         finally:
             self.n_in_flight -= 1
@@ -128,11 +129,6 @@
             ),
         )
 
-    def _reply(self, headers, send):
-        if "text/event-stream" in headers.get("accept", ""):
-            return StreamReply(send, self.host.settings.limits.max_buffered_tokens)
-        return WholeReply(send)
-
     def _next_id(self):
         self.n_ids += 1
         return f"{self.id_prefix}-{self.n_ids}"
@@ -143,7 +139,6 @@
         async with trio.open_nursery() as nursery:
             if request.document.idempotent:
                 nursery.start_soon(_watch, receive, nursery.cancel_scope)
-            nursery.start_soon(reply.write)
             result = await self.host.serve(request, reply.send_tokens)
             nursery.cancel_scope.cancel()
         self._note(request, result, self.host.clock.now_ms() - started_ms)
@@ -195,9 +190,6 @@
     async def send_tokens(self, tokens):
         """Pass over tokens; the answer carries them all."""
 
-    async def write(self):
-        """Write nothing before the end."""
-
     async def end(self, request, answer):
         """Send the answer."""
         await responses.send_json(self.send, answer, headers=_trace_headers(request))
@@ -208,67 +200,32 @@
 
 
 class StreamReply:
-    """Reply as server-sent events, closed by an explicit ``end`` or ``problem``.
+    """Reply as server-sent events, closed by an explicit ``end`` or ``problem``."""
 
-    One task writes; tokens that are ready together go out as one event.
+    __slots__ = ("send", "started")
 
-    Parameters
-    ----------
-    send : callable
-        ASGI send.
-    max_buffered : int
-        Tokens held for a caller that reads slowly; past it the engine waits.
-    """
-
-    __slots__ = ("send", "max_buffered", "started", "tokens", "ready", "room")
-
-    def __init__(self, send, max_buffered):
+    def __init__(self, send):
         self.send = send
-        self.max_buffered = max_buffered
         self.started = False
-        self.tokens = []
-        self.ready = trio.Event()
-        self.room = trio.Event()
 
     async def send_tokens(self, tokens):
-        """Hand tokens to the writer; wait while it holds too many."""
-        while len(self.tokens) >= self.max_buffered:
-            self.room = trio.Event()
-            await self.room.wait()
-        self.tokens.extend(tokens)
-        self.ready.set()
-
-    async def write(self):
-        """Write tokens as they come, until cancelled."""
-        while True:
-            await self.ready.wait()
-            with trio.CancelScope(shield=True):
-                await self._flush()
+        """Send one event with the tokens that were ready together."""
+        await self._begin(())
+        await self._send(responses.event(b"tokens", tokens), True)
 
     async def end(self, request, answer):
         """Send the end event."""
-        await self._flush()
         await self._begin(_trace_headers(request))
         await self._send(responses.event(b"end", answer), False)
 
     async def fail(self, request, error):
         """Send the problem, as a response of its own where none has begun."""
-        await self._flush()
         if not self.started:
             await responses.send_problem(self.send, error, request.id)
             return
         details = responses.problem(error, request.id)
         await self._send(responses.event(b"problem", details), False)
 
-    async def _flush(self):
-        tokens = self.tokens
-        self.tokens = []
-        self.ready = trio.Event()
-        if tokens:
-            await self._begin(())
-            await self._send(responses.event(b"tokens", tokens), True)
-        self.room.set()
-
     async def _begin(self, headers):
         if self.started:
             return
--- a/teaselwall/engines.py
+++ b/teaselwall/engines.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from teaselwall import errors, pacing, servers, transport
+from teaselwall import errors, servers, transport
 from teaselwall.generated import messages
 
 _decoder = msgspec.json.Decoder(messages.TokenChunk)
@@ -36,20 +36,12 @@
 
 
 class HttpModelEngine(ModelEngine):
-    """Engine over HTTP with one JSON object a line.
+    """Engine over HTTP with one JSON object a line."""
 
-    Parameters
-    ----------
-    transport : transport.Transport
-    pace_ms : float
-        Least time between two reads of a stream.
-    """
+    __slots__ = ("transport",)
 
-    __slots__ = ("transport", "pace_ms")
-
-    def __init__(self, transport, pace_ms=0):
+    def __init__(self, transport):
         self.transport = transport
-        self.pace_ms = pace_ms
 
     @contextlib.asynccontextmanager
     async def generate(self, server, call, timeout_ms, headers=()):
@@ -63,11 +55,7 @@
                 servers.note_headers(server, dict(response.headers))
                 if response.status != errors.HTTP_OK:
                     raise errors.require_ok(response, address).error
-                pacing.set_pace(response, self.pace_ms)
-                try:
-                    yield _batches(response, call, address)
-                finally:
-                    pacing.set_pace(response, 0)
+                yield _batches(response, call, address)
         except transport.FAILURES as error:
             raise transport.failure(address, path, error) from error
 
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -84,9 +84,7 @@
         backends = {
             "pool": pools.HttpStagePool(self.transport),
             "plain": pools.HttpPlainService(self.transport),
-            "engine": engines.HttpModelEngine(
-                self.transport, self.settings.limits.pace_ms
-            ),
+            "engine": engines.HttpModelEngine(self.transport),
         }
         return dispatch.Dispatcher(
             self.clock,
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from teaselwall import errors, pacing
+from teaselwall import errors
 
 MAX_CONNECTIONS = 1000
 MAX_REPLY_BYTES = 8 * 1024 * 1024
@@ -52,7 +52,6 @@
             max_connections=MAX_CONNECTIONS,
             max_keepalive_connections=MAX_CONNECTIONS,
             keepalive_expiry=KEEP_ALIVE_S,
-            network_backend=pacing.PacedBackend(clock),
         )
 
     async def close(self):
