--- a/teaselwall/tools/backends.py
+++ b/teaselwall/tools/backends.py
@@ -37,6 +37,7 @@
         self.in_flight = 0
         self.n_cold_overloads = 0
         self.max_cold_in_flight = 0
+        self.last_work_ms = 0.0
         self.runs = []
         self.random = random.Random(0)
 
@@ -79,12 +80,14 @@
             "runs": self.runs,
             "n_cold_overloads": self.n_cold_overloads,
             "max_cold_in_flight": self.max_cold_in_flight,
+            "last_work_age_ms": self.clock.now_ms() - self.last_work_ms,
         }
 
     @contextlib.contextmanager
     def working(self):
         """Count a call in flight."""
         self.in_flight += 1
+        self.last_work_ms = self.clock.now_ms()
         if self.cold:
             self.max_cold_in_flight = max(self.max_cold_in_flight, self.in_flight)
             if self.in_flight > COLD_CAPACITY:
--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -204,6 +204,45 @@
                 EntryHost(name, callers, peers, centre, path, process)
             )
 
+    def restart(self, host):
+        """Start an entry host again after its process ended."""
+        host.process = self.spawn(host.name, "teaselwall.daemon", str(host.settings))
+
+    async def make_cold(self, data_centre):
+        """Turn every backend server of a data centre cold, unannounced."""
+        for backend in self.backends:
+            if backend.entry.data_centre == data_centre:
+                await self.transport.call(
+                    "POST", backend.entry.address, "/v1/cold", None, TIMEOUT_MS
+                )
+
+    async def last_work_ms(self, data_centre, since_s):
+        """Return how long after a time a data centre's servers got new work.
+
+        Parameters
+        ----------
+        data_centre : str
+        since_s : float
+            Of trio's clock in this process.
+
+        Returns
+        -------
+        float
+            In ms; 0 where nothing came since.
+        """
+        latest_ms = 0.0
+        for backend in self.backends:
+            if backend.entry.data_centre != data_centre:
+                continue
+            result = await self.transport.call(
+                "GET", backend.entry.address, "/v1/runs", None, TIMEOUT_MS
+            )
+            if result.is_ok():
+                age_ms = msgspec.json.decode(result.ok.body)["last_work_age_ms"]
+                after_ms = 1000 * (trio.current_time() - since_s) - age_ms
+                latest_ms = max(latest_ms, after_ms)
+        return latest_ms
+
     def settings_of(self, name, centre, callers, peers, seeds):
         """Return the settings of one entry host as a dict."""
         result = {
