Decide configuration changes by the log's order and spread them

Cause: the skeleton applied every record it read, so a late or repeated record could bring an older configuration back, and a start without the log had none.

Ruled out: a version counter handed out by one host (it would need an owner), and comparing times of records.

Operators' handlers publish and wait for all members.

--- a/teaselwall/configuration.py
+++ b/teaselwall/configuration.py
@@ -1,30 +1,78 @@
-"""The configuration in force, followed from the log service."""
+"""The configuration in force: a function of the log's records and their order."""
 
+import collections
 import logging
 
-from teaselwall import events, services
+import msgspec
+import trio
+
+from teaselwall import changes, events
+from teaselwall.generated import messages
+from teaselwall.generated import service as schema
 
 logger = logging.getLogger(__name__)
 
 STREAM = "configuration"
-READ_LIMIT = 500
-WAIT_MS = 1000
-RETRY_MS = 200
+MAX_HISTORY = 256
+MAX_SETTLED = 1000
+MAX_ORDERS = 64
+
+
+class Verdict:
+    """What the log's order decided on a change.
+
+    Attributes
+    ----------
+    accepted : bool
+    version : int
+        Version of the change, or of the accepted one that it lost to.
+    author, change : str
+        Of that same change.
+    """
+
+    __slots__ = ("accepted", "version", "author", "change")
+
+    def __init__(self, accepted, version, author, change):
+        self.accepted = accepted
+        self.version = version
+        self.author = author
+        self.change = change
 
 
 class State:
     """Configuration in force on this host.
 
+    A change counts if nothing that it touches was accepted after the version that
+    its author saw. Every host reads the same order and so decides the same.
+
     Attributes
     ----------
     version : int
         Offset after the newest record taken.
     services : dict of str to generated.service.Service
     data_centres_out : set of str
+        Names, those of emergency orders among them.
     servers_drained : set of str
         Addresses.
     era : int
         Newest era of idempotency keys.
+    entries : dict of (str, str) to messages.ConfigurationEntry
+        By kind and subject, the oldest change first.
+    floor : int
+        Version of subjects without an entry.
+    history : collections.OrderedDict of str to messages.HistoryEntry
+        Newest accepted changes by identifier.
+    voids : collections.OrderedDict of str to Verdict
+        Newest changes that lost, by identifier.
+    orders : dict of str to messages.ConfigurationChange
+        Emergency orders that the log has not decided, by identifier.
+    unread : set of str
+        Services whose newest document this version of the program cannot read.
+    rewritten_ms : int
+        Time by the log service of the newest whole snapshot, or else of the first
+        record.
+    changed : trio.Event
+        Set at the next change of the state, then replaced.
     """
 
     __slots__ = (
@@ -33,78 +81,292 @@
         "data_centres_out",
         "servers_drained",
         "era",
+        "entries",
+        "floor",
+        "history",
+        "voids",
+        "orders",
+        "unread",
+        "positions",
+        "rewritten_ms",
+        "changed",
     )
 
     def __init__(self):
         self.version = 0
+        self.floor = 0
+        self.rewritten_ms = 0
+        self.orders = {}
+        self.voids = collections.OrderedDict()
+        self.changed = trio.Event()
+        self._clear()
+
+    def _clear(self):
         self.services = {}
         self.data_centres_out = set()
         self.servers_drained = set()
         self.era = 1
+        self.entries = {}
+        self.history = collections.OrderedDict()
+        self.unread = set()
+        self.positions = {}
 
-    def apply(self, offset, record):
-        """Take one record of the configuration stream."""
-        kind = record.get("kind")
-        if kind == "service":
-            self._apply_service(record)
-        elif kind == "data_centre":
-            _set_member(self.data_centres_out, record["name"], record["out"])
-        elif kind == "server":
-            _set_member(self.servers_drained, record["address"], record["drained"])
+    def apply(self, offset, record, time_ms=0):
+        """Take one record; one that was taken before is passed over.
+
+        Parameters
+        ----------
+        offset : int
+        record : object
+            Data of the log record.
+        time_ms : int
+            Time that the log service gave the record.
+        """
+        if offset < self.version:
+            return
         self.version = offset + 1
+        change = changes.read(record)
+        if change is not None:
+            self._decide(change, time_ms)
+        if not self.rewritten_ms or changes.ends_snapshot(record):
+            self.rewritten_ms = time_ms
+        self._wake()
 
-    def _apply_service(self, record):
-        result = services.parse(record["document"], record["name"])
-        if result.is_ok():
-            self.services[record["name"]] = result.ok
+    def _wake(self):
+        self.changed.set()
+        self.changed = trio.Event()
 
+    def _decide(self, change, time_ms):
+        if self.accepts(change):
+            self._accept(change, time_ms)
+        elif change.change not in self.history:
+            verdict = self._winner(change)
+            _keep(self.voids, change.change, verdict)
+        self._settle_orders()
 
-class Follower:
-    """Keeps the state up to date from the log.
+    def accepts(self, change):
+        """Return whether a change would count as the next record."""
+        if not self.version_of(change) <= change.base < self.version:
+            return False
+        if change.kind == "organisations":
+            return ("service", change.subject) in self.entries
+        if change.kind == "era":
+            return change.content["era"] > self.era
+        return True
 
-    Parameters
-    ----------
-    clock : clock.Clock
-    log : logservice.LogService
-    state : State
-    timeout_ms : float
-    """
+    def version_of(self, change):
+        """Return the newest accepted version of what a change touches."""
+        key = _key(change)
+        entry = self.entries.get(key)
+        if entry is None:
+            return self.floor
+        if change.kind != "organisations":
+            return entry.version
+        return max(
+            entry.organisations.get(organisation.name, entry.document_version)
+            for organisation in changes.entries_of(change)
+        )
+
+    def verdict(self, change):
+        """Return the ``Verdict`` on a change, or None while it is open."""
+        taken = self.history.get(change.change)
+        if taken is not None:
+            return Verdict(True, taken.version, taken.author, taken.change)
+        return self.voids.get(change.change)
+
+    def _winner(self, change):
+        entry = self.entries.get(_key(change))
+        if entry is None:
+            return Verdict(False, self.floor, "", "")
+        return Verdict(False, entry.version, entry.author, entry.change)
+
+    def _accept(self, change, time_ms):
+        key = _key(change)
+        entry = self.entries.pop(key, None)
+        if change.kind == "organisations":
+            self._change_organisations(entry, change)
+        else:
+            entry = self._new_entry(change)
+        entry.version = self.version
+        entry.change = change.change
+        entry.author = change.author
+        self.entries[key] = entry
+        self._note(change, time_ms)
+        self._show(entry)
+        if change.kind in ("data_centre", "server"):
+            self._forget_settled()
+
+    def _new_entry(self, change):
+        return messages.ConfigurationEntry(
+            kind=change.kind,
+            subject=change.subject,
+            version=self.version,
+            change=change.change,
+            author=change.author,
+            content=_content(change.kind, change.content),
+            document_version=self.version,
+        )
 
-    __slots__ = ("clock", "log", "state", "timeout_ms", "caught_up")
-
-    def __init__(self, clock, log, state, timeout_ms):
-        self.clock = clock
-        self.log = log
-        self.state = state
-        self.timeout_ms = timeout_ms
-        self.caught_up = False
-
-    async def run(self):
-        """Follow the stream until cancelled."""
-        while True:
-            if not await self.step():
-                await self.clock.sleep_ms(RETRY_MS)
-
-    async def step(self):
-        """Read once; return whether the log answered."""
-        wait_ms = WAIT_MS if self.caught_up else 0
-        result = await self.log.read(
-            STREAM, self.state.version, READ_LIMIT, self.timeout_ms, wait_ms
+    def _change_organisations(self, entry, change):
+        changed = changes.entries_of(change)
+        for organisation in changed:
+            entry.organisations[organisation.name] = self.version
+        if not isinstance(entry.content, schema.Service):
+            return
+        positions = self.positions[entry.subject]
+        updated = list(entry.content.organisations)
+        for organisation in changed:
+            position = positions.setdefault(organisation.name, len(updated))
+            updated[position : position + 1] = [organisation]
+        entry.content = msgspec.structs.replace(entry.content, organisations=updated)
+
+    def _note(self, change, time_ms):
+        entry = messages.HistoryEntry(
+            version=self.version,
+            kind=change.kind,
+            subject=change.subject,
+            change=change.change,
+            author=change.author,
+            time_ms=time_ms,
         )
-        if result.is_error():
+        _keep(self.history, change.change, entry)
+
+    def _show(self, entry):
+        if entry.kind == "service":
+            self._show_service(entry)
+        elif entry.kind == "era":
+            self.era = entry.content["era"]
+        elif entry.kind == "server":
+            _set_member(self.servers_drained, entry.subject, entry.content["drained"])
+        else:
+            self._show_data_centres()
+
+    def _show_service(self, entry):
+        name = entry.subject
+        if not isinstance(entry.content, schema.Service):
+            self.unread.add(name)
+            events.log(logger, logging.ERROR, "service_unread", service=name)
+            return
+        self.unread.discard(name)
+        self.services[name] = entry.content
+        if entry.document_version == entry.version or name not in self.positions:
+            listed = enumerate(entry.content.organisations)
+            self.positions[name] = {o.name: position for position, o in listed}
+
+    def _show_data_centres(self):
+        self.data_centres_out = {order.subject for order in self.orders.values()} | {
+            entry.subject
+            for entry in self.entries.values()
+            if entry.kind == "data_centre" and entry.content["out"]
+        }
+
+    def _forget_settled(self):
+        settled = [key for key, entry in self.entries.items() if _settled(entry)]
+        for key in settled[: max(0, len(settled) - MAX_SETTLED)]:
+            self.floor = max(self.floor, self.entries.pop(key).version)
+
+    def take_order(self, change):
+        """Put an emergency order in force until the log decides on it.
+
+        Returns
+        -------
+        bool
+            Whether it is in force; only orders that take a data centre out are.
+        """
+        if change.change in self.orders:
+            return True
+        takes_out = change.kind == "data_centre" and change.content["out"]
+        if not takes_out or self.verdict(change) is not None:
+            return False
+        if self.version_of(change) > change.base or len(self.orders) >= MAX_ORDERS:
+            return False
+        self.orders[change.change] = change
+        self._show_data_centres()
+        self._wake()
+        return True
+
+    def _settle_orders(self):
+        decided = [
+            order
+            for order in self.orders.values()
+            if self.verdict(order) is not None or self.version_of(order) > order.base
+        ]
+        for order in decided:
+            del self.orders[order.change]
+            verdict = self.verdict(order)
             events.log(
                 logger,
                 logging.WARNING,
-                "configuration_read_failed",
-                detail=str(result.error),
+                "emergency_order_settled",
+                data_centre=order.subject,
+                author=order.author,
+                accepted=verdict is not None and verdict.accepted,
             )
+        if decided:
+            self._show_data_centres()
+
+    def snapshot(self):
+        """Return the whole state as ``messages.ConfigurationSnapshot``."""
+        return messages.ConfigurationSnapshot(
+            version=self.version,
+            floor=self.floor,
+            rewritten_ms=self.rewritten_ms,
+            entries=list(self.entries.values()),
+            history=list(self.history.values()),
+            orders=list(self.orders.values()),
+        )
+
+    def restore(self, snapshot):
+        """Take a state as another host had it, if it is newer than this one.
+
+        Returns
+        -------
+        bool
+            Whether it was taken.
+        """
+        if snapshot.version <= self.version:
             return False
-        for record in result.ok.records:
-            self.state.apply(record.offset, record.data)
-        self.caught_up = self.state.version >= result.ok.end
+        self._clear()
+        self.version = snapshot.version
+        self.floor = snapshot.floor
+        self.rewritten_ms = snapshot.rewritten_ms
+        self.history.update((entry.change, entry) for entry in snapshot.history)
+        for entry in snapshot.entries:
+            entry.content = _content(entry.kind, entry.content)
+            self.entries[(entry.kind, entry.subject)] = entry
+            self._show(entry)
+        self._show_data_centres()
+        self._settle_orders()
+        self._wake()
         return True
 
 
+def _key(change):
+    kind = "service" if change.kind == "organisations" else change.kind
+    return (kind, change.subject)
+
+
+def _content(kind, content):
+    if kind != "service":
+        return content
+    try:
+        return msgspec.convert(content, schema.Service)
+    except msgspec.ValidationError:
+        return content
+
+
+def _settled(entry):
+    if entry.kind == "data_centre":
+        return not entry.content["out"]
+    return entry.kind == "server" and not entry.content["drained"]
+
+
+def _keep(table, name, value):
+    table[name] = value
+    while len(table) > MAX_HISTORY:
+        table.popitem(last=False)
+
+
 def _set_member(members, name, present):
     if present:
         members.add(name)
--- a/teaselwall/control.py
+++ b/teaselwall/control.py
@@ -3,6 +3,8 @@
 import hmac
 import logging
 
+import msgspec
+
 from teaselwall import errors, events, responses
 
 logger = logging.getLogger(__name__)
@@ -77,3 +79,16 @@
         given = headers.get("authorization", "").removeprefix(BEARER)
         if not hmac.compare_digest(given.encode(), wanted.encode()):
             raise errors.Forbidden(f"{path} needs its key.")
+
+
+def read(message, kind):
+    """Return a handler's message as a struct.
+
+    Raises
+    ------
+    errors.InvalidRequest
+    """
+    try:
+        return msgspec.convert(message, kind)
+    except msgspec.ValidationError as error:
+        raise errors.InvalidRequest(f"The message is wrong: {error}.") from error
--- /dev/null
+++ b/teaselwall/followers.py
@@ -0,0 +1,285 @@
+"""Following the configuration: from the log, or from peers while it is away."""
+
+import logging
+import random
+
+import msgspec
+import trio
+
+from teaselwall import changes, configuration, control, events, snapshots
+from teaselwall.generated import messages
+
+logger = logging.getLogger(__name__)
+
+READ_LIMIT = 500
+WAIT_MS = 1000
+RETRY_MS = 200
+OUTAGE_RETRY_MS = 1000
+N_PEERS_IN_OUTAGE = 2
+N_PEERS_AT_START = 32
+PEER_TIMEOUT_MS = 1000
+
+
+class Follower:
+    """Keeps the state up to date from the log or, without it, from peers.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    log : logservice.LogService
+    state : configuration.State
+    timeout_ms : float
+    peers : peers.Peers
+    membership : membership.Membership
+    seeds : list of str
+        Addresses of peers to ask before members are known.
+
+    Attributes
+    ----------
+    caught_up : bool
+        Whether the state has been as new as the log, or as the newest peer.
+    log_answers : bool
+        Whether the newest call of the log was answered.
+    log_now_ms : int
+        The log service's own time at its newest answer.
+    """
+
+    __slots__ = (
+        "clock",
+        "log",
+        "state",
+        "timeout_ms",
+        "peers",
+        "membership",
+        "seeds",
+        "caught_up",
+        "log_answers",
+        "log_now_ms",
+    )
+
+    def __init__(self, clock, log, state, timeout_ms, peers, membership, seeds):
+        self.clock = clock
+        self.log = log
+        self.state = state
+        self.timeout_ms = timeout_ms
+        self.peers = peers
+        self.membership = membership
+        self.seeds = seeds
+        self.caught_up = False
+        self.log_answers = False
+        self.log_now_ms = 0
+
+    def ready(self):
+        """Return whether there is a configuration to serve by."""
+        return self.caught_up and bool(self.state.services)
+
+    async def run(self):
+        """Follow the stream until cancelled."""
+        while True:
+            wait_ms = WAIT_MS if self.caught_up else 0
+            if not await self.step(wait_ms):
+                await self.learn_from_peers()
+                await self.clock.sleep_ms(OUTAGE_RETRY_MS)
+
+    async def step(self, wait_ms=0):
+        """Read once; return whether the state is on its way with the log."""
+        result = await self.log.read(
+            configuration.STREAM,
+            self.state.version,
+            READ_LIMIT,
+            self.timeout_ms,
+            wait_ms,
+        )
+        self.log_answers = result.is_ok()
+        if result.is_error():
+            _warn("configuration_read_failed", detail=str(result.error))
+            return False
+        return await self._take(result.ok)
+
+    async def _take(self, page):
+        self.log_now_ms = max(self.log_now_ms, page.now_ms)
+        if page.end < self.state.version:
+            _warn("configuration_log_shorter", end=page.end)
+            return False
+        if page.first > self.state.version:
+            return await self._bridge(page.first)
+        for record in page.records:
+            self.state.apply(record.offset, record.data, record.time_ms)
+        if self.state.version >= page.end:
+            self.caught_up = True
+        elif not self.caught_up and page.end - self.state.version > READ_LIMIT:
+            await self.learn_from_peers()
+        return True
+
+    async def _bridge(self, first):
+        """Get over records that the log has dropped; return whether it worked."""
+        await self.learn_from_peers()
+        if self.state.version >= first or await self._take_snapshot(first):
+            return True
+        self.caught_up = False
+        _warn("configuration_gap", version=self.state.version, first=first)
+        return False
+
+    async def _take_snapshot(self, first):
+        """Look for a snapshot in the log that all later records are kept of."""
+        collector = snapshots.Collector()
+        offset = first
+        while True:
+            result = await self.log.read(
+                configuration.STREAM, offset, READ_LIMIT, self.timeout_ms
+            )
+            if result.is_error() or not result.ok.records:
+                return False
+            for record in result.ok.records:
+                if self._take_chunk(collector, record, result.ok.first):
+                    return True
+            offset = result.ok.records[-1].offset + 1
+
+    def _take_chunk(self, collector, record, first):
+        chunk = changes.read_chunk(record.data)
+        if chunk is None or chunk.through < first:
+            return False
+        text = collector.add(chunk)
+        snapshot = snapshots.decode(text) if text else None
+        return snapshot is not None and self.state.restore(snapshot)
+
+    async def reach(self, version, limit_ms):
+        """Read at once, beside the open long poll, until a version is applied.
+
+        Returns
+        -------
+        bool
+            Whether the version was reached within the limit.
+        """
+        with self.clock.timeout_ms(limit_ms):
+            while self.state.version < version:
+                await self.step()
+                if self.state.version < version:
+                    await self.clock.sleep_ms(RETRY_MS)
+        return self.state.version >= version
+
+    async def learn_from_peers(self):
+        """Take the newest state, and the emergency orders, that peers have.
+
+        A host without a configuration asks many; another asks a few, so that what
+        one host has learnt spreads while the log is away.
+        """
+        addresses = self._addresses()
+        n_asked = N_PEERS_IN_OUTAGE if self.caught_up else N_PEERS_AT_START
+        asked = random.sample(addresses, min(n_asked, len(addresses)))
+        replies = await self._ask_all(asked)
+        newest = max(replies, key=_version_of, default=None)
+        if newest is None:
+            return
+        address, applied = newest
+        if applied.version > self.state.version:
+            await self._fetch(address)
+        for _, reply in replies:
+            self._take_orders(reply.orders)
+        if self.state.version and self.state.version >= applied.version:
+            self.caught_up = self.caught_up or not self.log_answers
+
+    def _take_orders(self, orders):
+        for order in orders:
+            change = changes.read(changes.record(order))
+            if change is not None:
+                self.state.take_order(change)
+
+    def _addresses(self):
+        known = {member.address for member in self.membership.alive()}
+        return sorted((known | set(self.seeds)) - {self.membership.me.address})
+
+    async def _ask_all(self, addresses):
+        replies = []
+        async with trio.open_nursery() as nursery:
+            for address in addresses:
+                nursery.start_soon(self._ask_into, replies, address)
+        return replies
+
+    async def _ask_into(self, replies, address):
+        path = "/peer/configuration/version"
+        reply = await self.ask(address, path, 0, PEER_TIMEOUT_MS)
+        if reply is not None and reply.caught_up:
+            replies.append((address, reply))
+
+    async def ask(self, address, path, version, timeout_ms):
+        """Ask one peer; return ``messages.ConfigurationApplied`` or None."""
+        message = messages.ConfigurationAsked(version=version)
+        result = await self.peers.call(address, path, message, timeout_ms)
+        if result.is_error():
+            return None
+        try:
+            return msgspec.convert(result.ok, messages.ConfigurationApplied)
+        except msgspec.ValidationError as error:
+            _warn("peer_reply_unread", address=address, detail=str(error))
+            return None
+
+    async def _fetch(self, address):
+        reply = await self.ask(
+            address, "/peer/configuration/state", self.state.version, self.timeout_ms
+        )
+        if reply is None or not reply.snapshot:
+            return
+        snapshot = snapshots.decode(reply.snapshot)
+        if snapshot is not None:
+            self.state.restore(snapshot)
+
+
+class Answerer:
+    """Answers what peers ask of the configuration.
+
+    Parameters
+    ----------
+    follower : Follower
+    state : configuration.State
+    """
+
+    __slots__ = ("follower", "state")
+
+    def __init__(self, follower, state):
+        self.follower = follower
+        self.state = state
+
+    def register(self, control):
+        """Add the handlers to ``control.Control``."""
+        control.add("/peer/configuration/version", self.version)
+        control.add("/peer/configuration/state", self.snapshot)
+        control.add("/peer/configuration/order", self.order)
+
+    async def version(self, message):
+        """Return the applied version, after a try to reach the one asked for."""
+        asked = control.read(message, messages.ConfigurationAsked)
+        if asked.version > self.state.version:
+            await self.follower.reach(asked.version, PEER_TIMEOUT_MS)
+        return self._applied()
+
+    async def snapshot(self, message):
+        """Return the state where it is newer than the asker's."""
+        asked = control.read(message, messages.ConfigurationAsked)
+        text = ""
+        if self.state.version > asked.version:
+            text = snapshots.encode(self.state)
+        return self._applied(text)
+
+    async def order(self, message):
+        """Take an emergency order."""
+        change = changes.read(message)
+        if change is not None:
+            self.state.take_order(change)
+        return self._applied()
+
+    def _applied(self, snapshot=""):
+        return messages.ConfigurationApplied(
+            version=self.state.version,
+            caught_up=self.follower.caught_up,
+            snapshot=snapshot,
+            orders=list(self.state.orders.values()),
+        )
+
+
+def _version_of(reply):
+    return reply[1].version
+
+
+def _warn(event, **fields):
+    events.log(logger, logging.WARNING, event, **fields)
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -5,18 +5,25 @@
 from teaselwall import (
     clock,
     configuration,
+    confirmations,
     control,
     dispatch,
     engines,
     fleet,
+    followers,
     hostlist,
     logservice,
     membership,
     metrics,
+    operators,
+    orders,
     peers,
     pickers,
+    pictures,
     pipelines,
     pools,
+    publications,
+    snapshots,
     traces,
     transport,
 )
@@ -41,6 +48,9 @@
         "log",
         "state",
         "follower",
+        "rewriter",
+        "publisher",
+        "orders",
         "membership",
         "fleet",
         "dispatcher",
@@ -60,10 +70,23 @@
         )
         self.state = configuration.State()
         timeout_ms = settings.platform.timeout_ms
-        self.follower = configuration.Follower(
-            self.clock, self.log, self.state, timeout_ms
-        )
         self.membership = membership.Membership(settings)
+        self.follower = followers.Follower(
+            self.clock,
+            self.log,
+            self.state,
+            timeout_ms,
+            self.peers,
+            self.membership,
+            settings.membership.seeds,
+        )
+        self.rewriter = snapshots.Rewriter(
+            self.clock, self.log, self.follower, settings.claims.retention_ms
+        )
+        self.publisher = publications.Publisher(self.clock, self.log, self.follower)
+        self.orders = orders.Orders(
+            self.clock, self.state, self.publisher, self.peers, self.membership
+        )
         self.fleet = fleet.Fleet(
             self.clock,
             hostlist.HttpHostList(self.transport, settings.platform.host_list),
@@ -73,6 +96,20 @@
         )
         self.dispatcher = self._dispatcher()
         self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self._register_operators()
+
+    def _register_operators(self):
+        commands = operators.Operators(
+            self.state,
+            self.fleet,
+            self.follower,
+            self.publisher,
+            self.orders,
+            confirmations.Confirmer(self.clock, self.follower),
+        )
+        commands.register(self.control)
+        pictures.Pictures(self, commands).register(self.control)
+        followers.Answerer(self.follower, self.state).register(self.control)
 
     def _dispatcher(self):
         backends = {
@@ -96,10 +133,12 @@
 
     def ready(self):
         """Return whether callers may be sent here."""
-        return self.follower.caught_up and self.fleet.seen
+        return self.follower.ready() and self.fleet.seen
 
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.rewriter.run)
+            nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
--- /dev/null
+++ b/teaselwall/operators.py
@@ -0,0 +1,193 @@
+"""The operators' commands that change the configuration."""
+
+from teaselwall import changes, confirmations, control, errors
+from teaselwall.generated import messages
+
+MAX_SERVICES = 1000
+MAX_SERVERS_DRAINED = 20_000
+EMERGENCY_AFTER_MS = 1500
+BASE_LIMIT_MS = 1000
+DEFAULT_AUTHOR = "operator"
+
+
+class Operators:
+    """Handlers under ``/operator/`` that publish a change and wait for it.
+
+    Parameters
+    ----------
+    state : configuration.State
+    fleet : fleet.Fleet
+    follower : followers.Follower
+    publisher : publications.Publisher
+    orders : orders.Orders
+    confirmer : confirmations.Confirmer
+    """
+
+    __slots__ = ("state", "fleet", "follower", "publisher", "orders", "confirmer")
+
+    def __init__(self, state, fleet, follower, publisher, orders, confirmer):
+        self.state = state
+        self.fleet = fleet
+        self.follower = follower
+        self.publisher = publisher
+        self.orders = orders
+        self.confirmer = confirmer
+
+    def register(self, host_control):
+        """Add the handlers to ``control.Control``."""
+        host_control.add("/operator/services/publish", self.publish)
+        host_control.add("/operator/data-centres/out", self.take_out)
+        host_control.add("/operator/data-centres/in", self.bring_in)
+        host_control.add("/operator/servers/drain", self.drain)
+        host_control.add("/operator/servers/undrain", self.undrain)
+
+    async def publish(self, message):
+        """Check a service document whole and put it in force."""
+        call = await self._read(message)
+        result = changes.read_document(call.document, "the service")
+        if result.is_error():
+            raise result.error
+        document = result.ok
+        self._check_pools(document)
+        self._check_room("services", self.state.services, document.service)
+        current = self.state.entries.get(("service", document.service))
+        old = current.content if current is not None else None
+        change = changes.smallest(document, old, call.base, call.author, call.change)
+        return await self._decide(change)
+
+    def _check_pools(self, document):
+        if not self.fleet.seen:
+            return
+        known = sorted(self.fleet.by_pool)
+        for stage in document.stages:
+            if stage.pool not in known:
+                detail = f"The host list has no stage pool {stage.pool!r}."
+                remedy = f"Use one of {known}, or start the pool's servers first."
+                raise errors.InvalidRequest(detail, remedy=remedy)
+
+    def _check_room(self, what, table, name):
+        limit = MAX_SERVICES if what == "services" else MAX_SERVERS_DRAINED
+        if name not in table and len(table) >= limit:
+            remedy = f"Remove some of the {what} first."
+            raise errors.InvalidRequest(f"There are {limit} {what}.", remedy=remedy)
+
+    async def take_out(self, message):
+        """Take a data centre out, by an emergency order if the log is away."""
+        call = await self._read(message)
+        self._check_data_centre(call.name)
+        change = changes.data_centre(
+            call.name, True, call.base, call.author, call.change
+        )
+        result = await self.publisher.publish(change, EMERGENCY_AFTER_MS)
+        if result.is_ok():
+            return await self._answer(change, result.ok, "accepted")
+        return await self._take_out_without_log(change)
+
+    async def _take_out_without_log(self, change):
+        in_force = await self.orders.issue(change)
+        if in_force is None:
+            detail = f"A newer decision on {change.subject} is in force, or too many."
+            remedy = "Look at 'teaselwall zone status' and decide again."
+            raise errors.Conflict(detail, remedy=remedy)
+        members = self.follower.membership.alive()
+        missing = [member for member in members if member.address not in in_force]
+        return messages.OperatorReply(
+            outcome="emergency",
+            version=self.state.version,
+            n_hosts=len(members),
+            n_in_force=len(members) - len(missing),
+            lagging=[_without_answer(member) for member in missing],
+        )
+
+    async def bring_in(self, message):
+        """Bring a data centre back; refused while the log is away."""
+        call = await self._read(message)
+        self._check_data_centre(call.name)
+        change = changes.data_centre(
+            call.name, False, call.base, call.author, call.change
+        )
+        return await self._decide(change)
+
+    def _check_data_centre(self, name):
+        known = self.data_centres()
+        if name not in known:
+            detail = f"There is no data centre {name!r}."
+            remedy = f"Use one of {sorted(known)}."
+            raise errors.InvalidRequest(detail, remedy=remedy)
+
+    def data_centres(self):
+        """Return the names of all data centres that this host knows of."""
+        servers = {server.data_centre for server in self.servers().values()}
+        members = {m.data_centre for m in self.follower.membership.alive()}
+        decided = {name for kind, name in self.state.entries if kind == "data_centre"}
+        return servers | members | decided
+
+    def servers(self):
+        """Return the backend servers of the host list by address."""
+        return {
+            address: server
+            for pool in self.fleet.by_pool.values()
+            for address, server in pool.items()
+        }
+
+    async def drain(self, message):
+        """Give a backend server no new work until that is ended."""
+        call = await self._read(message)
+        server = self.servers().get(call.name)
+        if server is None:
+            detail = f"The host list has no backend server {call.name!r}."
+            remedy = "Use an address that 'teaselwall server status' lists."
+            raise errors.InvalidRequest(detail, remedy=remedy)
+        self._check_room("servers_drained", self.state.servers_drained, call.name)
+        change = changes.server(
+            call.name, True, server.incarnation, call.base, call.author, call.change
+        )
+        return await self._decide(change)
+
+    async def undrain(self, message):
+        """Give a drained backend server work again."""
+        call = await self._read(message)
+        if ("server", call.name) not in self.state.entries:
+            detail = f"The backend server {call.name!r} is not drained."
+            remedy = "Use an address that 'teaselwall server status' lists."
+            raise errors.InvalidRequest(detail, remedy=remedy)
+        change = changes.server(
+            call.name, False, "", call.base, call.author, call.change
+        )
+        return await self._decide(change)
+
+    async def _read(self, message):
+        """Return the call, with what the operator left open filled in."""
+        call = control.read(message, messages.OperatorCall)
+        call.change = call.change or changes.new_id()
+        call.author = call.author or DEFAULT_AUTHOR
+        if call.base < 0:
+            call.base = self.state.version
+        if not await self.follower.reach(call.base, BASE_LIMIT_MS):
+            detail = f"This entry host has version {self.state.version} only."
+            remedy = "Try again, or ask another entry host."
+            raise errors.Unavailable(detail, remedy=remedy)
+        return call
+
+    async def _decide(self, change):
+        known = self.state.verdict(change)
+        if known is not None:
+            return await self._answer(change, known, "already")
+        result = await self.publisher.publish(change)
+        if result.is_error():
+            raise result.error
+        return await self._answer(change, result.ok, "accepted")
+
+    async def _answer(self, change, verdict, outcome):
+        if not verdict.accepted:
+            raise confirmations.lost(verdict)
+        hosts = await self.confirmer.confirm(verdict.version)
+        return confirmations.reply(outcome, verdict.version, hosts)
+
+
+def _without_answer(member):
+    return messages.HostInForce(
+        address=member.address,
+        data_centre=member.data_centre,
+        version=confirmations.NO_ANSWER,
+    )
--- /dev/null
+++ b/teaselwall/publications.py
@@ -0,0 +1,86 @@
+"""Publishing changes of the configuration and telling what became of them."""
+
+import logging
+
+import expression
+
+from teaselwall import changes, clock, configuration, errors, events
+
+logger = logging.getLogger(__name__)
+
+LIMIT_MS = 4000
+RETRY_MS = 200
+MAX_APPENDS = 5
+
+
+class Publisher:
+    """Appends changes and reads back what the log's order decided.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    log : logservice.LogService
+    follower : followers.Follower
+    """
+
+    __slots__ = ("clock", "log", "follower")
+
+    def __init__(self, clock, log, follower):
+        self.clock = clock
+        self.log = log
+        self.follower = follower
+
+    async def publish(self, change, limit_ms=LIMIT_MS):
+        """Append a change unless it is there already, and read the verdict.
+
+        Parameters
+        ----------
+        change : messages.ConfigurationChange
+        limit_ms : float
+
+        Returns
+        -------
+        expression.Result
+            ``configuration.Verdict``, or ``errors.Unavailable`` whose outcome says
+            whether the change may still take effect. The same change may be
+            published again at any time.
+        """
+        deadline = clock.Deadline(self.clock, limit_ms)
+        outcome = errors.Outcome.NOT_RUN
+        for _ in range(MAX_APPENDS):
+            verdict = self.follower.state.verdict(change)
+            if verdict is not None:
+                return expression.Ok(verdict)
+            if deadline.passed():
+                break
+            if await self._append(change, deadline) is not errors.Outcome.NOT_RUN:
+                outcome = errors.Outcome.UNKNOWN
+        verdict = self.follower.state.verdict(change)
+        if verdict is not None:
+            return expression.Ok(verdict)
+        return _undecided(outcome)
+
+    async def _append(self, change, deadline):
+        """Append once and read up to it; return how far that came."""
+        timeout_ms = min(self.follower.timeout_ms, deadline.remaining_ms())
+        result = await self.log.append(
+            configuration.STREAM, changes.record(change), timeout_ms
+        )
+        if result.is_ok():
+            await self.follower.reach(result.ok + 1, deadline.remaining_ms())
+            return errors.Outcome.RAN
+        detail = str(result.error)
+        events.log(logger, logging.WARNING, "publication_failed", detail=detail)
+        # The record may be in the log: read before it is appended again.
+        with self.clock.timeout_ms(deadline.remaining_ms()):
+            await self.clock.sleep_ms(RETRY_MS)
+            await self.follower.step()
+        return result.error.outcome
+
+
+def _undecided(outcome):
+    detail = "The log service did not confirm the change in time."
+    if outcome is errors.Outcome.NOT_RUN:
+        detail = "The log service cannot be reached; nothing was changed."
+    remedy = "Repeat the same command with the same --change identifier."
+    return expression.Error(errors.Unavailable(detail, outcome=outcome, remedy=remedy))
--- /dev/null
+++ b/teaselwall/snapshots.py
@@ -0,0 +1,162 @@
+"""Snapshots of the configuration, written before the log drops what they hold."""
+
+import collections
+import logging
+import secrets
+
+import msgspec
+import xxhash
+
+from teaselwall import configuration, events
+from teaselwall.generated import messages
+
+logger = logging.getLogger(__name__)
+
+CHUNK_CHARACTERS = 60_000
+MAX_OPEN = 4
+FRACTION_OF_RETENTION = 0.25
+BACKUP_FRACTION = 0.05
+MAX_BACKUP_RANK = 5
+CHECKS_PER_RETENTION = 50
+MIN_CHECK_MS = 200
+
+
+def encode(state):
+    """Return a state's snapshot as JSON text, or an empty text.
+
+    A host that could not read a document does not pass its state on.
+    """
+    if state.unread:
+        return ""
+    return msgspec.json.encode(state.snapshot()).decode()
+
+
+def decode(text):
+    """Return the snapshot in a text, or None where it cannot be read."""
+    try:
+        return msgspec.json.decode(text, type=messages.ConfigurationSnapshot)
+    except msgspec.DecodeError as error:
+        events.log(logger, logging.ERROR, "snapshot_unread", detail=str(error))
+        return None
+
+
+def chunks(state):
+    """Return the log records that carry a state's snapshot."""
+    text = encode(state)
+    starts = range(0, len(text), CHUNK_CHARACTERS)
+    snapshot = secrets.token_hex(8)
+    return [
+        messages.SnapshotChunk(
+            kind="snapshot",
+            snapshot=snapshot,
+            through=state.version,
+            index=index,
+            n_chunks=len(starts),
+            text=text[start : start + CHUNK_CHARACTERS],
+        )
+        for index, start in enumerate(starts)
+    ]
+
+
+class Collector:
+    """Puts the chunks of snapshots together as they pass by.
+
+    Attributes
+    ----------
+    started : collections.OrderedDict of str to dict of int to str
+        Texts of unfinished snapshots by their index.
+    """
+
+    __slots__ = ("started",)
+
+    def __init__(self):
+        self.started = collections.OrderedDict()
+
+    def add(self, chunk):
+        """Take a chunk; return the whole text once it is there, else None."""
+        parts = self.started.setdefault(chunk.snapshot, {})
+        if chunk.index < chunk.n_chunks:
+            parts[chunk.index] = chunk.text
+        if len(parts) == chunk.n_chunks:
+            del self.started[chunk.snapshot]
+            return "".join(parts[index] for index in range(chunk.n_chunks))
+        while len(self.started) > MAX_OPEN:
+            self.started.popitem(last=False)
+        return None
+
+
+class Rewriter:
+    """Writes a snapshot in time, on one host as a rule.
+
+    Members take turns by rendezvous hashing; one that is late is stood in for by
+    the next. Snapshots written twice do no harm, as they only repeat the log.
+    Ages are differences of times that the log service gave, so no two clocks are
+    compared.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    log : logservice.LogService
+    follower : followers.Follower
+    retention_ms : float
+        How long the log service keeps records.
+    """
+
+    __slots__ = ("clock", "log", "follower", "retention_ms")
+
+    def __init__(self, clock, log, follower, retention_ms):
+        self.clock = clock
+        self.log = log
+        self.follower = follower
+        self.retention_ms = retention_ms
+
+    async def run(self):
+        """Write snapshots when they are due, until cancelled."""
+        interval_ms = max(MIN_CHECK_MS, self.retention_ms / CHECKS_PER_RETENTION)
+        while True:
+            await self.clock.sleep_ms(interval_ms)
+            if self.due():
+                await self.write()
+
+    def due(self):
+        """Return whether this host is to write a snapshot at this moment."""
+        state = self.follower.state
+        if not self.follower.caught_up or not state.rewritten_ms:
+            return False
+        turns = FRACTION_OF_RETENTION + BACKUP_FRACTION * self._rank()
+        age_ms = self.follower.log_now_ms - state.rewritten_ms
+        return age_ms > turns * self.retention_ms
+
+    def _rank(self):
+        """Return this host's place among the members for the coming snapshot."""
+        turn = self.follower.state.rewritten_ms
+        me = self.follower.membership.me.address
+        mine = _weight(me, turn)
+        better = sum(
+            _weight(member.address, turn) > mine
+            for member in self.follower.membership.alive()
+            if member.address != me
+        )
+        return min(better, MAX_BACKUP_RANK)
+
+    async def write(self):
+        """Append a snapshot of the state as it is now.
+
+        Returns
+        -------
+        bool
+            Whether each chunk is known to be in the log.
+        """
+        timeout_ms = self.follower.timeout_ms
+        for chunk in chunks(self.follower.state):
+            data = msgspec.to_builtins(chunk)
+            result = await self.log.append(configuration.STREAM, data, timeout_ms)
+            if result.is_error():
+                detail = str(result.error)
+                events.log(logger, logging.WARNING, "snapshot_failed", detail=detail)
+                return False
+        return True
+
+
+def _weight(address, turn):
+    return xxhash.xxh3_64_intdigest(f"{turn}/{address}")
--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -10,7 +10,14 @@
 import tomli_w
 import trio
 
-from teaselwall import clock, configuration, logservice, transport
+from teaselwall import (
+    changes,
+    clock,
+    configuration,
+    logservice,
+    services,
+    transport,
+)
 from teaselwall.generated import messages
 
 SAMPLES = pathlib.Path(__file__).resolve().parents[2] / "samples"
@@ -79,6 +86,7 @@
         self.backends = []
         self.entry_hosts = []
         self.log = None
+        self.base = 0
 
     async def start(self):
         """Start everything and wait until the entry hosts are ready."""
@@ -160,14 +168,13 @@
     async def publish_services(self):
         """Publish the sample's service documents."""
         for path in sorted((SAMPLES / self.name / "services").glob("*.toml")):
-            record = {
-                "kind": "service",
-                "name": path.stem,
-                "document": path.read_text(),
-            }
+            document = services.read(path).ok
+            change = changes.service(document, self.base, "deployment")
+            record = changes.record(change)
             result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
             if result.is_error():
                 raise result.error
+            self.base = result.ok
 
     def start_entry_hosts(self):
         """Start the entry hosts, spread over the data centres."""
