Add the operators' commands and seeded race histories

Cause: the configuration could only be published by hand into the log.

Ruled out: a retry of an unknown append under a new identifier; the race check finds it telling 'lost' of a change that was accepted.

Change: commands for services, zones, servers, hosts, quarantine, status and traces; a restart record for a log that dropped unread records.

--- a/teaselwall/changes.py
+++ b/teaselwall/changes.py
@@ -91,6 +91,21 @@
         return None
 
 
+def read_restart(offset, data):
+    """Return the snapshot that a restart record puts in force, or None.
+
+    The record counts only at the offset that its author expected, so one that comes
+    late, or lost a race, is void for every reader.
+    """
+    try:
+        record = msgspec.convert(data, messages.ConfigurationRestart)
+        if record.end != offset:
+            return None
+        return msgspec.json.decode(record.text, type=messages.ConfigurationSnapshot)
+    except (msgspec.ValidationError, msgspec.DecodeError):
+        return None
+
+
 def ends_snapshot(data):
     """Return whether a log record is the last chunk of a snapshot.
 
--- a/teaselwall/cli.py
+++ b/teaselwall/cli.py
@@ -1,15 +1,43 @@
-"""The ``teaselwall`` program for operators and callers' engineers."""
+"""The ``teaselwall`` program for operators and callers' engineers.
+
+Exit status: 0 done, 1 refused, 2 wrong usage or file, 3 outcome unknown or not in
+force everywhere, 4 no entry host answers.
+"""
 
 import sys
 
-from cleo import application, helpers
+from cleo import application, exceptions, helpers
 from cleo.commands import command
 
 import teaselwall
-from teaselwall import services, settings
-
-EXIT_OK = 0
-EXIT_WRONG_FILE = 2
+from teaselwall import (
+    console,
+    fleet_commands,
+    service_commands,
+    settings,
+    view_commands,
+)
+
+COMMANDS = (
+    service_commands.Publish,
+    service_commands.Show,
+    service_commands.Diff,
+    service_commands.History,
+    service_commands.Check,
+    fleet_commands.ZoneOut,
+    fleet_commands.ZoneIn,
+    fleet_commands.ZoneStatus,
+    fleet_commands.ServerDrain,
+    fleet_commands.ServerUndrain,
+    fleet_commands.ServerStatus,
+    fleet_commands.HostStop,
+    fleet_commands.HostStatus,
+    fleet_commands.QuarantineList,
+    fleet_commands.QuarantineLift,
+    fleet_commands.ConfigurationRestart,
+    view_commands.Status,
+    view_commands.Trace,
+)
 
 
 class SettingsCheck(command.Command):
@@ -21,34 +49,35 @@
 
     def handle(self):
         """Check the file."""
-        return self._say(settings.read(self.argument("file")))
-
-    def _say(self, result):
+        result = settings.read(self.argument("file"))
         if result.is_error():
             self.line_error(str(result.error))
-            return EXIT_WRONG_FILE
+            return console.EXIT_USAGE
         self.line(f"{self.argument('file')} is right.")
-        return EXIT_OK
+        return console.EXIT_OK
 
 
-class ServiceCheck(SettingsCheck):
-    """Check a service document."""
+class Console(application.Application):
+    """The application; it tells wrong usage from other failures."""
 
-    name = "service check"
-    description = "Check a service document without publishing it."
-    arguments = [helpers.argument("file", "Service document (TOML).")]
+    def __init__(self):
+        super().__init__("teaselwall", teaselwall.__version__)
+        self.wrong_usage = False
+        self.auto_exits(False)
+        for kind in (SettingsCheck, *COMMANDS):
+            self.add(kind())
 
-    def handle(self):
-        """Check the document."""
-        return self._say(services.read(self.argument("file")))
+    def render_error(self, error, io):
+        """Print an error."""
+        self.wrong_usage = isinstance(error, exceptions.CleoError)
+        super().render_error(error, io)
 
 
 def main():
     """Run the command line; return its exit status."""
-    console = application.Application("teaselwall", teaselwall.__version__)
-    console.add(SettingsCheck())
-    console.add(ServiceCheck())
-    return console.run()
+    program = Console()
+    status = program.run()
+    return console.EXIT_USAGE if program.wrong_usage else status
 
 
 if __name__ == "__main__":
--- a/teaselwall/configuration.py
+++ b/teaselwall/configuration.py
@@ -128,6 +128,8 @@
         change = changes.read(record)
         if change is not None:
             self._decide(change, time_ms)
+        else:
+            self.restart(offset, record)
         if not self.rewritten_ms or changes.ends_snapshot(record):
             self.rewritten_ms = time_ms
         self._wake()
@@ -316,6 +318,23 @@
             orders=list(self.orders.values()),
         )
 
+    def restart(self, offset, record):
+        """Take the state in a restart record, whatever came before it.
+
+        An operator writes one where the log dropped records that no host has read.
+
+        Returns
+        -------
+        bool
+            Whether the record is one.
+        """
+        snapshot = changes.read_restart(offset, record)
+        if snapshot is None:
+            return False
+        self._load(snapshot)
+        self.version = offset + 1
+        return True
+
     def restore(self, snapshot):
         """Take a state as another host had it, if it is newer than this one.
 
@@ -326,6 +345,10 @@
         """
         if snapshot.version <= self.version:
             return False
+        self._load(snapshot)
+        return True
+
+    def _load(self, snapshot):
         self._clear()
         self.version = snapshot.version
         self.floor = snapshot.floor
@@ -338,7 +361,6 @@
         self._show_data_centres()
         self._settle_orders()
         self._wake()
-        return True
 
 
 def _key(change):
--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -159,6 +159,14 @@
     """A backend server answered with an error or broke off."""
 
 
+class NoEntryHost(Error):
+    """No entry host answers an operator's command."""
+
+    status = 503
+    title = "No entry host"
+    remedy = "Name running ones with --hosts or TEASELWALL_HOSTS."
+
+
 def require_ok(reply, part):
     """Return the reply as a result, or an error where its status is not 200.
 
--- a/teaselwall/followers.py
+++ b/teaselwall/followers.py
@@ -40,6 +40,9 @@
         Whether the state has been as new as the log, or as the newest peer.
     log_answers : bool
         Whether the newest call of the log was answered.
+    log_gap : bool
+        Whether the log has dropped records that neither a snapshot nor a peer
+        stands in for; the newest known state stays in force.
     log_now_ms : int
         The log service's own time at its newest answer.
     """
@@ -54,6 +57,7 @@
         "seeds",
         "caught_up",
         "log_answers",
+        "log_gap",
         "log_now_ms",
     )
 
@@ -67,6 +71,7 @@
         self.seeds = seeds
         self.caught_up = False
         self.log_answers = False
+        self.log_gap = False
         self.log_now_ms = 0
 
     def ready(self):
@@ -115,8 +120,9 @@
         """Get over records that the log has dropped; return whether it worked."""
         await self.learn_from_peers()
         if self.state.version >= first or await self._take_snapshot(first):
+            self.log_gap = False
             return True
-        self.caught_up = False
+        self.log_gap = True
         _warn("configuration_gap", version=self.state.version, first=first)
         return False
 
@@ -136,6 +142,8 @@
             offset = result.ok.records[-1].offset + 1
 
     def _take_chunk(self, collector, record, first):
+        if self.state.restart(record.offset, record.data):
+            return True
         chunk = changes.read_chunk(record.data)
         if chunk is None or chunk.through < first:
             return False
@@ -177,7 +185,8 @@
         for _, reply in replies:
             self._take_orders(reply.orders)
         if self.state.version and self.state.version >= applied.version:
-            self.caught_up = self.caught_up or not self.log_answers
+            alone = self.log_gap or not self.log_answers
+            self.caught_up = self.caught_up or alone
 
     def _take_orders(self, orders):
         for order in orders:
--- a/teaselwall/operators.py
+++ b/teaselwall/operators.py
@@ -40,6 +40,7 @@
         host_control.add("/operator/data-centres/in", self.bring_in)
         host_control.add("/operator/servers/drain", self.drain)
         host_control.add("/operator/servers/undrain", self.undrain)
+        host_control.add("/operator/configuration/restart", self.restart)
 
     async def publish(self, message):
         """Check a service document whole and put it in force."""
@@ -156,6 +157,19 @@
         )
         return await self._decide(change)
 
+    async def restart(self, message):
+        """Go on from the newest known state after the log lost unread records."""
+        call = await self._read(message)
+        if not self.follower.log_gap:
+            detail = "The log has lost nothing that this entry host needs."
+            remedy = "Publish as usual; a restart is for a gap in the log only."
+            raise errors.Conflict(detail, remedy=remedy)
+        result = await self.publisher.restart(call.author)
+        if result.is_error():
+            raise result.error
+        hosts = await self.confirmer.confirm(result.ok)
+        return confirmations.reply("accepted", result.ok, hosts)
+
     async def _read(self, message):
         """Return the call, with what the operator left open filled in."""
         call = control.read(message, messages.OperatorCall)
--- a/teaselwall/orders.py
+++ b/teaselwall/orders.py
@@ -3,9 +3,8 @@
 import logging
 
 import trio
-import xxhash
 
-from teaselwall import changes, events
+from teaselwall import changes, events, turns
 
 logger = logging.getLogger(__name__)
 
@@ -84,15 +83,7 @@
     async def _settle(self, change):
         if not self.publisher.follower.log_answers:
             return
-        await self.clock.sleep_ms(self._rank(change) * RANK_MS)
+        rank = min(turns.rank(self.membership, change.change), MAX_RANK)
+        await self.clock.sleep_ms(rank * RANK_MS)
         if change.change in self.state.orders:
             await self.publisher.publish(change)
-
-    def _rank(self, change):
-        weights = sorted(
-            (xxhash.xxh3_64_intdigest(f"{change.change}/{member.address}"))
-            for member in self.membership.alive()
-        )
-        me = self.membership.me.address
-        mine = xxhash.xxh3_64_intdigest(f"{change.change}/{me}")
-        return min(sum(weight < mine for weight in weights), MAX_RANK)
--- a/teaselwall/pictures.py
+++ b/teaselwall/pictures.py
@@ -66,6 +66,7 @@
             host=host.settings.host.name,
             base=host.state.version,
             log_answers=host.follower.log_answers,
+            log_gap=host.follower.log_gap,
             ready=host.ready(),
             era=host.state.era,
             services={
--- a/teaselwall/publications.py
+++ b/teaselwall/publications.py
@@ -3,8 +3,10 @@
 import logging
 
 import expression
+import msgspec
 
-from teaselwall import changes, clock, configuration, errors, events
+from teaselwall import changes, clock, configuration, errors, events, snapshots
+from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +62,38 @@
             return expression.Ok(verdict)
         return _undecided(outcome)
 
+    async def restart(self, author):
+        """Go on from this host's state where the log lost unread records.
+
+        Returns
+        -------
+        expression.Result
+            Version of the restart, or ``errors.Unavailable``.
+        """
+        for _ in range(MAX_APPENDS):
+            result = await self._append_restart(author)
+            if result.is_ok() and not self.follower.log_gap:
+                return expression.Ok(self.follower.state.version)
+            await self.clock.sleep_ms(RETRY_MS)
+        return _undecided(errors.Outcome.UNKNOWN)
+
+    async def _append_restart(self, author):
+        timeout_ms = self.follower.timeout_ms
+        page = await self.log.read(configuration.STREAM, 0, 1, timeout_ms)
+        if page.is_error():
+            return page
+        record = messages.ConfigurationRestart(
+            kind="restart",
+            end=page.ok.end,
+            change=changes.new_id(),
+            author=author,
+            text=snapshots.encode(self.follower.state),
+        )
+        data = msgspec.to_builtins(record)
+        result = await self.log.append(configuration.STREAM, data, timeout_ms)
+        await self.follower.step()
+        return result
+
     async def _append(self, change, deadline):
         """Append once and read up to it; return how far that came."""
         timeout_ms = min(self.follower.timeout_ms, deadline.remaining_ms())
--- a/teaselwall/snapshots.py
+++ b/teaselwall/snapshots.py
@@ -5,9 +5,8 @@
 import secrets
 
 import msgspec
-import xxhash
 
-from teaselwall import configuration, events
+from teaselwall import configuration, events, turns
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -121,23 +120,12 @@
     def due(self):
         """Return whether this host is to write a snapshot at this moment."""
         state = self.follower.state
-        if not self.follower.caught_up or not state.rewritten_ms:
+        if not self.follower.caught_up or not self.follower.log_answers:
             return False
-        turns = FRACTION_OF_RETENTION + BACKUP_FRACTION * self._rank()
+        rank = turns.rank(self.follower.membership, f"snapshot {state.rewritten_ms}")
+        fraction = FRACTION_OF_RETENTION + BACKUP_FRACTION * min(rank, MAX_BACKUP_RANK)
         age_ms = self.follower.log_now_ms - state.rewritten_ms
-        return age_ms > turns * self.retention_ms
-
-    def _rank(self):
-        """Return this host's place among the members for the coming snapshot."""
-        turn = self.follower.state.rewritten_ms
-        me = self.follower.membership.me.address
-        mine = _weight(me, turn)
-        better = sum(
-            _weight(member.address, turn) > mine
-            for member in self.follower.membership.alive()
-            if member.address != me
-        )
-        return min(better, MAX_BACKUP_RANK)
+        return age_ms > fraction * self.retention_ms
 
     async def write(self):
         """Append a snapshot of the state as it is now.
@@ -156,7 +144,3 @@
                 events.log(logger, logging.WARNING, "snapshot_failed", detail=detail)
                 return False
         return True
-
-
-def _weight(address, turn):
-    return xxhash.xxh3_64_intdigest(f"{turn}/{address}")
--- /dev/null
+++ b/teaselwall/tests/races.py
@@ -0,0 +1,316 @@
+"""Seeded histories of operators that race while the log and hosts fail."""
+
+import random
+
+import trio
+import trio.testing
+from trio._core import _run as scheduler
+
+from teaselwall import (
+    changes,
+    configuration,
+    control,
+    errors,
+    followers,
+    membership,
+    publications,
+    snapshots,
+)
+from teaselwall.generated import service as schema
+from teaselwall.tests import fakes
+
+N_HOSTS = 4
+N_OPERATORS = 3
+N_COMMANDS = 12
+RETENTION_MS = 6000
+TIMEOUT_MS = 500
+FAULT_MS = 400
+N_FAULTS = 20
+END_MS = 30_000
+ACCESS = None
+
+
+def document(share=1, deadline_ms=1000):
+    """Return a small service document."""
+    stage = schema.Stage(name="answer", kind="pool", pool="encoder")
+    names = ("gate-kiosks", "site-managers")
+    return schema.Service(
+        service="visitor-answers",
+        deadline_ms=deadline_ms,
+        stages=[stage],
+        organisations=[schema.Organisation(name=n, share=share) for n in names],
+    )
+
+
+class Members:
+    """The members of one history, as ``membership.Membership`` gives them."""
+
+    def __init__(self, cluster, address):
+        self.cluster = cluster
+        self.me = membership.Member(address, address, "tuz-a", address)
+
+    def alive(self):
+        """Return one member for each running host."""
+        return [host.members.me for host in self.cluster.hosts]
+
+
+class PausedLog:
+    """A host's view of the log; calls of a paused host wait."""
+
+    def __init__(self, host, log):
+        self.host = host
+        self.log = log
+
+    async def append(self, *arguments):
+        await self.host.running.wait()
+        return await self.log.append(*arguments)
+
+    async def read(self, *arguments):
+        result = await self.log.read(*arguments)
+        await self.host.running.wait()
+        return result
+
+
+class Host:
+    """The configuration's parts of one entry host."""
+
+    def __init__(self, cluster, address):
+        self.running = trio.Event()
+        self.running.set()
+        self.state = cluster.kinds.get("state", configuration.State)()
+        self.members = Members(cluster, address)
+        log = PausedLog(self, cluster.log)
+        self.follower = followers.Follower(
+            cluster.log.clock,
+            log,
+            self.state,
+            TIMEOUT_MS,
+            cluster.network.peers(address),
+            self.members,
+            [],
+        )
+        publisher = cluster.kinds.get("publisher", publications.Publisher)
+        self.publisher = publisher(cluster.log.clock, log, self.follower)
+        self.rewriter = snapshots.Rewriter(
+            cluster.log.clock, log, self.follower, RETENTION_MS
+        )
+        handlers = control.Control(ACCESS)
+        followers.Answerer(self.follower, self.state).register(handlers)
+        cluster.network.handlers[address] = handlers.handlers
+        self.scope = trio.CancelScope()
+
+    async def run(self, watch):
+        """Follow the log and write snapshots until killed."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.follower.run)
+                nursery.start_soon(self.rewriter.run)
+                nursery.start_soon(watch, self)
+
+
+class Cluster:
+    """One history: hosts, operators, faults, and what each was told.
+
+    Attributes
+    ----------
+    told : dict of str to str
+        By author: ``accepted``, ``lost``, ``not_run`` or ``unknown``.
+    faults : list of str
+        What went wrong against the promises.
+    """
+
+    def __init__(self, seed, **kinds):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.with_peers = seed % 2 == 0
+        self.kinds = kinds
+        self.hosts = []
+        self.told = {}
+        self.faults = []
+        self.records = []
+        self.n_restarts = 0
+
+    def run(self):
+        """Run the history; return the faults."""
+        random.seed(self.seed)
+        scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
+        scheduler._r.seed(self.seed)
+        trio.run(self._main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return self.faults
+
+    async def _main(self):
+        async with trio.open_nursery() as nursery:
+            await self.open(nursery)
+            await trio.sleep(1)
+            async with trio.open_nursery() as work:
+                for index in range(N_OPERATORS):
+                    work.start_soon(self._operate, f"operator-{index}")
+                work.start_soon(self._break_things)
+            await trio.sleep(END_MS / 1000)
+            self._check_told()
+            self._check_converged()
+            nursery.cancel_scope.cancel()
+
+    async def open(self, nursery):
+        """Start the hosts on a log that holds one document."""
+        self.nursery = nursery
+        self.log = fakes.FakeLog(nursery)
+        self.log.retention_ms = RETENTION_MS
+        self.network = fakes.FakeNetwork()
+        if not self.with_peers:
+            self.network.down.update(f"host-{n}" for n in range(N_HOSTS))
+        self._record_appends()
+        first = changes.service(document(), 0, "first")
+        await self.log.append(configuration.STREAM, changes.record(first), 100)
+        for index in range(N_HOSTS):
+            self._start(f"host-{index}")
+
+    def _record_appends(self):
+        stream = self.log.stream(configuration.STREAM)
+        append = stream.append
+
+        def append_and_keep(data, time_ms):
+            self.records.append(data)
+            return append(data, int(time_ms) + 1)
+
+        stream.append = append_and_keep
+
+    def _start(self, address):
+        host = Host(self, address)
+        self.hosts.append(host)
+        self.nursery.start_soon(host.run, self._watch)
+
+    async def _watch(self, host):
+        seen = {}
+        while True:
+            await host.state.changed.wait()
+            for key, entry in host.state.entries.items():
+                if entry.version < seen.get(key, 0):
+                    self.faults.append(f"{key} went back to {entry.version}")
+                seen[key] = entry.version
+            self._check_state(host.state)
+
+    def _check_state(self, state):
+        wanted = accepted(self.records[: state.version])
+        have = {key: entry.change for key, entry in state.entries.items()}
+        want = {key: change["change"] for key, (_, change) in wanted.items()}
+        if have != want:
+            self.faults.append(f"at {state.version}: {have} in place of {want}")
+
+    async def _operate(self, name):
+        for index in range(N_COMMANDS):
+            await trio.sleep(self.random.uniform(0, 3))
+            author = f"{name}-{index}"
+            host = self.random.choice(self.hosts)
+            change = self._command(host.state.version, author)
+            self.told[author] = await self._publish(change)
+
+    def _command(self, base, author):
+        kind = self.random.randrange(4)
+        if kind == 0:
+            return changes.data_centre("tuz-a", True, base, author)
+        if kind == 1:
+            return changes.data_centre("tuz-a", False, base, author)
+        if kind == 2:
+            return changes.service(document(self.random.randint(1, 9)), base, author)
+        entry = schema.Organisation(name="gate-kiosks", share=self.random.randint(1, 9))
+        return changes.organisations("visitor-answers", [entry], base, author)
+
+    async def _publish(self, change):
+        """Publish, and repeat at another host while the outcome is unknown."""
+        told = "not_run"
+        for _ in range(3):
+            result = await self.random.choice(self.hosts).publisher.publish(
+                change, 1500
+            )
+            if result.is_ok():
+                return "accepted" if result.ok.accepted else "lost"
+            if result.error.outcome is not errors.Outcome.NOT_RUN:
+                told = "unknown"
+        return told
+
+    async def _break_things(self):
+        for _ in range(N_FAULTS):
+            await trio.sleep(self.random.uniform(0, 2 * FAULT_MS) / 1000)
+            fault = self.random.choice(
+                (self._lose_reply, self._outage, self._pause, self._restart)
+            )
+            await fault()
+        self.log.outage = False
+
+    async def _lose_reply(self):
+        self.log.delay_effect_ms = self.random.choice((0, 100, 3000, 9000))
+        self.log.n_lose_replies = 1
+
+    async def _outage(self):
+        self.log.outage = True
+        await trio.sleep(self.random.uniform(0.2, 4))
+        if self.random.random() < 0.5:
+            await self._restart()
+        self.log.outage = False
+
+    async def _pause(self):
+        host = self.random.choice(self.hosts)
+        host.running = trio.Event()
+        await trio.sleep(self.random.uniform(0.2, 9))
+        host.running.set()
+
+    async def _restart(self):
+        host = self.random.choice(self.hosts)
+        host.scope.cancel()
+        host.running.set()
+        self.hosts.remove(host)
+        self.n_restarts += 1
+        self._start(host.members.me.address)
+
+    def _check_told(self):
+        taken = {}
+        for _, change in history(self.records):
+            taken[change["author"]] = taken.get(change["author"], 0) + 1
+        for author, told in self.told.items():
+            wanted = {"accepted": (1,), "unknown": (0, 1)}.get(told, (0,))
+            if taken.get(author, 0) not in wanted:
+                self.faults.append(f"{author} was told {told}")
+
+    def _check_converged(self):
+        end = len(self.records)
+        for host in self.hosts:
+            if host.state.version < end - 1 or not host.follower.ready():
+                self.faults.append(f"{host.members.me.address} did not catch up")
+
+
+def history(records):
+    """Yield each accepted change with its version, from all records ever."""
+    versions = {}
+    documents = {}
+    for offset, change in enumerate(records):
+        if "subject" not in change:
+            continue
+        kind = change["kind"].replace("organisations", "service")
+        subject = (kind, change["subject"])
+        parts = [subject]
+        if change["kind"] == "organisations":
+            names = [entry["name"] for entry in change["content"]["entries"]]
+            parts = [(*subject, name) for name in names]
+        newest = max(versions.get(p, documents.get(p[:2], 0)) for p in parts)
+        if newest > change["base"]:
+            continue
+        versions.update(dict.fromkeys(parts, offset + 1))
+        versions[subject] = offset + 1
+        if change["kind"] == "service":
+            documents[subject] = offset + 1
+            versions = {
+                k: v for k, v in versions.items() if k[:2] != subject or k == subject
+            }
+        yield offset + 1, change
+
+
+def accepted(records):
+    """Return the newest accepted change of each subject, with its version."""
+    return {
+        (change["kind"].replace("organisations", "service"), change["subject"]): (
+            version,
+            change,
+        )
+        for version, change in history(records)
+    }
--- /dev/null
+++ b/teaselwall/tests/test_races.py
@@ -0,0 +1,104 @@
+import logging
+
+import pytest
+import trio
+
+from teaselwall import changes, configuration, publications, snapshots
+from teaselwall.tests import races
+
+N_RACES = 100
+N_MUTANT_RACES = 30
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    logging.disable(logging.CRITICAL)
+    yield
+    logging.disable(logging.NOTSET)
+
+
+class NoBase(configuration.State):
+    """Takes a change without a look at what its author saw."""
+
+    __slots__ = ()
+
+    def accepts(self, change):
+        return True
+
+
+class SnapshotWithoutVersion(configuration.State):
+    """Takes any snapshot that passes by in the log."""
+
+    __slots__ = ()
+
+    def apply(self, offset, record, time_ms=0):
+        super().apply(offset, record, time_ms)
+        chunk = changes.read_chunk(record)
+        if chunk is not None:
+            self._load(snapshots.decode(chunk.text))
+            self.version = offset + 1
+
+
+class NoIdentifier(publications.Publisher):
+    """Gives a repeated change an identifier of its own."""
+
+    __slots__ = ()
+
+    async def _append(self, change, deadline):
+        change.change = changes.new_id()
+        return await super()._append(change, deadline)
+
+
+def faults(seeds, **kinds):
+    return [fault for seed in seeds for fault in races.Cluster(seed, **kinds).run()]
+
+
+def test_races_end_alike_on_every_host():
+    assert faults(range(N_RACES)) == []
+
+
+@pytest.mark.parametrize(
+    "kinds",
+    [
+        {"state": NoBase},
+        {"state": SnapshotWithoutVersion},
+        {"publisher": NoIdentifier},
+    ],
+)
+def test_race_check_finds_a_missing_guard(kinds):
+    seeds = range(N_MUTANT_RACES)
+    assert any(races.Cluster(seed, **kinds).run() for seed in seeds)
+
+
+def test_history_is_the_same_for_the_same_seed():
+    first, second = races.Cluster(5), races.Cluster(5)
+    first.run()
+    second.run()
+    assert first.told == second.told
+    assert len(first.records) == len(second.records)
+
+
+async def test_restart_goes_on_after_the_log_lost_unread_records(
+    nursery, autojump_clock
+):
+    cluster = races.Cluster(0)
+    await cluster.open(nursery)
+    await trio.sleep(1)
+    for host in cluster.hosts:
+        host.running = trio.Event()
+    await trio.sleep(2)
+    unread = changes.data_centre("tuz-a", True, 1, "late")
+    await cluster.log.append(configuration.STREAM, changes.record(unread), 100)
+    await trio.sleep(2 * races.RETENTION_MS / 1000)
+    for host in cluster.hosts:
+        host.running.set()
+    await trio.sleep(4)
+    assert all(host.follower.log_gap for host in cluster.hosts)
+    assert all(host.follower.ready() for host in cluster.hosts)
+    result = await cluster.hosts[0].publisher.restart("operator")
+    assert result.is_ok()
+    await trio.sleep(4)
+    assert not any(host.follower.log_gap for host in cluster.hosts)
+    change = changes.data_centre("tuz-a", True, result.ok, "operator")
+    verdict = await cluster.hosts[1].publisher.publish(change)
+    assert verdict.ok.accepted
