--- a/teaselwall/confirmations.py
+++ b/teaselwall/confirmations.py
@@ -1,20 +1,23 @@
 """Asking every entry host which configuration it has in force."""
 
-import trio
-
-from teaselwall import errors
+from teaselwall import control, errors, spreading
 from teaselwall.generated import messages
 
-MAX_ASKED_AT_ONCE = 64
-TIMEOUT_MS = 1000
+NEAR_TIMEOUT_MS = 1000
+FAR_TIMEOUT_MS = 1500
+REACH_LIMIT_MS = 700
 RETRY_MS = 100
 LIMIT_MS = 4000
-NO_ANSWER = -1
-PATH = "/peer/configuration/version"
+VERSION_PATH = "/peer/configuration/version"
+CENTRE_PATH = "/peer/configuration/data-centre"
 
 
 class Confirmer:
-    """Waits until all members have applied a version.
+    """Waits until all entry hosts have applied a version.
+
+    Neighbours are asked one by one, every other data centre through a delegate. To
+    be asked makes a host read the log at once, so one whose long poll went silent
+    gets there too.
 
     Parameters
     ----------
@@ -28,51 +31,54 @@
         self.clock = clock
         self.follower = follower
 
-    async def confirm(self, version, limit_ms=LIMIT_MS):
-        """Ask the members until all have a version, or the limit has passed.
+    def register(self, host_control):
+        """Add the handler to ``control.Control``."""
+        host_control.add(CENTRE_PATH, self.data_centre)
 
-        Asking makes a host read the log at once, so one whose long poll went silent
-        gets there too.
+    async def data_centre(self, message):
+        """Return the versions of this data centre's entry hosts."""
+        asked = control.read(message, messages.ConfigurationAsked)
+        return messages.HostsInForce(hosts=await self._near(asked.version))
+
+    async def confirm(self, version, limit_ms=LIMIT_MS):
+        """Ask until all entry hosts have a version, or the limit has passed.
 
         Returns
         -------
-        list of messages.HostInForce
-            All members, those that lag among them.
+        list of messages.HostStatus
+            All entry hosts, those that lag among them.
         """
-        hosts = {}
+        hosts = await self._round(version)
         with self.clock.timeout_ms(limit_ms):
-            while True:
-                await self._ask_lagging(version, hosts)
-                if not lagging(hosts.values(), version):
-                    break
+            while lagging(hosts, version):
                 await self.clock.sleep_ms(RETRY_MS)
-        return [hosts[address] for address in sorted(hosts)]
-
-    async def _ask_lagging(self, version, hosts):
-        members = self.follower.membership.alive()
-        for member in members:
-            hosts.setdefault(
-                member.address,
-                messages.HostInForce(
-                    address=member.address,
-                    data_centre=member.data_centre,
-                    version=NO_ANSWER,
-                ),
+                hosts = await self._round(version)
+        return sorted(hosts, key=_place)
+
+    async def _round(self, version):
+        hosts = await self._near(version)
+        hosts += await spreading.far(
+            self.follower.membership,
+            self.follower.peers,
+            CENTRE_PATH,
+            messages.ConfigurationAsked(version=version),
+            FAR_TIMEOUT_MS,
+        )
+        return hosts
+
+    async def _near(self, version):
+        me = self.follower.membership.me
+
+        async def ask(member):
+            if member is me:
+                await self.follower.reach(version, REACH_LIMIT_MS)
+                return self.follower.state.version
+            applied = await self.follower.ask(
+                member.address, VERSION_PATH, version, NEAR_TIMEOUT_MS
             )
-        _drop_departed(hosts, members)
-        limiter = trio.CapacityLimiter(MAX_ASKED_AT_ONCE)
-        async with trio.open_nursery() as nursery:
-            for host in lagging(hosts.values(), version):
-                nursery.start_soon(self._ask, host, version, limiter)
-
-    async def _ask(self, host, version, limiter):
-        if host.address == self.follower.membership.me.address:
-            host.version = self.follower.state.version
-            return
-        async with limiter:
-            applied = await self.follower.ask(host.address, PATH, version, TIMEOUT_MS)
-        if applied is not None:
-            host.version = applied.version
+            return spreading.NO_ANSWER if applied is None else applied.version
+
+        return await spreading.near(self.follower.membership, ask)
 
 
 def lagging(hosts, version):
@@ -80,13 +86,6 @@
     return [host for host in hosts if host.version < version]
 
 
-def _drop_departed(hosts, members):
-    """Forget hosts that are members no longer."""
-    alive = {member.address for member in members}
-    for address in hosts.keys() - alive:
-        del hosts[address]
-
-
 def reply(outcome, version, hosts):
     """Return the ``messages.OperatorReply`` that sums up where a version is."""
     behind = lagging(hosts, version)
@@ -109,3 +108,7 @@
             "your command again on top of it, with a new --change."
         ),
     )
+
+
+def _place(host):
+    return (host.data_centre, host.address)
--- a/teaselwall/followers.py
+++ b/teaselwall/followers.py
@@ -18,6 +18,7 @@
 N_PEERS_IN_OUTAGE = 2
 N_PEERS_AT_START = 32
 PEER_TIMEOUT_MS = 1000
+REACH_LIMIT_MS = 700
 
 
 class Follower:
@@ -249,17 +250,16 @@
         self.follower = follower
         self.state = state
 
-    def register(self, control):
+    def register(self, host_control):
         """Add the handlers to ``control.Control``."""
-        control.add("/peer/configuration/version", self.version)
-        control.add("/peer/configuration/state", self.snapshot)
-        control.add("/peer/configuration/order", self.order)
+        host_control.add("/peer/configuration/version", self.version)
+        host_control.add("/peer/configuration/state", self.snapshot)
 
     async def version(self, message):
         """Return the applied version, after a try to reach the one asked for."""
         asked = control.read(message, messages.ConfigurationAsked)
         if asked.version > self.state.version:
-            await self.follower.reach(asked.version, PEER_TIMEOUT_MS)
+            await self.follower.reach(asked.version, REACH_LIMIT_MS)
         return self._applied()
 
     async def snapshot(self, message):
@@ -270,13 +270,6 @@
             text = snapshots.encode(self.state)
         return self._applied(text)
 
-    async def order(self, message):
-        """Take an emergency order."""
-        change = changes.read(message)
-        if change is not None:
-            self.state.take_order(change)
-        return self._applied()
-
     def _applied(self, snapshot=""):
         return messages.ConfigurationApplied(
             version=self.state.version,
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -11,6 +11,7 @@
     engines,
     fleet,
     followers,
+    gossip,
     hostlist,
     logservice,
     membership,
@@ -52,9 +53,11 @@
         "publisher",
         "orders",
         "membership",
+        "gossip",
         "fleet",
         "dispatcher",
         "pipeline",
+        "hand_overs",
     )
 
     def __init__(self, settings):
@@ -70,7 +73,7 @@
         )
         self.state = configuration.State()
         timeout_ms = settings.platform.timeout_ms
-        self.membership = membership.Membership(settings)
+        self.membership = membership.Membership(self.clock, settings)
         self.follower = followers.Follower(
             self.clock,
             self.log,
@@ -87,6 +90,8 @@
         self.orders = orders.Orders(
             self.clock, self.state, self.publisher, self.peers, self.membership
         )
+        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
+        self.control.add(gossip.PATH, self.gossip.handle)
         self.fleet = fleet.Fleet(
             self.clock,
             hostlist.HttpHostList(self.transport, settings.platform.host_list),
@@ -96,18 +101,22 @@
         )
         self.dispatcher = self._dispatcher()
         self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.hand_overs = []
         self._register_operators()
 
     def _register_operators(self):
+        confirmer = confirmations.Confirmer(self.clock, self.follower)
         commands = operators.Operators(
             self.state,
             self.fleet,
             self.follower,
             self.publisher,
             self.orders,
-            confirmations.Confirmer(self.clock, self.follower),
+            confirmer,
         )
         commands.register(self.control)
+        confirmer.register(self.control)
+        self.orders.register(self.control)
         pictures.Pictures(self, commands).register(self.control)
         followers.Answerer(self.follower, self.state).register(self.control)
 
@@ -133,11 +142,13 @@
 
     def ready(self):
         """Return whether callers may be sent here."""
-        return self.follower.ready() and self.fleet.seen
+        draining = self.membership.me.draining
+        return not draining and self.follower.ready() and self.fleet.seen
 
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.rewriter.run)
             nursery.start_soon(self.orders.run)
--- a/teaselwall/operators.py
+++ b/teaselwall/operators.py
@@ -85,20 +85,12 @@
         return await self._take_out_without_log(change)
 
     async def _take_out_without_log(self, change):
-        in_force = await self.orders.issue(change)
-        if in_force is None:
+        hosts = await self.orders.issue(change)
+        if hosts is None:
             detail = f"A newer decision on {change.subject} is in force, or too many."
             remedy = "Look at 'teaselwall zone status' and decide again."
             raise errors.Conflict(detail, remedy=remedy)
-        members = self.follower.membership.alive()
-        missing = [member for member in members if member.address not in in_force]
-        return messages.OperatorReply(
-            outcome="emergency",
-            version=self.state.version,
-            n_hosts=len(members),
-            n_in_force=len(members) - len(missing),
-            lagging=[_without_answer(member) for member in missing],
-        )
+        return confirmations.reply("emergency", 0, hosts)
 
     async def bring_in(self, message):
         """Bring a data centre back; refused while the log is away."""
@@ -197,11 +189,3 @@
             raise confirmations.lost(verdict)
         hosts = await self.confirmer.confirm(verdict.version)
         return confirmations.reply(outcome, verdict.version, hosts)
-
-
-def _without_answer(member):
-    return messages.HostInForce(
-        address=member.address,
-        data_centre=member.data_centre,
-        version=confirmations.NO_ANSWER,
-    )
--- a/teaselwall/orders.py
+++ b/teaselwall/orders.py
@@ -1,17 +1,17 @@
 """Emergency orders: taking a data centre out while the log service is away."""
 
-import logging
+import collections
 
-import trio
+import msgspec
 
-from teaselwall import changes, events, turns
-
-logger = logging.getLogger(__name__)
+from teaselwall import changes, control, spreading, turns
+from teaselwall.generated import messages
 
 INTERVAL_MS = 1000
 RANK_MS = 300
-MAX_RANK = 20
-TIMEOUT_MS = 1000
+MAX_ISSUED = 64
+NEAR_TIMEOUT_MS = 700
+FAR_TIMEOUT_MS = 1000
 PATH = "/peer/configuration/order"
 
 
@@ -31,7 +31,7 @@
     membership : membership.Membership
     """
 
-    __slots__ = ("clock", "state", "publisher", "peers", "membership")
+    __slots__ = ("clock", "state", "publisher", "peers", "membership", "issued")
 
     def __init__(self, clock, state, publisher, peers, membership):
         self.clock = clock
@@ -39,41 +39,70 @@
         self.publisher = publisher
         self.peers = peers
         self.membership = membership
+        self.issued = collections.deque(maxlen=MAX_ISSUED)
+
+    def register(self, host_control):
+        """Add the handler to ``control.Control``."""
+        host_control.add(PATH, self.take)
+
+    async def take(self, message):
+        """Take an order from a peer; pass it on where asked to."""
+        spread = control.read(message, messages.OrderSpread)
+        change = changes.read(changes.record(spread.order))
+        if change is None:
+            return messages.HostsInForce(hosts=[])
+        if spread.relay:
+            return messages.HostsInForce(hosts=await self._near(change))
+        version = self._hold(change)
+        return messages.HostsInForce(
+            hosts=[spreading.status(self.membership.me, version)]
+        )
+
+    def _hold(self, change):
+        """Take an order; return the version, or ``NO_ANSWER`` if it is void."""
+        held = self.state.take_order(change)
+        return self.state.version if held else spreading.NO_ANSWER
 
     async def issue(self, change):
-        """Put an order in force here and at every member that answers.
+        """Put an order in force here and at every entry host that answers.
 
         Returns
         -------
-        list of str, or None
-            Addresses of hosts where it is in force; None where the accepted
-            configuration is newer than the order's base.
+        list of messages.HostStatus, or None
+            All entry hosts, those where it is not in force with ``NO_ANSWER``; None
+            where the accepted configuration is newer than the order's base.
         """
         if not self.state.take_order(change):
             return None
-        in_force = [self.membership.me.address]
-        async with trio.open_nursery() as nursery:
-            for member in self.membership.alive():
-                if member.address != self.membership.me.address:
-                    nursery.start_soon(self._send, member.address, change, in_force)
-        return in_force
-
-    async def _send(self, address, change, in_force):
-        message = changes.record(change)
-        result = await self.peers.call(address, PATH, message, TIMEOUT_MS)
-        if result.is_error():
-            detail = str(result.error)
-            events.log(logger, logging.WARNING, "order_not_sent", detail=detail)
-            return
-        held = [order["change"] for order in result.ok.get("orders", [])]
-        if change.change in held:
-            in_force.append(address)
+        self.issued.append(change.change)
+        hosts = await self._near(change)
+        message = messages.OrderSpread(order=change, relay=True)
+        hosts += await spreading.far(
+            self.membership, self.peers, PATH, message, FAR_TIMEOUT_MS
+        )
+        return hosts
+
+    async def _near(self, change):
+        message = messages.OrderSpread(order=change, relay=False)
+
+        async def send(member):
+            if member is self.membership.me:
+                return self._hold(change)
+            result = await self.peers.call(
+                member.address, PATH, message, NEAR_TIMEOUT_MS
+            )
+            if result.is_error():
+                return spreading.NO_ANSWER
+            reply = msgspec.convert(result.ok, messages.HostsInForce)
+            return reply.hosts[0].version if reply.hosts else spreading.NO_ANSWER
+
+        return await spreading.near(self.membership, send)
 
     async def run(self):
         """Publish the orders that are open, until cancelled.
 
-        Every host that holds an order tries; hosts come one after another, so that
-        the first as a rule settles it for all.
+        Delegates, and the host that issued an order, come one after another, so
+        that the first as a rule settles it for all.
         """
         while True:
             await self.clock.sleep_ms(INTERVAL_MS)
@@ -81,9 +110,11 @@
                 await self._settle(change)
 
     async def _settle(self, change):
+        rank = turns.rank(self.membership, change.change)
+        if rank is None and change.change not in self.issued:
+            return
         if not self.publisher.follower.log_answers:
             return
-        rank = min(turns.rank(self.membership, change.change), MAX_RANK)
-        await self.clock.sleep_ms(rank * RANK_MS)
+        await self.clock.sleep_ms((rank or 0) * RANK_MS)
         if change.change in self.state.orders:
             await self.publisher.publish(change)
--- a/teaselwall/pictures.py
+++ b/teaselwall/pictures.py
@@ -2,10 +2,9 @@
 
 import msgspec
 
-from teaselwall import confirmations, control, errors
+from teaselwall import control, errors
 from teaselwall.generated import messages
 
-ASK_LIMIT_MS = 1000
 MAX_SPANS = 10_000
 
 
@@ -62,6 +61,7 @@
     async def status(self, message):
         """Return the whole picture as this entry host sees it."""
         host = self.host
+        hosts = await self.operators.confirmer.confirm(0, 0)
         return messages.Picture(
             host=host.settings.host.name,
             base=host.state.version,
@@ -74,21 +74,20 @@
                 for (kind, name), entry in host.state.entries.items()
                 if kind == "service"
             },
-            data_centres=self._data_centres(),
+            data_centres=self._data_centres(hosts),
             pools=[self._pool(name) for name in sorted(host.fleet.by_pool)],
             drained=self._drained(),
-            hosts=await self._hosts(),
+            hosts=hosts,
         )
 
-    def _data_centres(self):
+    def _data_centres(self, hosts):
         names = sorted(self.operators.data_centres())
-        return [self._data_centre(name) for name in names]
+        return [self._data_centre(name, hosts) for name in names]
 
-    def _data_centre(self, name):
+    def _data_centre(self, name, hosts):
         state = self.host.state
         entry = state.entries.get(("data_centre", name))
         servers = self.operators.servers().values()
-        members = self.host.membership.alive()
         return messages.DataCentreStatus(
             name=name,
             out=name in state.data_centres_out,
@@ -96,7 +95,7 @@
             version=entry.version if entry else 0,
             author=entry.author if entry else "",
             n_servers=sum(server.data_centre == name for server in servers),
-            n_hosts=sum(member.data_centre == name for member in members),
+            n_hosts=sum(host.data_centre == name for host in hosts),
         )
 
     def _pool(self, name):
@@ -129,21 +128,6 @@
             replaced=server is not None and server.incarnation != before,
         )
 
-    async def _hosts(self):
-        asked = await self.operators.confirmer.confirm(0, ASK_LIMIT_MS)
-        versions = {host.address: host.version for host in asked}
-        return [
-            messages.HostStatus(
-                address=member.address,
-                callers=member.callers,
-                data_centre=member.data_centre,
-                draining=member.draining,
-                n_requests=member.n_requests,
-                version=versions.get(member.address, confirmations.NO_ANSWER),
-            )
-            for member in self.host.membership.alive()
-        ]
-
     async def trace(self, message):
         """Return the spans of a trace that this entry host has kept."""
         asked = control.read(message, messages.TraceAsked)
--- a/teaselwall/snapshots.py
+++ b/teaselwall/snapshots.py
@@ -87,7 +87,7 @@
 class Rewriter:
     """Writes a snapshot in time, on one host as a rule.
 
-    Members take turns by rendezvous hashing; one that is late is stood in for by
+    Delegates take turns by rendezvous hashing; one that is late is stood in for by
     the next. Snapshots written twice do no harm, as they only repeat the log.
     Ages are differences of times that the log service gave, so no two clocks are
     compared.
@@ -123,6 +123,8 @@
         if not self.follower.caught_up or not self.follower.log_answers:
             return False
         rank = turns.rank(self.follower.membership, f"snapshot {state.rewritten_ms}")
+        if rank is None:
+            return False
         fraction = FRACTION_OF_RETENTION + BACKUP_FRACTION * min(rank, MAX_BACKUP_RANK)
         age_ms = self.follower.log_now_ms - state.rewritten_ms
         return age_ms > fraction * self.retention_ms
--- a/teaselwall/tests/races.py
+++ b/teaselwall/tests/races.py
@@ -16,6 +16,7 @@
     publications,
     snapshots,
 )
+from teaselwall.generated import messages
 from teaselwall.generated import service as schema
 from teaselwall.tests import fakes
 
@@ -47,12 +48,25 @@
 
     def __init__(self, cluster, address):
         self.cluster = cluster
-        self.me = membership.Member(address, address, "tuz-a", address)
+        row = messages.MemberRow(
+            address=address,
+            callers=address,
+            data_centre="tuz-a",
+            nonce=address,
+            heartbeat=0,
+        )
+        self.me = membership.Member(row, 0)
 
     def alive(self):
         """Return one member for each running host."""
         return [host.members.me for host in self.cluster.hosts]
 
+    delegates = neighbours = alive
+
+    def remote(self):
+        """Return no member, as there is one data centre."""
+        return []
+
 
 class PausedLog:
     """A host's view of the log; calls of a paused host wait."""
