Measure how configuration changes spread

Cause: no figures on changes in force, on races, and on fresh hosts.

Ruled out: many readers over one connection pool; httpcore searches all of its connections at each call, so that measured the pool.

Change: bench_configuration; the long poll waits 3 s, since 450 readers polling each second kept the log stand-in busy by themselves.

Figures: in bench_configuration's own output.

--- a/teaselwall/followers.py
+++ b/teaselwall/followers.py
@@ -12,7 +12,7 @@
 logger = logging.getLogger(__name__)
 
 READ_LIMIT = 500
-WAIT_MS = 1000
+WAIT_MS = 3000
 RETRY_MS = 200
 OUTAGE_RETRY_MS = 1000
 N_PEERS_IN_OUTAGE = 2
--- a/teaselwall/service_commands.py
+++ b/teaselwall/service_commands.py
@@ -27,7 +27,9 @@
     before = tomli_w.dumps(old).splitlines()
     after = tomli_w.dumps(new).splitlines()
     return list(
-        difflib.unified_diff(before, after, f"{name} in force", f"{name} new", "", "")
+        difflib.unified_diff(
+            before, after, f"{name} in force", f"{name} new", lineterm=""
+        )
     )
 
 
--- /dev/null
+++ b/teaselwall/tools/bench_configuration.py
@@ -0,0 +1,254 @@
+"""Measures how changes of the configuration spread, and what they cost."""
+
+import logging
+import pathlib
+import tempfile
+import time
+
+import msgspec
+import tomli_w
+import trio
+
+from teaselwall import (
+    changes,
+    clock,
+    configuration,
+    followers,
+    logservice,
+    peers,
+    transport,
+)
+from teaselwall.generated import messages
+from teaselwall.generated import service as schema
+from teaselwall.tests import races
+from teaselwall.tools import deployments
+
+N_HOSTS = 8
+N_CHANGES = 40
+N_RACES = 500
+N_READERS = 450
+N_ORGANISATIONS = 16_000
+N_APPLIED = 200
+TARGET_MS = 2000
+PLANNED_TARGET_MS = 14_000
+READY_LIMIT_S = 20
+NS_PER_MS = 1e6
+NS_PER_US = 1e3
+CALL_TIMEOUT_MS = 10_000
+
+
+def measure():
+    """Return figures by name as ``(value, unit, target)``."""
+    logging.disable(logging.CRITICAL)
+    try:
+        return (
+            _races()
+            | _apply_cost("", 5)
+            | _apply_cost("_16000_organisations", N_ORGANISATIONS)
+            | trio.run(_deployed)
+        )
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+def _races():
+    faults = []
+    told = {}
+    for seed in range(N_RACES):
+        cluster = races.Cluster(seed)
+        faults.extend(cluster.run())
+        for outcome in cluster.told.values():
+            told[outcome] = told.get(outcome, 0) + 1
+    figures = {
+        "config_reverts": (len(faults), "count", 0),
+        "config_races": (N_RACES, "count", None),
+    }
+    for outcome, count in sorted(told.items()):
+        figures[f"config_races_told_{outcome}"] = (count, "count", None)
+    return figures
+
+
+def _document(n_organisations):
+    document = races.document()
+    document.organisations = [
+        schema.Organisation(name=f"organisation-{index}")
+        for index in range(n_organisations)
+    ]
+    return document
+
+
+def _apply_cost(suffix, n_organisations):
+    state = configuration.State()
+    document = _document(n_organisations)
+    whole = changes.service(document, 0, "bench")
+    state.apply(0, changes.record(whole))
+    pages = []
+    for offset in range(1, N_APPLIED + 1):
+        name = f"organisation-{offset % n_organisations}"
+        entry = schema.Organisation(name=name, share=2)
+        change = changes.organisations(document.service, [entry], offset, "bench")
+        pages.append(_page(offset, change))
+    started_ns = time.process_time_ns()
+    for page in pages:
+        for record in msgspec.json.decode(page, type=messages.LogRecords).records:
+            state.apply(record.offset, record.data)
+    cost_us = (time.process_time_ns() - started_ns) / N_APPLIED / NS_PER_US
+    n_bytes = len(pages[0])
+    return {
+        f"config_cpu_us_per_change{suffix}": (round(cost_us, 1), "us", None),
+        f"config_bytes_per_change{suffix}": (n_bytes, "bytes", None),
+        f"config_bytes_whole_document{suffix}": (
+            len(_page(0, whole)),
+            "bytes",
+            None,
+        ),
+    }
+
+
+def _page(offset, change):
+    """Return the log's answer that carries one change to one reader."""
+    record = messages.LogRecord(offset=offset, time_ms=0, data=changes.record(change))
+    return msgspec.json.encode(
+        messages.LogRecords(first=0, end=offset + 1, now_ms=0, records=[record])
+    )
+
+
+async def _deployed():
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = deployments.Deployment(
+            "directorate", pathlib.Path(folder), n_entry_hosts=N_HOSTS
+        )
+        try:
+            await deployment.start()
+            figures = await _in_force(deployment)
+            figures |= await _many_readers(deployment)
+            figures |= await _fresh_hosts(deployment)
+        finally:
+            await deployment.stop()
+    return figures
+
+
+async def _in_force(deployment):
+    calls = peers.Peers(deployment.transport, deployments.OPERATOR_KEY)
+    await _await_members(deployment, calls)
+    times_ms = []
+    n_short = 0
+    for index in range(N_CHANGES):
+        action = ("out", "in")[index % 2]
+        path = f"/operator/data-centres/{action}"
+        address = deployment.entry_hosts[index % N_HOSTS].peers
+        started_ns = time.perf_counter_ns()
+        call = messages.OperatorCall(name="tuz-b")
+        result = await calls.call(address, path, call, CALL_TIMEOUT_MS)
+        times_ms.append((time.perf_counter_ns() - started_ns) / NS_PER_MS)
+        n_short += result.is_error() or result.ok["n_in_force"] < N_HOSTS
+    times_ms.sort()
+    return {
+        "config_in_force_ms_p50": (_quantile(times_ms, 0.5), "ms", TARGET_MS),
+        "config_in_force_ms_p99": (_quantile(times_ms, 0.99), "ms", TARGET_MS),
+        "config_changes_not_everywhere": (n_short, "count", 0),
+    }
+
+
+async def _await_members(deployment, calls):
+    """Wait until every entry host knows of all others."""
+    with trio.fail_after(READY_LIMIT_S):
+        for host in deployment.entry_hosts:
+            n_known = 0
+            while n_known < N_HOSTS:
+                await trio.sleep(0.1)
+                result = await calls.call(
+                    host.peers, "/operator/status", {}, CALL_TIMEOUT_MS
+                )
+                n_known = len(result.ok["hosts"]) if result.is_ok() else 0
+
+
+def _quantile(ordered, fraction):
+    index = min(len(ordered) - 1, int(fraction * len(ordered)))
+    return round(ordered[index], 1)
+
+
+class _Alone:
+    """Membership of a reader that knows no other host."""
+
+    class Me:
+        """The reader."""
+
+        address = "127.0.0.1:1"
+
+    me = Me
+
+    def alive(self):
+        """Return nobody."""
+        return []
+
+
+async def _many_readers(deployment):
+    """Let many readers, each with its own connection, follow the log stand-in."""
+    states = [configuration.State() for _ in range(N_READERS)]
+    async with trio.open_nursery() as nursery:
+        for state in states:
+            nursery.start_soon(_reader(deployment, state).run)
+        await _await_version(states, 1)
+        change = changes.data_centre("tuz-c", False, states[0].version, "bench")
+        started_ns = time.perf_counter_ns()
+        await deployment.log.append(
+            configuration.STREAM, changes.record(change), CALL_TIMEOUT_MS
+        )
+        await _await_change(states, change)
+        elapsed_ms = (time.perf_counter_ns() - started_ns) / NS_PER_MS
+        nursery.cancel_scope.cancel()
+    name = f"config_in_force_{N_READERS}_readers_one_process_ms"
+    return {name: (round(elapsed_ms, 1), "ms", PLANNED_TARGET_MS)}
+
+
+def _reader(deployment, state):
+    own = transport.Transport(clock.Clock())
+    log = logservice.HttpLogService(own, deployment.parts["log"])
+    return followers.Follower(
+        own.clock, log, state, CALL_TIMEOUT_MS, None, _Alone(), []
+    )
+
+
+async def _await_version(states, version):
+    for state in states:
+        while state.version < version:
+            await state.changed.wait()
+
+
+async def _await_change(states, change):
+    with trio.fail_after(PLANNED_TARGET_MS / clock.MS_PER_S):
+        for state in states:
+            while state.verdict(change) is None:
+                await state.changed.wait()
+
+
+async def _fresh_hosts(deployment):
+    up_ms = await _fresh_host(deployment, "fresh-up")
+    await deployment.set_faults(deployment.parts["log"], outage=True)
+    away_ms = await _fresh_host(deployment, "fresh-away")
+    await deployment.set_faults(deployment.parts["log"], outage=False)
+    return {
+        "fresh_host_ready_ms": (up_ms, "ms", None),
+        "fresh_host_ready_log_away_ms": (away_ms, "ms", None),
+    }
+
+
+async def _fresh_host(deployment, name):
+    """Start one more entry host; return the time until it is ready, or -1."""
+    callers, listen = deployments.free_address(), deployments.free_address()
+    seeds = [host.peers for host in deployment.entry_hosts[:3]]
+    settings = deployment.settings_of(name, "tuz-a", callers, listen, seeds)
+    path = deployment.folder / f"{name}.toml"
+    path.write_text(tomli_w.dumps(settings))
+    started_ns = time.perf_counter_ns()
+    deployment.spawn(name, "teaselwall.daemon", str(path))
+    with trio.move_on_after(READY_LIMIT_S):
+        while True:
+            result = await deployment.transport.call(
+                "GET", callers, "/readyz", None, CALL_TIMEOUT_MS
+            )
+            if result.is_ok() and result.ok.status == 200:
+                return round((time.perf_counter_ns() - started_ns) / NS_PER_MS, 1)
+            await trio.sleep(0.01)
+    return -1
--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -23,6 +23,7 @@
 SAMPLES = pathlib.Path(__file__).resolve().parents[2] / "samples"
 MODULES = {"pool": "stages", "engine": "engine", "plain": "plain"}
 PEER_KEY = "sample-peer-key-0001"
+AUTHOR = "deployment"
 OPERATOR_KEY = "sample-operator-key-0001"
 LOOPBACK = "127.0.0.1"
 TIMEOUT_MS = 3000
@@ -86,7 +87,6 @@
         self.backends = []
         self.entry_hosts = []
         self.log = None
-        self.base = 0
 
     async def start(self):
         """Start everything and wait until the entry hosts are ready."""
@@ -169,16 +169,22 @@
         """Publish the sample's service documents."""
         for path in sorted((SAMPLES / self.name / "services").glob("*.toml")):
             document = services.read(path).ok
-            change = changes.service(document, self.base, "deployment")
-            record = changes.record(change)
-            result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
-            if result.is_error():
-                raise result.error
-            self.base = result.ok
+            base = await self._configuration_end()
+            await self._append(changes.service(document, base, AUTHOR))
 
     async def set_data_centre(self, name, out):
         """Take a data centre out of service, or bring it back."""
-        record = {"kind": "data_centre", "name": name, "out": out}
+        base = await self._configuration_end()
+        await self._append(changes.data_centre(name, out, base, AUTHOR))
+
+    async def _configuration_end(self):
+        result = await self.log.read(configuration.STREAM, 0, 1, TIMEOUT_MS)
+        if result.is_error():
+            raise result.error
+        return result.ok.end
+
+    async def _append(self, change):
+        record = changes.record(change)
         result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
         if result.is_error():
             raise result.error
