--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -5,19 +5,26 @@
 from teaselwall import (
     clock,
     configuration,
+    confirmations,
     control,
     dispatch,
     engines,
     fleet,
+    followers,
     gossip,
     hostlist,
     logservice,
     membership,
     metrics,
+    operators,
+    orders,
     peers,
     pickers,
+    pictures,
     pipelines,
     pools,
+    publications,
+    snapshots,
     traces,
     transport,
 )
@@ -42,6 +49,9 @@
         "log",
         "state",
         "follower",
+        "rewriter",
+        "publisher",
+        "orders",
         "membership",
         "gossip",
         "fleet",
@@ -63,10 +73,23 @@
         )
         self.state = configuration.State()
         timeout_ms = settings.platform.timeout_ms
-        self.follower = configuration.Follower(
-            self.clock, self.log, self.state, timeout_ms
-        )
         self.membership = membership.Membership(self.clock, settings)
+        self.follower = followers.Follower(
+            self.clock,
+            self.log,
+            self.state,
+            timeout_ms,
+            self.peers,
+            self.membership,
+            settings.membership.seeds,
+        )
+        self.rewriter = snapshots.Rewriter(
+            self.clock, self.log, self.follower, settings.claims.retention_ms
+        )
+        self.publisher = publications.Publisher(self.clock, self.log, self.follower)
+        self.orders = orders.Orders(
+            self.clock, self.state, self.publisher, self.peers, self.membership
+        )
         self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
         self.control.add(gossip.PATH, self.gossip.handle)
         self.fleet = fleet.Fleet(
@@ -79,6 +102,23 @@
         self.dispatcher = self._dispatcher()
         self.pipeline = pipelines.Pipeline(self.dispatcher)
         self.hand_overs = []
+        self._register_operators()
+
+    def _register_operators(self):
+        confirmer = confirmations.Confirmer(self.clock, self.follower)
+        commands = operators.Operators(
+            self.state,
+            self.fleet,
+            self.follower,
+            self.publisher,
+            self.orders,
+            confirmer,
+        )
+        commands.register(self.control)
+        confirmer.register(self.control)
+        self.orders.register(self.control)
+        pictures.Pictures(self, commands).register(self.control)
+        followers.Answerer(self.follower, self.state).register(self.control)
 
     def _dispatcher(self):
         backends = {
@@ -103,11 +143,13 @@
     def ready(self):
         """Return whether callers may be sent here."""
         draining = self.membership.me.draining
-        return not draining and self.follower.caught_up and self.fleet.seen
+        return not draining and self.follower.ready() and self.fleet.seen
 
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.rewriter.run)
+            nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -10,12 +10,20 @@
 import tomli_w
 import trio
 
-from teaselwall import clock, configuration, logservice, transport
+from teaselwall import (
+    changes,
+    clock,
+    configuration,
+    logservice,
+    services,
+    transport,
+)
 from teaselwall.generated import messages
 
 SAMPLES = pathlib.Path(__file__).resolve().parents[2] / "samples"
 MODULES = {"pool": "stages", "engine": "engine", "plain": "plain"}
 PEER_KEY = "sample-peer-key-0001"
+AUTHOR = "deployment"
 OPERATOR_KEY = "sample-operator-key-0001"
 LOOPBACK = "127.0.0.1"
 TIMEOUT_MS = 3000
@@ -173,15 +181,24 @@
 
     async def publish_services(self):
         """Publish the sample's service documents."""
-        for name, document in self.documents.items():
-            record = {"kind": "service", "name": name, "document": document}
-            result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
-            if result.is_error():
-                raise result.error
+        for name, text in self.documents.items():
+            document = services.parse(text, name).ok
+            base = await self._configuration_end()
+            await self._append(changes.service(document, base, AUTHOR))
 
     async def set_data_centre(self, name, out):
         """Take a data centre out of service, or bring it back."""
-        record = {"kind": "data_centre", "name": name, "out": out}
+        base = await self._configuration_end()
+        await self._append(changes.data_centre(name, out, base, AUTHOR))
+
+    async def _configuration_end(self):
+        result = await self.log.read(configuration.STREAM, 0, 1, TIMEOUT_MS)
+        if result.is_error():
+            raise result.error
+        return result.ok.end
+
+    async def _append(self, change):
+        record = changes.record(change)
         result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
         if result.is_error():
             raise result.error
