--- a/teaselwall/configuration.py
+++ b/teaselwall/configuration.py
@@ -51,6 +51,8 @@
             _set_member(self.data_centres_out, record["name"], record["out"])
         elif kind == "server":
             _set_member(self.servers_drained, record["address"], record["drained"])
+        elif kind == "era":
+            self.era = max(self.era, record["number"])
         self.version = offset + 1
 
     def _apply_service(self, record):
--- /dev/null
+++ b/teaselwall/grants.py
@@ -0,0 +1,167 @@
+"""What the owner of a partition answers to claimants."""
+
+from teaselwall.generated import messages
+
+MAX_QUEUED = 5000
+MAX_WAITERS = 2000
+MAX_KEYS = 200000
+
+
+class Granter:
+    """Answers claims and outcomes from the table of one owner.
+
+    Parameters
+    ----------
+    owner : owners.Owner
+    """
+
+    __slots__ = ("owner", "n_waiters")
+
+    def __init__(self, owner):
+        self.owner = owner
+        self.n_waiters = 0
+
+    async def ask(self, ask):
+        """Answer a claim.
+
+        Parameters
+        ----------
+        ask : messages.ClaimAsk
+
+        Returns
+        -------
+        messages.ClaimReply
+            ``granted`` for one claim id at most while a key is open. The states
+            ``log_away`` and ``overloaded`` are given only where the table knows
+            nothing of the key.
+        """
+        if self.n_waiters >= MAX_WAITERS:
+            return self._crowded(ask.entry)
+        self.n_waiters += 1
+        reply = None
+        try:
+            with self.owner.clock.timeout_ms(ask.wait_ms):
+                reply = await self._ask(ask)
+        finally:
+            self.n_waiters -= 1
+        return reply if reply is not None else self._late_reply(ask.entry)
+
+    async def _ask(self, ask):
+        refusal = await self._await_epoch()
+        if refusal is not None:
+            return refusal
+        for claim in ask.abandoned:
+            self.owner.release(ask.entry, claim)
+        while self.owner.epoch is not None:
+            reply = self.look_up(ask.entry)
+            if reply is None and not self._is_held(ask.entry):
+                reply = await self._claim(ask.entry)
+            if reply is not None:
+                return reply
+            if self._is_held(ask.entry):
+                await self.owner.changed.wait()
+        return self._moved("moved")
+
+    def look_up(self, entry):
+        """Return what the table says of a key, or None where it is free or open."""
+        partition = self.owner.partition
+        if entry.era < partition.floor:
+            return messages.ClaimReply(state="expired")
+        held = partition.claims.get(entry.key)
+        if held is None:
+            return None
+        if held.body_hash != entry.body_hash:
+            return messages.ClaimReply(state="conflict")
+        if held.kind == "ran":
+            return messages.ClaimReply(
+                state="done", result=held.result, result_kept=held.result_kept
+            )
+        if held.kind == "unknown" or not self._has_claimant(held):
+            return messages.ClaimReply(state="unknown")
+        return None
+
+    def _has_claimant(self, entry):
+        member = self.owner.membership.members.get(entry.claimant)
+        return member is not None and member.nonce == entry.nonce
+
+    def _is_held(self, entry):
+        return entry.key in self.owner.partition.claims
+
+    async def _claim(self, entry):
+        if self.owner.log_away:
+            return messages.ClaimReply(state="log_away")
+        if self._is_full():
+            return messages.ClaimReply(state="overloaded")
+        pending = self.owner.enqueue(entry)
+        is_granted = False
+        try:
+            await pending.done.wait()
+            is_granted = pending.counted
+        finally:
+            if not is_granted:
+                self.owner.give_up(pending)
+        if is_granted:
+            return messages.ClaimReply(state="granted")
+        return self._moved(pending.failure) if pending.failure else None
+
+    def _is_full(self):
+        n_queued = len(self.owner.queue)
+        return len(self.owner.partition.claims) >= MAX_KEYS or n_queued >= MAX_QUEUED
+
+    async def settle(self, ask):
+        """Record an outcome.
+
+        Parameters
+        ----------
+        ask : messages.ClaimAsk
+
+        Returns
+        -------
+        messages.ClaimReply
+            ``recorded`` where the outcome was read back, ``expired`` where the
+            claim is no longer kept.
+        """
+        reply = None
+        with self.owner.clock.timeout_ms(ask.wait_ms):
+            reply = await self._settle(ask.entry)
+        return reply if reply is not None else messages.ClaimReply(state="slow")
+
+    async def _settle(self, entry):
+        refusal = await self._await_epoch()
+        if refusal is not None:
+            return refusal
+        if entry.kind != "not_run" and self.owner.shows(entry):
+            return messages.ClaimReply(state="recorded")
+        if self.owner.log_away:
+            return messages.ClaimReply(state="log_away")
+        if len(self.owner.queue) >= 2 * MAX_QUEUED:
+            return messages.ClaimReply(state="overloaded")
+        pending = self.owner.enqueue(entry)
+        await pending.done.wait()
+        if pending.failure:
+            return self._moved(pending.failure)
+        return messages.ClaimReply(state="recorded" if pending.counted else "expired")
+
+    async def _await_epoch(self):
+        self.owner.wanted.set()
+        while self.owner.epoch is None:
+            if self.owner.log_away:
+                return messages.ClaimReply(state="unread")
+            await self.owner.changed.wait()
+        return None
+
+    def _late_reply(self, entry):
+        if self.owner.epoch is None:
+            state = "unread" if self.owner.log_away else "slow"
+            return messages.ClaimReply(state=state)
+        state = "open" if self._is_held(entry) else "slow"
+        return self.look_up(entry) or messages.ClaimReply(state=state)
+
+    def _crowded(self, entry):
+        if self.owner.epoch is None:
+            return messages.ClaimReply(state="unread")
+        state = "unknown" if self._is_held(entry) else "overloaded"
+        return self.look_up(entry) or messages.ClaimReply(state=state)
+
+    def _moved(self, state):
+        return messages.ClaimReply(state=state, owner=self.owner.successor)
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,20 +3,25 @@
 import trio
 
 from teaselwall import (
+    claims,
     clock,
     configuration,
     control,
     dispatch,
     engines,
+    eras,
     fleet,
     hostlist,
     logservice,
     membership,
     metrics,
+    ownercalls,
+    ownerships,
     peers,
     pickers,
     pipelines,
     pools,
+    recorders,
     traces,
     transport,
 )
@@ -44,6 +49,9 @@
         "membership",
         "fleet",
         "dispatcher",
+        "ownerships",
+        "claims",
+        "eras",
         "pipeline",
     )
 
@@ -72,7 +80,25 @@
             timeout_ms,
         )
         self.dispatcher = self._dispatcher()
-        self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.ownerships = ownerships.Ownerships(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims,
+            timeout_ms,
+        )
+        self.ownerships.add_handlers(self.control)
+        self.claims = self._claims()
+        self.eras = eras.EraClock(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims.era_ms,
+            timeout_ms,
+        )
+        self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
 
     def _dispatcher(self):
         backends = {
@@ -90,6 +116,21 @@
             self.settings.limits.silence_ms,
         )
 
+    def _claims(self):
+        calls = ownercalls.OwnerCalls(
+            self.clock, self.peers, self.ownerships, self.membership
+        )
+        return claims.Claims(
+            self.clock,
+            calls,
+            recorders.Recorder(self.clock, calls),
+            self.dispatcher,
+            self.state,
+            self.membership,
+            self.settings.claims.n_partitions,
+            self.settings.limits.max_result_bytes,
+        )
+
     async def serve(self, request, sink):
         """Run one request; see ``pipelines.Pipeline.run``."""
         return await self.pipeline.run(request, sink)
@@ -103,3 +144,6 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.ownerships.run)
+            nursery.start_soon(self.claims.run)
+            nursery.start_soon(self.eras.run)
--- a/teaselwall/pipelines.py
+++ b/teaselwall/pipelines.py
@@ -14,12 +14,15 @@
     Parameters
     ----------
     dispatcher : dispatch.Dispatcher
+    claims : claims.Claims
+        Calls the stages that may not be repeated.
     """
 
-    __slots__ = ("dispatcher",)
+    __slots__ = ("dispatcher", "claims")
 
-    def __init__(self, dispatcher):
+    def __init__(self, dispatcher, claims):
         self.dispatcher = dispatcher
+        self.claims = claims
 
     async def run(self, request, sink):
         """Run a request to its end or its deadline.
@@ -45,15 +48,18 @@
 
     async def _run_stages(self, request, sink):
         document = request.document
-        run = _Run(self.dispatcher, request, sink)
+        run = _Run(self.dispatcher, self.claims, request, sink)
         async with trio.open_nursery() as nursery:
             for stage in document.stages:
                 nursery.start_soon(run.stage, stage, nursery.cancel_scope)
         if run.error is not None:
-            return expression.Error(run.error)
+            return expression.Error(run.final_error())
         output = run.outputs[document.stages[-1].name]
         answer = messages.Answer(
-            request=request.id, output=output, n_tokens=run.n_tokens
+            request=request.id,
+            output=output,
+            recorded=run.n_claimed > 0 and run.n_claimed == run.n_recorded,
+            n_tokens=run.n_tokens,
         )
         return expression.Ok(answer)
 
@@ -63,22 +69,30 @@
 
     __slots__ = (
         "dispatcher",
+        "claims",
         "request",
         "sink",
         "outputs",
         "done",
         "error",
         "n_tokens",
+        "n_begun",
+        "n_claimed",
+        "n_recorded",
     )
 
-    def __init__(self, dispatcher, request, sink):
+    def __init__(self, dispatcher, claims, request, sink):
         self.dispatcher = dispatcher
+        self.claims = claims
         self.request = request
         self.sink = sink
         self.outputs = {services.REQUEST_INPUT: request.input}
         self.done = {stage.name: trio.Event() for stage in request.document.stages}
         self.error = None
         self.n_tokens = 0
+        self.n_begun = 0
+        self.n_claimed = 0
+        self.n_recorded = 0
 
     async def stage(self, stage, cancel_scope):
         """Run one stage once its inputs are there."""
@@ -96,6 +110,8 @@
         self.done[stage.name].set()
 
     async def _call(self, stage, inputs):
+        if not stage.idempotent:
+            return await self._call_once(stage, inputs)
         if stage.kind != "engine":
             return await self.dispatcher.call(self.request, stage, inputs)
         prompt = msgspec.json.encode(inputs).decode()
@@ -104,6 +120,25 @@
             self.n_tokens = len(result.ok)
         return result.map("".join)
 
+    async def _call_once(self, stage, inputs):
+        self.n_begun += 1
+        result = await self.claims.call(self.request, stage, inputs)
+        if result.is_error():
+            if result.error.outcome is errors.Outcome.NOT_RUN:
+                self.n_begun -= 1
+            return result
+        self.n_claimed += 1
+        self.n_recorded += result.ok.recorded
+        return result.map(lambda outcome: outcome.output)
+
+    def final_error(self):
+        """Return the error to answer; not "not run" where a stage may have run."""
+        if not self.n_begun or self.error.outcome is not errors.Outcome.NOT_RUN:
+            return self.error
+        detail = f"A stage that may not be repeated ran. {self.error.detail}"
+        remedy = "Send it again with the same key; what ran is not repeated."
+        return errors.OutcomeUnknown(detail, remedy=remedy)
+
 
 def _late():
     return errors.Outcome.UNKNOWN
