--- a/teaselwall/claims.py
+++ b/teaselwall/claims.py
@@ -29,6 +29,7 @@
 KEY_BYTES = 16
 ERA_PREFIX = re.compile(r"([0-9]{1,9})-.+")
 UNDECIDED = ("open", "slow", "moved")
+UNSURE = ("slow", "moved", "log_away")
 
 
 class Outcome:
@@ -262,7 +263,7 @@
         job.abandoned.append(claim)
         timeout_ms = min(ASK_TIMEOUT_MS, remaining_ms)
         reply = await self.calls.ask(route, ask, timeout_ms)
-        if reply is not None and reply.state in ("granted", "open"):
+        if reply is not None and reply.state not in UNSURE:
             job.abandoned.remove(claim)
         return reply
 
@@ -293,8 +294,8 @@
             result_kept=is_kept,
         )
         remaining_ms = job.request.deadline.remaining_ms()
-        settlement.wait_ms = int(min(RECORD_WAIT_MS, RECORD_SHARE * remaining_ms))
-        is_recorded = await self.recorder.record(settlement)
+        within_ms = min(RECORD_WAIT_MS, RECORD_SHARE * remaining_ms)
+        is_recorded = await self.recorder.record(settlement, within_ms)
         return expression.Ok(Outcome(output, is_recorded and is_kept))
 
 
--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -102,7 +102,10 @@
                 self.owner.give_up(pending)
         if is_granted:
             return messages.ClaimReply(state="granted")
-        return self._moved(pending.failure) if pending.failure else None
+        # Another claim may have been granted before the log went away.
+        if not pending.failure or self._is_held(entry):
+            return None
+        return self._moved(pending.failure)
 
     def _is_full(self):
         n_queued = len(self.owner.queue)
--- a/teaselwall/recorders.py
+++ b/teaselwall/recorders.py
@@ -37,12 +37,13 @@
         self.deferred = collections.deque(maxlen=MAX_DEFERRED)
         self.wake = trio.Event()
 
-    async def record(self, ask):
-        """Record an outcome within the time that it may wait.
+    async def record(self, ask, within_ms):
+        """Record an outcome while somebody waits for it.
 
         Parameters
         ----------
         ask : messages.ClaimAsk
+        within_ms : float
 
         Returns
         -------
@@ -50,7 +51,7 @@
             Whether it was read back. Otherwise it is tried again later.
         """
         state = ""
-        with self.clock.timeout_ms(ask.wait_ms):
+        with self.clock.timeout_ms(within_ms):
             state = await self._settle(ask)
         if state not in SETTLED:
             self.record_later(ask)
