--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -52,32 +52,55 @@
             return refusal
         for claim in ask.abandoned:
             self.owner.release(ask.entry, claim)
+        is_checked = False
         while self.owner.epoch is not None:
             reply = self.look_up(ask.entry)
             if reply is None and not self._is_held(ask.entry):
                 reply = await self._claim(ask.entry)
+            elif reply is None and not is_checked:
+                reply = await self._check()
+                is_checked = True
+            elif reply is None:
+                reply = await self._await_outcome(ask.entry)
             if reply is not None:
                 return reply
-            if self._is_held(ask.entry):
-                await self.owner.changed.wait()
         return self._moved("moved")
 
     def look_up(self, entry):
-        """Return what the table says of a key, or None where it is free or open."""
+        """Return what is final about a key, or None where it is free or open."""
         partition = self.owner.partition
         if entry.era < partition.floor:
             return messages.ClaimReply(state="expired")
         held = partition.claims.get(entry.key)
-        if held is None:
+        if held is None or held.kind == "claim":
             return None
         if held.body_hash != entry.body_hash:
             return messages.ClaimReply(state="conflict")
-        if held.kind == "ran":
-            return messages.ClaimReply(
-                state="done", result=held.result, result_kept=held.result_kept
-            )
-        if held.kind == "unknown" or not self._has_claimant(held):
+        if held.kind == "unknown":
             return messages.ClaimReply(state="unknown")
+        return messages.ClaimReply(
+            state="done", result=held.result, result_kept=held.result_kept
+        )
+
+    async def _check(self):
+        """Make sure that the epoch stood after this call; None where it did.
+
+        What a table says of an open claim is good only while nobody has taken the
+        partition over; what it says of an outcome is final.
+        """
+        pending = self.owner.enqueue(None)
+        await pending.done.wait()
+        if pending.failure == "log_away":
+            return messages.ClaimReply(state="unknown")
+        return self._moved(pending.failure) if pending.failure else None
+
+    async def _await_outcome(self, entry):
+        held = self.owner.partition.claims[entry.key]
+        if held.body_hash != entry.body_hash:
+            return messages.ClaimReply(state="conflict")
+        if not self._has_claimant(held):
+            return messages.ClaimReply(state="unknown")
+        await self.owner.changed.wait()
         return None
 
     def _has_claimant(self, entry):
@@ -91,7 +114,8 @@
         if self.owner.log_away:
             return messages.ClaimReply(state="log_away")
         if self._is_full():
-            return messages.ClaimReply(state="overloaded")
+            failed = await self._check()
+            return failed or messages.ClaimReply(state="overloaded")
         pending = self.owner.enqueue(entry)
         is_granted = False
         try:
--- a/teaselwall/owners.py
+++ b/teaselwall/owners.py
@@ -77,6 +77,14 @@
         When this host last lost the partition to another.
     successor : str
         Peer address of that other host.
+    queue, in_hand : list of Pending
+        What waits for the next record, and what is in the present one.
+    turned_ms : float
+        When the log was last asked; one turn each batch interval.
+    n_appends : int
+    wanted, wake, changed : trio.Event
+        Set when a host asks for the partition, when something waits, and (with a
+        new one in its place) when the table or the epoch may have changed.
     """
 
     __slots__ = (
@@ -94,7 +102,7 @@
         "successor",
         "queue",
         "in_hand",
-        "appended_ms",
+        "turned_ms",
         "n_appends",
         "wanted",
         "wake",
@@ -116,14 +124,20 @@
         self.successor = ""
         self.queue = []
         self.in_hand = []
-        self.appended_ms = 0.0
+        self.turned_ms = 0.0
         self.n_appends = 0
         self.wanted = trio.Event()
         self.wake = trio.Event()
         self.changed = trio.Event()
 
     def enqueue(self, entry):
-        """Put an entry into the next batch; return its ``Pending``."""
+        """Put an entry into the next batch; return its ``Pending``.
+
+        Parameters
+        ----------
+        entry : messages.ClaimEntry or None
+            None only has the log read, to see whether the epoch still stands.
+        """
         pending = Pending(entry)
         self.queue.append(pending)
         self.wake.set()
@@ -175,7 +189,7 @@
         A copy that takes effect late does no harm: readers count the first.
         """
         for _ in range(MAX_COPIES):
-            self.appended_ms = self.clock.now_ms()
+            self.turned_ms = self.clock.now_ms()
             self.n_appends += 1
             result = await self.log.append(
                 self.partition.stream, record, self.timeout_ms
@@ -209,7 +223,7 @@
             with self.clock.timeout_ms(self._housekeeping_ms()):
                 await self.wake.wait()
         if self.queue:
-            next_ms = self.appended_ms + self.settings.batch_interval_ms
+            next_ms = self.turned_ms + self.settings.batch_interval_ms
             await self.clock.sleep_ms(next_ms - self.clock.now_ms())
         self.wake = trio.Event()
 
@@ -233,14 +247,29 @@
 
     async def write_batch(self):
         """Write what waits, if anything; return whether the epoch still stands."""
-        if not self.queue and self._floor() == self.partition.floor:
+        is_raised = self._floor() > self.partition.floor
+        if not self.queue and not is_raised:
             return True
         self.in_hand = self.queue[:MAX_BATCH_ENTRIES]
         del self.queue[:MAX_BATCH_ENTRIES]
         for pending in self.in_hand:
             pending.sent = True
-        entries = [pending.entry for pending in self.in_hand]
-        return await self.commit("batch", entries)
+        entries = [p.entry for p in self.in_hand if p.entry is not None]
+        if entries or is_raised:
+            return await self.commit("batch", entries)
+        return await self._read_only()
+
+    async def _read_only(self):
+        self.turned_ms = self.clock.now_ms()
+        if (await self.partition.catch_up()).is_error():
+            self._note_log_away()
+            self.in_hand = []
+            return True
+        self.log_away = False
+        if self.partition.epoch != self.epoch:
+            return False
+        self._finish_in_hand()
+        return True
 
     async def commit(self, kind, entries):
         """Append entries as one record and read it back.
@@ -283,7 +312,7 @@
         for pending in finished:
             if pending.done.is_set():
                 continue
-            pending.counted = self.shows(pending.entry)
+            pending.counted = pending.entry is None or self.shows(pending.entry)
             pending.done.set()
             if pending.given_up:
                 self.release(pending.entry, pending.entry.claim)
@@ -307,7 +336,7 @@
         _refuse(self.in_hand, "log_away")
         _refuse(self.queue, "log_away")
         # Claims that never went out are dropped; releases still have to go out.
-        self.queue = [p for p in self.queue if p.entry.kind == "not_run"]
+        self.queue = [p for p in self.queue if p.entry and p.entry.kind == "not_run"]
         self._notify()
 
     def _step_down(self):
--- a/teaselwall/tools/histories.py
+++ b/teaselwall/tools/histories.py
@@ -36,6 +36,7 @@
 MAX_CALLS_PER_KEY = 4
 OTHER_BODY_SHARE = 0.1
 RETENTION_MS = 10000
+REWRITE_MS = 400
 HOUR_MS = 3600000
 
 
@@ -243,8 +244,6 @@
         """Make the history: calls under faults, then reads once all is well."""
         async with trio.open_nursery() as self.nursery:
             self.log = fakes.FakeLog(self.nursery)
-            if "retention" in self.faults:
-                self.settings.retention_ms = RETENTION_MS
             for number in range(N_HOSTS):
                 self.start(f"host-{number}")
             async with trio.open_nursery() as callers:
@@ -509,9 +508,14 @@
 
 
 async def _retention(run):
+    run.settings.retention_ms = RETENTION_MS
     run.log.retention_ms = RETENTION_MS
 
 
+async def _rewrite(run):
+    run.settings.retention_ms = REWRITE_MS
+
+
 FAULTS = {
     "kill": _kill,
     "pause": _pause,
@@ -522,4 +526,5 @@
     "lose_peer_replies": _lose_peer_replies,
     "fail_service": _fail_service,
     "retention": _retention,
+    "rewrite": _rewrite,
 }
