--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,12 +3,14 @@
 import trio
 
 from teaselwall import (
+    claims,
     clock,
     configuration,
     confirmations,
     control,
     dispatch,
     engines,
+    eras,
     fleet,
     followers,
     gossip,
@@ -18,12 +20,15 @@
     metrics,
     operators,
     orders,
+    ownercalls,
+    ownerships,
     peers,
     pickers,
     pictures,
     pipelines,
     pools,
     publications,
+    recorders,
     snapshots,
     traces,
     transport,
@@ -56,6 +61,9 @@
         "gossip",
         "fleet",
         "dispatcher",
+        "ownerships",
+        "claims",
+        "eras",
         "pipeline",
         "hand_overs",
     )
@@ -100,7 +108,25 @@
             timeout_ms,
         )
         self.dispatcher = self._dispatcher()
-        self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.ownerships = ownerships.Ownerships(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims,
+            timeout_ms,
+        )
+        self.ownerships.add_handlers(self.control)
+        self.claims = self._claims()
+        self.eras = eras.EraClock(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims.era_ms,
+            timeout_ms,
+        )
+        self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
         self.hand_overs = []
         self._register_operators()
 
@@ -136,6 +162,21 @@
             self.settings.limits.silence_ms,
         )
 
+    def _claims(self):
+        calls = ownercalls.OwnerCalls(
+            self.clock, self.peers, self.ownerships, self.membership
+        )
+        return claims.Claims(
+            self.clock,
+            calls,
+            recorders.Recorder(self.clock, calls),
+            self.dispatcher,
+            self.state,
+            self.membership,
+            self.settings.claims.n_partitions,
+            self.settings.limits.max_result_bytes,
+        )
+
     async def serve(self, request, sink):
         """Run one request; see ``pipelines.Pipeline.run``."""
         return await self.pipeline.run(request, sink)
@@ -153,3 +194,6 @@
             nursery.start_soon(self.rewriter.run)
             nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.ownerships.run)
+            nursery.start_soon(self.claims.run)
+            nursery.start_soon(self.eras.run)
