Answer malformed and oversized HTTP input with a 4xx problem

Cause: exceptions outside the typed kinds left the application without an answer; wrong methods gave 400; deeply nested input could be read and then not be written again; a body or a reader that stalls held its place for good.

Ruled out: leaving nesting to the decoder, whose limit depends on the depth of the stack at the time; a value read near that limit fails when it is sent on.

Change: nesting is bounded, inputs are encoded again when they are read, wrong methods get 405 with Allow, bodies and final answers have a time limit, and any exception becomes a typed problem and a log line, also within a stream.

Conclusion: 29 malformed requests to callers' paths and 9 to the control listener get their 4xx, and the next good request is served.

--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -4,6 +4,7 @@
 import re
 import secrets
 
+import expression
 import trio
 import xxhash
 
@@ -12,6 +13,7 @@
     clock,
     errors,
     events,
+    outcomes,
     requests,
     responses,
     services,
@@ -22,7 +24,11 @@
 
 REQUEST_PATH = re.compile(r"/v1/services/([a-z][a-z0-9-]{0,62})/requests")
 KEY_PATTERN = re.compile(r"[!-~]{1,128}")
+QUESTIONS = ("/v1/entry-hosts", "/livez", "/readyz", "/metrics")
 RETRY_AFTER_MS = 1000
+MAX_SHOWN = 100
+BODY_LIMIT_MS = 10_000
+SEND_LIMIT_MS = 10_000
 
 
 class Application:
@@ -48,11 +54,15 @@
             await responses.answer_lifespan(receive, send)
             return
         if scope["type"] != "http":
+            await send(responses.WEBSOCKET_REFUSED)
             return
         try:
             await self._route(scope, receive, send)
         except errors.Error as error:
             await responses.send_problem(send, error)
+        except Exception as error:
+            problem = taken(error, scope["path"])
+            await responses.send_problem(send, problem)
 
     async def _route(self, scope, receive, send):
         method, path = scope["method"], scope["path"]
@@ -60,19 +70,23 @@
         if match:
             require_method(method, "POST", path)
             await self._serve(match.group(1), scope, receive, send)
-        elif path == "/v1/entry-hosts":
-            require_method(method, "GET", path)
+        else:
+            await self._answer(method, path, send)
+
+    async def _answer(self, method, path, send):
+        if path not in QUESTIONS:
+            raise errors.NotFound(f"Nothing is at {path[:MAX_SHOWN]!r}.")
+        require_method(method, "GET", path)
+        if path == "/v1/entry-hosts":
             await responses.send_json(send, self._addresses())
         elif path == "/livez":
             await responses.send_json(send, {"live": True})
         elif path == "/readyz":
             ready = self.host.ready()
             await responses.send_json(send, {"ready": ready}, 200 if ready else 503)
-        elif path == "/metrics":
+        else:
             text = self.host.metrics.text()
             await responses.send(send, 200, text, responses.TEXT)
-        else:
-            raise errors.NotFound(f"Nothing is at {path}.")
 
     def _addresses(self):
         keep_ms = self.host.settings.membership.answer_kept_ms
@@ -96,25 +110,23 @@
 
     async def _read(self, service, headers, receive):
         limits = self.host.settings.limits
-        body = await responses.read_body(receive, limits.max_body_bytes)
+        body = await self._read_body(receive, limits.max_body_bytes)
         document = self.host.state.services.get(service)
         if document is None:
             raise errors.NotFound(f"There is no service {service}.")
-        organisation = headers.get("organisation", "")
-        if services.organisation(document, organisation) is None:
-            detail = f"The service {service} does not serve {organisation!r}."
-            remedy = "Name one of its organisations in the Organisation header."
-            raise errors.InvalidRequest(detail, remedy=remedy)
+        organisation = read_organisation(headers, document)
         deadline_ms = read_deadline(headers, document.deadline_ms)
+        key = read_key(headers, document)
         message = responses.decode(body)
         if "input" not in message:
             raise errors.InvalidRequest("The body has no 'input'.")
+        text = responses.encode_again(message["input"])
         return requests.Request(
             id=self._next_id(),
             organisation=organisation,
             document=document,
             input=message["input"],
-            key=read_key(headers, document),
+            key=key,
             body_hash=xxhash.xxh3_128_hexdigest(body),
             deadline=clock.Deadline(self.host.clock, deadline_ms),
             span=self.host.tracer.start(
@@ -122,8 +134,14 @@
                 traces.remote_context(headers.get("traceparent")),
                 organisation=organisation,
             ),
+            content=requests.content_hash(organisation, service, text),
         )
 
+    async def _read_body(self, receive, max_bytes):
+        with self.host.clock.timeout_ms(BODY_LIMIT_MS):
+            return await responses.read_body(receive, max_bytes)
+        raise errors.BodyTooSlow("The body did not arrive in time.")
+
     def _next_id(self):
         self.n_ids += 1
         return f"{self.id_prefix}-{self.n_ids}"
@@ -134,15 +152,24 @@
         async with trio.open_nursery() as nursery:
             if request.document.idempotent:
                 nursery.start_soon(_watch, receive, nursery.cancel_scope)
-            result = await self.host.serve(request, reply.send_tokens)
+            result = await self._result(request, reply)
             nursery.cancel_scope.cancel()
         self._note(request, result, self.host.clock.now_ms() - started_ms)
         if result is None:
             return
-        if result.is_ok():
-            await reply.end(request, result.ok)
-        else:
-            await reply.fail(request, result.error)
+        with self.host.clock.timeout_ms(SEND_LIMIT_MS):
+            if result.is_ok():
+                await reply.end(request, result.ok)
+            else:
+                await reply.fail(request, result.error)
+
+    async def _result(self, request, reply):
+        """Run the request; an exception becomes its problem, also mid-stream."""
+        try:
+            return await self.host.serve(request, reply.send_tokens)
+        except Exception as error:
+            problem = taken(error, request.id)
+            return expression.Error(outcomes.honest(request, problem))
 
     def _note(self, request, result, elapsed_ms):
         if result is None:
@@ -238,8 +265,18 @@
 
 def require_method(method, allowed, path):
     """Raise where a path is asked with another method than it allows."""
-    if method != allowed:
-        raise errors.InvalidRequest(f"{path} takes {allowed} only.")
+    if method != allowed and (method, allowed) != ("HEAD", "GET"):
+        raise errors.MethodNotAllowed(path, allowed)
+
+
+def read_organisation(headers, document):
+    """Return the organisation, which must be one of the document's."""
+    name = headers.get("organisation", "")
+    if services.organisation(document, name) is None:
+        detail = f"The service {document.service} does not serve {name!r}."
+        remedy = "Name one of its organisations in the Organisation header."
+        raise errors.InvalidRequest(detail, remedy=remedy)
+    return name
 
 
 def read_deadline(headers, document_ms):
@@ -266,6 +303,25 @@
     return key
 
 
+def taken(error, subject):
+    """Return an exception as a typed error; write down one that nothing foresaw.
+
+    Parameters
+    ----------
+    error : Exception
+    subject : str
+        Request id or path.
+    """
+    problem = responses.known(error)
+    if type(problem) is errors.Error:
+        logger.error(
+            "request_failed",
+            exc_info=error,
+            extra={"fields": {"subject": subject, "detail": repr(error)}},
+        )
+    return problem
+
+
 async def _watch(receive, cancel_scope):
     """Cancel idempotent work once the caller has gone away."""
     while True:
--- a/teaselwall/control.py
+++ b/teaselwall/control.py
@@ -9,6 +9,7 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BEARER = "Bearer "
+MAX_SHOWN = 100
 
 
 class Control:
@@ -47,6 +48,7 @@
             await responses.answer_lifespan(receive, send)
             return
         if scope["type"] != "http":
+            await send(responses.WEBSOCKET_REFUSED)
             return
         try:
             reply = await self._handle(scope, receive)
@@ -55,7 +57,7 @@
             return
         except Exception as error:
             events.log(logger, logging.ERROR, "control_failed", detail=repr(error))
-            await responses.send_problem(send, responses.unexpected(error))
+            await responses.send_problem(send, responses.known(error))
             return
         await responses.send_json(send, reply)
 
@@ -64,9 +66,9 @@
         self._authorize(path, responses.headers_of(scope))
         handler = self.handlers.get(path)
         if handler is None:
-            raise errors.NotFound(f"Nothing is at {path}.")
+            raise errors.NotFound(f"Nothing is at {path[:MAX_SHOWN]!r}.")
         if scope["method"] != "POST":
-            raise errors.InvalidRequest(f"{path} takes POST only.")
+            raise errors.MethodNotAllowed(path, "POST")
         body = await responses.read_body(receive, MAX_BODY_BYTES)
         return await handler(responses.decode(body or b"{}"))
 
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -12,6 +12,8 @@
 EVENT_STREAM = b"text/event-stream"
 TEXT = b"text/plain; version=0.0.4"
 MS_PER_S = 1000
+MAX_DEPTH = 64
+WEBSOCKET_REFUSED = {"type": "websocket.close", "code": 1000}
 
 
 def headers_of(scope):
@@ -49,16 +51,63 @@
 def decode(body, kind=None):
     """Decode a JSON body.
 
+    Parameters
+    ----------
+    body : bytes
+    kind : type, optional
+        Struct class; an object of any fields where it is not given.
+
     Raises
     ------
     errors.InvalidRequest
+        Also where it is nested deeper than ``MAX_DEPTH`` or holds what cannot be
+        written as JSON again.
     """
     try:
-        return msgspec.json.decode(body, type=kind if kind is not None else dict)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        message = msgspec.json.decode(body, type=kind if kind is not None else dict)
+        if body.count(b"[") + body.count(b"{") > MAX_DEPTH:
+            check_depth(message)
+        return message
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise errors.InvalidRequest(f"The body cannot be read: {error}.") from error
 
 
+def check_depth(message):
+    """Check that decoded JSON is nested no deeper than ``MAX_DEPTH``.
+
+    Raises
+    ------
+    errors.InvalidRequest
+    """
+    level = [message]
+    for _ in range(MAX_DEPTH):
+        level = [child for value in level for child in _children(value)]
+        if not level:
+            return
+    detail = f"The body is nested deeper than {MAX_DEPTH} levels."
+    raise errors.InvalidRequest(detail, remedy="Send a flatter input.")
+
+
+def _children(value):
+    if isinstance(value, dict):
+        return value.values()
+    return value if isinstance(value, list) else ()
+
+
+def encode_again(message):
+    """Return decoded JSON as canonical bytes, by which equal inputs are equal.
+
+    Raises
+    ------
+    errors.InvalidRequest
+        It holds a number or text that cannot be sent on.
+    """
+    try:
+        return msgspec.json.encode(message, order="deterministic")
+    except (msgspec.MsgspecError, UnicodeError, OverflowError, ValueError) as error:
+        raise errors.InvalidRequest(f"The input cannot be sent on: {error}.") from error
+
+
 async def send(send_message, status, body, content_type=JSON, headers=()):
     """Send a whole response."""
     head = [
@@ -99,7 +148,7 @@
 async def send_problem(send_message, error, request=""):
     """Send an error as problem details."""
     details = problem(error, request)
-    headers = []
+    headers = list(error.headers)
     if details.retry_after_s:
         headers.append((b"retry-after", str(details.retry_after_s).encode()))
     body = msgspec.json.encode(details)
@@ -120,6 +169,24 @@
             return
 
 
+def known(error):
+    """Return an exception as a typed error.
+
+    Parameters
+    ----------
+    error : Exception
+        Also a group, such as a nursery raises.
+
+    Returns
+    -------
+    errors.Error
+        The error itself, or the group's only one; ``unexpected`` for the rest.
+    """
+    while isinstance(error, ExceptionGroup) and len(error.exceptions) == 1:
+        error = error.exceptions[0]
+    return error if isinstance(error, errors.Error) else unexpected(error)
+
+
 def unexpected(error):
     """Return the typed error for an exception that nothing foresaw."""
     return errors.Error(
--- /dev/null
+++ b/teaselwall/tests/test_application.py
@@ -0,0 +1,257 @@
+import types
+
+import msgspec
+import pytest
+import trio
+
+from teaselwall import (
+    application,
+    clock,
+    configuration,
+    control,
+    errors,
+    listeners,
+    membership,
+    metrics,
+    traces,
+)
+from teaselwall.generated import settings
+from teaselwall.tools import deployments, rigs
+
+PATH = "/v1/services/sample/requests"
+GOOD = b'{"input": "hello"}'
+DEEP = b'{"input": ' + b"[" * 500 + b"]" * 500 + b"}"
+DEEPER = b'{"input": ' + b"[" * 100000 + b"]" * 100000 + b"}"
+
+
+@pytest.fixture
+async def host():
+    rig = rigs.Rig({"encode": rigs.fake_servers("encode", 2)})
+    state = configuration.State()
+    purchase = rigs.stage("encode", "plain", idempotent=False)
+    state.services["sample"] = rigs.document(rigs.stage("encode"))
+    state.services["purchase"] = rigs.document(purchase, idempotent=False)
+    wanted = settings.Settings(
+        host=settings.HostSettings(name="h", data_centre="d", region="r"),
+        listen=settings.ListenSettings(callers="127.0.0.1:1", peers="127.0.0.1:2"),
+        platform=settings.PlatformSettings(
+            log_service="127.0.0.1:3", host_list="127.0.0.1:4"
+        ),
+        access=settings.AccessSettings(peer_key="p" * 16, operator_key="o" * 16),
+    )
+    return types.SimpleNamespace(
+        settings=wanted,
+        clock=clock.Clock(),
+        state=state,
+        membership=membership.Membership(wanted),
+        metrics=metrics.Metrics(),
+        tracer=traces.Tracer(settings.TraceSettings(), "test"),
+        serve=rig.pipeline.run,
+        ready=lambda: True,
+    )
+
+
+async def ask(served, method="POST", path=PATH, body=GOOD, **headers):
+    """Send one request straight to an ASGI application."""
+    sent = []
+    fields = {"organisation": "kiosks"} | headers
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "query_string": b"",
+        "headers": [
+            (name.replace("_", "-").encode(), value.encode("latin-1"))
+            for name, value in fields.items()
+        ],
+    }
+    messages = [{"type": "http.request", "body": body}]
+
+    async def receive():
+        if messages:
+            return messages.pop(0)
+        return await trio.sleep_forever()
+
+    async def send(message):
+        sent.append(message)
+
+    await served(scope, receive, send)
+    answer = b"".join(message.get("body", b"") for message in sent[1:])
+    return sent[0]["status"], answer
+
+
+@pytest.mark.parametrize(
+    ("status", "change"),
+    [
+        (400, {"body": b""}),
+        (400, {"body": b"{"}),
+        (400, {"body": b"[1]"}),
+        (400, {"body": b'"text"'}),
+        (400, {"body": b"{}"}),
+        (400, {"body": b'{"input": "\xff\xfe"}'}),
+        (400, {"body": b'{"input": "\\ud800"}'}),
+        (400, {"body": b'{"input": NaN}'}),
+        (400, {"body": b'{"input": 1e999}'}),
+        (400, {"body": DEEP}),
+        (400, {"body": DEEPER}),
+        (413, {"body": b'{"input": "' + b"x" * 1048576 + b'"}'}),
+        (405, {"method": "GET"}),
+        (405, {"method": "BREW"}),
+        (405, {"method": "POST", "path": "/livez"}),
+        (405, {"method": "DELETE", "path": "/v1/entry-hosts"}),
+        (404, {"path": "/v1/services/none/requests"}),
+        (404, {"path": "/v1/services/../requests"}),
+        (404, {"path": "/\udcff" + "x" * 9000}),
+        (400, {"organisation": "strangers"}),
+        (400, {"organisation": "\xff\x00"}),
+        (400, {"deadline_ms": "soon"}),
+        (400, {"deadline_ms": "-5"}),
+        (400, {"deadline_ms": "0"}),
+        (400, {"deadline_ms": "\xb2"}),
+        (400, {"deadline_ms": "1.5"}),
+        (400, {"idempotency_key": "a b"}),
+        (400, {"idempotency_key": "x" * 129}),
+        (400, {"path": "/v1/services/purchase/requests"}),
+    ],
+)
+async def test_malformed_request_gets_a_problem(autojump_clock, host, status, change):
+    served = application.Application(host)
+    given, answer = await ask(served, **change)
+    problem = msgspec.json.decode(answer)
+    assert given == status == problem["status"]
+    assert problem["outcome"] == "not_run"
+    assert problem["remedy"]
+    given, answer = await ask(served)
+    assert given == 200
+    assert served.n_in_flight == 0
+
+
+@pytest.mark.parametrize("text", ["9" * 5000, "00001000", "1000"])
+async def test_long_deadlines_and_odd_headers_are_taken(autojump_clock, host, text):
+    served = application.Application(host)
+    headers = {"deadline_ms": text, "traceparent": "00-zz-\xff", "accept": "\xff"}
+    given, _ = await ask(served, **headers)
+    assert given == 200
+
+
+@pytest.mark.parametrize(
+    ("error", "status", "outcome"),
+    [
+        (ZeroDivisionError("fault"), 500, "unknown"),
+        (ExceptionGroup("", [KeyError("fault")]), 500, "unknown"),
+        (errors.Overloaded("full", retry_after_ms=1500), 429, "not_run"),
+        (ExceptionGroup("", [errors.Overloaded("full")]), 429, "not_run"),
+    ],
+)
+async def test_exception_becomes_a_problem(
+    autojump_clock, host, caplog, error, status, outcome
+):
+    async def fail(request, sink):
+        raise error
+
+    host.serve = fail
+    served = application.Application(host)
+    given, answer = await ask(served)
+    assert given == status
+    assert msgspec.json.decode(answer)["outcome"] == outcome
+    assert ("request_failed" in caplog.text) is (status == 500)
+
+
+async def test_exception_in_a_stream_ends_it_with_a_problem(autojump_clock, host):
+    async def fail(request, sink):
+        await sink(["one"])
+        raise ZeroDivisionError
+
+    host.serve = fail
+    _, answer = await ask(application.Application(host), accept="text/event-stream")
+    assert answer.startswith(b"event: tokens")
+    assert b"event: problem" in answer
+
+
+async def test_body_that_does_not_arrive_frees_its_place(autojump_clock, host):
+    served = application.Application(host)
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {"type": "http", "method": "POST", "path": PATH, "headers": []}
+    await served(scope, trio.sleep_forever, send)
+    assert sent[0]["status"] == 408
+    assert served.n_in_flight == 0
+
+
+async def test_caller_that_reads_nothing_frees_its_place(autojump_clock, host):
+    served = application.Application(host)
+    scope = {
+        "type": "http",
+        "method": "POST",
+        "path": PATH,
+        "headers": [(b"organisation", b"kiosks")],
+    }
+    bodies = [{"type": "http.request", "body": GOOD}]
+
+    async def receive():
+        return bodies.pop() if bodies else await trio.sleep_forever()
+
+    async def send(message):
+        await trio.sleep_forever()
+
+    await served(scope, receive, send)
+    assert served.n_in_flight == 0
+
+
+async def echo(message):
+    return message
+
+
+@pytest.mark.parametrize(
+    ("status", "change"),
+    [
+        (200, {}),
+        (400, {"body": b"["}),
+        (400, {"body": b"[]"}),
+        (400, {"body": DEEP}),
+        (413, {"body": b" " * (control.MAX_BODY_BYTES + 1)}),
+        (405, {"method": "GET"}),
+        (404, {"path": "/operator/none"}),
+        (403, {"authorization": ""}),
+        (403, {"authorization": "Bearer \xff"}),
+        (403, {"path": "/peer/echo"}),
+    ],
+)
+async def test_control_answers_malformed_calls(autojump_clock, host, status, change):
+    served = control.Control(host.settings.access)
+    served.add("/operator/echo", echo)
+    call = {"path": "/operator/echo", "authorization": "Bearer " + "o" * 16} | change
+    given, answer = await ask(served, **call)
+    assert given == status
+    assert msgspec.json.decode(answer)
+
+
+RAW = {
+    b"GET /livez HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 100000 + b"\r\n\r\n": b"431",
+    b"POST " + PATH.encode() + b" HTTP/1.1\r\nhost: a\r\ncontent-length: x\r\n\r\n": (
+        b"400"
+    ),
+    b"nonsense\r\n\r\n": b"400",
+    b"GET /\xff HTTP/1.1\r\nhost: a\r\n\r\n": b"400",
+    b"GET /livez?a=%ff&&&=%00 HTTP/1.1\r\nhost: a\r\n\r\n": b"200",
+    b"GET /livez HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: websocket\r\n"
+    b"sec-websocket-key: YQ==\r\nsec-websocket-version: 13\r\n\r\n": b"403",
+}
+
+
+async def test_listener_goes_on_after_broken_http(host):
+    address = deployments.free_address()
+    name, _, port = address.rpartition(":")
+    shutdown = trio.Event()
+    async with trio.open_nursery() as nursery:
+        served = application.Application(host)
+        await nursery.start(listeners.starter(served, address, shutdown))
+        for raw, status in RAW.items():
+            stream = await trio.open_tcp_stream(name, int(port))
+            async with stream:
+                await stream.send_all(raw)
+                assert status in (await stream.receive_some(65536))[:12], raw[:40]
+        shutdown.set()
