Name key, value and remedy for more kinds of wrong settings

Cause: a missing key was not named, IPv6 addresses without brackets and addresses of no single host passed, deeply nested TOML and odd paths ended in a traceback, documents had no bound, and a wrong access key was shown in the message. An address of another host ended the start with a traceback.

Change: each is refused with the file, the key, the value and the remedy; keys are hidden; documents are bounded at 4 MiB; the start tries to bind both addresses. A service that is not idempotent needs a plain stage that is not, and only plain stages may be so.

--- a/teaselwall/daemon.py
+++ b/teaselwall/daemon.py
@@ -20,7 +20,8 @@
     parser = argparse.ArgumentParser(prog="teaselwalld", description=__doc__)
     parser.add_argument("settings", help="settings file (TOML)")
     arguments = parser.parse_args(argv)
-    result = settings.read(arguments.settings)
+    path = arguments.settings
+    result = settings.read(path).bind(lambda wanted: listeners.check(wanted, path))
     if result.is_error():
         print(f"teaselwalld: {result.error}", file=sys.stderr)
         return EXIT_SETTINGS
--- a/teaselwall/listeners.py
+++ b/teaselwall/listeners.py
@@ -1,14 +1,46 @@
 """Serving an ASGI application on one address."""
 
 import functools
+import socket
 
+import expression
 from hypercorn import config as hypercorn_config
 from hypercorn import trio as hypercorn_trio
 
+from teaselwall import settings
+
 GRACE_S = 3600.0
 BACKLOG = 1024
 
 
+def check(wanted, source):
+    """Check that the settings' own addresses can be bound on this host.
+
+    Parameters
+    ----------
+    wanted : generated.settings.Settings
+    source : str
+        Name for messages.
+
+    Returns
+    -------
+    expression.Result
+    """
+    for name in ("callers", "peers"):
+        address = getattr(wanted.listen, name)
+        host, _, port = address.rpartition(":")
+        family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+        with socket.socket(family) as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((host.strip("[]"), int(port)))
+            except OSError as error:
+                reason = f"cannot be bound: {error} (value {address!r})"
+                remedy = "Give a free port on an address of this host."
+                return settings.fault(source, f"listen.{name}", reason, remedy)
+    return expression.Ok(wanted)
+
+
 async def serve(application, address, shutdown, task_status):
     """Serve until ``shutdown`` is set and what is in flight has ended.
 
--- a/teaselwall/services.py
+++ b/teaselwall/services.py
@@ -65,11 +65,19 @@
             return settings.fault(
                 source, f"{key}.kind", "is not the last stage", remedy
             )
+        if not stage.idempotent and stage.kind != "plain":
+            reason = f"is false for a stage of kind {stage.kind!r}"
+            remedy = "Only stages of kind 'plain' may be not idempotent."
+            return settings.fault(source, f"{key}.idempotent", reason, remedy)
         if not stage.idempotent and document.idempotent:
             reason = "is false while the service is idempotent"
             remedy = "Set 'idempotent = false' for the service too."
             return settings.fault(source, f"{key}.idempotent", reason, remedy)
         known.add(stage.name)
+    if not document.idempotent and all(s.idempotent for s in document.stages):
+        reason = "is false while every stage is idempotent"
+        remedy = "Set 'idempotent = false' for the stage that may not be repeated."
+        return settings.fault(source, "idempotent", reason, remedy)
     return expression.Ok(document)
 
 
--- a/teaselwall/settings.py
+++ b/teaselwall/settings.py
@@ -16,7 +16,13 @@
 from teaselwall.generated import settings as schema
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 UNKNOWN_FIELD = re.compile(r"unknown field `([^`]+)`")
+MISSING_FIELD = re.compile(r"missing required field `([^`]+)`")
+SECRET_SECTION = "access"
+HIDDEN = "hidden"
+MAX_SHOWN = 100
 
 
 def read(path):
@@ -49,9 +55,12 @@
     expression.Result
     """
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return fault(path, "", f"cannot be read ({error})", "Give a readable file.")
+        with pathlib.Path(path).open("rb") as file:
+            body = file.read(MAX_DOCUMENT_BYTES + 1)
+        text = body.decode()
+    except (OSError, ValueError) as error:
+        remedy = "Give a readable file in UTF-8."
+        return fault(path, "", f"cannot be read ({error})", remedy)
     return parse_document(text, kind, path)
 
 
@@ -69,16 +78,18 @@
     -------
     expression.Result
     """
+    if len(text) > MAX_DOCUMENT_BYTES:
+        reason = f"is longer than {MAX_DOCUMENT_BYTES} bytes"
+        return fault(source, "", reason, "Split the document or shorten it.")
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
         return fault(source, "", f"is not TOML ({error})", "Correct the syntax.")
     try:
         return expression.Ok(msgspec.convert(raw, kind))
     except msgspec.ValidationError as error:
         key, reason = _explain(str(error))
-        value = _lookup(raw, key)
-        shown = "" if value is None else f" (value {value!r})"
+        shown = _shown(raw, key)
         remedy = "Correct or remove the key; docs/settings.md lists what is allowed."
         return fault(source, key, f"{reason}{shown}", remedy)
 
@@ -119,7 +130,10 @@
         return fault(source, "membership.dead_after_ms", reason, remedy)
     claims = settings.claims
     if claims.era_ms * (claims.n_eras_kept + 1) > claims.retention_ms:
-        reason = f"is shorter than all kept eras (value {claims.retention_ms})"
+        reason = (
+            f"is shorter than {claims.n_eras_kept + 1} eras of era_ms "
+            f"{claims.era_ms} (value {claims.retention_ms})"
+        )
         remedy = "Raise retention_ms or lower era_ms or n_eras_kept."
         return fault(source, "claims.retention_ms", reason, remedy)
     if settings.traces.exporter == "file" and not settings.traces.file:
@@ -145,14 +159,23 @@
     if not separator:
         return "has no port"
     try:
-        ipaddress.ip_address(host.strip("[]"))
+        number = _ip_number(host)
     except ValueError:
-        return "has no IP number"
-    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        return "has no IP number (IPv6 in brackets)"
+    if number.is_unspecified or number.is_multicast:
+        return "names no single host"
+    known = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not known or not 0 < int(port) <= MAX_PORT:
         return f"has a port outside 1 to {MAX_PORT}"
     return ""
 
 
+def _ip_number(host):
+    if host.startswith("[") and host.endswith("]"):
+        return ipaddress.IPv6Address(host[1:-1])
+    return ipaddress.IPv4Address(host)
+
+
 def fault(source, key, reason, remedy):
     """Return an error result that names file, key, reason and remedy."""
     where = f"{source}: {key}" if key else f"{source}"
@@ -166,9 +189,21 @@
     if unknown:
         path = f"{path}.{unknown.group(1)}".lstrip(".")
         return path, "is not a known key"
+    missing = MISSING_FIELD.search(reason)
+    if missing:
+        path = f"{path}.{missing.group(1)}".lstrip(".")
+        return path, "is missing"
     return path, f"is wrong: {reason}"
 
 
+def _shown(raw, path):
+    value = _lookup(raw, path)
+    if value is None or isinstance(value, dict | list):
+        return ""
+    shown = HIDDEN if path.startswith(SECRET_SECTION) else repr(value)[:MAX_SHOWN]
+    return f" (value {shown})"
+
+
 def _lookup(raw, path):
     value = raw
     for part in re.findall(r"[^.\[\]]+", path):
@@ -178,4 +213,4 @@
             value = value.get(part)
         else:
             return None
-    return value if isinstance(value, str | int | float | bool) else None
+    return value
