Tell a crash suspect from its neighbours; measure attempts

Ruled out: waiting longer for evidence alone; a lost reply holds it back by the whole timeout. One trial at a time for a whole pool; ten neighbours of a crashed engine would wait for ten streams.

Change: a trial takes a server for itself, decided by the log's order; a crash is named by the incarnation that runs after it; the sender goes on as soon as its batch is read back; a crash ends only its own trial; hosts wait 50 ms for each other's evidence before a first trial and 200 ms after one; up to four equal requests at once share a server.

Conclusion: each guard is left out in a test, and the seeded runs show it.

--- a/teaselwall/attempts.py
+++ b/teaselwall/attempts.py
@@ -87,7 +87,7 @@
         if fastest_ms:
             expected_ms = min(expected_ms, fastest_ms)
         needed_ms = POSSIBLE_SHARE * (expected_ms + self.rest_ms)
-        return self.request.deadline.remaining_ms() >= needed_ms
+        return self.request.deadline.remaining_ms() - CLOSE_MS >= needed_ms
 
     def part_ms(self):
         """Return the stage's part of the remaining time.
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -1,6 +1,7 @@
 """Sending one stage of a request to a backend server, attempt by attempt."""
 
 import contextlib
+import functools
 import itertools
 import logging
 
@@ -112,7 +113,9 @@
         attempt : callable
             ``await attempt(made, server, *arguments)`` gives a result.
         """
-        admitted = await self.guard.admit(made)
+        pool = made.stage.pool
+        choices = functools.partial(self.fleet.choices, pool)
+        admitted = await self.guard.admit(made, choices)
         if admitted.is_error():
             return admitted
         result = None
@@ -120,7 +123,8 @@
             chosen = self._next_server(made, admitted.ok)
             if chosen.is_error():
                 return chosen
-            result = await attempt(made, chosen.ok, *arguments)
+            with self.guard.running_on(made, chosen.ok):
+                result = await attempt(made, chosen.ok, *arguments)
             if result.is_error():
                 made.error = result.error
                 await self.guard.examine(made, chosen.ok, admitted.ok)
@@ -130,10 +134,9 @@
 
     def _next_server(self, made, trial):
         """Choose the next server; nothing may be awaited before it is sent to."""
-        if trial:
-            choices = self.fleet.choices(made.stage.pool)
-            server = guards.spread(made, choices)
-        else:
+        wanted = self.guard.beside(made) if trial is None else trial.server
+        server = self._open_server(made, wanted)
+        if server is None and trial is None:
             server = self.choose(made.stage, made.tried, made.data_centres)
         if server is None:
             return _no_server(made.stage)
@@ -143,6 +146,12 @@
         made.note_sent(server)
         return expression.Ok(server)
 
+    def _open_server(self, made, address):
+        if address is None or address in made.tried:
+            return None
+        choices = self.fleet.choices(made.stage.pool)
+        return next((s for s in choices if s.address == address), None)
+
     def choose(self, stage, tried, data_centres=frozenset()):
         """Return the server for the next attempt, or None.
 
--- a/teaselwall/evidence.py
+++ b/teaselwall/evidence.py
@@ -1,6 +1,7 @@
 """Sharing the quarantine's records among entry hosts through the log service."""
 
 import logging
+import secrets
 
 import msgspec
 import trio
@@ -36,7 +37,16 @@
         the log was found away.
     """
 
-    __slots__ = ("clock", "log", "quarantine", "timeout_ms", "offset", "settled")
+    __slots__ = (
+        "clock",
+        "log",
+        "quarantine",
+        "timeout_ms",
+        "offset",
+        "settled",
+        "sending",
+        "scope",
+    )
 
     def __init__(self, clock, log, quarantine, timeout_ms):
         self.clock = clock
@@ -45,6 +55,8 @@
         self.timeout_ms = timeout_ms
         self.offset = 0
         self.settled = False
+        self.sending = ""
+        self.scope = None
 
     async def run(self):
         """Send and follow until cancelled."""
@@ -64,16 +76,19 @@
         pending = self.quarantine.pending
         count = min(len(pending), MAX_RECORDS_PER_APPEND)
         return messages.QuarantineBatch(
-            records=[pending.popleft() for _ in range(count)]
+            id=secrets.token_hex(8), records=[pending.popleft() for _ in range(count)]
         )
 
     async def _append(self, batch):
+        """Append until the reply or the batch itself comes back."""
         data = msgspec.to_builtins(batch)
-        while True:
-            result = await self.log.append(STREAM, data, self.timeout_ms)
-            if result.is_ok():
-                return
-            await self.clock.sleep_ms(RETRY_MS)
+        self.sending = batch.id
+        with trio.CancelScope() as self.scope:
+            while True:
+                result = await self.log.append(STREAM, data, self.timeout_ms)
+                if result.is_ok():
+                    return
+                await self.clock.sleep_ms(RETRY_MS)
 
     async def _follow(self):
         while True:
@@ -106,5 +121,7 @@
                 detail=str(error),
             )
             return
+        if batch.id and batch.id == self.sending:
+            self.scope.cancel()
         for item in batch.records:
             self.quarantine.apply(item)
--- a/teaselwall/guards.py
+++ b/teaselwall/guards.py
@@ -1,5 +1,7 @@
 """What the quarantine does around one attempt."""
 
+import collections
+import contextlib
 import logging
 
 import trio
@@ -9,6 +11,8 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_BESIDE = 4
+
 
 class Guard:
     """Holds suspects back before an attempt and looks for crashes after it.
@@ -19,11 +23,37 @@
     prober : probes.Prober
     """
 
-    __slots__ = ("suspects", "prober")
+    __slots__ = ("suspects", "prober", "running")
 
     def __init__(self, suspects, prober):
         self.suspects = suspects
         self.prober = prober
+        self.running = {}
+
+    @contextlib.contextmanager
+    def running_on(self, made, server):
+        """Note where a content runs, as long as it does."""
+        content = content_of(made.request, made.stage)
+        held = self.running.setdefault(content, collections.Counter())
+        held[server.address] += 1
+        try:
+            yield
+        finally:
+            held[server.address] -= 1
+            if not held.total():
+                self.running.pop(content, None)
+
+    def beside(self, made):
+        """Return the address where equal content runs already, or None.
+
+        A few equal requests at once share one server, so that a content which
+        turns out to crash servers has not reached many of them before.
+        """
+        held = self.running.get(content_of(made.request, made.stage))
+        if not made.request.content or held is None:
+            return None
+        address, count = held.most_common(1)[0]
+        return address if 0 < count < MAX_BESIDE else None
 
     def refusal(self, request):
         """Return the error that refuses a request before any stage, or None."""
@@ -33,12 +63,14 @@
                 return error
         return None
 
-    async def admit(self, made):
+    async def admit(self, made, choices):
         """Wait until an attempt may be made.
 
         Parameters
         ----------
         made : attempts.Attempts
+        choices : callable
+            Gives the servers that may get work at the moment.
 
         Returns
         -------
@@ -46,7 +78,11 @@
             See ``quarantine.Quarantine.admit``.
         """
         content = content_of(made.request, made.stage)
-        return await self.suspects.admit(content, made.request.deadline)
+
+        def choose(busy):
+            return spread(made, choices(), busy)
+
+        return await self.suspects.admit(content, made.request.deadline, choose)
 
     async def examine(self, made, server, trial):
         """Find out whether a server died while it had the request.
@@ -56,10 +92,11 @@
         if not isinstance(made.error, errors.ConnectionBroken):
             return
         with trio.CancelScope(shield=True):
-            if not await self.prober.crashed(server):
-                return
+            crash = await self.prober.crash(server)
+        if not crash:
+            return
         content = content_of(made.request, made.stage)
-        self.suspects.report(made.request, content, server, trial)
+        self.suspects.report(made.request, content, crash, trial)
         events.log(
             logger,
             logging.WARNING,
@@ -81,22 +118,25 @@
     return Guard(quarantine.Quarantine(clock), probes.NoProber())
 
 
-def spread(made, choices):
-    """Return the server for a suspect's trial, or None.
+def spread(made, choices, busy):
+    """Return the address for a suspect's trial, or None.
 
-    Suspects of one crash go to different servers, so that the next crash tells
-    them apart.
+    Entry hosts choose the same server for one content and different ones for most
+    others.
 
     Parameters
     ----------
     made : attempts.Attempts
     choices : list of servers.Server
+    busy : set of str
+        Addresses where other suspects are on trial.
     """
     content = content_of(made.request, made.stage)
-    fresh = [server for server in choices if server.address not in made.tried]
+    barred = made.tried | busy
+    fresh = [server.address for server in choices if server.address not in barred]
 
-    def weight(server):
-        return xxhash.xxh3_64_intdigest(f"{content}/{server.address}".encode())
+    def weight(address):
+        return xxhash.xxh3_64_intdigest(f"{content}/{address}".encode())
 
     return max(fresh, key=weight, default=None)
 
--- a/teaselwall/probes.py
+++ b/teaselwall/probes.py
@@ -14,8 +14,8 @@
     """Asks a server after one of its connections broke."""
 
     @abc.abstractmethod
-    async def crashed(self, server):
-        """Return whether a server's process has ended, also if a new one runs.
+    async def crash(self, server):
+        """Find out whether a server's process has ended, also if a new one runs.
 
         Parameters
         ----------
@@ -23,8 +23,11 @@
 
         Returns
         -------
-        bool
-            False where it cannot be told.
+        str
+            Name of the crash, the same for all who ask about one crash; empty
+            where there was none or it cannot be told. The incarnation that the
+            host list shows may be older than the process that ended, so the name
+            is made from the one that runs afterwards.
         """
 
 
@@ -33,9 +36,9 @@
 
     __slots__ = ()
 
-    async def crashed(self, server):
-        """Return False; see ``Prober.crashed``."""
-        return False
+    async def crash(self, server):
+        """Return an empty name; see ``Prober.crash``."""
+        return ""
 
 
 class HttpProber(Prober):
@@ -51,15 +54,17 @@
     def __init__(self, transport):
         self.transport = transport
 
-    async def crashed(self, server):
-        """Ask the server; see ``Prober.crashed``."""
+    async def crash(self, server):
+        """Ask the server; see ``Prober.crash``."""
         result = await self.transport.call(
             "GET", server.address, "/v1/load", None, PROBE_MS, fresh=True
         )
         if result.is_error():
-            return isinstance(result.error, errors.ConnectRefused)
+            refused = isinstance(result.error, errors.ConnectRefused)
+            return f"{server.address}/{server.incarnation}/ended" if refused else ""
         try:
             report = result.ok.decode(messages.LoadReport)
         except msgspec.DecodeError:
-            return False
-        return bool(server.incarnation) and report.incarnation != server.incarnation
+            return ""
+        same = report.incarnation == server.incarnation or not server.incarnation
+        return "" if same else f"{server.address}/{report.incarnation}"
--- a/teaselwall/quarantine.py
+++ b/teaselwall/quarantine.py
@@ -25,7 +25,9 @@
 EXPIRY_MS = 3_600_000
 TRIAL_MS = 10_000
 READ_BACK_MS = 500
-SETTLE_MS = 200
+WAIT_MS = 1000
+SETTLE_MS = 50
+TRIAL_SETTLE_MS = 200
 MAX_CONTENTS_PER_CRASH = 256
 MASS_CRASHES = 3
 MASS_WINDOW_MS = 2000
@@ -45,7 +47,15 @@
         Records for the log, sent by ``evidence.EvidenceLog``.
     """
 
-    __slots__ = ("clock", "entries", "by_crash", "recent", "pending", "wanted")
+    __slots__ = (
+        "clock",
+        "entries",
+        "by_crash",
+        "recent",
+        "pending",
+        "wanted",
+        "changed",
+    )
 
     def __init__(self, clock):
         self.clock = clock
@@ -54,6 +64,7 @@
         self.recent = collections.deque()
         self.pending = collections.deque(maxlen=MAX_PENDING)
         self.wanted = trio.Event()
+        self.changed = trio.Event()
 
     def add_handlers(self, control):
         """Add the operators' paths to list and lift.
@@ -110,10 +121,10 @@
         return sum(e is not None and len(e.crashes) > 1 for e in entries)
 
     def _unsettled_ms(self, entry):
-        """Return how long to wait for other hosts' evidence of a trial's crash."""
-        if not any(entry.crashes.values()):
-            return 0.0
-        return entry.crashed_ms + SETTLE_MS - self.clock.now_ms()
+        """Return how long to wait for other hosts' evidence of the newest crash."""
+        in_trial = any(entry.crashes.values())
+        settle_ms = TRIAL_SETTLE_MS if in_trial else SETTLE_MS
+        return entry.crashed_ms + settle_ms - self.clock.now_ms()
 
     def find(self, content):
         """Return the entry of a content unless it has expired, or None."""
@@ -125,69 +136,86 @@
             return None
         return entry
 
-    async def admit(self, content, deadline):
+    async def admit(self, content, deadline, choose):
         """Wait until a content may run.
 
         Parameters
         ----------
         content : str
         deadline : clock.Deadline
+        choose : callable
+            ``choose(busy)`` gives the address for a trial, none of ``busy``, or
+            None.
 
         Returns
         -------
         expression.Result
-            Id of the trial, empty for contents without suspicion; or
+            The trial, None for contents without suspicion; or
             ``errors.Quarantined``, or ``errors.Unavailable`` where other trials
             last past the deadline. Nothing has run then.
         """
         while True:
             entry = self.find(content)
             if entry is None or not entry.crashes:
-                return expression.Ok("")
+                return expression.Ok(None)
             error = self.refusal(content)
             if error is not None:
                 return expression.Error(error)
             if deadline.passed():
                 return _busy(content)
-            unsettled_ms = self._unsettled_ms(entry)
-            if unsettled_ms > 0:
-                await self._wait(entry, unsettled_ms)
-            elif entry.claim or self._on_trial(entry):
-                await self._wait(entry, deadline.remaining_ms())
-            elif await self._win_trial(entry):
-                return expression.Ok(entry.trial.id)
-
-    async def _win_trial(self, entry):
-        trial = secrets.token_hex(8)
-        entry.claim = trial
+            trial = await self._step(entry, deadline, choose)
+            if trial is not None:
+                return expression.Ok(trial)
+
+    async def _step(self, entry, deadline, choose):
+        """Win a trial, or wait for what stands in its way and return None."""
+        limit_ms = deadline.remaining_ms()
+        unsettled_ms = self._unsettled_ms(entry)
+        if unsettled_ms > 0:
+            await self._wait(min(limit_ms, unsettled_ms))
+            return None
+        if not entry.claim and not self._on_trial(entry):
+            server = choose(self._busy_servers())
+            if server is not None:
+                return await self._win_trial(entry, server)
+        await self._wait(min(limit_ms, WAIT_MS))
+        return None
+
+    async def _win_trial(self, entry, server):
+        trial = suspects.Trial(secrets.token_hex(8), server, self.clock.now_ms())
+        entry.claim = trial.id
         won = False
         try:
-            self._push("trial", entry.content, id=trial)
+            self._push("trial", entry.content, id=trial.id, server=server)
             await self._read_back(entry)
-            if entry.trial is None and self._suspect(entry):
-                entry.trial = suspects.Trial(trial, self.clock.now_ms())
-            won = entry.trial is not None and entry.trial.id == trial
+            if self._undecided(entry) and server not in self._busy_servers():
+                entry.trial = trial
+            won = entry.trial is not None and entry.trial.id == trial.id
         finally:
             entry.claim = ""
-            entry.wake()
             if not won:
-                self.apply(self._push("ended", entry.content, id=trial))
-        return won
+                self.apply(self._push("ended", entry.content, id=trial.id))
+        return trial if won else None
 
     async def _read_back(self, entry):
         """Wait for the log's choice; with the log away this host chooses alone."""
         with self.clock.timeout_ms(READ_BACK_MS):
-            while entry.trial is None and self._suspect(entry):
-                await entry.changed.wait()
-
-    async def _wait(self, entry, limit_ms):
-        changed = entry.changed
-        if entry.trial is not None:
-            left_ms = TRIAL_MS - (self.clock.now_ms() - entry.trial.seen_ms)
-            limit_ms = min(limit_ms, max(1.0, left_ms))
+            while self._undecided(entry):
+                await self.changed.wait()
+
+    def _undecided(self, entry):
+        open_claim = entry.trial is None and entry.claim not in entry.ended
+        return open_claim and entry.crashes and not self.refused(entry)
+
+    async def _wait(self, limit_ms):
+        changed = self.changed
         with self.clock.timeout_ms(limit_ms):
             await changed.wait()
 
+    def _wake(self):
+        self.changed.set()
+        self.changed = trio.Event()
+
     def _on_trial(self, entry):
         trial = entry.trial
         if trial is None:
@@ -197,8 +225,8 @@
             return False
         return True
 
-    def _suspect(self, entry):
-        return bool(entry.crashes) and not self.refused(entry)
+    def _busy_servers(self):
+        return {e.trial.server for e in self.entries.values() if self._on_trial(e)}
 
     def end_trial(self, content, trial, cleared):
         """End a trial of this host.
@@ -206,35 +234,33 @@
         Parameters
         ----------
         content : str
-        trial : str
-            Empty where there was none.
+        trial : suspects.Trial or None
         cleared : bool
             Whether the run succeeded, which takes the suspicion off.
         """
-        if not trial:
-            return
-        kind = "lift" if cleared else "ended"
-        record = self._push(kind, content, id=trial)
-        self.apply(record)
+        if trial is not None:
+            kind = "lift" if cleared else "ended"
+            self.apply(self._push(kind, content, id=trial.id))
 
-    def report(self, request, content, server, trial):
+    def report(self, request, content, crash, trial):
         """Take this host's own evidence that a server died with a content.
 
         Parameters
         ----------
         request : requests.Request
         content : str
-        server : servers.Server
-        trial : str
+        crash : str
+            See ``probes.Prober.crash``.
+        trial : suspects.Trial or None
         """
-        crash = f"{server.address}/{server.incarnation}"
         if self._mass_crash(crash):
             return
         record = self._push(
             "crash",
             content,
+            id="" if trial is None else trial.id,
             crash=crash,
-            trial=bool(trial),
+            trial=trial is not None,
             organisation=request.organisation,
             service=request.document.service,
         )
@@ -271,7 +297,7 @@
             entry.end(record.id)
         else:
             entry.forgive()
-        entry.wake()
+        self._wake()
 
     def _apply_crash(self, record):
         entry = self.find(record.content) or self._add(record)
@@ -280,9 +306,10 @@
         if record.crash not in entry.crashes:
             entry.crashes[record.crash] = record.trial
             entry.crashed_ms = self.clock.now_ms()
-            entry.trial = None
+        if record.id:
+            entry.end(record.id)
         self._index(record)
-        entry.wake()
+        self._wake()
 
     def _index(self, record):
         contents = self.by_crash.setdefault(record.crash, set())
@@ -293,8 +320,13 @@
 
     def _apply_trial(self, entry, record):
         known = record.id in entry.ended
-        if entry.crashes and not known and not self._on_trial(entry):
-            entry.trial = suspects.Trial(record.id, self.clock.now_ms())
+        if known or not entry.crashes or self._on_trial(entry):
+            return
+        if record.server in self._busy_servers():
+            entry.end(record.id)
+            return
+        now_ms = self.clock.now_ms()
+        entry.trial = suspects.Trial(record.id, record.server, now_ms)
 
     def _add(self, record):
         entry = suspects.Entry(record, self.clock.now_ms())
--- a/teaselwall/suspects.py
+++ b/teaselwall/suspects.py
@@ -1,7 +1,5 @@
 """Contents under suspicion of crashing backend servers."""
 
-import trio
-
 MAX_IDS_KEPT = 64
 
 
@@ -11,14 +9,17 @@
     Parameters
     ----------
     id : str
+    server : str
+        Address; no other trial runs there meanwhile.
     seen_ms : float
         When this host learned of it, by its own clock.
     """
 
-    __slots__ = ("id", "seen_ms")
+    __slots__ = ("id", "server", "seen_ms")
 
-    def __init__(self, id, seen_ms):
+    def __init__(self, id, server, seen_ms):
         self.id = id
+        self.server = server
         self.seen_ms = seen_ms
 
 
@@ -35,7 +36,7 @@
         Crashes that a lift has taken off; a late record of them counts no more.
     trial : Trial or None
     ended : set of str
-        Trials that are over.
+        Trials that are over or were not admitted.
     claim : str
         Trial that this host has asked for and the log has not shown yet.
     """
@@ -51,7 +52,6 @@
         "trial",
         "ended",
         "claim",
-        "changed",
     )
 
     def __init__(self, record, now_ms):
@@ -65,7 +65,6 @@
         self.trial = None
         self.ended = set()
         self.claim = ""
-        self.changed = trio.Event()
 
     def end(self, trial):
         """End a trial; a late record of its start counts no more."""
@@ -79,11 +78,6 @@
         self.crashes.clear()
         self.trial = None
 
-    def wake(self):
-        """Wake those who wait for a change."""
-        self.changed.set()
-        self.changed = trio.Event()
-
 
 def _remember(known, names):
     if len(known) >= MAX_IDS_KEPT:
--- /dev/null
+++ b/teaselwall/tests/test_guards_left_out.py
@@ -0,0 +1,93 @@
+"""Each guard is left out in turn; the seeded runs must show the fault."""
+
+import trio
+
+from teaselwall import dispatch, engines, evidence, guards, probes, quarantine
+from teaselwall.tools import bench_attempts
+
+SEEDS = range(20)
+
+
+def poison():
+    crashes, n_refused = zip(*map(bench_attempts.poison_run, SEEDS), strict=True)
+    return max(crashes), sum(n_refused)
+
+
+def n_streams_wrong():
+    return sum(map(bench_attempts.stream_run, SEEDS))
+
+
+def test_all_guards_in():
+    n_crashes, n_refused = poison()
+    assert n_crashes <= 3
+    assert n_refused == 0
+    assert bench_attempts.on_mock_clock(bench_attempts.burst_run, 4) <= 3
+    assert n_streams_wrong() == 0
+    assert bench_attempts.worst_load_factor() < 1.2
+
+
+async def unchecked_relay(batches, server, tokens, sink):
+    async for batch in batches:
+        fresh = [chunk.token for chunk in batch if not chunk.end]
+        tokens.extend(fresh)
+        await sink(fresh)
+        if any(chunk.end for chunk in batch):
+            return
+
+
+def test_without_the_index_check(monkeypatch):
+    monkeypatch.setattr(dispatch, "relay", unchecked_relay)
+    assert n_streams_wrong() > 0
+
+
+def test_without_the_request_check(monkeypatch):
+    def unchecked(line, call, address):
+        return engines._decoder.decode(line)
+
+    monkeypatch.setattr(engines, "_checked", unchecked)
+    assert n_streams_wrong() > 0
+
+
+def test_without_a_retry_budget():
+    assert bench_attempts.worst_load_factor(unbounded=True) > 1.2
+
+
+def test_without_looking_for_crashes(monkeypatch):
+    monkeypatch.setattr(probes, "HttpProber", lambda transport: probes.NoProber())
+    assert poison()[0] > 3
+
+
+async def never(self):
+    await trio.sleep_forever()
+
+
+def test_without_sharing_evidence(monkeypatch):
+    monkeypatch.setattr(evidence.EvidenceLog, "run", never)
+    assert poison()[0] > 3
+
+
+async def always(self, entry, server):
+    return quarantine.suspects.Trial("", server, 0)
+
+
+def test_without_one_trial_at_a_time(monkeypatch):
+    monkeypatch.setattr(quarantine.Quarantine, "_win_trial", always)
+    monkeypatch.setattr(quarantine.Quarantine, "_on_trial", lambda self, entry: False)
+    assert poison()[0] > 3
+
+
+def test_without_servers_of_their_own_for_trials(monkeypatch):
+    monkeypatch.setattr(quarantine.Quarantine, "_busy_servers", lambda self: set())
+    monkeypatch.setattr(quarantine.Quarantine, "_n_repeated", lambda self, crash: 1)
+    assert poison()[1] > 0
+
+
+def test_without_waiting_for_other_evidence(monkeypatch):
+    monkeypatch.setattr(quarantine, "SETTLE_MS", 0)
+    monkeypatch.setattr(quarantine, "TRIAL_SETTLE_MS", 0)
+    assert bench_attempts.on_mock_clock(bench_attempts.burst_run, 1) > 3
+
+
+def test_without_equal_requests_beside_each_other(monkeypatch):
+    monkeypatch.setattr(guards, "MAX_BESIDE", 0)
+    assert bench_attempts.on_mock_clock(bench_attempts.burst_run, 4) > 3
--- a/teaselwall/tests/test_quarantine.py
+++ b/teaselwall/tests/test_quarantine.py
@@ -6,42 +6,15 @@
 from teaselwall.tests import fakes
 from teaselwall.tools import rigs
 
-RERANK = rigs.stage("rerank")
 POISON = "poison"
 
 
-class Hosts:
-    """Three entry hosts before the same servers, sharing evidence by the log."""
-
-    def __init__(self, nursery, n_servers=6, n_hosts=3):
-        self.log = fakes.FakeLog(nursery)
-        self.servers = rigs.fake_servers("rerank", n_servers)
-        for server in self.servers:
-            server.poison = POISON
-        self.document = rigs.document(RERANK)
-        self.rigs = [rigs.Rig({"rerank": self.servers}) for _ in range(n_hosts)]
-        for rig in self.rigs:
-            shared = evidence.EvidenceLog(rig.clock, self.log, rig.suspects, 500)
-            nursery.start_soon(shared.run)
-
-    async def run(self, host, text, results=None, key=""):
-        result = await self.rigs[host].run(self.document, text, key=key)
-        if results is not None:
-            results.append(result)
-        return result
-
-    def refresh(self):
-        for rig in self.rigs:
-            rig.refresh()
-
-    @property
-    def n_crashes(self):
-        return sum(server.n_crashes for server in self.servers)
-
-
 @pytest.fixture
 async def hosts(nursery):
-    return Hosts(nursery)
+    servers = rigs.fake_servers("rerank", 6)
+    for server in servers:
+        server.poison = POISON
+    return rigs.SharedRigs(nursery, fakes.FakeLog(nursery), servers)
 
 
 async def settle():
--- /dev/null
+++ b/teaselwall/tools/bench_attempts.py
@@ -0,0 +1,257 @@
+"""Benchmark of attempts: retries, hedges, resumed streams, crash suspects.
+
+All but the log outage run in this process on trio's mock clock, with fixed seeds.
+"""
+
+import functools
+import pathlib
+import random
+import tempfile
+
+import trio
+import trio.testing
+
+from teaselwall import dispatch, errors, pickers
+from teaselwall.tests import fakes
+from teaselwall.tools import callers, deployments, engine, rigs
+
+N_REQUESTS = 400
+N_POISON_SEEDS = 40
+N_STREAM_SEEDS = 200
+N_OUTAGE_CALLS = 60
+HEDGE_MS = 60
+STREAM_FAULTS = ("die", "silent", "repeat", "skip", "foreign", "cut", "garbage")
+STAGE_FAULTS = {"status": 500, "dead": True, "silent": True}
+
+
+class UnboundedBudgets:
+    """Retry budget that never runs out; the baseline."""
+
+    def of(self, pool):
+        """Return itself for every pool."""
+        return self
+
+    def take(self, cost):
+        """Allow a retry."""
+        return True
+
+    def note_success(self):
+        """Take no note."""
+
+
+class HedgingDispatcher(dispatch.Dispatcher):
+    """Sends a stage a second time where its reply is late; a trial only."""
+
+    __slots__ = ()
+
+    async def call(self, request, stage, inputs):
+        """Run a stage; see ``dispatch.Dispatcher.call``."""
+        results = []
+        async with trio.open_nursery() as nursery:
+
+            async def one():
+                results.append(await super(HedgingDispatcher, self).call(*arguments))
+                nursery.cancel_scope.cancel()
+
+            arguments = (request, stage, inputs)
+            nursery.start_soon(one)
+            await self.clock.sleep_ms(HEDGE_MS)
+            if self.retries.of(stage.pool).take(1.0):
+                self.metrics.count("hedges")
+                nursery.start_soon(one)
+        return results[0]
+
+
+class LatencyPicker(pickers.TwoChoicesPicker):
+    """The one of two servers with the shorter expected wait; a trial only."""
+
+    def pick(self, choices, tried):
+        """Choose a server; see ``pickers.Picker.pick``."""
+        fresh = pickers.untried(choices, tried)
+        sample = self.random.sample(fresh, min(2, len(fresh)))
+        return min(sample, key=_expected_wait_ms, default=None)
+
+
+def _expected_wait_ms(server):
+    return (server.in_flight + 1) * server.latency_ms
+
+
+def measure():
+    """Return the figures by name as (value, unit, target)."""
+    crashes, n_refused = zip(*map(poison_run, range(N_POISON_SEEDS)), strict=True)
+    n_burst = on_mock_clock(burst_run, 4)
+    n_wrong = sum(map(stream_run, range(N_STREAM_SEEDS)))
+    result = {
+        "retry_load_factor_stage_down": (worst_load_factor(), "ratio", 1.2),
+        "retry_load_factor_no_budget": (worst_load_factor(True), "ratio", None),
+        "poison_crashes_total": (max(*crashes, n_burst), "crashes", 3),
+        "poison_healthy_refused": (sum(n_refused), "requests", 0),
+        "stream_resume_tokens_wrong": (n_wrong, "streams", 0),
+    }
+    for picker in (pickers.TwoChoicesPicker, LatencyPicker):
+        for suffix, hedged in (("", False), ("_hedged", True)):
+            name = f"slow_server_{picker.__name__}{suffix}"
+            attainment, calls = on_mock_clock(hedge_run, picker(0), hedged)
+            result[f"{name}_attainment_percent"] = (attainment, "%", None)
+            result[f"{name}_calls_per_request"] = (calls, "ratio", None)
+    attainment = trio.run(outage_run)
+    result["idempotent_attainment_log_outage_percent"] = (attainment, "%", 99)
+    return result
+
+
+def on_mock_clock(function, *arguments):
+    """Run an async function on a clock that jumps over waits."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, *arguments, clock=clock)
+
+
+def worst_load_factor(unbounded=False):
+    """Return the highest ratio of calls to requests at a stage that is down."""
+    return max(
+        on_mock_clock(load_run, fault, value, unbounded)
+        for fault, value in STAGE_FAULTS.items()
+    )
+
+
+async def load_run(fault, value, unbounded):
+    """Return attempts a request at the second of two stages, which is down."""
+    stages = (rigs.stage("encode"), rigs.stage("rerank"))
+    servers = {stage.name: rigs.fake_servers(stage.name, 4) for stage in stages}
+    for server in servers["rerank"]:
+        setattr(server, fault, value)
+    rig = rigs.Rig(servers)
+    if unbounded:
+        rig.dispatcher.retries = UnboundedBudgets()
+    document = rigs.document(*stages)
+    async with trio.open_nursery() as nursery:
+        for _ in range(N_REQUESTS):
+            nursery.start_soon(rig.run, document)
+            await trio.sleep(0.02)
+    return round(1 + rig.metrics.total("retries") / N_REQUESTS, 3)
+
+
+def poison_run(seed):
+    """Return crashes and healthy requests refused in one seeded run."""
+    return on_mock_clock(_poison_run, seed)
+
+
+async def _poison_run(seed):
+    chance = random.Random(seed)
+    results = []
+    async with trio.open_nursery() as nursery:
+        servers = rigs.fake_servers("rerank", chance.choice((3, 6)))
+        for server in servers:
+            server.poison = "poison"
+            server.restarts = chance.random() < 0.7
+        log = fakes.FakeLog(nursery)
+        log.n_lose_replies = chance.randrange(3)
+        hosts = rigs.SharedRigs(nursery, log, servers, seed=seed)
+        async with trio.open_nursery() as load:
+            for turn in range(60):
+                poisoned = turn >= 5 and chance.random() < 0.2
+                text = "poison" if poisoned else f"healthy {chance.randrange(10)}"
+                into = None if poisoned else results
+                load.start_soon(hosts.run, chance.randrange(3), text, into, f"k{turn}")
+                await trio.sleep(chance.choice((0.001, 0.01, 0.1)))
+                hosts.refresh()
+        nursery.cancel_scope.cancel()
+    refused = [r for r in results if r.is_error()]
+    return hosts.n_crashes, sum(_quarantined(r) for r in refused)
+
+
+async def burst_run(n_at_once):
+    """Return crashes where each host gets equal first requests at one instant."""
+    async with trio.open_nursery() as nursery:
+        servers = rigs.fake_servers("rerank", 12)
+        for server in servers:
+            server.poison = "poison"
+        hosts = rigs.SharedRigs(nursery, fakes.FakeLog(nursery), servers)
+        async with trio.open_nursery() as load:
+            for turn in range(3 * n_at_once):
+                load.start_soon(hosts.run, turn % 3, "poison")
+        for turn in range(6):
+            await hosts.run(turn % 3, "poison")
+        nursery.cancel_scope.cancel()
+    return hosts.n_crashes
+
+
+def _quarantined(result):
+    return isinstance(result.error, errors.Quarantined)
+
+
+def stream_run(seed):
+    """Return 1 where a stream's tokens are wrong in one seeded run."""
+    return on_mock_clock(_stream_run, random.Random(seed))
+
+
+async def _stream_run(chance):
+    stage = rigs.stage("generate", "engine", model="m", max_tokens=20)
+    servers = rigs.fake_servers("generate", 4)
+    for server in servers:
+        server.breaks = [
+            (chance.choice(STREAM_FAULTS), chance.randrange(20))
+            for _ in range(chance.randrange(3))
+        ]
+    rig = rigs.Rig({"generate": servers})
+    got = []
+    sink = functools.partial(_take, got)
+    result = await rig.run(rigs.document(stage, deadline_ms=10000), sink=sink)
+    whole = [engine.token_at('{"request":"hello"}', i) for i in range(20)]
+    right = got == (whole if result.is_ok() else whole[: len(got)])
+    return 0 if right else 1
+
+
+async def _take(got, tokens):
+    got.extend(tokens)
+
+
+async def hedge_run(picker, hedged):
+    """Return attainment in percent and calls a request with one slow server."""
+    chance = random.Random(1)
+    servers = rigs.fake_servers("encode", 4)
+    servers[0].service_ms = 400
+    rig = rigs.Rig({"encode": servers})
+    rig.dispatcher.picker = picker
+    if hedged:
+        rig.dispatcher.__class__ = HedgingDispatcher
+    document = rigs.document(rigs.stage("encode"), deadline_ms=200)
+    results = []
+
+    async def one():
+        results.append(await rig.run(document))
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(2000):
+            nursery.start_soon(one)
+            await trio.sleep(chance.expovariate(100))
+    n_calls = sum(server.n_calls for server in servers)
+    n_met = sum(result.is_ok() for result in results)
+    return round(100 * n_met / len(results), 2), round(n_calls / len(results), 3)
+
+
+async def outage_run():
+    """Return the share of idempotent requests answered while the log is out."""
+    with tempfile.TemporaryDirectory() as folder:
+        running = deployments.Deployment("directorate", pathlib.Path(folder), 3)
+        try:
+            await running.start()
+            await running.set_faults(running.parts["log"], outage=True)
+            n_whole = 0
+            for index in range(N_OUTAGE_CALLS):
+                host = running.entry_hosts[index % len(running.entry_hosts)]
+                done = await callers.call(
+                    running.transport,
+                    host.callers,
+                    "visitor-answers",
+                    "gate-kiosks",
+                    f"Question {index}",
+                )
+                n_whole += done.whole
+            return round(100 * n_whole / N_OUTAGE_CALLS, 2)
+        finally:
+            await running.stop()
+
+
+if __name__ == "__main__":
+    for key, (value, unit, target) in measure().items():
+        print(f"{key:48} {value:>10} {unit:10} {target}")
--- a/teaselwall/tools/rigs.py
+++ b/teaselwall/tools/rigs.py
@@ -16,6 +16,7 @@
     configuration,
     dispatch,
     engines,
+    evidence,
     fleet,
     guards,
     metrics,
@@ -145,7 +146,7 @@
 
 
 def _chunk(call, index, request="", end=False):
-    token = "" if end else engine.token_at(call.prompt, index)
+    token = "" if end else engine.token_at(request or call.prompt, index)
     chunk = messages.TokenChunk(
         request=request or call.request,
         attempt=call.attempt,
@@ -300,6 +301,47 @@
         return await self.pipeline.run(self.request(document, text, key), sink or drop)
 
 
+class SharedRigs:
+    """Entry hosts before the same servers, sharing evidence by the log.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+    log : logservice.LogService
+    servers : list of FakeServer
+        Of one pool.
+    n_hosts : int
+    seed : int
+    """
+
+    def __init__(self, nursery, log, servers, n_hosts=3, seed=0):
+        self.log = log
+        self.servers = servers
+        pool = servers[0].entry.pool
+        self.document = document(stage(pool))
+        self.rigs = [Rig({pool: servers}, seed=seed + i) for i in range(n_hosts)]
+        for rig in self.rigs:
+            shared = evidence.EvidenceLog(rig.clock, log, rig.suspects, SILENCE_MS)
+            nursery.start_soon(shared.run)
+
+    async def run(self, host, text, results=None, key=""):
+        """Run one request at a host; add its result to a list."""
+        result = await self.rigs[host].run(self.document, text, key=key)
+        if results is not None:
+            results.append(result)
+        return result
+
+    def refresh(self):
+        """Let every host read the host list."""
+        for rig in self.rigs:
+            rig.refresh()
+
+    @property
+    def n_crashes(self):
+        """Crashes of all servers."""
+        return sum(server.n_crashes for server in self.servers)
+
+
 async def drop(tokens):
     """Take tokens and do nothing."""
 
