Bound connecting by 300 ms and spend no retry on a lost deadline

Cause: a host that answers no connection held an attempt up to the deadline, though nothing had been sent and another server could have had it; and a retry was paid for before it was known that the deadline allows it.

Conclusion: a connection that hangs is "not run" after 300 ms.

--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -172,7 +172,7 @@
         return self.picker.pick(choices, tried)
 
     def _may_retry(self, made, n_tokens=0):
-        if not made.safe() or not self._has_other(made):
+        if not made.safe() or not made.possible(0) or not self._has_other(made):
             return False
         if not self.retries.of(made.stage.pool).take(made.cost(n_tokens)):
             self.metrics.count("retries_over_budget", pool=made.stage.pool)
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -12,6 +12,7 @@
 MAX_CONNECTIONS = 1000
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 KEEP_ALIVE_S = 30.0
+CONNECT_MS = 300
 MIN_TIMEOUT_S = 0.001
 SENDING = "http11.send_request_headers.started"
 _BROKEN = (httpcore.NetworkError, httpcore.RemoteProtocolError)
@@ -163,7 +164,8 @@
             (b"content-type", b"application/json"),
             *headers,
         ]
-        timeouts = dict.fromkeys(("connect", "read", "write", "pool"), _s(timeout_ms))
+        timeouts = dict.fromkeys(("read", "write", "pool"), _s(timeout_ms))
+        timeouts["connect"] = _s(min(timeout_ms, CONNECT_MS))
         extensions = {"timeout": timeouts}
         if progress is not None:
             extensions["trace"] = progress.note
