Choose servers by expected time and admit requests by fair shares

Cause: the thin path picked the less loaded of two servers from the whole pool, had no limit but a count of requests, and let one organisation take every place.

Change: an entry host sends work to a rendezvous subset of each pool, picks by expected completion time from own calls, reports and unit times, polls load reports, ejects failing servers up to half of a pool, and admits requests by a limit on the latency gradient with a fair queue.

Ruled out: taking failed calls into the latency average, since a server that fails at once would look the fastest.

--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from teaselwall import errors, events, traces
+from teaselwall import errors, events, pickers, prefixes, traces
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -70,7 +70,7 @@
         tried = set()
         result = None
         for _ in range(MAX_ATTEMPTS):
-            server = self.choose(stage, tried)
+            server = self.choose(request, stage, tried)
             if server is None:
                 break
             tried.add(server.address)
@@ -79,9 +79,10 @@
                 return result
         return result if result is not None else _no_server(stage)
 
-    def choose(self, stage, tried):
+    def choose(self, request, stage, tried, prefix=None):
         """Return the server for the next attempt, or None."""
-        return self.picker.pick(self.fleet.choices(stage.pool), tried)
+        call = pickers.call_of(request, stage, prefix)
+        return self.picker.pick(self.fleet.choices(stage.pool), tried, call)
 
     def _may_retry(self, request, stage, error):
         safe = stage.idempotent or error.outcome is errors.Outcome.NOT_RUN
@@ -99,7 +100,10 @@
             inputs=inputs,
         )
         backend = self.backends[stage.kind]
-        with self.tracking(request, stage, server, call.attempt) as span:
+        with (
+            self.tracking(request, stage, server, call.attempt) as span,
+            server.calling(self.clock) as outcome,
+        ):
             result = await backend.run(
                 server,
                 call,
@@ -108,6 +112,7 @@
             )
             if result.is_error():
                 note_failure(span, result.error)
+                outcome.fail(result.error)
         return result.map(lambda reply: reply.output)
 
     @contextlib.contextmanager
@@ -120,14 +125,11 @@
             attempt=attempt,
             request=request.id,
         )
-        server.in_flight += 1
         started_ms = self.clock.now_ms()
         try:
             yield span
         finally:
-            server.in_flight -= 1
             elapsed_ms = self.clock.now_ms() - started_ms
-            server.note_latency(elapsed_ms)
             self.metrics.observe_ms(
                 "stage", elapsed_ms, stage=stage.name, service=request.document.service
             )
@@ -163,7 +165,7 @@
         tried = set()
         error = None
         for _ in range(MAX_ATTEMPTS):
-            server = self.choose(stage, tried)
+            server = self.choose(request, stage, tried, prefixes.prefix_of(prompt))
             if server is None:
                 break
             tried.add(server.address)
@@ -198,7 +200,11 @@
         )
         engine = self.backends["engine"]
         silence_ms = min(self.silence_ms, request.deadline.remaining_ms())
-        with self.tracking(request, stage, server, call.attempt) as span:
+        n_units = pickers.n_units(stage) - len(tokens)
+        with (
+            self.tracking(request, stage, server, call.attempt) as span,
+            server.calling(self.clock, n_units),
+        ):
             try:
                 async with engine.generate(
                     server, call, silence_ms, [traces.header(span)]
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,6 +3,7 @@
 import trio
 
 from teaselwall import (
+    admission,
     clock,
     configuration,
     control,
@@ -10,6 +11,7 @@
     engines,
     fleet,
     hostlist,
+    loads,
     logservice,
     membership,
     metrics,
@@ -17,6 +19,9 @@
     pickers,
     pipelines,
     pools,
+    prefixes,
+    rates,
+    subsets,
     traces,
     transport,
 )
@@ -43,6 +48,8 @@
         "follower",
         "membership",
         "fleet",
+        "poller",
+        "admission",
         "dispatcher",
         "pipeline",
     )
@@ -70,6 +77,16 @@
             self.state,
             settings.routing.host_list_interval_ms,
             timeout_ms,
+            subsets.Subsets(self.membership, settings.routing.subset_size),
+        )
+        self.poller = loads.Poller(
+            self.clock,
+            self.fleet,
+            loads.HttpLoadReports(self.transport),
+            settings.routing.load_interval_ms,
+        )
+        self.admission = admission.Admission(
+            self.clock, rates.Rates(self.clock, self.membership)
         )
         self.dispatcher = self._dispatcher()
         self.pipeline = pipelines.Pipeline(self.dispatcher)
@@ -83,7 +100,9 @@
         return dispatch.Dispatcher(
             self.clock,
             self.fleet,
-            pickers.TwoChoicesPicker(),
+            pickers.ExpectedTimePicker(
+                self.settings.host.data_centre, prefixes.Prefixes()
+            ),
             backends,
             self.metrics,
             self.tracer,
@@ -91,8 +110,10 @@
         )
 
     async def serve(self, request, sink):
-        """Run one request; see ``pipelines.Pipeline.run``."""
-        return await self.pipeline.run(request, sink)
+        """Run one request once it is admitted; see ``pipelines.Pipeline.run``."""
+        return await self.admission.run(
+            request, lambda: self.pipeline.run(request, sink)
+        )
 
     def ready(self):
         """Return whether callers may be sent here."""
@@ -103,3 +124,4 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.poller.run)
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -1,11 +1,17 @@
 """Backend servers as one entry host sees them."""
 
+import contextlib
+
 import msgspec
+import xxhash
 
+from teaselwall import errors
 from teaselwall.generated import messages
 
 LOAD_HEADER = b"server-load"
 LATENCY_WEIGHT = 0.2
+DEFAULT_CAPACITY = 8
+LOAD_TILT = 0.1
 
 
 class Server:
@@ -14,6 +20,29 @@
     Parameters
     ----------
     entry : messages.HostEntry
+
+    Attributes
+    ----------
+    listed : str
+        Incarnation that the host list last showed; it may lag behind the reports.
+    successor : str
+        Incarnation of the process that has taken this one's address, if any.
+    in_flight : int
+        Calls of this entry host.
+    n_others : int
+        Calls of all other entry hosts by the last report.
+    n_sent : int
+        Calls sent since the last report.
+    latency_ms : float
+        Moving average over whole calls.
+    unit_ms : float
+        Moving average for one unit of work without load; 0 while unknown.
+    n_failures : int
+        Failed calls since the last good one.
+    n_missed : int
+        Load reports missed in a row.
+    trial : bool
+        Back from ejection; gets one call at a time until one succeeds.
     """
 
     __slots__ = (
@@ -21,12 +50,23 @@
         "pool",
         "data_centre",
         "incarnation",
+        "listed",
+        "successor",
+        "token",
         "leaving",
         "ejected",
+        "eject_until_ms",
+        "n_ejections",
+        "trial",
         "in_flight",
         "report",
+        "n_others",
+        "n_sent",
         "latency_ms",
+        "unit_ms",
+        "n_samples",
         "n_failures",
+        "n_missed",
     )
 
     def __init__(self, entry):
@@ -34,28 +74,138 @@
         self.pool = entry.pool
         self.data_centre = entry.data_centre
         self.incarnation = entry.incarnation
+        self.listed = entry.incarnation
+        self.successor = ""
+        self.token = xxhash.xxh3_64_intdigest(entry.address.encode())
         self.leaving = entry.state == "leaving"
         self.ejected = False
+        self.eject_until_ms = 0.0
+        self.n_ejections = 0
+        self.trial = False
         self.in_flight = 0
         self.report = None
+        self.n_others = 0
+        self.n_sent = 0
         self.latency_ms = 0.0
+        self.unit_ms = 0.0
+        self.n_samples = 0
         self.n_failures = 0
+        self.n_missed = 0
 
     def note_latency(self, latency_ms):
         """Fold one call's latency into the moving average, in ms."""
-        if not self.latency_ms:
-            self.latency_ms = latency_ms
-        self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
+        self.latency_ms = _average(self.latency_ms, latency_ms)
 
     def note_report(self, report):
-        """Take a load report, unless it speaks of another incarnation.
+        """Take a load report; one of another incarnation names the successor.
 
         Parameters
         ----------
         report : messages.LoadReport
         """
-        if report.incarnation == self.incarnation:
-            self.report = report
+        if report.incarnation != self.incarnation:
+            self.successor = report.incarnation
+            return
+        self.report = report
+        self.n_others = max(0, report.in_flight - self.in_flight)
+        self.n_sent = 0
+
+    def capacity(self):
+        """Return the number of calls that the server bears without slowing down."""
+        return max(1, self.report.capacity) if self.report else DEFAULT_CAPACITY
+
+    def load(self):
+        """Return the calls expected on the server now.
+
+        Own calls count in full. The other hosts' calls are known from a report
+        that counts less with each call sent after it.
+        """
+        if not self.n_others:
+            return self.in_flight
+        capacity = self.capacity()
+        return self.in_flight + self.n_others * capacity / (capacity + self.n_sent)
+
+    def slowdown(self, load):
+        """Return by what factor a load slows a call, by the reported capacity."""
+        part = load / self.capacity()
+        return max(1.0, part) + LOAD_TILT * part
+
+    def expected_ms(self, n_units, unit_ms):
+        """Return the expected time of a further call.
+
+        Parameters
+        ----------
+        n_units : float
+            Work of the call; tokens for engines, 1 for other stages.
+        unit_ms : float
+            Time of a unit where this server has not shown its own.
+        """
+        return (self.unit_ms or unit_ms) * n_units * self.slowdown(self.load() + 1)
+
+    @contextlib.contextmanager
+    def calling(self, clock, n_units=1):
+        """Count one call in flight and take its outcome into the averages.
+
+        Parameters
+        ----------
+        clock : clock.Clock
+        n_units : float
+
+        Returns
+        -------
+        context manager
+            Gives an ``Attempt``. A block that ends without an exception and
+            without ``Attempt.fail`` is a success. A cancelled block only shows
+            that the call takes at least as long.
+        """
+        attempt = Attempt(self, clock.now_ms(), n_units)
+        self.in_flight += 1
+        self.n_sent += 1
+        try:
+            yield attempt
+            attempt.cut = False
+        except errors.TransportError as error:
+            attempt.fail(error)
+            raise
+        finally:
+            self.in_flight -= 1
+            attempt.end(clock.now_ms())
+
+
+class Attempt:
+    """One call on a server, from its start to its outcome."""
+
+    __slots__ = ("server", "started_ms", "n_units", "slowdown", "error", "cut")
+
+    def __init__(self, server, started_ms, n_units):
+        self.server = server
+        self.started_ms = started_ms
+        self.n_units = n_units
+        self.slowdown = server.slowdown(server.load() + 1)
+        self.error = None
+        self.cut = True
+
+    def fail(self, error):
+        """Note the call's error."""
+        self.error = error
+
+    def end(self, now_ms):
+        """Fold the outcome into the server's averages."""
+        server = self.server
+        if self.error is not None:
+            server.n_failures += 1
+            return
+        elapsed_ms = now_ms - self.started_ms
+        slowdown = (self.slowdown + server.slowdown(server.load() + 1)) / 2
+        unit_ms = elapsed_ms / (self.n_units * slowdown)
+        if self.cut and unit_ms <= server.unit_ms:
+            return
+        server.unit_ms = _average(server.unit_ms, unit_ms)
+        server.n_samples += 1
+        server.note_latency(elapsed_ms)
+        if not self.cut:
+            server.n_failures = 0
+            server.trial = False
 
 
 def note_reply(server, reply):
@@ -73,3 +223,7 @@
         server.note_report(msgspec.json.decode(raw, type=messages.LoadReport))
     except msgspec.DecodeError:
         return
+
+
+def _average(old, new):
+    return old + LATENCY_WEIGHT * (new - old) if old else new
