--- a/teaselwall/admission.py
+++ b/teaselwall/admission.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 
 import expression
 import trio
@@ -16,6 +17,7 @@
 MIN_RETRY_AFTER_MS = 50.0
 MAX_RETRY_AFTER_MS = 30000.0
 TIME_WEIGHT = 0.2
+SPARE_BELOW = 0.8
 LATE = (errors.DeadlineExceeded, errors.ServerFailed, errors.Overloaded)
 
 
@@ -26,15 +28,18 @@
     ----------
     clock : clock.Clock
     rates : rates.Rates
+    utilisation : callable
+        Returns the part of a pool's reported capacity that is in use, or None.
     new_limiter : callable
         Returns the ``limiters.Limiter`` of a lane.
     """
 
-    __slots__ = ("clock", "rates", "new_limiter", "lanes")
+    __slots__ = ("clock", "rates", "utilisation", "new_limiter", "lanes")
 
-    def __init__(self, clock, rates, new_limiter=limiters.GradientLimiter):
+    def __init__(self, clock, rates, utilisation, new_limiter=limiters.GradientLimiter):
         self.clock = clock
         self.rates = rates
+        self.utilisation = utilisation
         self.new_limiter = new_limiter
         self.lanes = {}
 
@@ -70,7 +75,8 @@
         if pool not in self.lanes:
             if len(self.lanes) >= MAX_LANES:
                 self.lanes = {k: v for k, v in self.lanes.items() if v.in_flight}
-            self.lanes[pool] = Lane(self.clock, self.new_limiter())
+            utilisation = functools.partial(self.utilisation, pool)
+            self.lanes[pool] = Lane(self.clock, self.new_limiter(), utilisation)
         return self.lanes[pool]
 
 
@@ -90,6 +96,7 @@
     ----------
     clock : clock.Clock
     limiter : limiters.Limiter
+    utilisation : callable
     n_queued : int
         Longest queue.
     """
@@ -97,6 +104,7 @@
     __slots__ = (
         "clock",
         "limiter",
+        "utilisation",
         "n_queued",
         "queue",
         "in_flight",
@@ -104,9 +112,10 @@
         "stretch",
     )
 
-    def __init__(self, clock, limiter, n_queued=MAX_QUEUED):
+    def __init__(self, clock, limiter, utilisation, n_queued=MAX_QUEUED):
         self.clock = clock
         self.limiter = limiter
+        self.utilisation = utilisation
         self.n_queued = n_queued
         self.queue = queues.FairQueue()
         self.in_flight = 0
@@ -188,7 +197,9 @@
         ratio = elapsed_ms / expected_ms
         self.time_ms += TIME_WEIGHT * (elapsed_ms - self.time_ms)
         self.stretch += TIME_WEIGHT * (ratio - self.stretch)
-        self.limiter.note(ratio, self.in_flight, late)
+        used = self.utilisation()
+        spare = used is not None and used < SPARE_BELOW
+        self.limiter.note(ratio, self.in_flight, late, spare)
 
     def _waiter(self, request, share):
         expected_ms = services.longest_path_ms(request.document)
@@ -204,6 +215,8 @@
         )
 
     def _hopeless(self, waiter):
+        if waiter.patience_ms > 0 and self.queue.would_reserve(waiter):
+            return False
         return self._wait_ms(waiter) > waiter.patience_ms
 
     def _wait_ms(self, waiter):
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -105,6 +105,13 @@
             or server.address in self.state.servers_drained
         )
 
+    def utilisation(self, pool):
+        """Return the part of a pool's reported capacity in use, None if unknown."""
+        reporting = [s for s in self.chosen.get(pool, {}).values() if s.report]
+        if not reporting:
+            return None
+        return sum(s.load() for s in reporting) / sum(s.capacity() for s in reporting)
+
     def used(self):
         """Return every server that this host sends work to."""
         return [server for chosen in self.chosen.values() for server in chosen.values()]
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -86,7 +86,9 @@
             settings.routing.load_interval_ms,
         )
         self.admission = admission.Admission(
-            self.clock, rates.Rates(self.clock, self.membership)
+            self.clock,
+            rates.Rates(self.clock, self.membership),
+            self.fleet.utilisation,
         )
         self.dispatcher = self._dispatcher()
         self.pipeline = pipelines.Pipeline(self.dispatcher)
--- a/teaselwall/limiters.py
+++ b/teaselwall/limiters.py
@@ -6,10 +6,11 @@
 MIN_LIMIT = 2.0
 MAX_LIMIT = 2000.0
 WINDOW = 16
-TOLERANCE = 1.5
+TOLERANCE = 1.3
 SMOOTHING = 0.3
 MIN_GRADIENT = 0.5
-BASELINE_DRIFT = 1.005
+START_BASELINE = 1.25
+BASELINE_DRIFT = 1.05
 CUT = 0.9
 STEP = 1.0
 
@@ -25,7 +26,7 @@
     __slots__ = ()
 
     @abc.abstractmethod
-    def note(self, ratio, in_flight, late):
+    def note(self, ratio, in_flight, late, spare=False):
         """Take the outcome of one request.
 
         Parameters
@@ -37,6 +38,8 @@
         late : bool
             Whether it missed its deadline or failed at a server; how soon it
             failed says nothing of the load.
+        spare : bool
+            Whether the servers report capacity to spare.
         """
 
 
@@ -48,7 +51,7 @@
     def __init__(self, limit=MAX_LIMIT):
         self.limit = limit
 
-    def note(self, ratio, in_flight, late):
+    def note(self, ratio, in_flight, late, spare=False):
         """Take an outcome and change nothing."""
 
 
@@ -57,31 +60,35 @@
 
     A window of requests slower than the baseline by more than ``TOLERANCE`` lowers
     the limit in proportion; other windows raise it by a step while it is in use.
-    The baseline is the fastest window seen. It drifts up slowly, so that servers
-    that have become slower for good are accepted; as the limit falls meanwhile,
-    an overload shows an unloaded window before the drift has accepted it.
+    The baseline is the fastest window seen, at first little above what the service
+    document expects, so that a host which starts during an overload does not take
+    the overload for the baseline. It drifts up only where load cannot be
+    the cause: while the servers report capacity to spare, or the limit has fallen
+    to its lowest.
     """
 
-    __slots__ = ("limit", "baseline", "total", "n_noted", "n_late", "n_busy")
+    __slots__ = ("limit", "baseline", "total", "n_noted", "n_late", "n_busy", "n_spare")
 
     def __init__(self, limit=START_LIMIT):
         self.limit = limit
-        self.baseline = 0.0
+        self.baseline = START_BASELINE
         self._start_window()
 
-    def note(self, ratio, in_flight, late):
+    def note(self, ratio, in_flight, late, spare=False):
         """Take an outcome; each full window moves the limit."""
         self.total += max(ratio, self.baseline) if late else ratio
         self.n_noted += 1
         self.n_late += late
         self.n_busy += in_flight * 2 >= self.limit
+        self.n_spare += spare
         if self.n_noted >= WINDOW:
             self._move(self.total / self.n_noted)
             self._start_window()
 
     def _move(self, ratio):
-        drifted = self.baseline * BASELINE_DRIFT
-        self.baseline = min(ratio, drifted) if self.baseline else ratio
+        if self.n_spare * 2 > self.n_noted or self.limit <= MIN_LIMIT:
+            self.baseline *= BASELINE_DRIFT
+        self.baseline = min(ratio, self.baseline)
         gradient = TOLERANCE * self.baseline / ratio if ratio else 1.0
         if self.n_late * 2 > self.n_noted:
             gradient = min(gradient, CUT)
@@ -97,6 +104,7 @@
         self.n_noted = 0
         self.n_late = 0
         self.n_busy = 0
+        self.n_spare = 0
 
 
 class AimdLimiter(Limiter):
@@ -108,7 +116,7 @@
         self.limit = limit
         self.slow_ratio = slow_ratio
 
-    def note(self, ratio, in_flight, late):
+    def note(self, ratio, in_flight, late, spare=False):
         """Take an outcome and move the limit."""
         if late or ratio > self.slow_ratio:
             self.limit = max(MIN_LIMIT, self.limit * (1 - (1 - CUT) / WINDOW))
--- a/teaselwall/pickers.py
+++ b/teaselwall/pickers.py
@@ -5,7 +5,7 @@
 
 N_NEAR = 4
 N_FAR = 2
-SPILL_FACTOR = 1.25
+SPILL_FACTOR = 1.02
 CROSSING_MS = 1.0
 PREFILL_UNITS = 4
 PREFIX_SAVING = 0.75
@@ -159,13 +159,10 @@
         far = [s for s in fresh if s.data_centre != self.data_centre]
         drawn = self._draw(near, self.n_near if near else 0)
         drawn += self._draw(far, N_FAR if near else self.n_near)
-        home = self._home(near or far, call)
+        home = self._home(fresh, call)
         if home is not None:
             drawn.append(home)
-        best = min(drawn, key=lambda server: self._cost_ms(server, call, home))
-        if home is not None:
-            self.prefixes.note_sent(call.prefix, best)
-        return best
+        return min(drawn, key=lambda server: self._cost_ms(server, call, home))
 
     def _draw(self, servers, n_drawn):
         if len(servers) <= n_drawn:
--- a/teaselwall/prefixes.py
+++ b/teaselwall/prefixes.py
@@ -21,8 +21,8 @@
     """Guesses which server caches which prefix.
 
     All entry hosts send a prefix to the same server first, found by rendezvous
-    hashing. What this host has sent elsewhere, and what cache events say,
-    overrides that guess. The least recently used prefixes are forgotten.
+    hashing; cache events override that guess. The prefixes whose events are the
+    oldest are forgotten first.
 
     Parameters
     ----------
@@ -53,10 +53,6 @@
         guess = self.known.get(prefix, {}).get(server.incarnation)
         return server is home if guess is None else guess
 
-    def note_sent(self, prefix, server):
-        """Note that a prompt with a prefix goes to a server."""
-        self._note(prefix, server.incarnation, True)
-
     def note_event(self, incarnation, sequence, prefix, cached):
         """Take a cache event; after a gap all else of that server is forgotten.
 
--- a/teaselwall/shares.py
+++ b/teaselwall/shares.py
@@ -33,8 +33,8 @@
         Parameters
         ----------
         organisation : str
-        share : int
-            Weight from the service document; 0 gets what the others leave.
+        share : float
+            Weight, above 0.
         cost_ms : float
         contended : bool
             Whether others were waiting. An uncontended start forgives all debts.
@@ -45,7 +45,7 @@
         start = self.start(organisation)
         self.now = start
         self.finish.pop(organisation, None)
-        self.finish[organisation] = start + cost_ms / max(share, MIN_SHARE)
+        self.finish[organisation] = start + cost_ms / share
         if len(self.finish) > self.n_kept:
             self._prune()
 
