Bound the cost of a choice and test routing and admission

A host list or load report that could not be read ended the process.

Ruled out: smaller subsets, which would leave servers without any entry host.

Change: a choice looks at a window of 32 servers, the same for one prefix; ejections are reviewed when a failing server is seen. Fair shares keep up to 16,384 debts, as pruning at 1,024 forgot the debts of the served. Tests for the fleet, subsets, pickers and admission.

--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -82,7 +82,7 @@
     def choose(self, request, stage, tried, prefix=None):
         """Return the server for the next attempt, or None."""
         call = pickers.call_of(request, stage, prefix)
-        return self.picker.pick(self.fleet.choices(stage.pool), tried, call)
+        return self.picker.pick(self.fleet.choices(stage.pool, prefix), tried, call)
 
     def _may_retry(self, request, stage, error):
         safe = stage.idempotent or error.outcome is errors.Outcome.NOT_RUN
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -2,11 +2,13 @@
 
 import logging
 
-from teaselwall import ejections, events, servers
+from teaselwall import ejections, events, rings, servers
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
+REVIEW_INTERVAL_MS = 20
+
 
 class Fleet:
     """Backend servers by pool, kept up to date from the host list.
@@ -28,8 +30,8 @@
     filters : list of callable
         ``filter(server)`` returns whether a server may get new work; each is
         asked at every choice and again right before each dispatch.
-    chosen : dict of str to dict
-        This host's part of each pool, by address.
+    chosen : dict of str to rings.Ring
+        This host's part of each pool.
     """
 
     __slots__ = (
@@ -44,6 +46,8 @@
         "by_pool",
         "chosen",
         "chosen_version",
+        "hosts",
+        "live",
         "seen",
     )
 
@@ -59,33 +63,51 @@
         self.by_pool = {}
         self.chosen = {}
         self.chosen_version = 0
+        self.hosts = None
+        self.live = set()
         self.seen = False
 
-    def choices(self, pool):
-        """Return the servers of a pool that may get new work.
+    def choices(self, pool, prefix=None):
+        """Return servers of a pool that may get new work.
 
-        The cost depends on this host's part of the pool, not on the pool.
+        At most ``rings.WINDOW`` of this host's part are looked at while one of
+        them is open, so the cost does not grow with the pool.
 
         Parameters
         ----------
         pool : str
+        prefix : int, optional
+            Hash of a prompt's prefix; the same one gives the same servers.
 
         Returns
         -------
         list of servers.Server
         """
-        self.ejections.review(self.candidates(pool))
-        return [s for s in self.chosen.get(pool, {}).values() if self.open(s)]
-
-    def candidates(self, pool):
-        """Return this host's servers of a pool that are in service, or ejected."""
         if self.chosen_version != self.state.version:
             self.choose()
-        chosen = self.chosen.get(pool, {})
-        for server in list(chosen.values()):
-            if server.successor:
-                self._replace(server)
-        return [server for server in chosen.values() if self.in_service(server)]
+        ring = self.chosen.get(pool)
+        if ring is None:
+            return []
+        found = [s for s in self._current(ring, prefix) if self.open(s)]
+        if not found:
+            self._review(ring)
+            found = [server for server in ring.servers if self.open(server)]
+        return found
+
+    def _current(self, ring, prefix):
+        window = ring.window(prefix)
+        replaced = [server for server in window if server.successor]
+        for server in replaced:
+            self._replace(server)
+        if any(ejections.failing(s) and not s.ejected for s in window):
+            now_ms = self.clock.now_ms()
+            if now_ms - ring.reviewed_ms >= REVIEW_INTERVAL_MS:
+                ring.reviewed_ms = now_ms
+                self._review(ring)
+        return ring.window(prefix) if replaced else window
+
+    def _review(self, ring):
+        self.ejections.review([s for s in ring.servers if self.in_service(s)])
 
     def open(self, server):
         """Return whether a server may get new work at this moment.
@@ -107,18 +129,20 @@
 
     def utilisation(self, pool):
         """Return the part of a pool's reported capacity in use, None if unknown."""
-        reporting = [s for s in self.chosen.get(pool, {}).values() if s.report]
+        ring = self.chosen.get(pool)
+        reporting = [s for s in ring.window() if s.report] if ring else []
         if not reporting:
             return None
         return sum(s.load() for s in reporting) / sum(s.capacity() for s in reporting)
 
     def used(self):
         """Return every server that this host sends work to."""
-        return [server for chosen in self.chosen.values() for server in chosen.values()]
+        return [server for ring in self.chosen.values() for server in ring.servers]
 
     def uses(self, server):
         """Return whether this state of a server is still in use."""
-        return self.chosen.get(server.pool, {}).get(server.address) is server
+        ring = self.chosen.get(server.pool)
+        return ring is not None and ring.by_address.get(server.address) is server
 
     def note_polled(self, server, report):
         """Take a polled load report.
@@ -139,8 +163,10 @@
         """Follow the host list until cancelled."""
         while True:
             await self.refresh()
-            for pool in self.chosen:
-                self.ejections.compare(self.candidates(pool))
+            for ring in self.chosen.values():
+                self._review(ring)
+                candidates = [s for s in ring.servers if self.in_service(s)]
+                self.ejections.compare(candidates)
             await self.clock.sleep_ms(self.interval_ms)
 
     async def refresh(self):
@@ -150,7 +176,8 @@
             events.log(
                 logger, logging.WARNING, "host_list_failed", detail=str(result.error)
             )
-            self.choose()
+            if self.hosts != self._hosts():
+                self.choose()
             return
         self.apply(result.ok)
 
@@ -164,23 +191,35 @@
         by_pool = {}
         for entry in listing.hosts:
             known = self.by_pool.get(entry.pool, {}).get(entry.address)
-            by_pool.setdefault(entry.pool, {})[entry.address] = _current(known, entry)
+            by_pool.setdefault(entry.pool, {})[entry.address] = _known(known, entry)
         self.by_pool = by_pool
         self.seen = True
-        self.choose()
+        if self.live != self._live() or self.hosts != self._hosts():
+            self.choose()
 
     def choose(self):
         """Choose this host's part of each pool anew."""
-        hosts = self.subsets.hosts() if self.subsets else None
+        self.hosts = self._hosts()
+        self.live = self._live()
         self.chosen = {
-            pool: {server.address: server for server in self._part(known, hosts)}
-            for pool, known in self.by_pool.items()
+            pool: rings.Ring(self._part(known)) for pool, known in self.by_pool.items()
         }
         self.chosen_version = self.state.version
 
-    def _part(self, known, hosts):
+    def _hosts(self):
+        return self.subsets.hosts() if self.subsets else None
+
+    def _live(self):
+        return {
+            server
+            for known in self.by_pool.values()
+            for server in known.values()
+            if self.in_service(server)
+        }
+
+    def _part(self, known):
         live = [server for server in known.values() if self.in_service(server)]
-        return self.subsets.choose(live, hosts) if self.subsets and live else live
+        return self.subsets.choose(live, self.hosts) if self.subsets else live
 
     def _replace(self, old):
         if self.by_pool.get(old.pool, {}).get(old.address) is not old:
@@ -195,11 +234,12 @@
         server = servers.Server(entry)
         server.listed = old.listed
         self.by_pool[old.pool][old.address] = server
-        if self.uses(old):
-            self.chosen[old.pool][old.address] = server
+        ring = self.chosen.get(old.pool)
+        if ring is not None:
+            ring.replace(old, server)
 
 
-def _current(known, entry):
+def _known(known, entry):
     """Return the state to keep for an entry of the host list.
 
     The list lags: an incarnation that it showed before does not undo a newer one
--- a/teaselwall/hostlist.py
+++ b/teaselwall/hostlist.py
@@ -2,6 +2,9 @@
 
 import abc
 
+import expression
+import msgspec
+
 from teaselwall import errors
 from teaselwall.generated import messages
 
@@ -34,6 +37,13 @@
         result = await self.transport.call(
             "GET", self.address, "/v1/hosts", None, timeout_ms
         )
-        return result.bind(lambda reply: errors.require_ok(reply, "host list")).map(
-            lambda reply: reply.decode(messages.HostList)
-        )
+        result = result.bind(lambda reply: errors.require_ok(reply, "host list"))
+        return result.bind(_listing)
+
+
+def _listing(reply):
+    try:
+        return expression.Ok(reply.decode(messages.HostList))
+    except msgspec.DecodeError as error:
+        detail = f"The host list cannot be read: {error}."
+        return expression.Error(errors.ServerFailed(detail))
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -198,7 +198,7 @@
         elapsed_ms = now_ms - self.started_ms
         slowdown = (self.slowdown + server.slowdown(server.load() + 1)) / 2
         unit_ms = elapsed_ms / (self.n_units * slowdown)
-        if self.cut and unit_ms <= server.unit_ms:
+        if self.cut and unit_ms <= (server.unit_ms or unit_ms):
             return
         server.unit_ms = _average(server.unit_ms, unit_ms)
         server.n_samples += 1
--- a/teaselwall/shares.py
+++ b/teaselwall/shares.py
@@ -1,6 +1,6 @@
 """Weighted fair shares of organisations, by start-time fair queueing."""
 
-MAX_KEPT = 1024
+MAX_KEPT = 16384
 MIN_SHARE = 0.01
 
 
--- /dev/null
+++ b/teaselwall/tests/test_fleet.py
@@ -0,0 +1,225 @@
+import expression
+import hypothesis
+import pytest
+import trio
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from teaselwall import (
+    clock,
+    configuration,
+    ejections,
+    errors,
+    fleet,
+    hostlist,
+    loads,
+    transport,
+)
+from teaselwall.generated import messages
+
+ADDRESSES = [f"10.0.0.{index}:80" for index in range(8)]
+CENTRES = ("a", "b")
+
+
+class SteppedClock:
+    def __init__(self):
+        self.at_ms = 0.0
+
+    def now_ms(self):
+        return self.at_ms
+
+
+def entry(address, incarnation="1", state="live"):
+    centre = CENTRES[ADDRESSES.index(address) % 2]
+    return messages.HostEntry(address, "pool", centre, incarnation, state)
+
+
+def report(incarnation="1", in_flight=0):
+    return messages.LoadReport(incarnation, in_flight, 8, False)
+
+
+def new_fleet(listing, own_clock=None):
+    made = fleet.Fleet(
+        own_clock or clock.Clock(), None, configuration.State(), 500, 500
+    )
+    made.apply(messages.HostList(hosts=listing))
+    return made
+
+
+class FleetMachine(stateful.RuleBasedStateMachine):
+    """Choices against what operators, the host list and failures say."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = SteppedClock()
+        self.entries = {address: entry(address) for address in ADDRESSES}
+        self.fleet = new_fleet(self.entries.values(), self.clock)
+
+    def server(self, address):
+        return self.fleet.by_pool["pool"][address]
+
+    @stateful.rule(
+        address=st.sampled_from(ADDRESSES), state=st.sampled_from(("live", "leaving"))
+    )
+    def list_shows(self, address, state):
+        self.entries[address] = entry(address, self.entries[address].incarnation, state)
+        self.fleet.apply(messages.HostList(hosts=self.entries.values()))
+
+    @stateful.rule(address=st.sampled_from(ADDRESSES), drained=st.booleans())
+    def drain(self, address, drained):
+        record = {"kind": "server", "address": address, "drained": drained}
+        self.fleet.state.apply(self.fleet.state.version, record)
+
+    @stateful.rule(name=st.sampled_from(CENTRES), out=st.booleans())
+    def take_out(self, name, out):
+        record = {"kind": "data_centre", "name": name, "out": out}
+        self.fleet.state.apply(self.fleet.state.version, record)
+
+    @stateful.rule(address=st.sampled_from(ADDRESSES), n_failures=st.integers(1, 6))
+    def fail(self, address, n_failures):
+        for _ in range(n_failures):
+            with self.server(address).calling(self.clock) as attempt:
+                attempt.fail(errors.ServerFailed("failed"))
+
+    @stateful.rule(address=st.sampled_from(ADDRESSES))
+    def miss_reports(self, address):
+        self.server(address).n_missed += ejections.MAX_MISSED
+
+    @stateful.rule(address=st.sampled_from(ADDRESSES), restarted=st.booleans())
+    def poll(self, address, restarted):
+        server = self.server(address)
+        incarnation = server.incarnation + "x" * restarted
+        self.fleet.note_polled(server, report(incarnation))
+        assert self.server(address).incarnation == incarnation
+
+    @stateful.rule(duration_ms=st.integers(0, 5000))
+    def wait(self, duration_ms):
+        self.clock.at_ms += duration_ms
+
+    @stateful.invariant()
+    def choices_are_open(self):
+        chosen = self.fleet.choices("pool")
+        state = self.fleet.state
+        for server in chosen:
+            assert self.entries[server.address].state == "live"
+            assert server.data_centre not in state.data_centres_out
+            assert server.address not in state.servers_drained
+            assert not server.ejected
+            assert server is self.server(server.address)
+
+    @stateful.invariant()
+    def at_most_half_are_ejected(self):
+        chosen = self.fleet.choices("pool")
+        self.clock.at_ms += fleet.REVIEW_INTERVAL_MS
+        servers = self.fleet.chosen["pool"].servers
+        in_service = [s for s in servers if self.fleet.in_service(s)]
+        n_ejected = sum(server.ejected for server in in_service)
+        assert len(chosen) == len(in_service) - n_ejected
+        if n_ejected * 2 > len(in_service):
+            self.fleet._review(self.fleet.chosen["pool"])
+            n_ejected = sum(server.ejected for server in in_service)
+        assert n_ejected * 2 <= len(in_service)
+
+
+TestFleetMachine = FleetMachine.TestCase
+TestFleetMachine.settings = hypothesis.settings(
+    derandomize=True, max_examples=60, stateful_step_count=30, deadline=None
+)
+
+
+def test_lagging_list_does_not_undo_a_reported_incarnation():
+    known = new_fleet([entry(ADDRESSES[0], "1")])
+    old = known.choices("pool")[0]
+    old.note_report(report("2"))
+    old.in_flight = 3
+    fresh = known.choices("pool")[0]
+    assert (fresh.incarnation, fresh.in_flight, fresh.report) == ("2", 0, None)
+    known.apply(messages.HostList(hosts=[entry(ADDRESSES[0], "1")]))
+    assert known.choices("pool") == [fresh]
+    known.apply(messages.HostList(hosts=[entry(ADDRESSES[0], "3")]))
+    assert known.choices("pool")[0].incarnation == "3"
+
+
+def test_filters_are_asked_at_every_choice():
+    known = new_fleet([entry(address) for address in ADDRESSES])
+    known.filters.append(lambda server: server.in_flight < 1)
+    known.choices("pool")[0].in_flight = 1
+    assert len(known.choices("pool")) == len(ADDRESSES) - 1
+
+
+class FakeReports(loads.LoadReports):
+    def __init__(self):
+        self.dead = set()
+
+    async def fetch(self, server, timeout_ms):
+        await trio.sleep(0.001)
+        if server.address in self.dead:
+            return expression.Error(errors.TransportError("refused"))
+        return expression.Ok(report(server.incarnation))
+
+
+@pytest.fixture
+async def polled(nursery):
+    known = new_fleet([entry(address) for address in ADDRESSES])
+    reports = FakeReports()
+    nursery.start_soon(loads.Poller(clock.Clock(), known, reports, 500).run)
+    return known, reports
+
+
+async def test_dead_server_is_ejected_and_returns_with_one_call_at_a_time(
+    polled, autojump_clock
+):
+    known, reports = polled
+    reports.dead.add(ADDRESSES[0])
+    await trio.sleep(2)
+    assert ADDRESSES[0] not in {s.address for s in known.choices("pool")}
+    reports.dead.clear()
+    await trio.sleep(3)
+    server = known.by_pool["pool"][ADDRESSES[0]]
+    assert server in known.choices("pool")
+    with server.calling(clock.Clock()):
+        assert server not in known.choices("pool")
+    with server.calling(clock.Clock()):
+        assert server in known.choices("pool")
+
+
+async def test_much_slower_server_is_ejected(autojump_clock):
+    known = new_fleet([entry(address) for address in ADDRESSES])
+    for index, server in enumerate(known.choices("pool")):
+        for _ in range(ejections.MIN_SAMPLES):
+            with server.calling(clock.Clock()):
+                await trio.sleep(0.5 if index == 0 else 0.05)
+    slow = known.choices("pool")[0]
+    known.ejections.compare(known.chosen["pool"].servers)
+    assert slow not in known.choices("pool")
+    assert len(known.choices("pool")) == len(ADDRESSES) - 1
+
+
+async def test_failed_and_cancelled_calls_do_not_look_fast(autojump_clock):
+    server = new_fleet([entry(ADDRESSES[0])]).choices("pool")[0]
+    with server.calling(clock.Clock()):
+        await trio.sleep(0.1)
+    known_ms = server.unit_ms
+    with server.calling(clock.Clock()) as attempt:
+        attempt.fail(errors.ServerFailed("failed at once"))
+    with trio.move_on_after(0.01), server.calling(clock.Clock()):
+        await trio.sleep(1)
+    assert server.unit_ms == known_ms
+    assert server.in_flight == 0
+    assert server.n_failures == 1
+
+
+class FakeTransport:
+    async def call(self, method, address, path, message, timeout_ms):
+        return expression.Ok(transport.Reply(200, {}, b"{}"))
+
+
+async def test_report_that_cannot_be_read_is_an_error():
+    server = new_fleet([entry(ADDRESSES[0])]).choices("pool")[0]
+    result = await loads.HttpLoadReports(FakeTransport()).fetch(server, 100)
+    assert isinstance(result.error, errors.ServerFailed)
+
+
+async def test_host_list_that_cannot_be_read_is_an_error():
+    result = await hostlist.HttpHostList(FakeTransport(), "10.0.0.1:80").fetch(100)
+    assert isinstance(result.error, errors.ServerFailed)
--- /dev/null
+++ b/teaselwall/tests/test_pickers.py
@@ -0,0 +1,106 @@
+import pytest
+
+from teaselwall import pickers, prefixes, servers
+from teaselwall.generated import messages
+from teaselwall.tools import bench_routing
+
+
+def server(index, data_centre="a", unit_ms=10.0, in_flight=0):
+    entry = messages.HostEntry(
+        f"server-{index}", "pool", data_centre, f"i{index}", "live"
+    )
+    made = servers.Server(entry)
+    made.unit_ms = unit_ms
+    made.in_flight = in_flight
+    return made
+
+
+@pytest.fixture
+def picker():
+    return pickers.ExpectedTimePicker("a", prefixes.Prefixes(), seed=3)
+
+
+def report(in_flight):
+    return messages.LoadReport("i0", in_flight, 8, False)
+
+
+def test_faster_and_less_loaded_servers_go_first(picker):
+    fast, loaded, slow = server(0), server(1, in_flight=40), server(2, unit_ms=50.0)
+    assert picker.pick([loaded, slow, fast], set()) is fast
+
+
+def test_tried_servers_go_last(picker):
+    fast, slow = server(0), server(1, unit_ms=90.0)
+    assert picker.pick([fast, slow], {"server-0"}) is slow
+    assert picker.pick([fast], {"server-0"}) is fast
+    assert picker.pick([], set()) is None
+
+
+def test_failing_server_is_avoided_before_its_ejection(picker):
+    failing, good = server(0), server(1, unit_ms=15.0)
+    failing.n_failures = 2
+    assert picker.pick([failing, good], set()) is good
+
+
+def test_report_counts_less_with_each_call_sent_after_it():
+    known = server(0)
+    known.note_report(report(in_flight=8))
+    known.in_flight, known.n_sent = 4, 4
+    first = known.load() - known.in_flight
+    known.in_flight, known.n_sent = 16, 16
+    assert 0 < known.load() - known.in_flight < first < 8
+
+
+def test_own_calls_are_not_counted_twice():
+    known = server(0, in_flight=3)
+    known.note_report(report(in_flight=5))
+    assert known.load() == 5
+
+
+def test_other_data_centres_take_calls_only_where_faster_and_in_time(picker):
+    call = pickers.Call(n_units=1, remaining_ms=200.0)
+    near, far = server(0, "a", 100.0), server(1, "b", 99.0)
+    assert picker.pick([near, far], set(), call) is near
+    far.unit_ms = 50.0
+    assert picker.pick([near, far], set(), call) is far
+    near.unit_ms, far.unit_ms = 900.0, 300.0
+    assert picker.pick([near, far], set(), call) is near
+
+
+def test_hosts_agree_on_the_home_of_a_prefix_and_load_overrides_it():
+    known = [server(index) for index in range(8)]
+    call = pickers.Call(n_units=20, prefix=12345)
+    hosts = [
+        pickers.ExpectedTimePicker("a", prefixes.Prefixes(), seed=seed)
+        for seed in range(20)
+    ]
+    homes = {host.pick(known, set(), call) for host in hosts}
+    assert len(homes) == 1
+    homes.pop().in_flight = 30
+    assert all(host.pick(known, set(), call).in_flight == 0 for host in hosts)
+
+
+def test_cache_events_with_gaps_and_repeats_only_change_guesses():
+    known = prefixes.Prefixes(n_kept=50)
+    home, other = server(0), server(1)
+    known.note_event("i1", 1, 7, True)
+    assert known.cached(7, other, home)
+    known.note_event("i1", 1, 7, False)
+    assert known.cached(7, other, home)
+    known.note_event("i1", 5, 8, True)
+    assert not known.cached(7, other, home)
+    assert known.cached(8, other, home)
+    for index in range(1000):
+        known.note_event(f"x{index}", 1, index, True)
+    assert len(known.known) <= 50
+    assert len(known.sequences) <= 50
+
+
+def test_goodput_returns_after_an_overload_with_resends():
+    ours = bench_routing.run("maldari", "ours", bench_routing.OVERLOAD, n_resends=3)
+    assert bench_routing.recovery_s(ours) <= 2
+
+
+def test_small_organisations_meet_deadlines_while_a_large_one_floods():
+    figures = bench_routing.flood_figures("maldari")
+    assert all(value >= target for value, _, target in figures.values())
--- /dev/null
+++ b/teaselwall/tools/bench_routing.py
@@ -0,0 +1,208 @@
+"""Figures of server choice, admission and recovery."""
+
+import collections
+import statistics
+import time
+
+import trio
+
+from teaselwall import (
+    clock,
+    configuration,
+    fleet,
+    membership,
+    pickers,
+    prefixes,
+    subsets,
+)
+from teaselwall.generated import messages
+from teaselwall.tools import policies
+
+SAMPLES = ("directorate", "maldari")
+POLICIES = ("ours", "round_robin", "random")
+PERCENTS = (30, 70, 120)
+RUN_S = 14
+WARM_UP_MS = 3000
+FLOOD_PERCENT = 100
+OVERLOAD = ((4, 50), (8, 200), (16, 70))
+RECOVERED_PART = 0.95
+RECOVERY_WINDOW_S = 4
+N_PICKS = 4000
+US_PER_S = 1e6
+N_HOSTS = 15
+SUBSET_SIZE = 16
+CENTRES = ("a", "b", "c")
+
+
+def measure():
+    """Return the figures by name as (value, unit, target or None)."""
+    figures = {}
+    for sample in SAMPLES:
+        figures |= _load_figures(sample)
+        figures |= flood_figures(sample)
+        figures |= _recovery_figures(sample)
+        figures |= _slow_figures(sample)
+    figures |= _subset_figures()
+    for n_servers in (300, 10000):
+        value = pick_us(n_servers)
+        figures[f"pick_us_{n_servers}_servers"] = (value, "us", None)
+    return figures
+
+
+def run(sample, policy, phases, n_resends=0, flood=None):
+    """Run one trial; return it."""
+    trial = policies.Trial(sample, policy, n_resends=n_resends)
+    trial.run([policies.Phase(*phase) for phase in phases], flood)
+    return trial
+
+
+def attainment_percent(done):
+    """Return the share of requests that were whole in time."""
+    return 100 * sum(d.error is None for d in done) / len(done)
+
+
+def wasted_percent(done):
+    """Return the share of server time spent on requests that failed."""
+    wasted_ms = sum(d.spent_ms for d in done if d.error is not None)
+    return 100 * wasted_ms / sum(d.spent_ms for d in done)
+
+
+def _load_figures(sample):
+    figures = {}
+    for percent in PERCENTS:
+        met = {}
+        for policy in POLICIES:
+            trial = run(sample, policy, [(RUN_S, percent)])
+            done = [d for d in trial.done if d.sent_ms > WARM_UP_MS]
+            met[policy] = attainment_percent(done)
+            suffix = f"{sample}_{policy}"
+            name = f"attainment_percent_{percent}_{suffix}"
+            figures[name] = (met[policy], "%", None)
+            name = f"wasted_cost_percent_{percent}_{suffix}"
+            figures[name] = (wasted_percent(done), "%", None)
+            if percent == 70:
+                ratio = _hit_ratio(trial)
+                figures[f"prefix_hit_ratio_{suffix}"] = (ratio, "ratio", None)
+        name = f"goodput_ratio_over_round_robin_{percent}_{sample}"
+        figures[name] = (met["ours"] / met["round_robin"], "ratio", None)
+    return figures
+
+
+def _hit_ratio(trial):
+    n_prefixed = sum(server.n_prefixed for server in trial.servers)
+    return sum(server.n_hits for server in trial.servers) / n_prefixed
+
+
+def flood_figures(sample):
+    """Return the attainment of the others while one organisation floods."""
+    trial = policies.Trial(sample, "ours")
+    flood = trial.documents[0].organisations[0].name
+    trial.run([policies.Phase(RUN_S, FLOOD_PERCENT)], flood)
+    done = [d for d in trial.done if d.sent_ms > WARM_UP_MS]
+    small = [d for d in done if d.organisation != flood]
+    name = f"small_org_attainment_under_flood_percent_{sample}"
+    return {name: (attainment_percent(small), "%", 99)}
+
+
+def _recovery_figures(sample):
+    figures = {}
+    for policy in ("ours", "round_robin"):
+        trial = run(sample, policy, OVERLOAD, n_resends=3)
+        name = f"goodput_recovery_s_{sample}_{policy}"
+        figures[name] = (recovery_s(trial), "s", None)
+    return figures
+
+
+def recovery_s(trial):
+    """Return the seconds from the overload's end until goodput is back for good.
+
+    Where it does not come back, the length of the last phase.
+    """
+    start_s = OVERLOAD[0][0] + OVERLOAD[1][0]
+    end_s = start_s + OVERLOAD[2][0]
+    good = collections.Counter(int(d.done_ms / 1000) for d in trial.done if not d.error)
+    sent = collections.Counter(
+        int(d.sent_ms / 1000) for d in trial.done if not d.n_sent
+    )
+    back_s = end_s
+    for second in range(end_s - RECOVERY_WINDOW_S, start_s - 1, -1):
+        window = range(second, second + RECOVERY_WINDOW_S)
+        wanted = RECOVERED_PART * sum(sent[s] for s in window)
+        if sum(good[s] for s in window) < wanted:
+            break
+        back_s = second
+    return back_s - start_s
+
+
+def _slow_figures(sample):
+    figures = {}
+    for policy in ("ours", "round_robin"):
+        phases = [(5, 60), (RUN_S - 5, 60, "generator-0")]
+        done = [d for d in run(sample, policy, phases).done if d.sent_ms > WARM_UP_MS]
+        name = f"attainment_percent_one_slow_engine_{sample}_{policy}"
+        figures[name] = (attainment_percent(done), "%", None)
+    return figures
+
+
+def _fleets(n_servers, n_hosts):
+    """Return a fleet for each entry host, all over one pool."""
+    members = [
+        membership.Member(f"host-{i}", "", CENTRES[i % 3], "") for i in range(n_hosts)
+    ]
+    listing = listing_of(n_servers)
+    fleets = []
+    for me in members:
+        part = subsets.Subsets(policies.Members(me, members), SUBSET_SIZE)
+        known = fleet.Fleet(clock.Clock(), None, configuration.State(), 500, 500, part)
+        known.apply(listing)
+        fleets.append(known)
+    return fleets
+
+
+def listing_of(n_servers):
+    """Return a host list with one pool over three data centres."""
+    entries = [
+        messages.HostEntry(f"server-{i}", "pool", CENTRES[i % 3], f"{i}", "live")
+        for i in range(n_servers)
+    ]
+    return messages.HostList(hosts=entries)
+
+
+def _seen(fleets):
+    return [{server.address for server in known.used()} for known in fleets]
+
+
+def _subset_figures():
+    before = _seen(_fleets(300, N_HOSTS))
+    seers = collections.Counter(name for seen in before for name in seen)
+    after = _seen(_fleets(300, N_HOSTS - 1))
+    pairs = zip(before, after, strict=False)
+    changed = sum(len(old ^ new) for old, new in pairs)
+    kept = sum(len(seen) for seen in before)
+    sizes = [len(seen) for seen in before]
+    return {
+        "subset_servers_uncovered": (300 - len(seers), "servers", 0),
+        "subset_servers_per_host_min": (min(sizes), "servers", SUBSET_SIZE),
+        "subset_servers_per_host_max": (max(sizes), "servers", None),
+        "subset_hosts_per_server_mean": (
+            statistics.mean(seers.values()),
+            "hosts",
+            None,
+        ),
+        "subset_hosts_per_server_max": (max(seers.values()), "hosts", None),
+        "subset_change_percent_host_leaves": (100 * changed / kept, "%", None),
+    }
+
+
+def pick_us(n_servers):
+    """Return the time of one decision in microseconds."""
+    return trio.run(_pick_us, _fleets(n_servers, N_HOSTS)[0])
+
+
+async def _pick_us(known):
+    picker = pickers.ExpectedTimePicker("a", prefixes.Prefixes(), seed=1)
+    started = time.perf_counter()
+    for index in range(N_PICKS):
+        call = pickers.Call(100, 1000.0, 4000.0, prefixes.prefix_of(str(index)))
+        picker.pick(known.choices("pool", call.prefix), set(), call)
+    return (time.perf_counter() - started) / N_PICKS * US_PER_S
--- a/teaselwall/tools/policies.py
+++ b/teaselwall/tools/policies.py
@@ -30,6 +30,7 @@
 RESEND_MS = 50
 ORGANISATION_WEIGHTS = (8, 4, 2, 1, 1)
 N_PREFIXES = 400
+SLOW_FACTOR = 5.0
 
 
 class ModelServer:
@@ -42,7 +43,7 @@
         self.token_ms = plan.get("token_ms", 0)
         self.clock = clock.Clock()
         self.in_flight = 0
-        self.work_ms = 0.0
+        self.factor = 1.0
         self.cached = {}
         self.n_hits = 0
         self.n_prefixed = 0
@@ -74,9 +75,8 @@
         self.in_flight += 1
         try:
             for _ in range(N_SLICES):
-                slowdown = max(1.0, self.in_flight / self.capacity)
+                slowdown = self.factor * max(1.0, self.in_flight / self.capacity)
                 await self.clock.sleep_ms(slice_ms * slowdown)
-                self.work_ms += slice_ms
                 spent[0] += slice_ms
         finally:
             self.in_flight -= 1
@@ -158,7 +158,7 @@
     async def _run_stage(self, request, stage):
         prefix = request.prefix if stage.kind == "engine" else None
         call = pickers.call_of(request, stage, prefix)
-        server = self.picker.pick(self.fleet.choices(stage.pool), set(), call)
+        server = self.picker.pick(self.fleet.choices(stage.pool, prefix), set(), call)
         model = self.servers[server.address]
         n_tokens = stage.max_tokens if stage.kind == "engine" else 0
         with server.calling(self.clock, call.n_units):
@@ -173,6 +173,24 @@
             await self.clock.sleep_ms(REPORT_INTERVAL_MS)
 
 
+class Phase:
+    """A stretch of load.
+
+    Parameters
+    ----------
+    duration_s : float
+    percent : float
+        Of the capacity of the tightest pool.
+    slow : str
+        Servers whose names begin with it are slower by ``SLOW_FACTOR``.
+    """
+
+    def __init__(self, duration_s, percent, slow=""):
+        self.duration_s = duration_s
+        self.percent = percent
+        self.slow = slow
+
+
 class Trial:
     """One run of a sample under a policy with open-loop load.
 
@@ -240,8 +258,7 @@
 
         Parameters
         ----------
-        phases : list of (float, float)
-            Seconds and percent of capacity.
+        phases : list of Phase
         flood : str, optional
             Organisation that sends as much again as all together.
         """
@@ -258,10 +275,16 @@
                 polls.start_soon(host.poll)
             self.start_ms = self.clock.now_ms()
             async with trio.open_nursery() as calls:
-                for seconds, percent in phases:
-                    await self._load(calls, seconds, percent, flood)
+                for phase in phases:
+                    self._slow_down(phase)
+                    await self._load(calls, phase.duration_s, phase.percent, flood)
             polls.cancel_scope.cancel()
 
+    def _slow_down(self, phase):
+        for server in self.servers:
+            slow = server.entry.address.startswith(phase.slow or "-")
+            server.factor = SLOW_FACTOR if slow else 1.0
+
     async def _load(self, nursery, seconds, percent, flood):
         rate_per_s = self.capacity_per_s() * percent / 100 * (2 if flood else 1)
         end_ms = self.clock.now_ms() + seconds * clock.MS_PER_S
