--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,6 +3,7 @@
 import trio
 
 from teaselwall import (
+    admission,
     budgets,
     claims,
     clock,
@@ -18,6 +19,7 @@
     gossip,
     guards,
     hostlist,
+    loads,
     logservice,
     membership,
     metrics,
@@ -30,11 +32,14 @@
     pictures,
     pipelines,
     pools,
+    prefixes,
     probes,
     publications,
     quarantine,
+    rates,
     recorders,
     snapshots,
+    subsets,
     traces,
     transport,
 )
@@ -67,6 +72,8 @@
         "fleet",
         "suspects",
         "evidence",
+        "poller",
+        "admission",
         "dispatcher",
         "ownerships",
         "claims",
@@ -113,6 +120,18 @@
             self.state,
             settings.routing.host_list_interval_ms,
             timeout_ms,
+            subsets.Subsets(self.membership, settings.routing.subset_size),
+        )
+        self.poller = loads.Poller(
+            self.clock,
+            self.fleet,
+            loads.HttpLoadReports(self.transport),
+            settings.routing.load_interval_ms,
+        )
+        self.admission = admission.Admission(
+            self.clock,
+            rates.Rates(self.clock, self.membership),
+            self.fleet.utilisation,
         )
         self.suspects = quarantine.Quarantine(self.clock)
         self.suspects.add_handlers(self.control)
@@ -167,7 +186,9 @@
         return dispatch.Dispatcher(
             self.clock,
             self.fleet,
-            pickers.TwoChoicesPicker(),
+            pickers.ExpectedTimePicker(
+                self.settings.host.data_centre, prefixes.Prefixes()
+            ),
             backends,
             self.metrics,
             self.tracer,
@@ -194,8 +215,10 @@
         )
 
     async def serve(self, request, sink):
-        """Run one request; see ``pipelines.Pipeline.run``."""
-        return await self.pipeline.run(request, sink)
+        """Run one request once it is admitted; see ``pipelines.Pipeline.run``."""
+        return await self.admission.run(
+            request, lambda: self.pipeline.run(request, sink)
+        )
 
     def ready(self):
         """Return whether callers may be sent here."""
@@ -218,3 +241,4 @@
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.eras.run)
             nursery.start_soon(self.evidence.run)
+            nursery.start_soon(self.poller.run)
