Admit calls of cold servers by permit from one holder a data centre

Cause: each entry host sent work to a server it had just learned of, so the sum over all entry hosts could exceed what a cold server bears.

Ruled out: a share of the slots for each entry host (two slots before 15 hosts leave less than one each), and warm announcements through the log (a server's own report of the same incarnation says as much, at no append).

Change: a duty held by a lease in the log, permits that are leases on slots, evidence of warmth from reports, and a gate asked before each attempt.

--- /dev/null
+++ b/teaselwall/askers.py
@@ -0,0 +1,203 @@
+"""Asking the holders of warm-up duties for permits."""
+
+import math
+
+import msgspec
+import trio
+
+from teaselwall import issuers, permits
+from teaselwall.generated import messages
+
+RETRY_MS = 10
+USE_MS = 1_000
+IDLE_MS = 400
+REFRESH_MS = 500
+CALL_MS = 4_000
+MAX_ASKED = 16
+MAX_COLD_TOLD = 32
+
+
+class Demand:
+    """What the calls of one pool wait for.
+
+    Attributes
+    ----------
+    busy : bool
+        Whether a holder is being asked.
+    call_ms : float
+        Longest call seen.
+    """
+
+    __slots__ = ("busy", "n_waiting", "call_ms", "turn", "changed")
+
+    def __init__(self):
+        self.busy = False
+        self.n_waiting = 0
+        self.call_ms = CALL_MS
+        self.turn = 0
+        self.changed = trio.Event()
+
+    def wake(self):
+        """Have the calls that wait look again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class Asker:
+    """Gets permits from other hosts and gives them back.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    membership : membership.Membership
+    fleet : fleet.Fleet
+    peers : peers.Peers
+    issuer : issuers.Issuer
+    """
+
+    __slots__ = (
+        "clock",
+        "membership",
+        "fleet",
+        "peers",
+        "issuer",
+        "stock",
+        "demands",
+        "stale",
+        "looked_ms",
+    )
+
+    def __init__(self, clock, membership, fleet, peers, issuer):
+        self.clock = clock
+        self.membership = membership
+        self.fleet = fleet
+        self.peers = peers
+        self.issuer = issuer
+        self.stock = permits.Stock(clock)
+        self.demands = {}
+        self.stale = set()
+        self.looked_ms = {}
+
+    def wake(self, pool):
+        """Have the calls that wait for a pool look again."""
+        if pool in self.demands:
+            self.demands[pool].wake()
+
+    async def wait(self, pool, servers, call_ms):
+        """Ask for permits, or wait a little for some.
+
+        Parameters
+        ----------
+        pool : str
+        servers : list of servers.Server
+            Those that the call could use.
+        call_ms : float
+            Longest time that it may last.
+        """
+        demand = self.demands.setdefault(pool, Demand())
+        demand.call_ms = max(demand.call_ms, call_ms)
+        demand.n_waiting += 1
+        try:
+            await self._wait(demand, pool, servers)
+        finally:
+            demand.n_waiting -= 1
+
+    async def _wait(self, demand, pool, servers):
+        data_centre = self._where(demand, servers)
+        if data_centre is not None and not demand.busy:
+            await self._ask(demand, pool, data_centre, demand.n_waiting)
+            if any(self.stock.has(server) for server in servers):
+                return
+        with self.clock.timeout_ms(RETRY_MS):
+            await demand.changed.wait()
+
+    def _where(self, demand, servers):
+        """Return the data centre to ask for: the own one and others in turn."""
+        names = {s.data_centre for s in servers if not s.warmth.is_warm()}
+        names = sorted(name for name in names if not self.issuer.holds(name))
+        if not names:
+            return None
+        demand.turn += 1
+        own = self.membership.me.data_centre
+        if own in names and demand.turn % 2:
+            return own
+        return names[demand.turn // 2 % len(names)]
+
+    async def feed(self, pool):
+        """Get one permit for the own data centre's cold servers of a pool.
+
+        A pool with enough warm servers would never ask, and its cold ones would
+        stay cold.
+        """
+        demand = self.demands.setdefault(pool, Demand())
+        data_centre = self.membership.me.data_centre
+        if not demand.busy and not self.issuer.holds(data_centre):
+            await self._ask(demand, pool, data_centre, 1)
+
+    async def _ask(self, demand, pool, data_centre, n):
+        demand.busy = True
+        try:
+            address = await self._holder(data_centre)
+            if address:
+                await self._call(address, data_centre, pool, n, demand.call_ms)
+        finally:
+            demand.busy = False
+            demand.wake()
+
+    async def _call(self, address, data_centre, pool, n, call_ms):
+        span_ms = math.ceil(call_ms) + USE_MS
+        request = messages.PermitRequest(
+            data_centre=data_centre,
+            pool=pool,
+            n=min(n, MAX_ASKED),
+            call_ms=span_ms,
+            cold=self._cold(pool, data_centre),
+        )
+        asked_ms = self.clock.now_ms()
+        result = await self.peers.call(address, issuers.GRANT_PATH, request, USE_MS)
+        if result.is_error():
+            self.stale.add(data_centre)
+            return
+        for permit in read_grant(result.ok):
+            self.stock.add(permits.Held(permit, data_centre, asked_ms + span_ms))
+
+    def _cold(self, pool, data_centre):
+        """Return the servers that this host has seen turn cold, for the holder."""
+        return [
+            messages.Incarnation(address=s.address, incarnation=s.incarnation)
+            for s in self.fleet.by_pool.get(pool, {}).values()
+            if s.data_centre == data_centre and s.warmth.suspect
+        ][:MAX_COLD_TOLD]
+
+    async def _holder(self, data_centre):
+        """Return the address of a duty's holder, or an empty string."""
+        duty = self.issuer.duties.get(data_centre)
+        if duty is None:
+            return ""
+        now_ms = self.clock.now_ms()
+        due = now_ms >= self.looked_ms.get(data_centre, -math.inf) + REFRESH_MS
+        if due and (data_centre in self.stale or not duty.holder()):
+            self.looked_ms[data_centre] = now_ms
+            if await duty.refresh():
+                self.stale.discard(data_centre)
+        address = duty.holder()
+        return "" if address == self.membership.me.address else address
+
+    async def give_back_unused(self):
+        """Give back the permits that no call uses."""
+        by_data_centre = {}
+        for held in self.stock.take_unused(IDLE_MS):
+            by_data_centre.setdefault(held.data_centre, []).append(held.permit)
+        for data_centre, unused in by_data_centre.items():
+            address = self.issuer.duties[data_centre].holder()
+            message = messages.PermitReturn(data_centre=data_centre, permits=unused)
+            if address:
+                await self.peers.call(address, issuers.RETURN_PATH, message, USE_MS)
+
+
+def read_grant(reply):
+    """Return the permits of a holder's reply; none where it cannot be read."""
+    try:
+        return msgspec.convert(reply, messages.PermitGrant).permits[:MAX_ASKED]
+    except msgspec.ValidationError:
+        return []
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -6,12 +6,13 @@
 
 import expression
 
-from teaselwall import errors, events, traces
+from teaselwall import clock, errors, events, gates, traces
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
 MAX_ATTEMPTS = 3
+ROOM_WAIT_MS = 1000
 RETRY_AFTER_MS = 1000
 
 
@@ -40,6 +41,7 @@
         "tracer",
         "silence_ms",
         "attempts",
+        "gate",
     )
 
     def __init__(self, clock, fleet, picker, backends, metrics, tracer, silence_ms):
@@ -51,6 +53,7 @@
         self.tracer = tracer
         self.silence_ms = silence_ms
         self.attempts = itertools.count(1)
+        self.gate = gates.FleetGate(fleet)
 
     async def call(self, request, stage, inputs):
         """Run a stage that gives one reply.
@@ -70,11 +73,11 @@
         tried = set()
         result = None
         for _ in range(MAX_ATTEMPTS):
-            server = self.choose(stage, tried)
-            if server is None:
+            ticket = await self.admit(request, stage, tried)
+            if ticket is None:
                 break
-            tried.add(server.address)
-            result = await self._attempt(request, stage, inputs, server)
+            tried.add(ticket.server.address)
+            result = await self._attempt(request, stage, inputs, ticket)
             if result.is_ok() or not self._may_retry(request, stage, result.error):
                 return result
         return result if result is not None else _no_server(stage)
@@ -83,11 +86,41 @@
         """Return the server for the next attempt, or None."""
         return self.picker.pick(self.fleet.choices(stage.pool), tried)
 
+    async def admit(self, request, stage, tried):
+        """Return leave to call a server, with no await after the last check.
+
+        Returns
+        -------
+        gates.Ticket or None
+            None where no server may get the call, also after a short wait.
+        """
+        remaining_ms = request.deadline.remaining_ms()
+        limit = clock.Deadline(self.clock, min(ROOM_WAIT_MS, remaining_ms))
+        while True:
+            ticket = self._begin(request, stage, tried)
+            if ticket is not None or limit.passed():
+                return ticket
+            remaining_ms = request.deadline.remaining_ms()
+            if not await self.gate.wait(stage.pool, tried, remaining_ms):
+                return None
+
+    def _begin(self, request, stage, tried):
+        passed_over = set(tried)
+        while True:
+            server = self.choose(stage, passed_over)
+            if server is None:
+                return None
+            ticket = self.gate.begin(server, request.deadline.remaining_ms())
+            if ticket is not None:
+                return ticket
+            passed_over.add(server.address)
+
     def _may_retry(self, request, stage, error):
         safe = stage.idempotent or error.outcome is errors.Outcome.NOT_RUN
         return safe and not request.deadline.passed()
 
-    async def _attempt(self, request, stage, inputs, server):
+    async def _attempt(self, request, stage, inputs, ticket):
+        server = ticket.server
         call = messages.StageCall(
             request=request.id,
             attempt=next(self.attempts),
@@ -108,6 +141,8 @@
             )
             if result.is_error():
                 note_failure(span, result.error)
+            error = result.error if result.is_error() else None
+            self.gate.end(ticket, error, request.deadline)
         return result.map(lambda reply: reply.output)
 
     @contextlib.contextmanager
@@ -163,14 +198,17 @@
         tried = set()
         error = None
         for _ in range(MAX_ATTEMPTS):
-            server = self.choose(stage, tried)
-            if server is None:
+            ticket = await self.admit(request, stage, tried)
+            if ticket is None:
                 break
+            server = ticket.server
             tried.add(server.address)
             try:
                 await self._stream(request, stage, prompt, server, tokens, sink)
+                self.gate.end(ticket)
                 return expression.Ok(tokens)
             except errors.TransportError as failure:
+                self.gate.end(ticket, failure, request.deadline)
                 error = failure
                 events.log(
                     logger,
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -29,6 +29,7 @@
         "timeout_ms",
         "by_pool",
         "seen",
+        "filters",
     )
 
     def __init__(self, clock, host_list, state, interval_ms, timeout_ms):
@@ -39,6 +40,7 @@
         self.timeout_ms = timeout_ms
         self.by_pool = {}
         self.seen = False
+        self.filters = []
 
     def choices(self, pool):
         """Return the servers of a pool that may get new work.
@@ -58,6 +60,10 @@
 
         Asked again right before each dispatch, with no await in between.
         """
+        return self.in_service(server) and all(f(server) for f in self.filters)
+
+    def in_service(self, server):
+        """Return whether a server is neither leaving, ejected nor taken out."""
         return not (
             server.leaving
             or server.ejected
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,6 +3,7 @@
 import trio
 
 from teaselwall import (
+    askers,
     clock,
     configuration,
     control,
@@ -10,6 +11,7 @@
     engines,
     fleet,
     hostlist,
+    issuers,
     logservice,
     membership,
     metrics,
@@ -17,8 +19,10 @@
     pickers,
     pipelines,
     pools,
+    sightings,
     traces,
     transport,
+    warmups,
 )
 
 
@@ -44,6 +48,7 @@
         "membership",
         "fleet",
         "dispatcher",
+        "warmups",
         "pipeline",
     )
 
@@ -72,6 +77,7 @@
             timeout_ms,
         )
         self.dispatcher = self._dispatcher()
+        self.warmups = self._warmups(timeout_ms)
         self.pipeline = pipelines.Pipeline(self.dispatcher)
 
     def _dispatcher(self):
@@ -90,6 +96,27 @@
             self.settings.limits.silence_ms,
         )
 
+    def _warmups(self, timeout_ms):
+        issuer = issuers.Issuer(
+            self.clock,
+            self.log,
+            self.membership,
+            self.fleet,
+            self.settings.routing.cold_slots,
+            timeout_ms,
+        )
+        issuer.register(self.control)
+        asker = askers.Asker(
+            self.clock, self.membership, self.fleet, self.peers, issuer
+        )
+        seen = sightings.Sightings(self.clock, self.log, timeout_ms)
+        result = warmups.Warmups(
+            self.clock, self.membership, self.fleet, issuer, asker, seen
+        )
+        self.fleet.filters.append(result.may_get_work)
+        self.dispatcher.gate = result
+        return result
+
     async def serve(self, request, sink):
         """Run one request; see ``pipelines.Pipeline.run``."""
         return await self.pipeline.run(request, sink)
@@ -103,3 +130,4 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.warmups.run)
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from teaselwall import warmth
 from teaselwall.generated import messages
 
 LOAD_HEADER = b"server-load"
@@ -27,6 +28,7 @@
         "report",
         "latency_ms",
         "n_failures",
+        "warmth",
     )
 
     def __init__(self, entry):
@@ -40,6 +42,7 @@
         self.report = None
         self.latency_ms = 0.0
         self.n_failures = 0
+        self.warmth = warmth.Warmth()
 
     def note_latency(self, latency_ms):
         """Fold one call's latency into the moving average, in ms."""
@@ -54,6 +57,7 @@
         ----------
         report : messages.LoadReport
         """
+        self.warmth.note(report, self.incarnation)
         if report.incarnation == self.incarnation:
             self.report = report
 
