--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -191,7 +191,9 @@
         by_pool = {}
         for entry in listing.hosts:
             known = self.by_pool.get(entry.pool, {}).get(entry.address)
-            by_pool.setdefault(entry.pool, {})[entry.address] = _known(known, entry)
+            by_pool.setdefault(entry.pool, {})[entry.address] = _known(
+                known, entry, self.clock
+            )
         self.by_pool = by_pool
         self.seen = True
         if self.live != self._live() or self.hosts != self._hosts():
@@ -231,7 +233,7 @@
             incarnation=old.successor,
             state="leaving" if old.leaving else "live",
         )
-        server = servers.Server(entry)
+        server = servers.Server(entry, self.clock)
         server.listed = old.listed
         self.by_pool[old.pool][old.address] = server
         ring = self.chosen.get(old.pool)
@@ -239,14 +241,14 @@
             ring.replace(old, server)
 
 
-def _known(known, entry):
+def _known(known, entry, clock):
     """Return the state to keep for an entry of the host list.
 
     The list lags: an incarnation that it showed before does not undo a newer one
     that the server itself has reported.
     """
     if known is None or entry.incarnation not in (known.incarnation, known.listed):
-        known = servers.Server(entry)
+        known = servers.Server(entry, clock)
     known.listed = entry.incarnation
     known.leaving = entry.state == "leaving"
     return known
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -17,6 +17,22 @@
     return membership.Member(row, 0)
 
 
+class SteppedClock:
+    """Clock that a test sets by hand.
+
+    Attributes
+    ----------
+    at_ms : float
+    """
+
+    def __init__(self):
+        self.at_ms = 0.0
+
+    def now_ms(self):
+        """Return the reading."""
+        return self.at_ms
+
+
 class FakeLog(logservice.LogService):
     """The log service in memory, with faults.
 
--- a/teaselwall/tests/test_subsets.py
+++ b/teaselwall/tests/test_subsets.py
@@ -17,7 +17,8 @@
 def servers_of(numbers):
     return [
         servers.Server(
-            messages.HostEntry(f"server-{n}", "pool", CENTRES[n % 3], "1", "live")
+            messages.HostEntry(f"server-{n}", "pool", CENTRES[n % 3], "1", "live"),
+            fakes.SteppedClock(),
         )
         for n in sorted(numbers)
     ]
