--- /dev/null
+++ b/teaselwall/tests/test_operators.py
@@ -0,0 +1,169 @@
+import functools
+import pathlib
+import subprocess
+import sys
+
+import msgspec
+import pytest
+import tomli_w
+import trio
+
+from teaselwall import errors, peers, services
+from teaselwall.generated import messages
+from teaselwall.tools import deployments
+
+TIMEOUT_MS = 15_000
+SAMPLE = deployments.SAMPLES / "directorate/services/itineraries.toml"
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    running = deployments.Deployment(
+        "directorate", pathlib.Path(tmp_path), n_entry_hosts=3
+    )
+    try:
+        await running.start()
+        await await_status(running, lambda seen: len(seen["hosts"]) == 3)
+        yield running
+    finally:
+        await running.stop()
+
+
+async def call(deployment, index, path, **fields):
+    client = peers.Peers(deployment.transport, deployments.OPERATOR_KEY)
+    address = deployment.entry_hosts[index].peers
+    message = messages.OperatorCall(**fields)
+    return await client.call(address, f"/operator/{path}", message, TIMEOUT_MS)
+
+
+async def await_status(deployment, wanted):
+    with trio.fail_after(20):
+        for index in range(len(deployment.entry_hosts)):
+            while True:
+                result = await call(deployment, index, "status")
+                if result.is_ok() and wanted(result.ok):
+                    break
+                await trio.sleep(0.1)
+
+
+def document(deadline_ms):
+    changed = msgspec.to_builtins(services.read(SAMPLE).ok)
+    return changed | {"deadline_ms": deadline_ms}
+
+
+async def start_host(deployment, name, seeds):
+    callers, listen = deployments.free_address(), deployments.free_address()
+    settings = deployment.settings_of(name, "tuz-a", callers, listen, seeds)
+    path = deployment.folder / f"{name}.toml"
+    path.write_text(tomli_w.dumps(settings))
+    deployment.spawn(name, "teaselwall.daemon", str(path))
+    deployment.entry_hosts.append(
+        deployments.EntryHost(name, callers, listen, "tuz-a", path, None)
+    )
+    await deployment._await_answer(callers, "/livez")
+
+
+async def test_one_of_two_racing_operators_wins_though_replies_are_lost(deployment):
+    base = (await call(deployment, 0, "status")).ok["base"]
+    await deployment.set_faults(deployment.parts["log"], lose_replies=2)
+    results = [None, None]
+
+    async def publish(index):
+        results[index] = await call(
+            deployment,
+            index,
+            "services/publish",
+            document=document(4100 + index),
+            base=base,
+            change=f"change-{index}",
+            author=f"operator-{index}",
+        )
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(publish, 0)
+        nursery.start_soon(publish, 1)
+    (winner,) = [index for index in (0, 1) if results[index].is_ok()]
+    assert results[winner].ok["outcome"] == "accepted"
+    assert results[winner].ok["n_in_force"] == 3
+    lost = results[1 - winner].error
+    assert isinstance(lost, errors.Conflict)
+    assert f"operator-{winner}" in lost.detail
+    again = await call(
+        deployment,
+        2,
+        "services/publish",
+        document=document(4100 + winner),
+        base=base,
+        change=f"change-{winner}",
+    )
+    assert again.ok["outcome"] == "already"
+    shown = await call(deployment, 2, "services/show", name="itineraries")
+    assert shown.ok["document"]["deadline_ms"] == 4100 + winner
+
+
+async def test_data_centre_is_taken_out_while_the_log_is_away(deployment):
+    log = deployment.parts["log"]
+    await deployment.set_faults(log, outage=True)
+    out = await call(deployment, 0, "data-centres/out", name="tuz-b")
+    assert out.ok["outcome"] == "emergency"
+    assert out.ok["n_in_force"] == 3
+    back = await call(deployment, 1, "data-centres/in", name="tuz-b")
+    assert back.error.outcome is errors.Outcome.NOT_RUN
+    await start_host(deployment, "fresh", [deployment.entry_hosts[0].peers])
+    await await_status(deployment, functools.partial(is_out, "tuz-b", True))
+    await deployment.set_faults(log, outage=False)
+    await await_status(deployment, functools.partial(is_out, "tuz-b", False))
+
+
+def is_out(name, emergency, seen):
+    (centre,) = [c for c in seen["data_centres"] if c["name"] == name]
+    return seen["ready"] and centre["out"] and centre["emergency"] == emergency
+
+
+async def test_fresh_host_without_log_and_peers_is_not_ready(deployment):
+    await deployment.set_faults(deployment.parts["log"], outage=True)
+    await start_host(deployment, "alone", [])
+    await trio.sleep(1)
+    seen = await call(deployment, 3, "status")
+    assert not seen.ok["ready"]
+    await deployment.set_faults(deployment.parts["log"], outage=False)
+    await deployment._await_answer(deployment.entry_hosts[3].callers, "/readyz")
+
+
+async def test_unknown_pool_data_centre_and_server_are_refused(deployment):
+    wrong = document(4000)
+    wrong["stages"][0]["pool"] = "nowhere"
+    for path, fields in (
+        ("services/publish", {"document": wrong}),
+        ("services/publish", {"document": document(20)}),
+        ("data-centres/out", {"name": "nowhere"}),
+        ("servers/drain", {"name": "127.0.0.1:1"}),
+        ("servers/undrain", {"name": "127.0.0.1:1"}),
+    ):
+        result = await call(deployment, 0, path, **fields)
+        assert isinstance(result.error, errors.InvalidRequest)
+        assert result.error.remedy
+
+
+async def test_commands_say_by_their_status_what_happened(deployment, tmp_path):
+    hosts = ",".join(host.peers for host in deployment.entry_hosts)
+    path = tmp_path / "new.toml"
+    path.write_text(tomli_w.dumps(document(4321)))
+    key = deployments.OPERATOR_KEY
+    for wanted, *arguments in (
+        (0, "service", "publish", str(path), "--yes", "--hosts", hosts),
+        (0, "service", "diff", str(path), "--hosts", hosts, "--json"),
+        (0, "zone", "out", "tuz-c", "--yes", "--hosts", hosts),
+        (0, "zone", "status", "--hosts", f"127.0.0.1:1,{hosts}"),
+        (1, "zone", "out", "nowhere", "--yes", "--hosts", hosts),
+        (1, "zone", "in", "tuz-c", "--no-interaction", "--hosts", hosts),
+        (2, "zone", "out", "--hosts", hosts),
+        (2, "service", "publish", "missing.toml", "--hosts", hosts),
+        (2, "status", "--hosts", "nowhere"),
+        (4, "status", "--hosts", "127.0.0.1:1"),
+    ):
+        command = [sys.executable, "-m", "teaselwall.cli", *arguments, "--key", key]
+        run = functools.partial(subprocess.run, command, capture_output=True)
+        done = await trio.to_thread.run_sync(run)
+        assert done.returncode == wanted, (arguments, done.stdout, done.stderr)
+        assert key.encode() not in done.stdout + done.stderr
