--- a/teaselwall/changes.py
+++ b/teaselwall/changes.py
@@ -36,9 +36,7 @@
 
 def organisations(name, entries, base, author, change=""):
     """Return the change of some organisations of a service."""
-    content = messages.OrganisationsChange(
-        entries=msgspec.convert(msgspec.to_builtins(entries), list)
-    )
+    content = {"entries": entries}
     return _change("organisations", name, base, author, change, content)
 
 
--- a/teaselwall/configuration.py
+++ b/teaselwall/configuration.py
@@ -1,44 +1,21 @@
 """The configuration in force: a function of the log's records and their order."""
 
-import collections
 import logging
 
 import msgspec
 import trio
 
-from teaselwall import changes, events
+from teaselwall import changes, events, verdicts
 from teaselwall.generated import messages
 from teaselwall.generated import service as schema
 
 logger = logging.getLogger(__name__)
 
 STREAM = "configuration"
-MAX_HISTORY = 256
 MAX_SETTLED = 1000
 MAX_ORDERS = 64
 
 
-class Verdict:
-    """What the log's order decided on a change.
-
-    Attributes
-    ----------
-    accepted : bool
-    version : int
-        Version of the change, or of the accepted one that it lost to.
-    author, change : str
-        Of that same change.
-    """
-
-    __slots__ = ("accepted", "version", "author", "change")
-
-    def __init__(self, accepted, version, author, change):
-        self.accepted = accepted
-        self.version = version
-        self.author = author
-        self.change = change
-
-
 class State:
     """Configuration in force on this host.
 
@@ -60,10 +37,7 @@
         By kind and subject, the oldest change first.
     floor : int
         Version of subjects without an entry.
-    history : collections.OrderedDict of str to messages.HistoryEntry
-        Newest accepted changes by identifier.
-    voids : collections.OrderedDict of str to Verdict
-        Newest changes that lost, by identifier.
+    verdicts : verdicts.Verdicts
     orders : dict of str to messages.ConfigurationChange
         Emergency orders that the log has not decided, by identifier.
     unread : set of str
@@ -83,8 +57,7 @@
         "era",
         "entries",
         "floor",
-        "history",
-        "voids",
+        "verdicts",
         "orders",
         "unread",
         "positions",
@@ -97,7 +70,7 @@
         self.floor = 0
         self.rewritten_ms = 0
         self.orders = {}
-        self.voids = collections.OrderedDict()
+        self.verdicts = verdicts.Verdicts()
         self.changed = trio.Event()
         self._clear()
 
@@ -107,7 +80,6 @@
         self.servers_drained = set()
         self.era = 1
         self.entries = {}
-        self.history = collections.OrderedDict()
         self.unread = set()
         self.positions = {}
 
@@ -141,9 +113,9 @@
     def _decide(self, change, time_ms):
         if self.accepts(change):
             self._accept(change, time_ms)
-        elif change.change not in self.history:
-            verdict = self._winner(change)
-            _keep(self.voids, change.change, verdict)
+        else:
+            winner = self.entries.get(_key(change))
+            self.verdicts.void(change, self.version_of(change), winner)
         self._settle_orders()
 
     def accepts(self, change):
@@ -170,17 +142,8 @@
         )
 
     def verdict(self, change):
-        """Return the ``Verdict`` on a change, or None while it is open."""
-        taken = self.history.get(change.change)
-        if taken is not None:
-            return Verdict(True, taken.version, taken.author, taken.change)
-        return self.voids.get(change.change)
-
-    def _winner(self, change):
-        entry = self.entries.get(_key(change))
-        if entry is None:
-            return Verdict(False, self.floor, "", "")
-        return Verdict(False, entry.version, entry.author, entry.change)
+        """Return the ``verdicts.Verdict`` on a change, or None while it is open."""
+        return self.verdicts.find(change)
 
     def _accept(self, change, time_ms):
         key = _key(change)
@@ -193,7 +156,7 @@
         entry.change = change.change
         entry.author = change.author
         self.entries[key] = entry
-        self._note(change, time_ms)
+        self.verdicts.accept(change, self.version, time_ms)
         self._show(entry)
         if change.kind in ("data_centre", "server"):
             self._forget_settled()
@@ -222,17 +185,6 @@
             updated[position : position + 1] = [organisation]
         entry.content = msgspec.structs.replace(entry.content, organisations=updated)
 
-    def _note(self, change, time_ms):
-        entry = messages.HistoryEntry(
-            version=self.version,
-            kind=change.kind,
-            subject=change.subject,
-            change=change.change,
-            author=change.author,
-            time_ms=time_ms,
-        )
-        _keep(self.history, change.change, entry)
-
     def _show(self, entry):
         if entry.kind == "service":
             self._show_service(entry)
@@ -314,8 +266,7 @@
             floor=self.floor,
             rewritten_ms=self.rewritten_ms,
             entries=list(self.entries.values()),
-            history=list(self.history.values()),
-            orders=list(self.orders.values()),
+            history=list(self.verdicts.history.values()),
         )
 
     def restart(self, offset, record):
@@ -353,7 +304,7 @@
         self.version = snapshot.version
         self.floor = snapshot.floor
         self.rewritten_ms = snapshot.rewritten_ms
-        self.history.update((entry.change, entry) for entry in snapshot.history)
+        self.verdicts.load(snapshot.history)
         for entry in snapshot.entries:
             entry.content = _content(entry.kind, entry.content)
             self.entries[(entry.kind, entry.subject)] = entry
@@ -383,12 +334,6 @@
     return entry.kind == "server" and not entry.content["drained"]
 
 
-def _keep(table, name, value):
-    table[name] = value
-    while len(table) > MAX_HISTORY:
-        table.popitem(last=False)
-
-
 def _set_member(members, name, present):
     if present:
         members.add(name)
--- a/teaselwall/operators.py
+++ b/teaselwall/operators.py
@@ -50,7 +50,11 @@
             raise result.error
         document = result.ok
         self._check_pools(document)
-        self._check_room("services", self.state.services, document.service)
+        known = self.state.services
+        if document.service not in known and len(known) >= MAX_SERVICES:
+            detail = f"There are {MAX_SERVICES} services already."
+            remedy = "Change the document of one that is used no longer."
+            raise errors.InvalidRequest(detail, remedy=remedy)
         current = self.state.entries.get(("service", document.service))
         old = current.content if current is not None else None
         change = changes.smallest(document, old, call.base, call.author, call.change)
@@ -66,12 +70,6 @@
                 remedy = f"Use one of {known}, or start the pool's servers first."
                 raise errors.InvalidRequest(detail, remedy=remedy)
 
-    def _check_room(self, what, table, name):
-        limit = MAX_SERVICES if what == "services" else MAX_SERVERS_DRAINED
-        if name not in table and len(table) >= limit:
-            remedy = f"Remove some of the {what} first."
-            raise errors.InvalidRequest(f"There are {limit} {what}.", remedy=remedy)
-
     async def take_out(self, message):
         """Take a data centre out, by an emergency order if the log is away."""
         call = await self._read(message)
@@ -131,7 +129,9 @@
             detail = f"The host list has no backend server {call.name!r}."
             remedy = "Use an address that 'teaselwall server status' lists."
             raise errors.InvalidRequest(detail, remedy=remedy)
-        self._check_room("servers_drained", self.state.servers_drained, call.name)
+        if len(self.state.servers_drained) >= MAX_SERVERS_DRAINED:
+            detail = f"{MAX_SERVERS_DRAINED} backend servers are drained already."
+            raise errors.InvalidRequest(detail, remedy="Undrain some of them first.")
         change = changes.server(
             call.name, True, server.incarnation, call.base, call.author, call.change
         )
--- a/teaselwall/pictures.py
+++ b/teaselwall/pictures.py
@@ -53,7 +53,7 @@
         call = control.read(message, messages.OperatorCall)
         chosen = [
             entry
-            for entry in reversed(self.host.state.history.values())
+            for entry in reversed(self.host.state.verdicts.history.values())
             if call.name in ("", entry.subject)
         ]
         return messages.History(entries=chosen[: call.limit])
