--- a/teaselwall/tests/races.py
+++ b/teaselwall/tests/races.py
@@ -143,7 +143,6 @@
         self.told = {}
         self.faults = []
         self.reference = Reference()
-        self.n_restarts = 0
 
     def run(self):
         """Run the history; return the faults."""
@@ -279,11 +278,13 @@
         host.running.set()
 
     async def _restart(self):
-        host = self.random.choice(self.hosts)
+        self.restart(self.random.choice(self.hosts))
+
+    def restart(self, host):
+        """End a host and start another at its address."""
         host.scope.cancel()
         host.running.set()
         self.hosts.remove(host)
-        self.n_restarts += 1
         self._start(host.members.me.address)
 
     def _check_told(self):
--- a/teaselwall/tests/test_configuration.py
+++ b/teaselwall/tests/test_configuration.py
@@ -104,10 +104,10 @@
 ):
     cluster = races.Cluster(0)
     await cluster.open(nursery)
-    await cluster.hosts[0].follower.step()
+    host = races.Host(cluster, "host-that-follows-by-itself-only")
+    await host.follower.step()
     cluster.log.n_lose_replies = 1
-    base = cluster.hosts[0].state.version
-    change = changes.data_centre("tuz-a", True, base, "ayse")
-    result = await cluster.hosts[0].publisher.publish(change, publications.LIMIT_MS)
+    change = changes.data_centre("tuz-a", True, host.state.version, "ayse")
+    result = await host.publisher.publish(change, publications.LIMIT_MS)
     assert result.ok.accepted
     assert cluster.log.n_appends == 2
--- a/teaselwall/tests/test_operators.py
+++ b/teaselwall/tests/test_operators.py
@@ -13,13 +13,18 @@
 from teaselwall.tools import deployments
 
 TIMEOUT_MS = 15_000
+RETENTION_MS = 3000
+CLAIMS = {"era_ms": 1000, "n_eras_kept": 2, "retention_ms": RETENTION_MS}
 SAMPLE = deployments.SAMPLES / "directorate/services/itineraries.toml"
 
 
 @pytest.fixture
 async def deployment(tmp_path):
     running = deployments.Deployment(
-        "directorate", pathlib.Path(tmp_path), n_entry_hosts=3
+        "directorate",
+        pathlib.Path(tmp_path),
+        n_entry_hosts=3,
+        overrides={"claims": CLAIMS},
     )
     try:
         await running.start()
@@ -130,6 +135,26 @@
     await deployment._await_answer(deployment.entry_hosts[3].callers, "/readyz")
 
 
+async def test_configuration_outlives_the_records_of_its_changes(deployment):
+    log = deployment.parts["log"]
+    before = (await call(deployment, 0, "services/show", name="itineraries")).ok
+    await deployment.set_faults(log, retention_ms=RETENTION_MS)
+    while (await deployment.log.read("configuration", 0, 1, 1000)).ok.first < 5:
+        await trio.sleep(0.2)
+    await start_host(deployment, "alone", [])
+    await deployment._await_answer(deployment.entry_hosts[3].callers, "/readyz")
+    after = (await call(deployment, 3, "services/show", name="itineraries")).ok
+    assert after["version"] == before["version"]
+    assert after["document"] == before["document"]
+
+
+async def test_change_reaches_hosts_whose_long_poll_went_silent(deployment):
+    await deployment.set_faults(deployment.parts["log"], silent=True)
+    out = await call(deployment, 0, "data-centres/out", name="tuz-b")
+    assert out.ok["outcome"] == "accepted"
+    assert out.ok["n_in_force"] == 3
+
+
 async def test_unknown_pool_data_centre_and_server_are_refused(deployment):
     wrong = document(4000)
     wrong["stages"][0]["pool"] = "nowhere"
--- a/teaselwall/tests/test_races.py
+++ b/teaselwall/tests/test_races.py
@@ -102,3 +102,20 @@
     change = changes.data_centre("tuz-a", True, result.ok, "operator")
     verdict = await cluster.hosts[1].publisher.publish(change)
     assert verdict.ok.accepted
+
+
+async def test_fresh_host_takes_the_newest_state_of_its_peers(nursery, autojump_clock):
+    cluster = races.Cluster(0)
+    await cluster.open(nursery)
+    await trio.sleep(1)
+    old, newer, restarted = cluster.hosts[:3]
+    old.running = trio.Event()
+    await trio.sleep(2 * followers.WAIT_MS / 1000)
+    change = changes.data_centre("tuz-a", True, newer.state.version, "ayse")
+    assert (await newer.publisher.publish(change)).ok.accepted
+    assert old.state.version < newer.state.version
+    cluster.log.outage = True
+    cluster.restart(restarted)
+    while not cluster.hosts[-1].follower.ready():
+        await trio.sleep(races.START_CHECK_S)
+    assert cluster.hosts[-1].state.data_centres_out == {"tuz-a"}
