--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,27 +3,37 @@
 import trio
 
 from teaselwall import (
+    budgets,
+    claims,
     clock,
     configuration,
     confirmations,
     control,
     dispatch,
     engines,
+    eras,
+    evidence,
     fleet,
     followers,
     gossip,
+    guards,
     hostlist,
     logservice,
     membership,
     metrics,
     operators,
     orders,
+    ownercalls,
+    ownerships,
     peers,
     pickers,
     pictures,
     pipelines,
     pools,
+    probes,
     publications,
+    quarantine,
+    recorders,
     snapshots,
     traces,
     transport,
@@ -55,7 +65,12 @@
         "membership",
         "gossip",
         "fleet",
+        "suspects",
+        "evidence",
         "dispatcher",
+        "ownerships",
+        "claims",
+        "eras",
         "pipeline",
         "hand_overs",
     )
@@ -99,8 +114,31 @@
             settings.routing.host_list_interval_ms,
             timeout_ms,
         )
+        self.suspects = quarantine.Quarantine(self.clock)
+        self.suspects.add_handlers(self.control)
+        self.evidence = evidence.EvidenceLog(
+            self.clock, self.log, self.suspects, timeout_ms
+        )
         self.dispatcher = self._dispatcher()
-        self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.ownerships = ownerships.Ownerships(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims,
+            timeout_ms,
+        )
+        self.ownerships.add_handlers(self.control)
+        self.claims = self._claims()
+        self.eras = eras.EraClock(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims.era_ms,
+            timeout_ms,
+        )
+        self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
         self.hand_overs = []
         self._register_operators()
 
@@ -134,6 +172,25 @@
             self.metrics,
             self.tracer,
             self.settings.limits.silence_ms,
+            budgets.RetryBudgets(
+                self.clock, self.settings.routing.retry_budget_percent
+            ),
+            guards.Guard(self.suspects, probes.HttpProber(self.transport)),
+        )
+
+    def _claims(self):
+        calls = ownercalls.OwnerCalls(
+            self.clock, self.peers, self.ownerships, self.membership
+        )
+        return claims.Claims(
+            self.clock,
+            calls,
+            recorders.Recorder(self.clock, calls),
+            self.dispatcher,
+            self.state,
+            self.membership,
+            self.settings.claims.n_partitions,
+            self.settings.limits.max_result_bytes,
         )
 
     async def serve(self, request, sink):
@@ -142,8 +199,12 @@
 
     def ready(self):
         """Return whether callers may be sent here."""
-        draining = self.membership.me.draining
-        return not draining and self.follower.ready() and self.fleet.seen
+        return (
+            not self.membership.me.draining
+            and self.follower.ready()
+            and self.fleet.seen
+            and self.evidence.settled
+        )
 
     async def run(self):
         """Run the background tasks until cancelled."""
@@ -153,3 +214,7 @@
             nursery.start_soon(self.rewriter.run)
             nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.ownerships.run)
+            nursery.start_soon(self.claims.run)
+            nursery.start_soon(self.eras.run)
+            nursery.start_soon(self.evidence.run)
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -10,7 +10,7 @@
 
 from teaselwall.generated import messages
 
-N_DELEGATES = 4
+N_DELEGATES = 3
 NONCE_BYTES = 6
 SUMMARY_INTERVALS = 5
 SUMMARY_DEAD_FACTOR = 3
@@ -161,6 +161,11 @@
         """Return whether a process is believed alive."""
         return any(member.nonce == nonce for member in self.alive())
 
+    def find(self, address):
+        """Return the live member at a peer address, or None."""
+        found = [member for member in self.alive() if member.address == address]
+        return max(found, key=lambda member: member.seen_ms, default=None)
+
     def beat(self):
         """Count the own heartbeat up and refresh the own summary where due."""
         self.me.heartbeat += 1
--- a/teaselwall/tools/callers.py
+++ b/teaselwall/tools/callers.py
@@ -174,10 +174,17 @@
         for block in blocks:
             _take(block, done, started)
     if response.status != 200:
-        done.answer = msgspec.json.decode(rest)
+        done.answer = _decode(rest)
         done.outcome = done.answer.get("outcome", "")
 
 
+def _decode(body):
+    try:
+        return msgspec.json.decode(body, type=dict)
+    except msgspec.DecodeError:
+        return {}
+
+
 def _take(block, done, started):
     name, _, data = block.partition(b"\ndata: ")
     message = msgspec.json.decode(data)
