--- a/teaselwall/operators.py
+++ b/teaselwall/operators.py
@@ -156,6 +156,10 @@
             detail = "The log has lost nothing that this entry host needs."
             remedy = "Publish as usual; a restart is for a gap in the log only."
             raise errors.Conflict(detail, remedy=remedy)
+        if self.state.unread:
+            detail = "This entry host cannot read all documents in force."
+            remedy = "Ask an entry host with the newest version of the program."
+            raise errors.Conflict(detail, remedy=remedy)
         result = await self.publisher.restart(call.author)
         if result.is_error():
             raise result.error
--- a/teaselwall/publications.py
+++ b/teaselwall/publications.py
@@ -87,7 +87,7 @@
             end=page.ok.end,
             change=changes.new_id(),
             author=author,
-            text=snapshots.encode(self.follower.state),
+            text=snapshots.encode_restart(self.follower.state, page.ok.end),
         )
         data = msgspec.to_builtins(record)
         result = await self.log.append(configuration.STREAM, data, timeout_ms)
--- a/teaselwall/snapshots.py
+++ b/teaselwall/snapshots.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from teaselwall import configuration, events, turns
+from teaselwall import changes, configuration, events, turns
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -30,6 +30,33 @@
     return msgspec.json.encode(state.snapshot()).decode()
 
 
+def encode_restart(state, end):
+    """Return a state as JSON text for a restart, with an era newer than any before.
+
+    The lost records may have begun eras. Each took a record, so none is over the
+    log's end; keys of all older eras are refused rather than run again.
+
+    Parameters
+    ----------
+    state : configuration.State
+    end : int
+        Offset after the newest record of the log.
+    """
+    snapshot = state.snapshot()
+    era = messages.ConfigurationEntry(
+        kind="era",
+        subject=changes.ERA_SUBJECT,
+        version=state.version,
+        change=changes.new_id(),
+        author="restart",
+        content={"era": end + 1},
+        document_version=state.version,
+    )
+    kept = [entry for entry in snapshot.entries if entry.kind != "era"]
+    snapshot.entries = [*kept, era]
+    return msgspec.json.encode(snapshot).decode()
+
+
 def decode(text):
     """Return the snapshot in a text, or None where it cannot be read."""
     try:
--- a/teaselwall/tests/test_races.py
+++ b/teaselwall/tests/test_races.py
@@ -99,6 +99,7 @@
     assert result.is_ok()
     await trio.sleep(4)
     assert not any(host.follower.log_gap for host in cluster.hosts)
+    assert all(host.state.era > 1 for host in cluster.hosts)
     change = changes.data_centre("tuz-a", True, result.ok, "operator")
     verdict = await cluster.hosts[1].publisher.publish(change)
     assert verdict.ok.accepted
