Say why nothing was changed where there is no terminal

Ruled out: asking on a pipe.

Change: one line of error; the guide's commands were tried against the demo.

--- a/teaselwall/console.py
+++ b/teaselwall/console.py
@@ -127,7 +127,10 @@
 
     def agreed(self, question):
         """Return whether the operator agrees; scripts say so with ``--yes``."""
-        return self.option("yes") or self.confirm(question, False)
+        if self.option("yes") or self.confirm(question, False):
+            return True
+        self.line_error("Nothing was changed. Without a terminal, say --yes.")
+        return False
 
     def change(self, client, path, call):
         """Make the change, print where it is in force, return the exit status."""
