--- a/teaselwall/attempts.py
+++ b/teaselwall/attempts.py
@@ -17,6 +17,8 @@
     stage : generated.service.Stage
     rest_ms : float
         Expected time of the stages that come after this one.
+    prefix : int, optional
+        Hash of the prompt's prefix, for servers that may have it cached.
 
     Attributes
     ----------
@@ -32,16 +34,18 @@
         "request",
         "stage",
         "rest_ms",
+        "prefix",
         "tried",
         "data_centres",
         "n_made",
         "error",
     )
 
-    def __init__(self, request, stage, rest_ms):
+    def __init__(self, request, stage, rest_ms, prefix=None):
         self.request = request
         self.stage = stage
         self.rest_ms = rest_ms
+        self.prefix = prefix
         self.tried = set()
         self.data_centres = set()
         self.n_made = 0
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -14,6 +14,8 @@
     events,
     guards,
     outcomes,
+    pickers,
+    prefixes,
     services,
     traces,
 )
@@ -137,7 +139,7 @@
         wanted = self.guard.beside(made) if trial is None else trial.server
         server = self._open_server(made, wanted)
         if server is None and trial is None:
-            server = self.choose(made.stage, made.tried, made.data_centres)
+            server = self.choose(made)
         if server is None:
             return _no_server(made.stage)
         if not made.possible(server.latency_ms):
@@ -152,24 +154,23 @@
         choices = self.fleet.choices(made.stage.pool)
         return next((s for s in choices if s.address == address), None)
 
-    def choose(self, stage, tried, data_centres=frozenset()):
+    def choose(self, made):
         """Return the server for the next attempt, or None.
 
         Parameters
         ----------
-        stage : generated.service.Stage
-        tried : set of str
-            Addresses.
-        data_centres : set of str
-            Avoided where servers elsewhere may get work.
+        made : attempts.Attempts
+            Servers elsewhere than the data centres tried go first.
         """
-        choices = self.fleet.choices(stage.pool)
-        if data_centres:
-            elsewhere = [s for s in choices if s.data_centre not in data_centres]
-            server = self.picker.pick(elsewhere, tried)
+        stage = made.stage
+        call = pickers.call_of(made.request, stage, made.prefix)
+        choices = self.fleet.choices(stage.pool, made.prefix)
+        if made.data_centres:
+            elsewhere = [s for s in choices if s.data_centre not in made.data_centres]
+            server = self.picker.pick(elsewhere, made.tried, call)
             if server is not None:
                 return server
-        return self.picker.pick(choices, tried)
+        return self.picker.pick(choices, made.tried, call)
 
     def _may_retry(self, made, n_tokens=0):
         if not made.safe() or not made.possible(0) or not self._has_other(made):
@@ -198,7 +199,10 @@
             inputs=inputs,
         )
         backend = self.backends[stage.kind]
-        with self.tracking(request, stage, server, call.attempt) as span:
+        with (
+            self.tracking(request, stage, server, call.attempt) as span,
+            server.calling(self.clock) as counted,
+        ):
             with outcomes.noting(request, stage) as outcome:
                 result = await backend.run(
                     server, call, timeout_ms, [traces.header(span)], **_options(made)
@@ -206,6 +210,7 @@
                 outcome.take(result)
             if result.is_error():
                 note_failure(span, result.error)
+                counted.fail(result.error)
             else:
                 self.retries.of(stage.pool).note_success()
         return result.map(lambda reply: reply.output)
@@ -227,14 +232,11 @@
             attempt=attempt,
             request=request.id,
         )
-        server.in_flight += 1
         started_ms = self.clock.now_ms()
         try:
             yield span
         finally:
-            server.in_flight -= 1
             elapsed_ms = self.clock.now_ms() - started_ms
-            server.note_latency(elapsed_ms)
             self.metrics.observe_ms(
                 "stage", elapsed_ms, stage=stage.name, service=request.document.service
             )
@@ -268,7 +270,10 @@
         """
         tokens = []
         made = attempts.Attempts(
-            request, stage, services.rest_ms(request.document, stage)
+            request,
+            stage,
+            services.rest_ms(request.document, stage),
+            prefixes.prefix_of(prompt),
         )
         while True:
             result = await self._guarded(made, self._stream, prompt, tokens, sink)
@@ -305,7 +310,11 @@
         first_ms = min(made.part_ms(), max(self.silence_ms, stage.expected_ms))
         silence_ms = min(self.silence_ms, first_ms)
         engine = self.backends["engine"]
-        with self.tracking(request, stage, server, call.attempt) as span:
+        n_units = pickers.n_units(stage) - len(tokens)
+        with (
+            self.tracking(request, stage, server, call.attempt) as span,
+            server.calling(self.clock, n_units) as counted,
+        ):
             with outcomes.noting(request, stage) as outcome:
                 try:
                     async with engine.generate(
@@ -320,6 +329,7 @@
                     result = expression.Ok(tokens)
                 except errors.TransportError as error:
                     note_failure(span, error)
+                    counted.fail(error)
                     result = expression.Error(error)
                 outcome.take(result)
             span.set_attribute("n_tokens", len(tokens))
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -4,13 +4,19 @@
 import msgspec
 import trio
 
-from teaselwall import clock, errors, logservice
+from teaselwall import clock, errors, logservice, membership
 from teaselwall.generated import messages
 from teaselwall.tools import log
 
 CALL_MS = 2
 
 
+def member(address, data_centre="a", nonce=""):
+    """Return an entry host as membership knows it."""
+    row = messages.MemberRow(address, address, data_centre, nonce or address, 0)
+    return membership.Member(row, 0)
+
+
 class FakeLog(logservice.LogService):
     """The log service in memory, with faults.
 
