Let an asked host without the log take the version from a peer

Cause: a host cut off from the log stayed behind until its own long poll had timed out, 5 s later, though it was asked for the version.

Ruled out: sending the records along with the question; peers hold the state anyway.

Change: reach() asks peers once half its limit has passed without the log.

Conclusion: a host that reaches its peers is as new as they are.

--- a/teaselwall/followers.py
+++ b/teaselwall/followers.py
@@ -155,6 +155,8 @@
     async def reach(self, version, limit_ms):
         """Read at once, beside the open long poll, until a version is applied.
 
+        A host that cannot reach the log takes the version from a peer.
+
         Returns
         -------
         bool
@@ -162,7 +164,10 @@
         """
         with self.clock.timeout_ms(limit_ms):
             while self.state.version < version:
-                await self.step()
+                with self.clock.timeout_ms(limit_ms / 2):
+                    await self.step()
+                if self.state.version < version:
+                    await self.learn_from_peers()
                 if self.state.version < version:
                     await self.clock.sleep_ms(RETRY_MS)
         return self.state.version >= version
--- a/teaselwall/tests/test_races.py
+++ b/teaselwall/tests/test_races.py
@@ -4,7 +4,7 @@
 import trio
 
 from teaselwall import changes, configuration, followers, publications, snapshots
-from teaselwall.tests import races
+from teaselwall.tests import fakes, races
 
 N_RACES = 100
 N_MUTANT_RACES = 30
@@ -120,3 +120,23 @@
     while not cluster.hosts[-1].follower.ready():
         await trio.sleep(races.START_CHECK_S)
     assert cluster.hosts[-1].state.data_centres_out == {"tuz-a"}
+
+
+async def test_asked_host_that_cannot_reach_the_log_learns_from_peers(
+    nursery, autojump_clock
+):
+    cluster = races.Cluster(0)
+    await cluster.open(nursery)
+    await trio.sleep(1)
+    publisher = cluster.hosts[0].publisher
+    cut_off = races.Host(cluster, "host-cut-off")
+    await cut_off.follower.step()
+    cut_off.follower.log = fakes.FakeLog(nursery)
+    cut_off.follower.log.outage = True
+    change = changes.data_centre("tuz-a", True, 1, "ayse")
+    verdict = (await publisher.publish(change)).ok
+    path = "/peer/configuration/version"
+    ask = cluster.network.handlers["host-cut-off"][path]
+    reply = await ask({"version": verdict.version})
+    assert reply.version >= verdict.version
+    assert cut_off.state.data_centres_out == {"tuz-a"}
