Measure readers and documents of three sizes

Cause: slopes need three sizes.

Ruled out: more changes a run; the bench is to stay under a minute.

Change: 50, 150 and 450 readers; 5, 2,000 and 16,000 organisations.

--- a/teaselwall/tools/bench_configuration.py
+++ b/teaselwall/tools/bench_configuration.py
@@ -26,8 +26,7 @@
 N_HOSTS = 8
 N_CHANGES = 40
 N_RACES = 500
-N_READERS = 450
-N_ORGANISATIONS = 16_000
+N_READERS = (50, 150, 450)
 N_APPLIED = 200
 TARGET_MS = 2000
 PLANNED_TARGET_MS = 14_000
@@ -44,7 +43,8 @@
         return (
             _races()
             | _apply_cost("", 5)
-            | _apply_cost("_16000_organisations", N_ORGANISATIONS)
+            | _apply_cost("_2000_organisations", 2000)
+            | _apply_cost("_16000_organisations", 16_000)
             | trio.run(_deployed)
         )
     finally:
@@ -82,29 +82,29 @@
     document = _document(n_organisations)
     whole = changes.service(document, 0, "bench")
     state.apply(0, changes.record(whole))
-    pages = []
-    for offset in range(1, N_APPLIED + 1):
-        name = f"organisation-{offset % n_organisations}"
-        entry = schema.Organisation(name=name, share=2)
-        change = changes.organisations(document.service, [entry], offset, "bench")
-        pages.append(_page(offset, change))
+    pages = [
+        _page(offset, _organisation_change(document, offset))
+        for offset in range(1, N_APPLIED + 1)
+    ]
     started_ns = time.process_time_ns()
     for page in pages:
         for record in msgspec.json.decode(page, type=messages.LogRecords).records:
             state.apply(record.offset, record.data)
     cost_us = (time.process_time_ns() - started_ns) / N_APPLIED / NS_PER_US
-    n_bytes = len(pages[0])
+    n_whole_bytes = len(_page(0, whole))
     return {
         f"config_cpu_us_per_change{suffix}": (round(cost_us, 1), "us", None),
-        f"config_bytes_per_change{suffix}": (n_bytes, "bytes", None),
-        f"config_bytes_whole_document{suffix}": (
-            len(_page(0, whole)),
-            "bytes",
-            None,
-        ),
+        f"config_bytes_per_change{suffix}": (len(pages[0]), "bytes", None),
+        f"config_bytes_whole_document{suffix}": (n_whole_bytes, "bytes", None),
     }
 
 
+def _organisation_change(document, offset):
+    name = document.organisations[offset % len(document.organisations)].name
+    entry = schema.Organisation(name=name, share=2)
+    return changes.organisations(document.service, [entry], offset, "bench")
+
+
 def _page(offset, change):
     """Return the log's answer that carries one change to one reader."""
     record = messages.LogRecord(offset=offset, time_ms=0, data=changes.record(change))
@@ -121,7 +121,8 @@
         try:
             await deployment.start()
             figures = await _in_force(deployment)
-            figures |= await _many_readers(deployment)
+            for n_readers in N_READERS:
+                figures |= await _many_readers(deployment, n_readers)
             figures |= await _fresh_hosts(deployment)
         finally:
             await deployment.stop()
@@ -183,9 +184,9 @@
         return []
 
 
-async def _many_readers(deployment):
+async def _many_readers(deployment, n_readers):
     """Let many readers, each with its own connection, follow the log stand-in."""
-    states = [configuration.State() for _ in range(N_READERS)]
+    states = [configuration.State() for _ in range(n_readers)]
     async with trio.open_nursery() as nursery:
         for state in states:
             nursery.start_soon(_reader(deployment, state).run)
@@ -198,7 +199,7 @@
         await _await_change(states, change)
         elapsed_ms = (time.perf_counter_ns() - started_ns) / NS_PER_MS
         nursery.cancel_scope.cancel()
-    name = f"config_in_force_{N_READERS}_readers_one_process_ms"
+    name = f"config_in_force_{n_readers}_readers_one_process_ms"
     return {name: (round(elapsed_ms, 1), "ms", PLANNED_TARGET_MS)}
 
 
