--- a/teaselwall/claims.py
+++ b/teaselwall/claims.py
@@ -129,6 +129,7 @@
         "max_result_bytes",
         "nursery",
         "numbers",
+        "n_jobs",
     )
 
     def __init__(
@@ -152,6 +153,11 @@
         self.max_result_bytes = max_result_bytes
         self.nursery = None
         self.numbers = itertools.count(1)
+        self.n_jobs = 0
+
+    def is_settled(self):
+        """Return whether every job has ended and every outcome is recorded."""
+        return self.n_jobs == 0 and self.recorder.is_settled()
 
     async def run(self):
         """Run the jobs until cancelled."""
@@ -184,6 +190,7 @@
             detail = "The Idempotency-Key has no prefix."
             return expression.Error(_invalid(detail, errors.Outcome.NOT_RUN))
         job = self._job(request, stage, inputs, era)
+        self.n_jobs += 1
         self.nursery.start_soon(self._run, job)
         await job.done.wait()
         return job.result
@@ -209,6 +216,7 @@
             events.log(logger, logging.ERROR, "claim_failed", detail=repr(error))
             job.result = _unknown("The call failed inside this entry host.")
         finally:
+            self.n_jobs -= 1
             job.done.set()
 
     async def _claim_and_call(self, job):
--- a/teaselwall/recorders.py
+++ b/teaselwall/recorders.py
@@ -29,13 +29,18 @@
         and its key is answered as unknown from then on.
     """
 
-    __slots__ = ("clock", "calls", "deferred", "wake")
+    __slots__ = ("clock", "calls", "deferred", "wake", "n_in_hand")
 
     def __init__(self, clock, calls):
         self.clock = clock
         self.calls = calls
         self.deferred = collections.deque(maxlen=MAX_DEFERRED)
         self.wake = trio.Event()
+        self.n_in_hand = 0
+
+    def is_settled(self):
+        """Return whether nothing is left to record."""
+        return not self.deferred and not self.n_in_hand
 
     async def record(self, ask, within_ms):
         """Record an outcome while somebody waits for it.
@@ -68,7 +73,9 @@
             await self.wake.wait()
             self.wake = trio.Event()
             asks = [self.deferred.popleft() for _ in range(len(self.deferred))]
+            self.n_in_hand = len(asks)
             remaining = await self._record_all(asks)
+            self.n_in_hand = 0
             if remaining:
                 self.deferred.extend(remaining)
                 self.wake.set()
--- /dev/null
+++ b/teaselwall/tests/test_histories.py
@@ -0,0 +1,125 @@
+import pytest
+
+from teaselwall import grants, owners, partitions, recorders, snapshots
+from teaselwall.generated import messages
+from teaselwall.tools import histories
+
+N_HISTORIES = 250
+
+
+def test_histories_with_faults_hold():
+    findings = histories.Findings()
+    for seed in range(N_HISTORIES):
+        run = histories.make(seed)
+        findings.check(run.calls, run.effects)
+        assert findings.total() == 0, f"seed {seed}, faults {run.faults}"
+
+
+async def grant_unread(owner, kind, entries):
+    """Grant by the reply of the append, without reading it back."""
+    record = messages.PartitionRecord(
+        kind=kind,
+        epoch=owner.epoch,
+        number=owner.partition.number + 1,
+        entries=entries,
+    )
+    while (await owner.log.append(owner.partition.stream, record, 1000)).is_error():
+        await owner._await_log()
+    owner.partition.number += 1
+    for entry in entries:
+        owner.partition._apply_entry(entry)
+    owner._finish_in_hand()
+    return True
+
+
+def without_read_back(monkeypatch):
+    monkeypatch.setattr(owners.Owner, "commit", grant_unread)
+
+
+def without_claim_id(monkeypatch):
+    def is_open(partition, held, claim):
+        return held is not None and held.kind == "claim"
+
+    monkeypatch.setattr(partitions.Partition, "is_open", is_open)
+
+
+def without_conflict_check(monkeypatch):
+    look_up = grants.Granter.look_up
+
+    def look_up_any_body(granter, entry):
+        held = granter.owner.partition.claims.get(entry.key, entry)
+        entry.body_hash = held.body_hash
+        return look_up(granter, entry)
+
+    monkeypatch.setattr(grants.Granter, "look_up", look_up_any_body)
+
+
+def without_rewriting(monkeypatch):
+    monkeypatch.setattr(snapshots, "due", lambda partition, retention_ms: False)
+
+
+def without_rewriting_and_floor(monkeypatch):
+    without_rewriting(monkeypatch)
+    recover = partitions.Partition.recover
+
+    async def recover_unaware(partition):
+        result = await recover(partition)
+        partition.lost = False
+        return result
+
+    monkeypatch.setattr(partitions.Partition, "recover", recover_unaware)
+
+
+def without_check_of_open_claims(monkeypatch):
+    async def check(granter):
+        return None
+
+    monkeypatch.setattr(grants.Granter, "_check", check)
+
+
+def without_waiting_for_the_record(monkeypatch):
+    async def record(recorder, ask, within_ms):
+        recorder.record_later(ask)
+        return True
+
+    monkeypatch.setattr(recorders.Recorder, "record", record)
+
+
+MUTANTS = [
+    (without_read_back, "pause diverge", "n_doubled"),
+    (without_claim_id, "lose_peer_replies", "n_doubled"),
+    (without_conflict_check, "lose_peer_replies", "n_misdelivered"),
+    (without_rewriting, "retention", "n_lost"),
+    (without_rewriting_and_floor, "retention", "n_doubled"),
+    (without_check_of_open_claims, "lose_peer_replies diverge", "n_lost"),
+    (without_waiting_for_the_record, "outage kill", "n_lost"),
+]
+
+
+@pytest.mark.parametrize("mutant, faults, finding", MUTANTS)
+def test_checker_catches_a_missing_guard(monkeypatch, mutant, faults, finding):
+    mutant(monkeypatch)
+    findings = histories.Findings()
+    for seed in range(N_HISTORIES):
+        run = histories.make(seed, faults=faults.split())
+        findings.check(run.calls, run.effects)
+        if getattr(findings, finding):
+            return
+    pytest.fail(f"not seen in {N_HISTORIES} histories")
+
+
+def test_checker_sees_each_violation():
+    call = histories.Call("call-1", "key", "body")
+    call.outcome = "not_run"
+    call.answered_ms = 5
+    other = histories.Call("call-2", "other", "body")
+    other.output = histories.receipt("key", "body", "call-1")
+    lost = histories.Call("call-3", "key", "body")
+    lost.outcome = "lost"
+    effects = [histories.Effect("call-1", "key", "body", at) for at in (9, 10)]
+    findings = histories.Findings()
+    findings.check([call, other, lost], effects)
+    assert findings.n_doubled == 1
+    assert findings.n_misdelivered == 1
+    assert findings.n_false_not_run == 1
+    assert findings.n_lost == 1
--- a/teaselwall/tools/histories.py
+++ b/teaselwall/tools/histories.py
@@ -32,6 +32,7 @@
 N_KEYS = 4
 RUN_MS = 5000
 HEALED_MS = 4000
+START_MS = 50
 DEADLINE_MS = 1500
 MAX_CALLS_PER_KEY = 4
 OTHER_BODY_SHARE = 0.1
@@ -339,9 +340,19 @@
                 self.start(address)
         self.show_members()
         await self.clock.sleep_ms(HEALED_MS)
+        await self._read_recorded()
         if self.log.retention_ms:
             await self.clock.sleep_ms(2 * RETENTION_MS)
-        for call in [c for c in self.calls if c.recorded]:
+        for address, host in list(self.hosts.items()):
+            host.kill()
+            self.start(address)
+        await self.clock.sleep_ms(START_MS)
+        await self._read_recorded()
+
+    async def _read_recorded(self):
+        """Ask every host again for what it said to be recorded."""
+        recorded = {call.key: call for call in self.calls if call.recorded}
+        for call in recorded.values():
             for host in self.hosts.values():
                 again = await self.send(call.key, call.body, host)
                 if again.output != call.output:
