--- a/teaselwall/claims.py
+++ b/teaselwall/claims.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from teaselwall import errors, events, ownercalls
+from teaselwall import errors, events, ownercalls, snapshots
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -150,7 +150,7 @@
         self.state = state
         self.membership = membership
         self.n_partitions = n_partitions
-        self.max_result_bytes = max_result_bytes
+        self.max_result_bytes = min(max_result_bytes, snapshots.MAX_RECORD_BYTES)
         self.nursery = None
         self.numbers = itertools.count(1)
         self.n_jobs = 0
--- a/teaselwall/owners.py
+++ b/teaselwall/owners.py
@@ -5,6 +5,7 @@
 read back, so that an owner who was replaced unawares grants nothing.
 """
 
+import collections
 import logging
 import secrets
 
@@ -20,7 +21,6 @@
 HOUSEKEEPING_SHARE = 32
 MIN_HOUSEKEEPING_MS = 100
 MAX_HOUSEKEEPING_MS = 60000
-MAX_BATCH_ENTRIES = 500
 MAX_COPIES = 2
 
 
@@ -77,7 +77,7 @@
         When this host last lost the partition to another.
     successor : str
         Peer address of that other host.
-    queue, in_hand : list of Pending
+    queue, in_hand : sequence of Pending
         What waits for the next record, and what is in the present one.
     turned_ms : float
         When the log was last asked; one turn each batch interval.
@@ -122,7 +122,7 @@
         self.log_away = False
         self.superseded_ms = None
         self.successor = ""
-        self.queue = []
+        self.queue = collections.deque()
         self.in_hand = []
         self.turned_ms = 0.0
         self.n_appends = 0
@@ -250,15 +250,21 @@
         is_raised = self._floor() > self.partition.floor
         if not self.queue and not is_raised:
             return True
-        self.in_hand = self.queue[:MAX_BATCH_ENTRIES]
-        del self.queue[:MAX_BATCH_ENTRIES]
-        for pending in self.in_hand:
-            pending.sent = True
+        self._take_in_hand()
         entries = [p.entry for p in self.in_hand if p.entry is not None]
         if entries or is_raised:
             return await self.commit("batch", entries)
         return await self._read_only()
 
+    def _take_in_hand(self):
+        n_bytes = 0
+        self.in_hand = []
+        while self.queue and n_bytes < snapshots.MAX_RECORD_BYTES:
+            pending = self.queue.popleft()
+            pending.sent = True
+            self.in_hand.append(pending)
+            n_bytes += snapshots.size(pending.entry) if pending.entry else 0
+
     async def _read_only(self):
         self.turned_ms = self.clock.now_ms()
         if (await self.partition.catch_up()).is_error():
@@ -336,7 +342,8 @@
         _refuse(self.in_hand, "log_away")
         _refuse(self.queue, "log_away")
         # Claims that never went out are dropped; releases still have to go out.
-        self.queue = [p for p in self.queue if p.entry and p.entry.kind == "not_run"]
+        releases = [p for p in self.queue if p.entry and p.entry.kind == "not_run"]
+        self.queue = collections.deque(releases)
         self._notify()
 
     def _step_down(self):
@@ -350,7 +357,7 @@
         _refuse(self.in_hand, "moved")
         _refuse(self.queue, "moved")
         self.in_hand = []
-        self.queue = []
+        self.queue = collections.deque()
         self._notify()
 
     def give_up(self, pending):
--- a/teaselwall/partitions.py
+++ b/teaselwall/partitions.py
@@ -9,8 +9,7 @@
 
 from teaselwall.generated import messages
 
-READ_LIMIT = 500
-SCAN_RECORDS = 200
+READ_LIMIT = 20
 WAIT_MS = 100
 PAST_END = 2**53
 NO_SNAPSHOT = -1
@@ -124,11 +123,11 @@
         # it is written only once the snapshot has been read back.
         stop = end
         while stop > first:
-            start = max(first, stop - SCAN_RECORDS)
+            start = max(first, stop - READ_LIMIT)
             result = await self._read(start, stop - start)
             if result.is_error():
                 return result
-            pointers = [_decode(r).snapshot for r in result.ok.records]
+            pointers = [decode(r.data).snapshot for r in result.ok.records]
             newest = max(pointers, default=NO_SNAPSHOT)
             if newest > NO_SNAPSHOT:
                 return expression.Ok(newest)
@@ -177,7 +176,7 @@
             raise Gap(f"Records up to {reading.first} of {self.stream} are gone.")
         self.log_ms = reading.now_ms
         for record in reading.records:
-            self.apply(record.offset, record.time_ms, _decode(record))
+            self.apply(record.offset, record.time_ms, decode(record.data))
         return expression.Ok(reading.end)
 
     async def _read(self, offset, limit, wait_ms=0):
@@ -258,5 +257,6 @@
         self.claims = {k: e for k, e in self.claims.items() if e.era >= floor}
 
 
-def _decode(record):
-    return msgspec.convert(record.data, messages.PartitionRecord)
+def decode(data):
+    """Return the struct of a record's data."""
+    return msgspec.convert(data, messages.PartitionRecord)
--- a/teaselwall/snapshots.py
+++ b/teaselwall/snapshots.py
@@ -1,11 +1,10 @@
 """Writing the live claims of a partition again before the log drops them."""
 
-import msgspec
-
 RETENTION_SHARE = 4
 MIN_TAIL_ENTRIES = 2000
-MAX_RECORD_BYTES = 256 * 1024
+MAX_RECORD_BYTES = 128 * 1024
 MAX_RECORD_ENTRIES = 500
+ENTRY_BYTES = 400
 
 
 def due(partition, retention_ms):
@@ -62,5 +61,10 @@
         entry = partition.claims.get(keys.pop())
         if entry is not None:
             entries.append(entry)
-            n_bytes += len(msgspec.json.encode(entry))
+            n_bytes += size(entry)
     return entries
+
+
+def size(entry):
+    """Return about how many bytes an entry takes in a record, escapes included."""
+    return ENTRY_BYTES + 2 * len(entry.result)
