Refuse claims under another number of partitions, and before the era is known

Cause: a host set to another number of partitions claims a key in another stream and runs it a second time; a host that takes a partition over before it has read the configuration knows a wrong era. A record that cannot be decoded ended the process.

Change: records and asks carry the number of partitions, and a host whose number differs grants nothing and names the remedy; ownership waits for the configuration; wrong records are passed over; an open claim is answered as unknown at once while the log is away.

--- a/teaselwall/claims.py
+++ b/teaselwall/claims.py
@@ -57,7 +57,7 @@
     ----------
     entry : messages.ClaimEntry
         The claim; its id changes with each ask.
-    partition : int
+    partition, n_partitions : int
     abandoned : list of str
         Ids of claims that may have been granted and are not used.
     done : trio.Event
@@ -70,17 +70,19 @@
         "inputs",
         "entry",
         "partition",
+        "n_partitions",
         "abandoned",
         "done",
         "result",
     )
 
-    def __init__(self, request, stage, inputs, entry, partition):
+    def __init__(self, request, stage, inputs, entry, n_partitions):
         self.request = request
         self.stage = stage
         self.inputs = inputs
         self.entry = entry
-        self.partition = partition
+        self.n_partitions = n_partitions
+        self.partition = int(entry.key[:8], 16) % n_partitions
         self.abandoned = []
         self.done = trio.Event()
         self.result = None
@@ -98,7 +100,10 @@
         """
         entry = msgspec.structs.replace(self.entry, kind=kind, claim=claim, **fields)
         return messages.ClaimAsk(
-            partition=self.partition, entry=entry, wait_ms=RECORD_WAIT_MS
+            partition=self.partition,
+            n_partitions=self.n_partitions,
+            entry=entry,
+            wait_ms=RECORD_WAIT_MS,
         )
 
 
@@ -207,7 +212,7 @@
             claimant=self.membership.me.address,
             nonce=self.membership.me.nonce,
         )
-        return Job(request, stage, inputs, entry, int(key[:8], 16) % self.n_partitions)
+        return Job(request, stage, inputs, entry, self.n_partitions)
 
     async def _run(self, job):
         try:
@@ -263,6 +268,7 @@
         job.entry = msgspec.structs.replace(job.entry, claim=claim)
         ask = messages.ClaimAsk(
             partition=job.partition,
+            n_partitions=self.n_partitions,
             entry=job.entry,
             abandoned=list(job.abandoned),
             wait_ms=int(min(ASK_WAIT_MS, remaining_ms)) + 1,
--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -88,6 +88,8 @@
         What a table says of an open claim is good only while nobody has taken the
         partition over; what it says of an outcome is final.
         """
+        if self.owner.log_away:
+            return messages.ClaimReply(state="unknown")
         pending = self.owner.enqueue(None)
         await pending.done.wait()
         if pending.failure == "log_away":
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -26,6 +26,8 @@
     transport,
 )
 
+CONFIGURATION_POLL_MS = 20
+
 
 class Host:
     """The parts of one entry host.
@@ -144,6 +146,12 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
-            nursery.start_soon(self.ownerships.run)
+            nursery.start_soon(self._run_ownerships)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.eras.run)
+
+    async def _run_ownerships(self):
+        # What is forgotten of keys depends on the era, so that has to be read first.
+        while not self.follower.caught_up:
+            await self.clock.sleep_ms(CONFIGURATION_POLL_MS)
+        await self.ownerships.run()
--- a/teaselwall/owners.py
+++ b/teaselwall/owners.py
@@ -179,6 +179,7 @@
             epoch=secrets.token_hex(8),
             previous=previous,
             owner=self.membership.me.address,
+            n_partitions=self.settings.n_partitions,
             floor=floor,
             snapshot=partition.snapshot,
         )
@@ -296,6 +297,7 @@
             kind=kind,
             epoch=self.epoch,
             owner=self.membership.me.address,
+            n_partitions=self.settings.n_partitions,
             number=partition.number + 1,
             floor=self._floor(),
             snapshot=partition.snapshot,
--- a/teaselwall/ownerships.py
+++ b/teaselwall/ownerships.py
@@ -1,16 +1,21 @@
 """Which entry host owns which partition, and the owners of this host."""
 
+import logging
+
 import msgspec
 import trio
 import xxhash
 
-from teaselwall import grants, owners
+from teaselwall import events, grants, owners
 from teaselwall.generated import messages
 
+logger = logging.getLogger(__name__)
+
 ASK_PATH = "/peer/claims/ask"
 SETTLE_PATH = "/peer/claims/settle"
 CHECK_INTERVAL_MS = 1000
 YIELD_MS = 3000
+LAYOUT_RETRY_MS = 500
 MAX_LOG_TIMEOUT_MS = 1000
 
 
@@ -79,6 +84,8 @@
         return self._elsewhere(ask) or await self.granters[ask.partition].settle(ask)
 
     def _elsewhere(self, ask):
+        if ask.n_partitions != self.settings.n_partitions:
+            return messages.ClaimReply(state="unread")
         owner = self.owners[ask.partition]
         if owner.epoch is not None or ask.force:
             return None
@@ -98,6 +105,7 @@
 
     async def run(self):
         """Run the owners' tasks, and take over what falls to this host."""
+        await self._await_layout()
         async with trio.open_nursery() as nursery:
             for owner in self.owners:
                 nursery.start_soon(owner.run)
@@ -105,6 +113,22 @@
                 self._take_up()
                 await self.clock.sleep_ms(CHECK_INTERVAL_MS)
 
+    async def _await_layout(self):
+        # A key of another number of partitions would be claimed a second time.
+        while True:
+            result = await self.owners[0].partition.read_layout()
+            is_known = result.is_ok() and result.ok in (0, self.settings.n_partitions)
+            for owner in self.owners:
+                owner.log_away = not is_known
+            if is_known:
+                return
+            if result.is_ok():
+                remedy = f"Set claims.n_partitions = {result.ok} on every entry host."
+                events.log(
+                    logger, logging.ERROR, "claims_layout_differs", remedy=remedy
+                )
+            await self.clock.sleep_ms(LAYOUT_RETRY_MS)
+
     def _take_up(self):
         # Claims that nobody asks for have to be written again as well.
         for owner in self.owners:
--- a/teaselwall/partitions.py
+++ b/teaselwall/partitions.py
@@ -118,6 +118,24 @@
             self.lost = first > 0
         return await self.catch_up(end)
 
+    async def read_layout(self):
+        """Read how many partitions the newest record was written for.
+
+        Returns
+        -------
+        expression.Result
+            0 where there is no record.
+        """
+        ends = await self._read(PAST_END, 1)
+        if ends.is_error():
+            return ends
+        newest = await self._read(max(0, ends.ok.end - 1), 1)
+        return newest.map(
+            lambda reading: max(
+                (decode(r.data).n_partitions for r in reading.records), default=0
+            )
+        )
+
     async def _find_snapshot(self, first, end):
         # A pointer is a true statement about the log even in a void record:
         # it is written only once the snapshot has been read back.
@@ -214,11 +232,12 @@
         self._raise_floor(record.floor)
 
     def _counts(self, record):
-        if self.epoch is None:
+        if self.epoch is None and record.epoch:
             self.epoch = record.epoch
             self.owner = record.owner
             self.number = record.number - 1
-        return record.epoch == self.epoch and record.number > self.number
+        is_current = record.epoch == self.epoch and bool(self.epoch)
+        return is_current and record.number > self.number
 
     def _apply_entries(self, offset, record):
         self.number = record.number
@@ -258,5 +277,8 @@
 
 
 def decode(data):
-    """Return the struct of a record's data."""
-    return msgspec.convert(data, messages.PartitionRecord)
+    """Return the struct of a record's data; one that counts for nobody if wrong."""
+    try:
+        return msgspec.convert(data, messages.PartitionRecord)
+    except msgspec.ValidationError:
+        return messages.PartitionRecord(kind="batch", epoch="")
--- a/teaselwall/tests/test_claims.py
+++ b/teaselwall/tests/test_claims.py
@@ -167,6 +167,19 @@
     assert not table.lost
 
 
+async def test_no_claim_is_granted_under_another_number_of_partitions(
+    autojump_clock, run
+):
+    await run.send("1-key", "body", owner(run))
+    run.settings = histories.schema.ClaimSettings(n_partitions=2)
+    run.start("host-0")
+    await run.clock.sleep_ms(histories.START_MS)
+    for number in range(4):
+        call = await run.send(f"1-key{number}", "body", run.hosts["host-0"])
+        assert call.outcome != "ran"
+    assert len(run.effects) == 1
+
+
 async def test_era_is_advanced_once_it_has_lasted(autojump_clock, run):
     state = configuration.State()
     member = run.hosts["host-0"].membership
