--- a/teaselwall/claims.py
+++ b/teaselwall/claims.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from teaselwall import errors, events, ownercalls, snapshots
+from teaselwall import checkpoints, errors, events, ownercalls
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -155,7 +155,7 @@
         self.state = state
         self.membership = membership
         self.n_partitions = n_partitions
-        self.max_result_bytes = min(max_result_bytes, snapshots.MAX_RECORD_BYTES)
+        self.max_result_bytes = min(max_result_bytes, checkpoints.MAX_RECORD_BYTES)
         self.nursery = None
         self.numbers = itertools.count(1)
         self.n_jobs = 0
@@ -211,6 +211,7 @@
             body_hash=request.body_hash,
             claimant=self.membership.me.address,
             nonce=self.membership.me.nonce,
+            data_centre=self.membership.me.data_centre,
         )
         return Job(request, stage, inputs, entry, self.n_partitions)
 
--- /dev/null
+++ b/teaselwall/confirmations.py
@@ -0,0 +1,114 @@
+"""Asking every entry host which configuration it has in force."""
+
+from teaselwall import control, errors, spreading
+from teaselwall.generated import messages
+
+NEAR_TIMEOUT_MS = 1000
+FAR_TIMEOUT_MS = 1500
+REACH_LIMIT_MS = 700
+RETRY_MS = 100
+LIMIT_MS = 4000
+VERSION_PATH = "/peer/configuration/version"
+CENTRE_PATH = "/peer/configuration/data-centre"
+
+
+class Confirmer:
+    """Waits until all entry hosts have applied a version.
+
+    Neighbours are asked one by one, every other data centre through a delegate. To
+    be asked makes a host read the log at once, so one whose long poll went silent
+    gets there too.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    follower : followers.Follower
+    """
+
+    __slots__ = ("clock", "follower")
+
+    def __init__(self, clock, follower):
+        self.clock = clock
+        self.follower = follower
+
+    def register(self, host_control):
+        """Add the handler to ``control.Control``."""
+        host_control.add(CENTRE_PATH, self.data_centre)
+
+    async def data_centre(self, message):
+        """Return the versions of this data centre's entry hosts."""
+        asked = control.read(message, messages.ConfigurationAsked)
+        return messages.HostsInForce(hosts=await self._near(asked.version))
+
+    async def confirm(self, version, limit_ms=LIMIT_MS):
+        """Ask until all entry hosts have a version, or the limit has passed.
+
+        Returns
+        -------
+        list of messages.HostStatus
+            All entry hosts, those that lag among them.
+        """
+        hosts = await self._round(version)
+        with self.clock.timeout_ms(limit_ms):
+            while lagging(hosts, version):
+                await self.clock.sleep_ms(RETRY_MS)
+                hosts = await self._round(version)
+        return sorted(hosts, key=_place)
+
+    async def _round(self, version):
+        hosts = await self._near(version)
+        hosts += await spreading.far(
+            self.follower.membership,
+            self.follower.peers,
+            CENTRE_PATH,
+            messages.ConfigurationAsked(version=version),
+            FAR_TIMEOUT_MS,
+        )
+        return hosts
+
+    async def _near(self, version):
+        me = self.follower.membership.me
+
+        async def ask(member):
+            if member is me:
+                await self.follower.reach(version, REACH_LIMIT_MS)
+                return self.follower.state.version
+            applied = await self.follower.ask(
+                member.address, VERSION_PATH, version, NEAR_TIMEOUT_MS
+            )
+            return spreading.NO_ANSWER if applied is None else applied.version
+
+        return await spreading.near(self.follower.membership, ask)
+
+
+def lagging(hosts, version):
+    """Return the hosts that have not applied a version."""
+    return [host for host in hosts if host.version < version]
+
+
+def reply(outcome, version, hosts):
+    """Return the ``messages.OperatorReply`` that sums up where a version is."""
+    behind = lagging(hosts, version)
+    return messages.OperatorReply(
+        outcome=outcome,
+        version=version,
+        n_hosts=len(hosts),
+        n_in_force=len(hosts) - len(behind),
+        lagging=behind,
+    )
+
+
+def lost(verdict):
+    """Return the error that tells an operator whose change won."""
+    winner = f"{verdict.author or 'somebody'} with version {verdict.version}"
+    return errors.Conflict(
+        f"Another change was accepted first: by {winner} ({verdict.change}).",
+        remedy=(
+            "Look at it with 'teaselwall service show' or 'zone status', then run "
+            "your command again on top of it, with a new --change."
+        ),
+    )
+
+
+def _place(host):
+    return (host.data_centre, host.address)
--- a/teaselwall/eras.py
+++ b/teaselwall/eras.py
@@ -6,7 +6,7 @@
 
 import logging
 
-from teaselwall import configuration, events, ownerships
+from teaselwall import changes, configuration, events, ownerships
 
 logger = logging.getLogger(__name__)
 
@@ -64,13 +64,17 @@
             self.seen_ms = now_ms
         if now_ms - self.seen_ms < self.era_ms or not self._is_mine():
             return
-        record = {"kind": "era", "number": self.seen + 1}
+        change = changes.era(self.seen + 1, self.state.version, self._author())
+        record = changes.record(change)
         result = await self.log.append(configuration.STREAM, record, self.timeout_ms)
         if result.is_error():
             events.log(
                 logger, logging.WARNING, "era_not_written", detail=str(result.error)
             )
 
+    def _author(self):
+        return self.membership.settings.host.name
+
     def _is_mine(self):
-        candidates = ownerships.rank(self.membership.alive(), configuration.STREAM)
+        candidates = ownerships.rank(self.membership.delegates(), configuration.STREAM)
         return candidates[0] == self.membership.me.address
--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -1,5 +1,6 @@
 """What the owner of a partition answers to claimants."""
 
+from teaselwall import membership
 from teaselwall.generated import messages
 
 MAX_QUEUED = 5000
@@ -106,8 +107,14 @@
         return None
 
     def _has_claimant(self, entry):
-        member = self.owner.membership.members.get(entry.claimant)
-        return member is not None and member.nonce == entry.nonce
+        view = self.owner.membership
+        member = view.find(entry.claimant)
+        if member is not None:
+            return member.nonce == entry.nonce
+        # Of large data centres elsewhere only some members are known.
+        known = [m for m in view.alive() if m.data_centre == entry.data_centre]
+        is_own = entry.data_centre == view.me.data_centre
+        return not is_own and len(known) >= membership.N_DELEGATES
 
     def _is_held(self, entry):
         return entry.key in self.owner.partition.claims
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,25 +3,38 @@
 import trio
 
 from teaselwall import (
+    budgets,
     claims,
     clock,
     configuration,
+    confirmations,
     control,
     dispatch,
     engines,
     eras,
+    evidence,
     fleet,
+    followers,
+    gossip,
+    guards,
     hostlist,
     logservice,
     membership,
     metrics,
+    operators,
+    orders,
     ownercalls,
     ownerships,
     peers,
     pickers,
+    pictures,
     pipelines,
     pools,
+    probes,
+    publications,
+    quarantine,
     recorders,
+    snapshots,
     traces,
     transport,
 )
@@ -48,13 +61,20 @@
         "log",
         "state",
         "follower",
+        "rewriter",
+        "publisher",
+        "orders",
         "membership",
+        "gossip",
         "fleet",
+        "suspects",
+        "evidence",
         "dispatcher",
         "ownerships",
         "claims",
         "eras",
         "pipeline",
+        "hand_overs",
     )
 
     def __init__(self, settings):
@@ -70,10 +90,25 @@
         )
         self.state = configuration.State()
         timeout_ms = settings.platform.timeout_ms
-        self.follower = configuration.Follower(
-            self.clock, self.log, self.state, timeout_ms
+        self.membership = membership.Membership(self.clock, settings)
+        self.follower = followers.Follower(
+            self.clock,
+            self.log,
+            self.state,
+            timeout_ms,
+            self.peers,
+            self.membership,
+            settings.membership.seeds,
+        )
+        self.rewriter = snapshots.Rewriter(
+            self.clock, self.log, self.follower, settings.claims.retention_ms
+        )
+        self.publisher = publications.Publisher(self.clock, self.log, self.follower)
+        self.orders = orders.Orders(
+            self.clock, self.state, self.publisher, self.peers, self.membership
         )
-        self.membership = membership.Membership(settings)
+        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
+        self.control.add(gossip.PATH, self.gossip.handle)
         self.fleet = fleet.Fleet(
             self.clock,
             hostlist.HttpHostList(self.transport, settings.platform.host_list),
@@ -81,6 +116,11 @@
             settings.routing.host_list_interval_ms,
             timeout_ms,
         )
+        self.suspects = quarantine.Quarantine(self.clock)
+        self.suspects.add_handlers(self.control)
+        self.evidence = evidence.EvidenceLog(
+            self.clock, self.log, self.suspects, timeout_ms
+        )
         self.dispatcher = self._dispatcher()
         self.ownerships = ownerships.Ownerships(
             self.clock,
@@ -101,6 +141,24 @@
             timeout_ms,
         )
         self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
+        self.hand_overs = []
+        self._register_operators()
+
+    def _register_operators(self):
+        confirmer = confirmations.Confirmer(self.clock, self.follower)
+        commands = operators.Operators(
+            self.state,
+            self.fleet,
+            self.follower,
+            self.publisher,
+            self.orders,
+            confirmer,
+        )
+        commands.register(self.control)
+        confirmer.register(self.control)
+        self.orders.register(self.control)
+        pictures.Pictures(self, commands).register(self.control)
+        followers.Answerer(self.follower, self.state).register(self.control)
 
     def _dispatcher(self):
         backends = {
@@ -116,6 +174,10 @@
             self.metrics,
             self.tracer,
             self.settings.limits.silence_ms,
+            budgets.RetryBudgets(
+                self.clock, self.settings.routing.retry_budget_percent
+            ),
+            guards.Guard(self.suspects, probes.HttpProber(self.transport)),
         )
 
     def _claims(self):
@@ -139,19 +201,28 @@
 
     def ready(self):
         """Return whether callers may be sent here."""
-        return self.follower.caught_up and self.fleet.seen
+        return (
+            not self.membership.me.draining
+            and self.follower.ready()
+            and self.fleet.seen
+            and self.evidence.settled
+        )
 
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.rewriter.run)
+            nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self._run_ownerships)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.eras.run)
+            nursery.start_soon(self.evidence.run)
 
     async def _run_ownerships(self):
         # What is forgotten of keys depends on the era, so that has to be read first.
-        while not self.follower.caught_up:
+        while not self.follower.ready():
             await self.clock.sleep_ms(CONFIGURATION_POLL_MS)
         await self.ownerships.run()
--- a/teaselwall/owners.py
+++ b/teaselwall/owners.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from teaselwall import events, partitions, snapshots
+from teaselwall import checkpoints, events, partitions
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -242,9 +242,9 @@
             self.log_away = result.is_error()
         if self.partition.epoch != self.epoch:
             return False
-        if not snapshots.due(self.partition, self.settings.retention_ms):
+        if not checkpoints.due(self.partition, self.settings.retention_ms):
             return True
-        return await snapshots.write(self)
+        return await checkpoints.write(self)
 
     async def write_batch(self):
         """Write what waits, if anything; return whether the epoch still stands."""
@@ -260,11 +260,11 @@
     def _take_in_hand(self):
         n_bytes = 0
         self.in_hand = []
-        while self.queue and n_bytes < snapshots.MAX_RECORD_BYTES:
+        while self.queue and n_bytes < checkpoints.MAX_RECORD_BYTES:
             pending = self.queue.popleft()
             pending.sent = True
             self.in_hand.append(pending)
-            n_bytes += snapshots.size(pending.entry) if pending.entry else 0
+            n_bytes += checkpoints.size(pending.entry) if pending.entry else 0
 
     async def _read_only(self):
         self.turned_ms = self.clock.now_ms()
--- a/teaselwall/tests/test_claims.py
+++ b/teaselwall/tests/test_claims.py
@@ -1,3 +1,5 @@
+import types
+
 import pytest
 import trio
 
@@ -184,6 +186,7 @@
     state = configuration.State()
     member = run.hosts["host-0"].membership
     member.members = {member.me.address: member.me}
+    member.settings = types.SimpleNamespace(host=types.SimpleNamespace(name="host-0"))
     era_clock = eras.EraClock(run.clock, run.log, state, member, 1000, 1000)
     await era_clock.step()
     await run.clock.sleep_ms(998)
--- a/teaselwall/tests/test_histories.py
+++ b/teaselwall/tests/test_histories.py
@@ -1,6 +1,6 @@
 import pytest
 
-from teaselwall import grants, owners, partitions, recorders, snapshots
+from teaselwall import checkpoints, grants, owners, partitions, recorders
 from teaselwall.generated import messages
 from teaselwall.tools import histories
 
@@ -55,7 +55,7 @@
 
 
 def without_rewriting(monkeypatch):
-    monkeypatch.setattr(snapshots, "due", lambda partition, retention_ms: False)
+    monkeypatch.setattr(checkpoints, "due", lambda partition, retention_ms: False)
 
 
 def without_rewriting_and_floor(monkeypatch):
--- a/teaselwall/tests/test_partitions.py
+++ b/teaselwall/tests/test_partitions.py
@@ -3,7 +3,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from teaselwall import partitions, snapshots
+from teaselwall import checkpoints, partitions
 from teaselwall.generated import messages
 
 KEY = "a"
@@ -257,9 +257,9 @@
 
 def test_snapshot_is_due_by_the_clock_of_the_log():
     partition = partitions.Partition(None, "claims-0", 0)
-    assert not snapshots.due(partition, 1000)
+    assert not checkpoints.due(partition, 1000)
     partition.position = 1
     partition.log_ms = 251
-    assert snapshots.due(partition, 1000)
+    assert checkpoints.due(partition, 1000)
     partition.snapshot_ms = 1
-    assert not snapshots.due(partition, 1000)
+    assert not checkpoints.due(partition, 1000)
--- a/teaselwall/tools/histories.py
+++ b/teaselwall/tools/histories.py
@@ -25,6 +25,7 @@
     recorders,
     requests,
 )
+from teaselwall.generated import messages
 from teaselwall.generated import settings as schema
 from teaselwall.tests import fakes
 
@@ -127,6 +128,37 @@
         return result
 
 
+class View:
+    """Membership as one host sees it, changed by the run.
+
+    Attributes
+    ----------
+    members : dict of str to membership.Member
+        By address.
+    """
+
+    def __init__(self, address, nonce):
+        row = messages.MemberRow(address, address, "a", nonce, 0)
+        self.me = membership.Member(row, 0)
+        self.members = {address: self.me}
+
+    def alive(self):
+        """Return the members in view."""
+        return list(self.members.values())
+
+    def delegates(self):
+        """Return the members in view."""
+        return self.alive()
+
+    def find(self, address):
+        """Return the member at an address, or None."""
+        return self.members.get(address)
+
+    def forget(self, address):
+        """Take a member out of view."""
+        self.members.pop(address, None)
+
+
 class Host:
     """The parts of an entry host that claims need."""
 
@@ -136,11 +168,7 @@
         self.gate = Gate()
         self.scope = trio.CancelScope()
         self.nursery = None
-        listen = types.SimpleNamespace(peers=address, callers=address)
-        place = types.SimpleNamespace(data_centre="a")
-        self.membership = membership.Membership(
-            types.SimpleNamespace(listen=listen, host=place)
-        )
+        self.membership = View(address, run.random.randbytes(8).hex())
         log = GatedLog(run.log, self.gate)
         self.ownerships = ownerships.Ownerships(
             run.clock, log, run.state, self.membership, run.settings, 1000
@@ -468,7 +496,7 @@
             await run.clock.sleep_ms(run.random.uniform(0, 500))
             for other in run.hosts.values():
                 if other is not host:
-                    other.membership.members.pop(host.address, None)
+                    other.membership.forget(host.address)
         await run.clock.sleep_ms(run.random.uniform(100, 3000))
         host.gate.opened.set()
 
@@ -502,7 +530,7 @@
         await run.clock.sleep_ms(run.random.uniform(0, RUN_MS / 3))
         host, other = run._host(), run._host()
         if host is not other:
-            host.membership.members.pop(other.address, None)
+            host.membership.forget(other.address)
         await run.clock.sleep_ms(run.random.uniform(50, 2000))
         run.show_members()
 
