--- a/teaselwall/control.py
+++ b/teaselwall/control.py
@@ -4,6 +4,7 @@
 import logging
 
 import msgspec
+import trio
 
 from teaselwall import errors, events, responses
 
@@ -25,13 +26,14 @@
     access : generated.settings.AccessSettings
     """
 
-    __slots__ = ("access", "handlers")
+    __slots__ = ("access", "handlers", "watched")
 
     def __init__(self, access):
         self.access = access
         self.handlers = {}
+        self.watched = set()
 
-    def add(self, path, handler):
+    def add(self, path, handler, watched=False):
         """Add a handler.
 
         Parameters
@@ -41,8 +43,12 @@
         handler : callable
             ``await handler(message)`` with the decoded JSON object; returns a
             JSON-encodable reply or raises an ``errors.Error``.
+        watched : bool
+            Whether the handler is cancelled once its caller has gone away.
         """
         self.handlers[path] = handler
+        if watched:
+            self.watched.add(path)
 
     async def __call__(self, scope, receive, send):
         """Answer one connection event."""
@@ -72,7 +78,10 @@
         if scope["method"] != "POST":
             raise errors.MethodNotAllowed(path, "POST")
         body = await responses.read_body(receive, MAX_BODY_BYTES)
-        return await handler(responses.decode(body or b"{}"))
+        message = responses.decode(body or b"{}")
+        if path in self.watched:
+            return await _handle_watched(handler, message, receive)
+        return await handler(message)
 
     def _authorize(self, path, headers):
         wanted = self.access.operator_key
@@ -83,6 +92,27 @@
             raise errors.Forbidden(f"{path} needs its key.")
 
 
+async def _handle_watched(handler, message, receive):
+    reply = None
+    failure = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_at_disconnect, receive, nursery.cancel_scope)
+        try:
+            reply = await handler(message)
+        except Exception as error:
+            failure = error
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    return reply
+
+
+async def _cancel_at_disconnect(receive, cancel_scope):
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    cancel_scope.cancel()
+
+
 def read(message, kind):
     """Return a handler's message as a struct.
 
--- a/teaselwall/owners.py
+++ b/teaselwall/owners.py
@@ -262,6 +262,8 @@
         self.in_hand = []
         while self.queue and n_bytes < checkpoints.MAX_RECORD_BYTES:
             pending = self.queue.popleft()
+            if pending.given_up:
+                continue
             pending.sent = True
             self.in_hand.append(pending)
             n_bytes += checkpoints.size(pending.entry) if pending.entry else 0
--- a/teaselwall/ownerships.py
+++ b/teaselwall/ownerships.py
@@ -64,7 +64,7 @@
 
     def add_handlers(self, control):
         """Add the peers' calls to the control interface."""
-        control.add(ASK_PATH, self.handle_ask)
+        control.add(ASK_PATH, self.handle_ask, watched=True)
         control.add(SETTLE_PATH, self.handle_settle)
 
     async def handle_ask(self, message):
