Finish claims before a planned stop ends

Cause: a host that stopped while the log was away dropped outcomes it had not recorded yet.

Change: the stop waits, within its limit, until jobs have ended and outcomes are recorded.

--- a/teaselwall/claims.py
+++ b/teaselwall/claims.py
@@ -23,6 +23,7 @@
 RECORD_WAIT_MS = 1000
 RECORD_SHARE = 0.8
 ERA_POLL_MS = 20
+FINISH_POLL_MS = 20
 ERA_WAIT_MS = 1000
 MAX_ABANDONED = 64
 RETRY_AFTER_MS = 1000
@@ -160,9 +161,10 @@
         self.numbers = itertools.count(1)
         self.n_jobs = 0
 
-    def is_settled(self):
-        """Return whether every job has ended and every outcome is recorded."""
-        return self.n_jobs == 0 and self.recorder.is_settled()
+    async def finish(self):
+        """Wait until every job has ended and every outcome is recorded."""
+        while self.n_jobs or not self.recorder.is_settled():
+            await self.clock.sleep_ms(FINISH_POLL_MS)
 
     async def run(self):
         """Run the jobs until cancelled."""
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -141,7 +141,7 @@
             timeout_ms,
         )
         self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
-        self.hand_overs = []
+        self.hand_overs = [self.claims.finish]
         self._register_operators()
 
     def _register_operators(self):
--- a/teaselwall/tests/test_claims.py
+++ b/teaselwall/tests/test_claims.py
@@ -86,8 +86,9 @@
     while not run.calls[0].outcome:
         await run.clock.sleep_ms(1)
     assert (run.calls[0].outcome, run.calls[0].recorded) == ("ran", False)
+    assert not host.claims.recorder.is_settled()
     run.log.outage = False
-    await run.clock.sleep_ms(5000)
+    await host.claims.finish()
     again = await run.send("1-key", "body", owner(run))
     assert (again.output, again.recorded) == (run.calls[0].output, True)
 
