Bound a partition's table by bytes

Cause: 200,000 keys with results of 16 KiB would take 3 GB of an entry host that has 128 MB.

Change: a partition refuses new keys once its table takes 48 MiB; the benchmark uses the membership view of the histories.

--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -5,7 +5,7 @@
 
 MAX_QUEUED = 5000
 MAX_WAITERS = 2000
-MAX_KEYS = 200000
+MAX_TABLE_BYTES = 48 * 1024 * 1024
 
 
 class Granter:
@@ -141,8 +141,8 @@
         return self._moved(pending.failure)
 
     def _is_full(self):
-        n_queued = len(self.owner.queue)
-        return len(self.owner.partition.claims) >= MAX_KEYS or n_queued >= MAX_QUEUED
+        is_table_full = self.owner.partition.n_bytes >= MAX_TABLE_BYTES
+        return is_table_full or len(self.owner.queue) >= MAX_QUEUED
 
     async def settle(self, ask):
         """Record an outcome.
--- a/teaselwall/partitions.py
+++ b/teaselwall/partitions.py
@@ -13,6 +13,7 @@
 WAIT_MS = 100
 PAST_END = 2**53
 NO_SNAPSHOT = -1
+ENTRY_BYTES = 560
 ANY_EPOCH = "*"
 
 
@@ -33,6 +34,8 @@
     ----------
     claims : dict of str to messages.ClaimEntry
         By key: the open claim or the outcome that stands.
+    n_bytes : int
+        About what the claims take in memory.
     position : int
         Next offset to read.
     epoch : str or None
@@ -61,6 +64,7 @@
         "stream",
         "timeout_ms",
         "claims",
+        "n_bytes",
         "position",
         "epoch",
         "number",
@@ -83,6 +87,7 @@
     def reset(self, position, epoch):
         """Forget everything and read on from an offset."""
         self.claims = {}
+        self.n_bytes = 0
         self.position = position
         self.epoch = epoch
         self.number = 0
@@ -248,7 +253,7 @@
             if entry.era < self.floor:
                 continue
             if record.kind == "snapshot":
-                self.claims[entry.key] = entry
+                self._put(entry)
             else:
                 self._apply_entry(entry)
 
@@ -256,14 +261,24 @@
         held = self.claims.get(entry.key)
         if entry.kind == "claim":
             if held is None:
-                self.claims[entry.key] = entry
+                self._put(entry)
             return
         if not self.is_open(held, entry.claim):
             return
         if entry.kind == "not_run":
-            del self.claims[entry.key]
+            self._drop(entry.key)
             return
+        self._put(entry)
+
+    def _put(self, entry):
+        self._drop(entry.key)
         self.claims[entry.key] = entry
+        self.n_bytes += _size(entry)
+
+    def _drop(self, key):
+        entry = self.claims.pop(key, None)
+        if entry is not None:
+            self.n_bytes -= _size(entry)
 
     def is_open(self, held, claim):
         """Return whether an entry is the open claim of that id."""
@@ -273,7 +288,8 @@
         if floor <= self.floor:
             return
         self.floor = floor
-        self.claims = {k: e for k, e in self.claims.items() if e.era >= floor}
+        for key in [k for k, e in self.claims.items() if e.era < floor]:
+            self._drop(key)
 
 
 def decode(data):
@@ -282,3 +298,7 @@
         return msgspec.convert(data, messages.PartitionRecord)
     except msgspec.ValidationError:
         return messages.PartitionRecord(kind="batch", epoch="")
+
+
+def _size(entry):
+    return ENTRY_BYTES + len(entry.result)
--- a/teaselwall/tests/test_claims.py
+++ b/teaselwall/tests/test_claims.py
@@ -134,7 +134,8 @@
     run.state.era += 1
     await run.clock.sleep_ms(120000)
     assert (await run.send("1-key", "body", owner(run))).outcome == "unknown"
-    assert owner(run).ownerships.owners[0].partition.claims == {}
+    table = owner(run).ownerships.owners[0].partition
+    assert (table.claims, table.n_bytes) == ({}, 0)
     assert len(run.effects) == 1
 
 
@@ -144,7 +145,7 @@
 
 
 async def test_full_partition_refuses_new_keys_only(autojump_clock, run, monkeypatch):
-    monkeypatch.setattr(grants, "MAX_KEYS", 1)
+    monkeypatch.setattr(grants, "MAX_TABLE_BYTES", 1)
     assert (await run.send("1-key", "body", owner(run))).outcome == "ran"
     assert (await run.send("1-other", "body", owner(run))).outcome == "not_run"
     assert (await run.send("1-key", "body", owner(run))).outcome == "ran"
--- a/teaselwall/tools/bench_claims.py
+++ b/teaselwall/tools/bench_claims.py
@@ -21,7 +21,6 @@
     clock,
     configuration,
     logservice,
-    membership,
     ownercalls,
     ownerships,
     partitions,
@@ -52,9 +51,7 @@
         self.latencies = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
         self.n_recorded = 0
         self.n_done = 0
-        place = types.SimpleNamespace(data_centre="a")
-        listen = types.SimpleNamespace(peers="host", callers="host")
-        member = membership.Membership(types.SimpleNamespace(listen=listen, host=place))
+        member = histories.View("host", "nonce")
         settings = schema.ClaimSettings()
         state = configuration.State()
         self.ownerships = ownerships.Ownerships(
