Say unknown, not "not run", after a pause before an outage

Change: an owner notes when it last called the log; where there is a gap longer than an idle owner leaves, its table is no ground for "not run" any more. An idle owner reads its stream every 500 ms.

--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -121,7 +121,7 @@
 
     async def _claim(self, entry):
         if self.owner.log_away:
-            return messages.ClaimReply(state="log_away")
+            return messages.ClaimReply(state=self._away())
         if self._is_full():
             failed = await self._check()
             return failed or messages.ClaimReply(state="overloaded")
@@ -138,8 +138,14 @@
         # Another claim may have been granted before the log went away.
         if not pending.failure or self._is_held(entry):
             return None
+        if pending.failure == "log_away":
+            return messages.ClaimReply(state=self._away())
         return self._moved(pending.failure)
 
+    def _away(self):
+        is_known = self.owner.is_current and not self.owner.has_gap()
+        return "log_away" if is_known else "unread"
+
     def _is_full(self):
         is_table_full = self.owner.partition.n_bytes >= MAX_TABLE_BYTES
         return is_table_full or len(self.owner.queue) >= MAX_QUEUED
--- a/teaselwall/owners.py
+++ b/teaselwall/owners.py
@@ -11,47 +11,18 @@
 
 import trio
 
-from teaselwall import checkpoints, events, partitions
+from teaselwall import checkpoints, events, partitions, pendings
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
 PROBE_MS = 200
 TAKEOVER_INTERVAL_MS = 200
-HOUSEKEEPING_SHARE = 32
-MIN_HOUSEKEEPING_MS = 100
-MAX_HOUSEKEEPING_MS = 60000
+HOUSEKEEPING_MS = 500
+MAX_GAP_MS = 1500
 MAX_COPIES = 2
 
 
-class Pending:
-    """An entry on its way into the log.
-
-    Attributes
-    ----------
-    done : trio.Event
-        Set once the entry was read back or given up.
-    failure : str
-        State to answer with where the entry was not read back.
-    counted : bool
-        Whether the table shows the entry's effect.
-    given_up : bool
-        Whether nobody waits for it any more.
-    sent : bool
-        Whether it may have reached the log.
-    """
-
-    __slots__ = ("entry", "done", "failure", "counted", "given_up", "sent")
-
-    def __init__(self, entry):
-        self.entry = entry
-        self.done = trio.Event()
-        self.failure = ""
-        self.counted = False
-        self.given_up = False
-        self.sent = False
-
-
 class Owner:
     """This host's part in one partition: owner, or ready to become it.
 
@@ -73,11 +44,15 @@
         Own epoch while it is believed in force.
     log_away : bool
         Whether the log did not answer when last asked.
+    is_current : bool
+        Whether the table was read up to the time when the log went away.
+    contact_ms : float
+        When a call of the log last ended, answered or not.
     superseded_ms : float or None
         When this host last lost the partition to another.
     successor : str
         Peer address of that other host.
-    queue, in_hand : sequence of Pending
+    queue, in_hand : sequence of pendings.Pending
         What waits for the next record, and what is in the present one.
     turned_ms : float
         When the log was last asked; one turn each batch interval.
@@ -98,6 +73,8 @@
         "partition",
         "epoch",
         "log_away",
+        "is_current",
+        "contact_ms",
         "superseded_ms",
         "successor",
         "queue",
@@ -120,6 +97,8 @@
         self.partition = partitions.Partition(log, f"claims-{number}", timeout_ms)
         self.epoch = None
         self.log_away = False
+        self.is_current = False
+        self.contact_ms = 0.0
         self.superseded_ms = None
         self.successor = ""
         self.queue = collections.deque()
@@ -131,14 +110,14 @@
         self.changed = trio.Event()
 
     def enqueue(self, entry):
-        """Put an entry into the next batch; return its ``Pending``.
+        """Put an entry into the next batch; return its ``pendings.Pending``.
 
         Parameters
         ----------
         entry : messages.ClaimEntry or None
             None only has the log read, to see whether the epoch still stands.
         """
-        pending = Pending(entry)
+        pending = pendings.Pending(entry)
         self.queue.append(pending)
         self.wake.set()
         return pending
@@ -195,13 +174,27 @@
             result = await self.log.append(
                 self.partition.stream, record, self.timeout_ms
             )
-            end = result.ok + 1 if result.is_ok() else 0
-            if (await self.partition.catch_up(end)).is_error():
+            self._note_contact()
+            if not await self._read(result.ok + 1 if result.is_ok() else 0):
                 return False
             if result.is_ok() or self._is_decided(record):
                 return True
         return False
 
+    async def _read(self, end=0):
+        result = await self.partition.catch_up(end)
+        self._note_contact(result.is_ok())
+        return result.is_ok()
+
+    def _note_contact(self, is_read=False):
+        # Over a long gap another host may have become owner before the log went.
+        self.is_current = is_read or self.is_current and not self.has_gap()
+        self.contact_ms = self.clock.now_ms()
+
+    def has_gap(self):
+        """Return whether the log was not even tried for a while, as in a pause."""
+        return self.clock.now_ms() - self.contact_ms > MAX_GAP_MS
+
     def _is_decided(self, record):
         partition = self.partition
         if record.kind != "epoch":
@@ -221,25 +214,19 @@
 
     async def _gather(self):
         if not self.queue:
-            with self.clock.timeout_ms(self._housekeeping_ms()):
+            with self.clock.timeout_ms(PROBE_MS if self.log_away else HOUSEKEEPING_MS):
                 await self.wake.wait()
         if self.queue:
             next_ms = self.turned_ms + self.settings.batch_interval_ms
             await self.clock.sleep_ms(next_ms - self.clock.now_ms())
         self.wake = trio.Event()
 
-    def _housekeeping_ms(self):
-        if self.log_away:
-            return PROBE_MS
-        share_ms = self.settings.retention_ms / HOUSEKEEPING_SHARE
-        return min(max(share_ms, MIN_HOUSEKEEPING_MS), MAX_HOUSEKEEPING_MS)
-
     async def _keep_house(self):
         if not self.queue:
-            result = await self.partition.catch_up()
-            if result.is_error():
+            is_read = await self._read()
+            if not is_read:
                 self._note_log_away()
-            self.log_away = result.is_error()
+            self.log_away = not is_read
         if self.partition.epoch != self.epoch:
             return False
         if not checkpoints.due(self.partition, self.settings.retention_ms):
@@ -270,7 +257,7 @@
 
     async def _read_only(self):
         self.turned_ms = self.clock.now_ms()
-        if (await self.partition.catch_up()).is_error():
+        if not await self._read():
             self._note_log_away()
             self.in_hand = []
             return True
@@ -343,8 +330,8 @@
         if not self.log_away:
             self._note("claims_log_away")
         self.log_away = True
-        _refuse(self.in_hand, "log_away")
-        _refuse(self.queue, "log_away")
+        for pending in (*self.in_hand, *self.queue):
+            pending.refuse("log_away")
         # Claims that never went out are dropped; releases still have to go out.
         releases = [p for p in self.queue if p.entry and p.entry.kind == "not_run"]
         self.queue = collections.deque(releases)
@@ -358,8 +345,8 @@
         self.wanted = trio.Event()
         self.successor = self.partition.owner
         self.partition.reset(0, "")
-        _refuse(self.in_hand, "moved")
-        _refuse(self.queue, "moved")
+        for pending in (*self.in_hand, *self.queue):
+            pending.refuse("moved")
         self.in_hand = []
         self.queue = collections.deque()
         self._notify()
@@ -388,9 +375,3 @@
 
     def _note(self, event, **fields):
         events.log(logger, logging.INFO, event, partition=self.number, **fields)
-
-
-def _refuse(pendings, failure):
-    for pending in pendings:
-        pending.failure = pending.failure or failure
-        pending.done.set()
--- a/teaselwall/tests/test_claims.py
+++ b/teaselwall/tests/test_claims.py
@@ -1,9 +1,10 @@
 import types
 
+import msgspec
 import pytest
 import trio
 
-from teaselwall import claims, configuration, eras, errors, grants
+from teaselwall import claims, configuration, eras, errors, grants, owners
 from teaselwall.generated import messages
 from teaselwall.tools import histories
 
@@ -120,6 +121,49 @@
     assert len(run.effects) == 1
 
 
+@pytest.mark.parametrize("has_guard, outcome", [(True, "unknown"), (False, "not_run")])
+async def test_paused_owner_says_unknown_once_the_log_is_away(
+    autojump_clock, run, monkeypatch, has_guard, outcome
+):
+    if not has_guard:
+        monkeypatch.setattr(owners.Owner, "has_gap", lambda owner: False)
+    paused = owner(run)
+    paused.gate.close()
+    call = await run.send("1-key", "body", others(run)[0])
+    assert call.recorded
+    await run.clock.sleep_ms(5000)
+    run.log.outage = True
+    paused.gate.opened.set()
+    again = await run.send("1-key", "body", paused)
+    assert again.outcome == outcome
+
+
+async def test_replaced_owner_answers_no_open_claim(autojump_clock, run, monkeypatch):
+    async def state_at_replaced_owner(key):
+        former, next_owner = owner(run), others(run)[0]
+        claim = messages.ClaimEntry(kind="claim", key=key, claim=key, era=1)
+        ask = messages.ClaimAsk(partition=0, n_partitions=1, entry=claim)
+        reply = await former.ownerships.granters[0].ask(ask)
+        assert reply.state == "granted"
+        ran = msgspec.structs.replace(claim, kind="ran")
+        ask = messages.ClaimAsk(partition=0, n_partitions=1, entry=ran)
+        reply = await next_owner.ownerships.granters[0].settle(ask)
+        assert reply.state == "recorded"
+        again = msgspec.structs.replace(claim, claim="again")
+        ask = messages.ClaimAsk(partition=0, n_partitions=1, entry=again)
+        reply = await former.ownerships.granters[0].ask(ask)
+        await run.clock.sleep_ms(2000)
+        return reply.state
+
+    assert await state_at_replaced_owner("key") == "moved"
+
+    async def check(granter):
+        return None
+
+    monkeypatch.setattr(grants.Granter, "_check", check)
+    assert await state_at_replaced_owner("other") == "unknown", "guard left out"
+
+
 async def test_not_run_at_the_service_frees_the_key(autojump_clock, run):
     run.refuse_share = 1.0
     assert (await run.send("1-key", "body", owner(run))).outcome == "not_run"
