--- a/teaselwall/claims.py
+++ b/teaselwall/claims.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from teaselwall import errors, events, ownercalls
+from teaselwall import checkpoints, errors, events, ownercalls
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -23,6 +23,7 @@
 RECORD_WAIT_MS = 1000
 RECORD_SHARE = 0.8
 ERA_POLL_MS = 20
+FINISH_POLL_MS = 20
 ERA_WAIT_MS = 1000
 MAX_ABANDONED = 64
 RETRY_AFTER_MS = 1000
@@ -57,7 +58,7 @@
     ----------
     entry : messages.ClaimEntry
         The claim; its id changes with each ask.
-    partition : int
+    partition, n_partitions : int
     abandoned : list of str
         Ids of claims that may have been granted and are not used.
     done : trio.Event
@@ -70,17 +71,19 @@
         "inputs",
         "entry",
         "partition",
+        "n_partitions",
         "abandoned",
         "done",
         "result",
     )
 
-    def __init__(self, request, stage, inputs, entry, partition):
+    def __init__(self, request, stage, inputs, entry, n_partitions):
         self.request = request
         self.stage = stage
         self.inputs = inputs
         self.entry = entry
-        self.partition = partition
+        self.n_partitions = n_partitions
+        self.partition = int(entry.key[:8], 16) % n_partitions
         self.abandoned = []
         self.done = trio.Event()
         self.result = None
@@ -98,7 +101,10 @@
         """
         entry = msgspec.structs.replace(self.entry, kind=kind, claim=claim, **fields)
         return messages.ClaimAsk(
-            partition=self.partition, entry=entry, wait_ms=RECORD_WAIT_MS
+            partition=self.partition,
+            n_partitions=self.n_partitions,
+            entry=entry,
+            wait_ms=RECORD_WAIT_MS,
         )
 
 
@@ -129,6 +135,7 @@
         "max_result_bytes",
         "nursery",
         "numbers",
+        "n_jobs",
     )
 
     def __init__(
@@ -149,9 +156,15 @@
         self.state = state
         self.membership = membership
         self.n_partitions = n_partitions
-        self.max_result_bytes = max_result_bytes
+        self.max_result_bytes = min(max_result_bytes, checkpoints.MAX_RECORD_BYTES)
         self.nursery = None
         self.numbers = itertools.count(1)
+        self.n_jobs = 0
+
+    async def finish(self):
+        """Wait until every job has ended and every outcome is recorded."""
+        while self.n_jobs or not self.recorder.is_settled():
+            await self.clock.sleep_ms(FINISH_POLL_MS)
 
     async def run(self):
         """Run the jobs until cancelled."""
@@ -184,6 +197,7 @@
             detail = "The Idempotency-Key has no prefix."
             return expression.Error(_invalid(detail, errors.Outcome.NOT_RUN))
         job = self._job(request, stage, inputs, era)
+        self.n_jobs += 1
         self.nursery.start_soon(self._run, job)
         await job.done.wait()
         return job.result
@@ -199,8 +213,9 @@
             body_hash=request.body_hash,
             claimant=self.membership.me.address,
             nonce=self.membership.me.nonce,
+            data_centre=self.membership.me.data_centre,
         )
-        return Job(request, stage, inputs, entry, int(key[:8], 16) % self.n_partitions)
+        return Job(request, stage, inputs, entry, self.n_partitions)
 
     async def _run(self, job):
         try:
@@ -209,6 +224,7 @@
             events.log(logger, logging.ERROR, "claim_failed", detail=repr(error))
             job.result = _unknown("The call failed inside this entry host.")
         finally:
+            self.n_jobs -= 1
             job.done.set()
 
     async def _claim_and_call(self, job):
@@ -255,6 +271,7 @@
         job.entry = msgspec.structs.replace(job.entry, claim=claim)
         ask = messages.ClaimAsk(
             partition=job.partition,
+            n_partitions=self.n_partitions,
             entry=job.entry,
             abandoned=list(job.abandoned),
             wait_ms=int(min(ASK_WAIT_MS, remaining_ms)) + 1,
--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -1,10 +1,11 @@
 """What the owner of a partition answers to claimants."""
 
+from teaselwall import membership
 from teaselwall.generated import messages
 
 MAX_QUEUED = 5000
 MAX_WAITERS = 2000
-MAX_KEYS = 200000
+MAX_TABLE_BYTES = 48 * 1024 * 1024
 
 
 class Granter:
@@ -88,6 +89,8 @@
         What a table says of an open claim is good only while nobody has taken the
         partition over; what it says of an outcome is final.
         """
+        if self.owner.log_away:
+            return messages.ClaimReply(state="unknown")
         pending = self.owner.enqueue(None)
         await pending.done.wait()
         if pending.failure == "log_away":
@@ -104,15 +107,21 @@
         return None
 
     def _has_claimant(self, entry):
-        member = self.owner.membership.find(entry.claimant)
-        return member is not None and member.nonce == entry.nonce
+        view = self.owner.membership
+        member = view.find(entry.claimant)
+        if member is not None:
+            return member.nonce == entry.nonce
+        # Of large data centres elsewhere only some members are known.
+        known = [m for m in view.alive() if m.data_centre == entry.data_centre]
+        is_own = entry.data_centre == view.me.data_centre
+        return not is_own and len(known) >= membership.N_DELEGATES
 
     def _is_held(self, entry):
         return entry.key in self.owner.partition.claims
 
     async def _claim(self, entry):
         if self.owner.log_away:
-            return messages.ClaimReply(state="log_away")
+            return messages.ClaimReply(state=self._away())
         if self._is_full():
             failed = await self._check()
             return failed or messages.ClaimReply(state="overloaded")
@@ -129,11 +138,17 @@
         # Another claim may have been granted before the log went away.
         if not pending.failure or self._is_held(entry):
             return None
+        if pending.failure == "log_away":
+            return messages.ClaimReply(state=self._away())
         return self._moved(pending.failure)
 
+    def _away(self):
+        is_known = self.owner.is_current and not self.owner.has_gap()
+        return "log_away" if is_known else "unread"
+
     def _is_full(self):
-        n_queued = len(self.owner.queue)
-        return len(self.owner.partition.claims) >= MAX_KEYS or n_queued >= MAX_QUEUED
+        is_table_full = self.owner.partition.n_bytes >= MAX_TABLE_BYTES
+        return is_table_full or len(self.owner.queue) >= MAX_QUEUED
 
     async def settle(self, ask):
         """Record an outcome.
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -48,6 +48,8 @@
     warmups,
 )
 
+CONFIGURATION_POLL_MS = 20
+
 
 class Host:
     """The parts of one entry host.
@@ -164,7 +166,7 @@
             timeout_ms,
         )
         self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
-        self.hand_overs = []
+        self.hand_overs = [self.claims.finish]
         self._register_operators()
 
     def _register_operators(self):
@@ -264,9 +266,15 @@
             nursery.start_soon(self.rewriter.run)
             nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
-            nursery.start_soon(self.ownerships.run)
+            nursery.start_soon(self._run_ownerships)
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.eras.run)
             nursery.start_soon(self.evidence.run)
             nursery.start_soon(self.poller.run)
             nursery.start_soon(self.warmups.run)
+
+    async def _run_ownerships(self):
+        # What is forgotten of keys depends on the era, so that has to be read first.
+        while not self.follower.ready():
+            await self.clock.sleep_ms(CONFIGURATION_POLL_MS)
+        await self.ownerships.run()
--- a/teaselwall/partitions.py
+++ b/teaselwall/partitions.py
@@ -9,11 +9,11 @@
 
 from teaselwall.generated import messages
 
-READ_LIMIT = 500
-SCAN_RECORDS = 200
+READ_LIMIT = 20
 WAIT_MS = 100
 PAST_END = 2**53
 NO_SNAPSHOT = -1
+ENTRY_BYTES = 560
 ANY_EPOCH = "*"
 
 
@@ -34,6 +34,8 @@
     ----------
     claims : dict of str to messages.ClaimEntry
         By key: the open claim or the outcome that stands.
+    n_bytes : int
+        About what the claims take in memory.
     position : int
         Next offset to read.
     epoch : str or None
@@ -62,6 +64,7 @@
         "stream",
         "timeout_ms",
         "claims",
+        "n_bytes",
         "position",
         "epoch",
         "number",
@@ -84,6 +87,7 @@
     def reset(self, position, epoch):
         """Forget everything and read on from an offset."""
         self.claims = {}
+        self.n_bytes = 0
         self.position = position
         self.epoch = epoch
         self.number = 0
@@ -119,16 +123,34 @@
             self.lost = first > 0
         return await self.catch_up(end)
 
+    async def read_layout(self):
+        """Read how many partitions the newest record was written for.
+
+        Returns
+        -------
+        expression.Result
+            0 where there is no record.
+        """
+        ends = await self._read(PAST_END, 1)
+        if ends.is_error():
+            return ends
+        newest = await self._read(max(0, ends.ok.end - 1), 1)
+        return newest.map(
+            lambda reading: max(
+                (decode(r.data).n_partitions for r in reading.records), default=0
+            )
+        )
+
     async def _find_snapshot(self, first, end):
         # A pointer is a true statement about the log even in a void record:
         # it is written only once the snapshot has been read back.
         stop = end
         while stop > first:
-            start = max(first, stop - SCAN_RECORDS)
+            start = max(first, stop - READ_LIMIT)
             result = await self._read(start, stop - start)
             if result.is_error():
                 return result
-            pointers = [_decode(r).snapshot for r in result.ok.records]
+            pointers = [decode(r.data).snapshot for r in result.ok.records]
             newest = max(pointers, default=NO_SNAPSHOT)
             if newest > NO_SNAPSHOT:
                 return expression.Ok(newest)
@@ -177,7 +199,7 @@
             raise Gap(f"Records up to {reading.first} of {self.stream} are gone.")
         self.log_ms = reading.now_ms
         for record in reading.records:
-            self.apply(record.offset, record.time_ms, _decode(record))
+            self.apply(record.offset, record.time_ms, decode(record.data))
         return expression.Ok(reading.end)
 
     async def _read(self, offset, limit, wait_ms=0):
@@ -215,11 +237,12 @@
         self._raise_floor(record.floor)
 
     def _counts(self, record):
-        if self.epoch is None:
+        if self.epoch is None and record.epoch:
             self.epoch = record.epoch
             self.owner = record.owner
             self.number = record.number - 1
-        return record.epoch == self.epoch and record.number > self.number
+        is_current = record.epoch == self.epoch and bool(self.epoch)
+        return is_current and record.number > self.number
 
     def _apply_entries(self, offset, record):
         self.number = record.number
@@ -230,7 +253,7 @@
             if entry.era < self.floor:
                 continue
             if record.kind == "snapshot":
-                self.claims[entry.key] = entry
+                self._put(entry)
             else:
                 self._apply_entry(entry)
 
@@ -238,14 +261,24 @@
         held = self.claims.get(entry.key)
         if entry.kind == "claim":
             if held is None:
-                self.claims[entry.key] = entry
+                self._put(entry)
             return
         if not self.is_open(held, entry.claim):
             return
         if entry.kind == "not_run":
-            del self.claims[entry.key]
+            self._drop(entry.key)
             return
+        self._put(entry)
+
+    def _put(self, entry):
+        self._drop(entry.key)
         self.claims[entry.key] = entry
+        self.n_bytes += _size(entry)
+
+    def _drop(self, key):
+        entry = self.claims.pop(key, None)
+        if entry is not None:
+            self.n_bytes -= _size(entry)
 
     def is_open(self, held, claim):
         """Return whether an entry is the open claim of that id."""
@@ -255,8 +288,17 @@
         if floor <= self.floor:
             return
         self.floor = floor
-        self.claims = {k: e for k, e in self.claims.items() if e.era >= floor}
+        for key in [k for k, e in self.claims.items() if e.era < floor]:
+            self._drop(key)
+
+
+def decode(data):
+    """Return the struct of a record's data; one that counts for nobody if wrong."""
+    try:
+        return msgspec.convert(data, messages.PartitionRecord)
+    except msgspec.ValidationError:
+        return messages.PartitionRecord(kind="batch", epoch="")
 
 
-def _decode(record):
-    return msgspec.convert(record.data, messages.PartitionRecord)
+def _size(entry):
+    return ENTRY_BYTES + len(entry.result)
