--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -89,8 +89,13 @@
             await responses.send(send, 200, text, responses.TEXT)
 
     def _addresses(self):
-        keep_ms = self.host.settings.membership.answer_kept_ms
-        return addresses.answer(self.host.membership, self.host.state, keep_ms)
+        settings = self.host.settings
+        return addresses.answer(
+            self.host.membership,
+            self.host.state,
+            settings.limits.max_requests_in_flight,
+            settings.membership.answer_kept_ms,
+        )
 
     async def _serve(self, service, scope, receive, send):
         if self.n_in_flight >= self.host.settings.limits.max_requests_in_flight:
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -334,18 +334,19 @@
     Raises
     ------
     errors.ServerFailed
-        The stream repeats or skips a token, or ends without its end mark.
+        The stream repeats or skips a token, or ends without its end mark or with
+        one whose index is not the number of tokens.
     """
     async for batch in batches:
         fresh = []
         ended = False
         for chunk in batch:
-            if chunk.end:
-                ended = True
-                break
             if chunk.index != len(tokens) + len(fresh):
                 detail = f"{server.address} sent a token out of order."
                 raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN)
+            if chunk.end:
+                ended = True
+                break
             fresh.append(chunk.token)
         if fresh:
             tokens.extend(fresh)
--- a/teaselwall/engines.py
+++ b/teaselwall/engines.py
@@ -10,6 +10,7 @@
 from teaselwall.generated import messages
 
 DRAIN_S = 0.05
+MAX_LINE_BYTES = 65536
 _decoder = msgspec.json.Decoder(messages.TokenChunk)
 
 
@@ -94,6 +95,9 @@
     try:
         async for part in response.aiter_stream():
             *lines, rest = (rest + part).split(b"\n")
+            if len(rest) > MAX_LINE_BYTES:
+                detail = f"{address} sent a line over {MAX_LINE_BYTES} bytes."
+                raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN)
             batch = [_checked(line, call, address) for line in lines]
             if batch:
                 yield batch
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -11,6 +11,7 @@
     engines,
     evidence,
     fleet,
+    gossip,
     guards,
     hostlist,
     logservice,
@@ -47,11 +48,13 @@
         "state",
         "follower",
         "membership",
+        "gossip",
         "fleet",
         "suspects",
         "evidence",
         "dispatcher",
         "pipeline",
+        "hand_overs",
     )
 
     def __init__(self, settings):
@@ -70,7 +73,9 @@
         self.follower = configuration.Follower(
             self.clock, self.log, self.state, timeout_ms
         )
-        self.membership = membership.Membership(settings)
+        self.membership = membership.Membership(self.clock, settings)
+        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
+        self.control.add(gossip.PATH, self.gossip.handle)
         self.fleet = fleet.Fleet(
             self.clock,
             hostlist.HttpHostList(self.transport, settings.platform.host_list),
@@ -85,6 +90,7 @@
         )
         self.dispatcher = self._dispatcher()
         self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.hand_overs = []
 
     def _dispatcher(self):
         backends = {
@@ -112,11 +118,14 @@
 
     def ready(self):
         """Return whether callers may be sent here."""
+        if self.membership.me.draining:
+            return False
         return self.follower.caught_up and self.fleet.seen and self.evidence.settled
 
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self.evidence.run)
--- a/teaselwall/tests/test_application.py
+++ b/teaselwall/tests/test_application.py
@@ -43,7 +43,7 @@
         settings=wanted,
         clock=clock.Clock(),
         state=state,
-        membership=membership.Membership(wanted),
+        membership=membership.Membership(clock.Clock(), wanted),
         metrics=metrics.Metrics(),
         tracer=traces.Tracer(settings.TraceSettings(), "test"),
         serve=rig.pipeline.run,
--- a/teaselwall/tests/test_attempts.py
+++ b/teaselwall/tests/test_attempts.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from teaselwall import budgets, clock, errors
-from teaselwall.tools import engine, rigs
+from teaselwall.tools import bench_attempts, engine, rigs
 
 ENCODE = rigs.stage("encode")
 PURCHASE = rigs.stage("purchase", "plain", idempotent=False)
@@ -134,7 +134,7 @@
     trio.run(check, clock=trio.testing.MockClock())
 
 
-KINDS = ["die", "silent", "repeat", "skip", "foreign", "cut", "garbage"]
+KINDS = [*bench_attempts.STREAM_FAULTS]
 
 
 def expected(rig, document):
--- a/teaselwall/tools/bench_attempts.py
+++ b/teaselwall/tools/bench_attempts.py
@@ -20,7 +20,17 @@
 N_STREAM_SEEDS = 200
 N_OUTAGE_CALLS = 60
 HEDGE_MS = 60
-STREAM_FAULTS = ("die", "silent", "repeat", "skip", "foreign", "cut", "garbage")
+STREAM_FAULTS = (
+    "die",
+    "silent",
+    "repeat",
+    "skip",
+    "foreign",
+    "cut",
+    "short",
+    "endless",
+    "garbage",
+)
 STAGE_FAULTS = {"status": 500, "dead": True, "silent": True}
 
 
--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -63,12 +63,26 @@
         Whether backend servers start warm.
     overrides : dict, optional
         Sections of settings laid over the defaults.
+    plan : dict, optional
+        In place of the sample's ``deployment.toml``.
+    documents : dict of str to str, optional
+        Service documents by name, in place of the sample's.
     """
 
-    def __init__(self, name, folder, n_entry_hosts=None, warm=True, overrides=None):
+    def __init__(
+        self,
+        name,
+        folder,
+        n_entry_hosts=None,
+        warm=True,
+        overrides=None,
+        plan=None,
+        documents=None,
+    ):
         self.name = name
         self.folder = pathlib.Path(folder)
-        self.plan = tomllib.loads((SAMPLES / name / "deployment.toml").read_text())
+        self.plan = plan or read_plan(name)
+        self.documents = documents or read_documents(name)
         self.n_entry_hosts = n_entry_hosts or self.plan["n_entry_hosts"]
         self.warm = warm
         self.overrides = overrides or {}
@@ -159,16 +173,19 @@
 
     async def publish_services(self):
         """Publish the sample's service documents."""
-        for path in sorted((SAMPLES / self.name / "services").glob("*.toml")):
-            record = {
-                "kind": "service",
-                "name": path.stem,
-                "document": path.read_text(),
-            }
+        for name, document in self.documents.items():
+            record = {"kind": "service", "name": name, "document": document}
             result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
             if result.is_error():
                 raise result.error
 
+    async def set_data_centre(self, name, out):
+        """Take a data centre out of service, or bring it back."""
+        record = {"kind": "data_centre", "name": name, "out": out}
+        result = await self.log.append(configuration.STREAM, record, TIMEOUT_MS)
+        if result.is_error():
+            raise result.error
+
     def start_entry_hosts(self):
         """Start the entry hosts, spread over the data centres."""
         addresses = [
@@ -187,6 +204,45 @@
                 EntryHost(name, callers, peers, centre, path, process)
             )
 
+    def restart(self, host):
+        """Start an entry host again after its process ended."""
+        host.process = self.spawn(host.name, "teaselwall.daemon", str(host.settings))
+
+    async def make_cold(self, data_centre):
+        """Turn every backend server of a data centre cold, unannounced."""
+        for backend in self.backends:
+            if backend.entry.data_centre == data_centre:
+                await self.transport.call(
+                    "POST", backend.entry.address, "/v1/cold", None, TIMEOUT_MS
+                )
+
+    async def last_work_ms(self, data_centre, since_s):
+        """Return how long after a time a data centre's servers got new work.
+
+        Parameters
+        ----------
+        data_centre : str
+        since_s : float
+            Of trio's clock in this process.
+
+        Returns
+        -------
+        float
+            In ms; 0 where nothing came since.
+        """
+        latest_ms = 0.0
+        for backend in self.backends:
+            if backend.entry.data_centre != data_centre:
+                continue
+            result = await self.transport.call(
+                "GET", backend.entry.address, "/v1/runs", None, TIMEOUT_MS
+            )
+            if result.is_ok():
+                age_ms = msgspec.json.decode(result.ok.body)["last_work_age_ms"]
+                after_ms = 1000 * (trio.current_time() - since_s) - age_ms
+                latest_ms = max(latest_ms, after_ms)
+        return latest_ms
+
     def settings_of(self, name, centre, callers, peers, seeds):
         """Return the settings of one entry host as a dict."""
         result = {
@@ -245,6 +301,10 @@
                 process.wait()
             await self.transport.close()
 
+    async def await_listening(self, address):
+        """Wait until something answers at an address."""
+        await self._await_answer(address, "/v1/load")
+
     async def _await_addresses(self, addresses):
         for address in addresses:
             await self._await_answer(address, "/v1/load")
@@ -260,6 +320,17 @@
                 await self.clock.sleep_ms(POLL_MS)
 
 
+def read_plan(name):
+    """Return a sample's plan of data centres and pools."""
+    return tomllib.loads((SAMPLES / name / "deployment.toml").read_text())
+
+
+def read_documents(name):
+    """Return the texts of a sample's service documents by name."""
+    paths = sorted((SAMPLES / name / "services").glob("*.toml"))
+    return {path.stem: path.read_text() for path in paths}
+
+
 def free_address():
     """Return an ``IP:port`` on loopback that was free a moment ago."""
     with socket.socket() as probe:
--- a/teaselwall/tools/rigs.py
+++ b/teaselwall/tools/rigs.py
@@ -54,7 +54,8 @@
         A call that holds this text crashes the server halfway.
     breaks : list of (str, int)
         What befalls the coming streams, and after how many tokens: ``die``,
-        ``silent``, ``repeat``, ``skip``, ``foreign``, ``cut`` or ``garbage``.
+        ``silent``, ``repeat``, ``skip``, ``foreign``, ``cut``, ``short`` (an end
+        mark before its time), ``endless`` (a line that never ends) or ``garbage``.
     """
 
     def __init__(self, entry):
@@ -131,7 +132,7 @@
                     continue
                 if kind == "cut":
                     return
-                yield b"{]\n" if kind == "garbage" else _chunk(call, index, "other")
+                yield _wrong(call, index, kind)
                 return
             yield _chunk(call, index)
         yield _chunk(call, call.max_tokens, end=True)
@@ -145,6 +146,14 @@
             raise httpcore.ReadTimeout("silent")
 
 
+def _wrong(call, index, kind):
+    if kind == "short":
+        return _chunk(call, call.max_tokens, end=True)
+    if kind == "endless":
+        return b"x" * (engines.MAX_LINE_BYTES + 1)
+    return b"{]\n" if kind == "garbage" else _chunk(call, index, "other")
+
+
 def _chunk(call, index, request="", end=False):
     token = "" if end else engine.token_at(request or call.prompt, index)
     chunk = messages.TokenChunk(
