Crash servers and silence streams with real processes

Change: a request that kills each encoder is sent six times to three entry hosts; and half the engines stop answering on open connections in mid-stream.

Conclusion: at most 3 encoders die, the last resend is refused as not run and healthy requests are served; 6 of 6 streams end whole with 60 tokens each.

--- /dev/null
+++ b/teaselwall/tests/test_faults.py
@@ -0,0 +1,59 @@
+import pathlib
+
+import pytest
+import trio
+
+from teaselwall.tools import callers, deployments
+
+SERVICE = "visitor-answers"
+POISON = "zz-poison"
+
+
+@pytest.fixture
+async def deployment(tmp_path):
+    running = deployments.Deployment("directorate", pathlib.Path(tmp_path), 3)
+    try:
+        await running.start()
+        yield running
+    finally:
+        await running.stop()
+
+
+async def ask(deployment, index, text, **options):
+    host = deployment.entry_hosts[index % 3]
+    return await callers.call(
+        deployment.transport, host.callers, SERVICE, "gate-kiosks", text, **options
+    )
+
+
+def servers_of(deployment, pool):
+    return [b for b in deployment.backends if b.entry.pool == pool]
+
+
+async def test_real_servers_survive_a_request_that_crashes_them(deployment):
+    encoders = servers_of(deployment, "encoder")
+    for server in encoders:
+        await deployment.set_faults(server.entry.address, crash_marker=POISON)
+    outcomes = [await ask(deployment, i, f"{POISON} question") for i in range(6)]
+    n_dead = sum(s.process.poll() is not None for s in encoders)
+    assert n_dead <= 3
+    assert outcomes[-1].status == 422
+    assert outcomes[-1].outcome == "not_run"
+    assert (await ask(deployment, 0, "healthy")).whole
+
+
+async def test_streams_go_on_where_open_connections_fall_silent(deployment):
+    done = []
+
+    async def one(index):
+        done.append(await ask(deployment, index, f"Question {index}"))
+
+    engines = servers_of(deployment, "generator")
+    async with trio.open_nursery() as nursery:
+        for index in range(6):
+            nursery.start_soon(one, index)
+        await trio.sleep(0.3)
+        for engine in engines[: len(engines) // 2]:
+            await deployment.set_faults(engine.entry.address, silent=True)
+    assert [call.whole for call in done] == [True] * 6
+    assert [len(call.tokens) for call in done] == [60] * 6
