--- a/teaselwall/guards.py
+++ b/teaselwall/guards.py
@@ -1,6 +1,5 @@
 """What the quarantine does around one attempt."""
 
-import collections
 import contextlib
 import logging
 
@@ -14,6 +13,24 @@
 MAX_BESIDE = 4
 
 
+class Run:
+    """Equal requests that run on one server.
+
+    Parameters
+    ----------
+    address : str
+    started_ms : float
+        When the first of them was sent.
+    """
+
+    __slots__ = ("address", "started_ms", "n_requests")
+
+    def __init__(self, address, started_ms):
+        self.address = address
+        self.started_ms = started_ms
+        self.n_requests = 0
+
+
 class Guard:
     """Holds suspects back before an attempt and looks for crashes after it.
 
@@ -34,26 +51,30 @@
     def running_on(self, made, server):
         """Note where a content runs, as long as it does."""
         content = content_of(made.request, made.stage)
-        held = self.running.setdefault(content, collections.Counter())
-        held[server.address] += 1
+        run = self.running.get(content)
+        if run is None or run.address != server.address:
+            run = Run(server.address, made.request.deadline.clock.now_ms())
+            self.running[content] = run
+        run.n_requests += 1
         try:
             yield
         finally:
-            held[server.address] -= 1
-            if not held.total():
-                self.running.pop(content, None)
+            run.n_requests -= 1
+            if not run.n_requests and self.running.get(content) is run:
+                del self.running[content]
 
     def beside(self, made):
-        """Return the address where equal content runs already, or None.
+        """Return the address where equal content has just begun to run, or None.
 
         A few equal requests at once share one server, so that a content which
-        turns out to crash servers has not reached many of them before.
+        turns out to crash servers has not reached many of them before. A server
+        that takes longer than expected is not joined.
         """
-        held = self.running.get(content_of(made.request, made.stage))
-        if not made.request.content or held is None:
+        run = self.running.get(content_of(made.request, made.stage))
+        if run is None or not made.request.content or run.n_requests >= MAX_BESIDE:
             return None
-        address, count = held.most_common(1)[0]
-        return address if 0 < count < MAX_BESIDE else None
+        age_ms = made.request.deadline.clock.now_ms() - run.started_ms
+        return run.address if age_ms < made.stage.expected_ms else None
 
     def refusal(self, request):
         """Return the error that refuses a request before any stage, or None."""
--- a/teaselwall/tools/bench_attempts.py
+++ b/teaselwall/tools/bench_attempts.py
@@ -104,6 +104,8 @@
             attainment, calls = on_mock_clock(hedge_run, picker(0), hedged)
             result[f"{name}_attainment_percent"] = (attainment, "%", None)
             result[f"{name}_calls_per_request"] = (calls, "ratio", None)
+    attainment, _ = on_mock_clock(hedge_run, pickers.TwoChoicesPicker(0), False, 1)
+    result["slow_server_equal_requests_attainment_percent"] = (attainment, "%", None)
     attainment = trio.run(outage_run)
     result["idempotent_attainment_log_outage_percent"] = (attainment, "%", 99)
     return result
@@ -215,7 +217,7 @@
     got.extend(tokens)
 
 
-async def hedge_run(picker, hedged):
+async def hedge_run(picker, hedged, n_questions=2000):
     """Return attainment in percent and calls a request with one slow server."""
     chance = random.Random(1)
     servers = rigs.fake_servers("encode", 4)
@@ -227,12 +229,12 @@
     document = rigs.document(rigs.stage("encode"), deadline_ms=200)
     results = []
 
-    async def one():
-        results.append(await rig.run(document))
+    async def one(index):
+        results.append(await rig.run(document, f"question {index % n_questions}"))
 
     async with trio.open_nursery() as nursery:
-        for _ in range(2000):
-            nursery.start_soon(one)
+        for index in range(2000):
+            nursery.start_soon(one, index)
             await trio.sleep(chance.expovariate(100))
     n_calls = sum(server.n_calls for server in servers)
     n_met = sum(result.is_ok() for result in results)
