--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -4,25 +4,37 @@
 
 from teaselwall import (
     budgets,
+    claims,
     clock,
     configuration,
+    confirmations,
     control,
     dispatch,
     engines,
+    eras,
     evidence,
     fleet,
+    followers,
     gossip,
     guards,
     hostlist,
     logservice,
     membership,
     metrics,
+    operators,
+    orders,
+    ownercalls,
+    ownerships,
     peers,
     pickers,
+    pictures,
     pipelines,
     pools,
     probes,
+    publications,
     quarantine,
+    recorders,
+    snapshots,
     traces,
     transport,
 )
@@ -47,12 +59,18 @@
         "log",
         "state",
         "follower",
+        "rewriter",
+        "publisher",
+        "orders",
         "membership",
         "gossip",
         "fleet",
         "suspects",
         "evidence",
         "dispatcher",
+        "ownerships",
+        "claims",
+        "eras",
         "pipeline",
         "hand_overs",
     )
@@ -70,10 +88,23 @@
         )
         self.state = configuration.State()
         timeout_ms = settings.platform.timeout_ms
-        self.follower = configuration.Follower(
-            self.clock, self.log, self.state, timeout_ms
-        )
         self.membership = membership.Membership(self.clock, settings)
+        self.follower = followers.Follower(
+            self.clock,
+            self.log,
+            self.state,
+            timeout_ms,
+            self.peers,
+            self.membership,
+            settings.membership.seeds,
+        )
+        self.rewriter = snapshots.Rewriter(
+            self.clock, self.log, self.follower, settings.claims.retention_ms
+        )
+        self.publisher = publications.Publisher(self.clock, self.log, self.follower)
+        self.orders = orders.Orders(
+            self.clock, self.state, self.publisher, self.peers, self.membership
+        )
         self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
         self.control.add(gossip.PATH, self.gossip.handle)
         self.fleet = fleet.Fleet(
@@ -89,8 +120,43 @@
             self.clock, self.log, self.suspects, timeout_ms
         )
         self.dispatcher = self._dispatcher()
-        self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.ownerships = ownerships.Ownerships(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims,
+            timeout_ms,
+        )
+        self.ownerships.add_handlers(self.control)
+        self.claims = self._claims()
+        self.eras = eras.EraClock(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims.era_ms,
+            timeout_ms,
+        )
+        self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
         self.hand_overs = []
+        self._register_operators()
+
+    def _register_operators(self):
+        confirmer = confirmations.Confirmer(self.clock, self.follower)
+        commands = operators.Operators(
+            self.state,
+            self.fleet,
+            self.follower,
+            self.publisher,
+            self.orders,
+            confirmer,
+        )
+        commands.register(self.control)
+        confirmer.register(self.control)
+        self.orders.register(self.control)
+        pictures.Pictures(self, commands).register(self.control)
+        followers.Answerer(self.follower, self.state).register(self.control)
 
     def _dispatcher(self):
         backends = {
@@ -112,20 +178,43 @@
             guards.Guard(self.suspects, probes.HttpProber(self.transport)),
         )
 
+    def _claims(self):
+        calls = ownercalls.OwnerCalls(
+            self.clock, self.peers, self.ownerships, self.membership
+        )
+        return claims.Claims(
+            self.clock,
+            calls,
+            recorders.Recorder(self.clock, calls),
+            self.dispatcher,
+            self.state,
+            self.membership,
+            self.settings.claims.n_partitions,
+            self.settings.limits.max_result_bytes,
+        )
+
     async def serve(self, request, sink):
         """Run one request; see ``pipelines.Pipeline.run``."""
         return await self.pipeline.run(request, sink)
 
     def ready(self):
         """Return whether callers may be sent here."""
-        if self.membership.me.draining:
-            return False
-        return self.follower.caught_up and self.fleet.seen and self.evidence.settled
+        return (
+            not self.membership.me.draining
+            and self.follower.ready()
+            and self.fleet.seen
+            and self.evidence.settled
+        )
 
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.rewriter.run)
+            nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.ownerships.run)
+            nursery.start_soon(self.claims.run)
+            nursery.start_soon(self.eras.run)
             nursery.start_soon(self.evidence.run)
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -161,6 +161,11 @@
         """Return whether a process is believed alive."""
         return any(member.nonce == nonce for member in self.alive())
 
+    def find(self, address):
+        """Return the live member at a peer address, or None."""
+        found = [member for member in self.alive() if member.address == address]
+        return max(found, key=lambda member: member.seen_ms, default=None)
+
     def beat(self):
         """Count the own heartbeat up and refresh the own summary where due."""
         self.me.heartbeat += 1
--- a/teaselwall/tests/test_settings.py
+++ b/teaselwall/tests/test_settings.py
@@ -6,7 +6,15 @@
 from cleo import application
 from cleo.testers import command_tester
 
-from teaselwall import cli, daemon, listeners, services, settings
+from teaselwall import (
+    cli,
+    console,
+    daemon,
+    listeners,
+    service_commands,
+    services,
+    settings,
+)
 from teaselwall.tools import deployments
 
 DELETE = object()
@@ -113,10 +121,10 @@
 
 def check_by_commands(command, path, capsys):
     """Return the error text; both programs must end with status 2."""
-    console = application.Application()
-    console.add(command)
-    tester = command_tester.CommandTester(console.find(command.name))
-    assert tester.execute(path) == cli.EXIT_WRONG_FILE == 2
+    program = application.Application()
+    program.add(command)
+    tester = command_tester.CommandTester(program.find(command.name))
+    assert tester.execute(path) == console.EXIT_USAGE == 2
     text = tester.io.fetch_error()
     if command.name == "settings check":
         assert daemon.main([path]) == daemon.EXIT_SETTINGS == 2
@@ -140,7 +148,7 @@
 @pytest.mark.parametrize(("path", "value"), WRONG_SERVICES)
 def test_wrong_service_documents_name_the_key(tmp_path, capsys, path, value):
     file = write(tmp_path, changed(right_service(), path, value))
-    text = check_by_commands(cli.ServiceCheck(), file, capsys)
+    text = check_by_commands(service_commands.Check(), file, capsys)
     assert file in text
     assert str(path[-1]) in text or str(path[0]) in text
     assert services.read(file).error.remedy in text
@@ -149,7 +157,7 @@
 @pytest.mark.parametrize("body", WRONG_FILES)
 def test_files_that_cannot_be_read_say_so(tmp_path, capsys, body):
     file = write(tmp_path, body)
-    for command in (cli.SettingsCheck(), cli.ServiceCheck()):
+    for command in (cli.SettingsCheck(), service_commands.Check()):
         assert file in check_by_commands(command, file, capsys)
 
 
--- a/teaselwall/tools/rigs.py
+++ b/teaselwall/tools/rigs.py
@@ -12,6 +12,7 @@
 
 from teaselwall import (
     budgets,
+    claims,
     clock,
     configuration,
     dispatch,
@@ -246,6 +247,18 @@
                 yield FakeResponse(server.status, parts)
 
 
+class UnclaimedCalls:
+    """Runs stages that may not be repeated without a claim."""
+
+    def __init__(self, dispatcher):
+        self.dispatcher = dispatcher
+
+    async def call(self, request, stage, inputs):
+        """Run the stage; see ``claims.Claims.call``."""
+        result = await self.dispatcher.call(request, stage, inputs)
+        return result.map(lambda output: claims.Outcome(output, False))
+
+
 class Rig:
     """One entry host's dispatcher and pipeline over fake servers.
 
@@ -286,7 +299,9 @@
             budgets.RetryBudgets(self.clock, percent),
             guards.Guard(self.suspects, probes.HttpProber(self.transport)),
         )
-        self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.pipeline = pipelines.Pipeline(
+            self.dispatcher, UnclaimedCalls(self.dispatcher)
+        )
         self.n_requests = 0
 
     def refresh(self):
