Never call a request not run while its key is being run

Cause: claims run a stage in the background and go on past the caller's deadline. The pipeline, cut off by the deadline, then asked whether anything of this request had been sent, which is noted only at the attempt's end, and answered "not run". A suspected purchase was refused before its recorded result was looked up.

Change: a keyed call under way counts as unknown until it ends; requests that may not be repeated are refused by the quarantine at their stage alone.

--- a/teaselwall/guards.py
+++ b/teaselwall/guards.py
@@ -77,7 +77,13 @@
         return run.address if age_ms < made.stage.expected_ms else None
 
     def refusal(self, request):
-        """Return the error that refuses a request before any stage, or None."""
+        """Return the error that refuses a request before any stage, or None.
+
+        A request that may not be repeated is refused at its stage only, once its
+        key is known not to have run.
+        """
+        if not request.document.idempotent:
+            return None
         for stage in request.document.stages:
             error = self.suspects.refusal(content_of(request, stage))
             if error is not None:
--- a/teaselwall/pipelines.py
+++ b/teaselwall/pipelines.py
@@ -125,8 +125,11 @@
 
     async def _call_once(self, stage, inputs):
         self.n_begun += 1
+        self.request.n_pending += 1
         result = await self.claims.call(self.request, stage, inputs)
+        self.request.n_pending -= 1
         if result.is_error():
+            self.request.note_outcome(result.error.outcome)
             if result.error.outcome is errors.Outcome.NOT_RUN:
                 self.n_begun -= 1
             return result
--- a/teaselwall/requests.py
+++ b/teaselwall/requests.py
@@ -30,6 +30,8 @@
     ----------
     sent : bool
         Whether a backend server may have taken any stage of it.
+    n_pending : int
+        Keyed calls under way; this host does not know what came of them.
     effective : bool
         Whether a stage that is not idempotent has answered.
     """
@@ -45,6 +47,7 @@
         "span",
         "content",
         "sent",
+        "n_pending",
         "effective",
     )
 
@@ -70,6 +73,7 @@
         self.span = span
         self.content = content or body_hash
         self.sent = False
+        self.n_pending = 0
         self.effective = False
 
     def note_outcome(self, outcome):
@@ -81,7 +85,8 @@
         """Return what is known of the whole request once it has been given up."""
         if self.effective:
             return errors.Outcome.RAN
-        return errors.Outcome.UNKNOWN if self.sent else errors.Outcome.NOT_RUN
+        known = not self.sent and not self.n_pending
+        return errors.Outcome.NOT_RUN if known else errors.Outcome.UNKNOWN
 
 
 def content_hash(organisation, service, text):
--- a/teaselwall/tests/test_attempts.py
+++ b/teaselwall/tests/test_attempts.py
@@ -5,7 +5,7 @@
 import trio
 from hypothesis import strategies
 
-from teaselwall import budgets, clock, errors
+from teaselwall import budgets, clock, errors, guards
 from teaselwall.tools import bench_attempts, engine, rigs
 
 ENCODE = rigs.stage("encode")
@@ -237,3 +237,29 @@
     for _ in range(4):
         assert (await rig.run(document)).is_ok()
     assert trio.current_time() - started < 4 * (1.0 + 0.1)
+
+
+class KeyInUse:
+    """Claims whose answer does not come before the deadline."""
+
+    async def call(self, request, stage, inputs):
+        await trio.sleep_forever()
+
+
+async def test_deadline_while_a_key_is_being_run_is_never_not_run(autojump_clock):
+    rig, servers, document = make(PURCHASE)
+    rig.pipeline.claims = KeyInUse()
+    result = await rig.run(document, key="k")
+    assert isinstance(result.error, errors.DeadlineExceeded)
+    assert result.error.outcome is errors.Outcome.UNKNOWN
+
+
+async def test_suspected_purchase_still_gets_its_recorded_result(autojump_clock):
+    rig, servers, document = make(PURCHASE)
+    request = rig.request(document, key="k")
+    for crash in ("a", "b", "c"):
+        rig.suspects.report(request, guards.content_of(request, PURCHASE), crash, None)
+    assert rig.dispatcher.guard.refusal(request) is None
+    result = await rig.run(document, key="k")
+    assert isinstance(result.error, errors.Quarantined)
+    assert result.error.outcome is errors.Outcome.NOT_RUN
