--- a/teaselwall/evidence.py
+++ b/teaselwall/evidence.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from teaselwall import events
+from teaselwall import events, quarantine
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -65,11 +65,11 @@
             nursery.start_soon(self._follow)
 
     async def _send(self):
-        quarantine = self.quarantine
+        table = self.quarantine
         while True:
-            await quarantine.wanted.wait()
-            quarantine.wanted = trio.Event()
-            while quarantine.pending:
+            await table.wanted.wait()
+            table.wanted = trio.Event()
+            while table.pending:
                 await self._append(self._next_batch())
 
     def _next_batch(self):
@@ -100,7 +100,7 @@
                 await self.clock.sleep_ms(RETRY_MS)
                 continue
             for record in result.ok.records:
-                self._apply(record)
+                self._apply(record, result.ok.now_ms - record.time_ms)
             if not result.ok.records:
                 self.offset = max(self.offset, result.ok.first)
             self.settled = self.settled or self.offset >= result.ok.end
@@ -108,8 +108,11 @@
     def _wait_ms(self):
         return WAIT_MS if self.settled else 0
 
-    def _apply(self, record):
+    def _apply(self, record, age_ms):
+        """Take a record unless it has expired by the log's own clock."""
         self.offset = record.offset + 1
+        if age_ms >= quarantine.EXPIRY_MS:
+            return
         try:
             batch = msgspec.convert(record.data, messages.QuarantineBatch)
         except msgspec.ValidationError as error:
--- a/teaselwall/tests/test_quarantine.py
+++ b/teaselwall/tests/test_quarantine.py
@@ -75,7 +75,9 @@
     assert not refused
 
 
-async def test_servers_that_crash_by_themselves_condemn_nobody(autojump_clock, hosts):
+async def test_servers_that_crash_by_themselves_get_no_request_refused(
+    autojump_clock, hosts
+):
     results = []
     for turn in range(12):
         async with trio.open_nursery() as nursery:
@@ -167,6 +169,20 @@
     assert suspects.listing().entries == []
 
 
+async def test_fresh_host_takes_no_expired_evidence(autojump_clock, nursery):
+    log = fakes.FakeLog(nursery)
+    for age_s in (2 * quarantine.EXPIRY_MS / 1000, 1, 0):
+        record = {"kind": "crash", "content": f"c{age_s}", "crash": "x"}
+        await log.append(evidence.STREAM, {"records": [record]}, 500)
+        await trio.sleep(age_s)
+    suspects = quarantine.Quarantine(clock.Clock())
+    shared = evidence.EvidenceLog(clock.Clock(), log, suspects, 500)
+    nursery.start_soon(shared.run)
+    await settle()
+    assert shared.settled
+    assert sorted(suspects.entries) == ["c0", "c1"]
+
+
 async def test_unreadable_records_are_passed_over(autojump_clock, hosts):
     for data in ({"records": 5}, [], None, {"records": [{"kind": "x"}]}):
         await hosts.log.append(evidence.STREAM, data, 500)
