Let more seeds look for chunks of another request

Cause: with the new choice of servers none of the 20 seeded streams met a chunk of another request, so leaving the check out was not seen.

Change: 100 seeded streams in place of 20.

--- a/teaselwall/tests/test_guards_left_out.py
+++ b/teaselwall/tests/test_guards_left_out.py
@@ -6,6 +6,7 @@
 from teaselwall.tools import bench_attempts
 
 SEEDS = range(20)
+STREAM_SEEDS = range(100)
 
 
 def poison():
@@ -18,7 +19,7 @@
 
 
 def n_streams_wrong():
-    return sum(map(bench_attempts.stream_run, SEEDS))
+    return sum(map(bench_attempts.stream_run, STREAM_SEEDS))
 
 
 def test_all_guards_in():
