--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -10,8 +10,10 @@
 from teaselwall import (
     attempts,
     budgets,
+    clock,
     errors,
     events,
+    gates,
     guards,
     hedges,
     outcomes,
@@ -26,6 +28,7 @@
 logger = logging.getLogger(__name__)
 
 DEFAULT_PERCENT = 10
+ROOM_WAIT_MS = 1000
 RETRY_AFTER_MS = 1000
 
 
@@ -45,6 +48,11 @@
         Longest silence borne on an open stream.
     retries : budgets.RetryBudgets, optional
     guard : guards.Guard, optional
+
+    Attributes
+    ----------
+    gate : gates.Gate
+        Asked for leave right before each call.
     """
 
     __slots__ = (
@@ -58,6 +66,7 @@
         "attempts",
         "retries",
         "guard",
+        "gate",
     )
 
     def __init__(
@@ -82,6 +91,7 @@
         self.attempts = itertools.count(1)
         self.retries = retries or budgets.RetryBudgets(clock, DEFAULT_PERCENT)
         self.guard = guard or guards.local(clock)
+        self.gate = gates.FleetGate(fleet)
 
     async def call(self, request, stage, inputs):
         """Run a stage that gives one reply.
@@ -142,55 +152,90 @@
             return admitted
         result = None
         try:
-            chosen = self._next_server(made, admitted.ok)
-            if chosen.is_error():
-                return chosen
-            with self.guard.running_on(made, chosen.ok):
-                result = await attempt(made, chosen.ok, *arguments)
-            if result.is_error():
-                made.error = result.error
-                await self.guard.examine(made, chosen.ok, admitted.ok)
+            granted = await self._admit(made, admitted.ok)
+            if granted.is_error():
+                return granted
+            ticket = granted.ok
+            with self.guard.running_on(made, ticket.server):
+                result = await attempt(made, ticket.server, *arguments)
+            error = result.error if result.is_error() else None
+            self.gate.end(ticket, error, made.request.deadline)
+            if error is not None:
+                made.error = error
+                await self.guard.examine(made, ticket.server, admitted.ok)
             return result
         finally:
             self.guard.settle(made, admitted.ok, result)
 
-    def _next_server(self, made, trial):
-        """Choose the next server; nothing may be awaited before it is sent to."""
+    async def _admit(self, made, trial):
+        """Return leave to call a server, with no await after the last check.
+
+        Where only cold servers without room are left, wait a little for one.
+        """
+        pool = made.stage.pool
+        remaining_ms = made.request.deadline.remaining_ms()
+        limit = clock.Deadline(self.clock, min(ROOM_WAIT_MS, remaining_ms))
+        while True:
+            granted = self._begin(made, trial)
+            if granted.is_ok() or limit.passed():
+                return granted
+            if not isinstance(granted.error, errors.Unavailable):
+                return granted
+            remaining_ms = made.request.deadline.remaining_ms()
+            if not await self.gate.wait(pool, made.tried, remaining_ms):
+                return granted
+
+    def _begin(self, made, trial):
+        passed_over = set()
+        while True:
+            chosen = self._next_server(made, trial, passed_over)
+            if chosen.is_error():
+                return chosen
+            server = chosen.ok
+            ticket = self.gate.begin(server, made.request.deadline.remaining_ms())
+            if ticket is not None:
+                made.note_sent(server)
+                return expression.Ok(ticket)
+            passed_over.add(server.address)
+
+    def _next_server(self, made, trial, passed_over):
         wanted = self.guard.beside(made) if trial is None else trial.server
-        server = self._open_server(made, wanted)
+        server = self._open_server(made, wanted, passed_over)
         if server is None and trial is None:
-            server = self.choose(made)
-        if server is None:
+            server = self.choose(made, passed_over)
+        if server is None or server.address in passed_over:
             return _no_server(made.stage)
         if not made.possible(server.latency_ms):
             detail = f"The time left is too short for stage {made.stage.name}."
             return expression.Error(errors.DeadlineExceeded(detail))
-        made.note_sent(server)
         return expression.Ok(server)
 
-    def _open_server(self, made, address):
-        if address is None or address in made.tried:
+    def _open_server(self, made, address, passed_over):
+        if address is None or address in made.tried or address in passed_over:
             return None
         choices = self.fleet.choices(made.stage.pool)
         return next((s for s in choices if s.address == address), None)
 
-    def choose(self, made):
+    def choose(self, made, passed_over=frozenset()):
         """Return the server for the next attempt, or None.
 
         Parameters
         ----------
         made : attempts.Attempts
             Servers elsewhere than the data centres tried go first.
+        passed_over : set of str
+            Addresses that have no room at the moment.
         """
         stage = made.stage
+        tried = made.tried | passed_over
         call = pickers.call_of(made.request, stage, made.prefix)
         choices = self.fleet.choices(stage.pool, made.prefix)
         if made.data_centres:
             elsewhere = [s for s in choices if s.data_centre not in made.data_centres]
-            server = self.picker.pick(elsewhere, made.tried, call)
+            server = self.picker.pick(elsewhere, tried, call)
             if server is not None:
                 return server
-        return self.picker.pick(choices, made.tried, call)
+        return self.picker.pick(choices, tried, call)
 
     def _may_retry(self, made, n_tokens=0):
         if not made.safe() or not made.possible(0) or not self._has_other(made):
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from teaselwall import errors
+from teaselwall import errors, warmth
 from teaselwall.generated import messages
 
 LOAD_HEADER = b"server-load"
@@ -20,6 +20,7 @@
     Parameters
     ----------
     entry : messages.HostEntry
+    clock : clock.Clock
 
     Attributes
     ----------
@@ -67,9 +68,10 @@
         "n_samples",
         "n_failures",
         "n_missed",
+        "warmth",
     )
 
-    def __init__(self, entry):
+    def __init__(self, entry, clock):
         self.address = entry.address
         self.pool = entry.pool
         self.data_centre = entry.data_centre
@@ -91,6 +93,7 @@
         self.n_samples = 0
         self.n_failures = 0
         self.n_missed = 0
+        self.warmth = warmth.Warmth(clock)
 
     def note_latency(self, latency_ms):
         """Fold one call's latency into the moving average, in ms."""
@@ -103,6 +106,7 @@
         ----------
         report : messages.LoadReport
         """
+        self.warmth.note(report, self.incarnation)
         if report.incarnation != self.incarnation:
             self.successor = report.incarnation
             return
