--- a/teaselwall/tests/test_attempts.py
+++ b/teaselwall/tests/test_attempts.py
@@ -5,8 +5,8 @@
 import trio
 from hypothesis import strategies
 
-from teaselwall import budgets, clock, errors
-from teaselwall.tools import engine, rigs
+from teaselwall import budgets, clock, errors, guards
+from teaselwall.tools import bench_attempts, engine, rigs
 
 ENCODE = rigs.stage("encode")
 PURCHASE = rigs.stage("purchase", "plain", idempotent=False)
@@ -55,9 +55,10 @@
     first_centre = [s for s in servers["encode"] if s.entry.data_centre == "centre-0"]
     for server in first_centre:
         server.status = 500
-    results = [await rig.run(document) for _ in range(10)]
-    assert all(result.is_ok() for result in results)
-    assert n_calls(servers["encode"]) < 20
+    for index in range(10):
+        n_before = n_calls(servers["encode"])
+        assert (await rig.run(document, f"question {index}")).is_ok()
+        assert n_calls(servers["encode"]) <= n_before + 2
 
 
 async def test_silent_server_is_left_within_the_deadline(autojump_clock):
@@ -116,6 +117,17 @@
     assert n_calls(servers["rerank"]) == 0
 
 
+async def test_deadline_that_was_lost_from_the_start_sends_nothing(autojump_clock):
+    rig, servers, document = make(
+        ENCODE, rigs.stage("rerank", expected_ms=400), deadline_ms=150
+    )
+    result = await rig.run(document)
+    assert isinstance(result.error, errors.DeadlineExceeded)
+    assert result.error.outcome is errors.Outcome.NOT_RUN
+    assert trio.current_time() < 0.01
+    assert n_calls(servers["encode"]) == 0
+
+
 @hypothesis.settings(derandomize=True, max_examples=50)
 @hypothesis.given(strategies.lists(strategies.sampled_from(["ok", "take"])))
 def test_budget_never_gives_more_than_successes_earn(steps):
@@ -134,7 +146,7 @@
     trio.run(check, clock=trio.testing.MockClock())
 
 
-KINDS = ["die", "silent", "repeat", "skip", "foreign", "cut", "garbage"]
+KINDS = [*bench_attempts.STREAM_FAULTS]
 
 
 def expected(rig, document):
@@ -201,3 +213,53 @@
         await rig.run(document)
     assert sum(server.n_open for server in servers["generate"]) == 0
     assert n_calls(servers["generate"]) == 1
+
+
+async def test_late_reply_is_raced_within_a_short_deadline(autojump_clock):
+    rig, servers, document = make(ENCODE, n_servers=2, deadline_ms=200)
+    servers["encode"][0].silent = True
+    assert all([(await rig.run(document)).is_ok() for _ in range(6)])
+    assert n_calls(servers["encode"]) <= 12
+
+
+async def test_late_purchase_is_never_raced(autojump_clock):
+    rig, servers, document = make(PURCHASE, deadline_ms=2000)
+    for server in servers["purchase"]:
+        server.service_ms = 1000
+    assert (await rig.run(document, key="k")).is_ok()
+    assert n_calls(servers["purchase"]) == 1
+
+
+async def test_silent_engine_is_left_before_the_first_token(autojump_clock):
+    rig, servers, document = make(GENERATE, deadline_ms=5000)
+    servers["generate"][0].first_silent = True
+    started = trio.current_time()
+    for _ in range(4):
+        assert (await rig.run(document)).is_ok()
+    assert trio.current_time() - started < 4 * (1.0 + 0.1)
+
+
+class KeyInUse:
+    """Claims whose answer does not come before the deadline."""
+
+    async def call(self, request, stage, inputs):
+        await trio.sleep_forever()
+
+
+async def test_deadline_while_a_key_is_being_run_is_never_not_run(autojump_clock):
+    rig, servers, document = make(PURCHASE)
+    rig.pipeline.claims = KeyInUse()
+    result = await rig.run(document, key="k")
+    assert isinstance(result.error, errors.DeadlineExceeded)
+    assert result.error.outcome is errors.Outcome.UNKNOWN
+
+
+async def test_suspected_purchase_still_gets_its_recorded_result(autojump_clock):
+    rig, servers, document = make(PURCHASE)
+    request = rig.request(document, key="k")
+    for crash in ("a", "b", "c"):
+        rig.suspects.report(request, guards.content_of(request, PURCHASE), crash, None)
+    assert rig.dispatcher.guard.refusal(request) is None
+    result = await rig.run(document, key="k")
+    assert isinstance(result.error, errors.Quarantined)
+    assert result.error.outcome is errors.Outcome.NOT_RUN
--- a/teaselwall/tools/rigs.py
+++ b/teaselwall/tools/rigs.py
@@ -35,6 +35,7 @@
 
 SILENCE_MS = 1000
 TOKEN_MS = 10
+ENDLESS_BYTES = 4096
 
 
 class FakeServer:
@@ -49,13 +50,16 @@
         Connections are refused.
     silent : bool
         Calls are taken and never answered.
+    first_silent : bool
+        Streams are taken and their head never comes.
     restarts : bool
         Whether a new process runs at once after a crash.
     poison : str
         A call that holds this text crashes the server halfway.
     breaks : list of (str, int)
         What befalls the coming streams, and after how many tokens: ``die``,
-        ``silent``, ``repeat``, ``skip``, ``foreign``, ``cut`` or ``garbage``.
+        ``silent``, ``repeat``, ``skip``, ``foreign``, ``cut``, ``short`` (an end
+        mark before its time), ``endless`` (a line that never ends) or ``garbage``.
     """
 
     def __init__(self, entry):
@@ -65,6 +69,7 @@
         self.status = 200
         self.dead = False
         self.silent = False
+        self.first_silent = False
         self.restarts = True
         self.poison = ""
         self.breaks = []
@@ -132,7 +137,10 @@
                     continue
                 if kind == "cut":
                     return
-                yield b"{]\n" if kind == "garbage" else _chunk(call, index, "other")
+                while kind == "endless":
+                    yield b"x" * ENDLESS_BYTES
+                    await self.clock.sleep_ms(TOKEN_MS)
+                yield _wrong(call, index, kind)
                 return
             yield _chunk(call, index)
         yield _chunk(call, call.max_tokens, end=True)
@@ -146,6 +154,12 @@
             raise httpcore.ReadTimeout("silent")
 
 
+def _wrong(call, index, kind):
+    if kind == "short":
+        return _chunk(call, call.max_tokens, end=True)
+    return b"{]\n" if kind == "garbage" else _chunk(call, index, "other")
+
+
 def _chunk(call, index, request="", end=False):
     token = "" if end else engine.token_at(request or call.prompt, index)
     chunk = messages.TokenChunk(
@@ -226,6 +240,9 @@
         server = self.servers[address]
         server.connect(progress)
         with server.working():
+            if server.first_silent:
+                await server.clock.sleep_ms(timeout_ms)
+                raise httpcore.ReadTimeout("silent")
             async with contextlib.aclosing(server.stream(message)) as parts:
                 yield FakeResponse(server.status, parts)
 
