Learn slow servers from calls in flight and count refusals

Cause: with one engine five times slower, hosts went on sending to it until its first calls had ended at their deadline.

Ruled out: a shorter report interval; the reports show load, not slowness.

Change: each poll raises a server's time by what its calls in flight have taken so far. Failed requests no longer shorten the expected queue time. Admission counts refusals and observes queue time.

--- a/teaselwall/admission.py
+++ b/teaselwall/admission.py
@@ -30,14 +30,23 @@
     rates : rates.Rates
     utilisation : callable
         Returns the part of a pool's reported capacity that is in use, or None.
+    metrics : metrics.Metrics
     new_limiter : callable
         Returns the ``limiters.Limiter`` of a lane.
     """
 
-    __slots__ = ("clock", "rates", "utilisation", "new_limiter", "lanes")
+    __slots__ = ("clock", "rates", "utilisation", "metrics", "new_limiter", "lanes")
 
-    def __init__(self, clock, rates, utilisation, new_limiter=limiters.GradientLimiter):
+    def __init__(
+        self,
+        clock,
+        rates,
+        utilisation,
+        metrics,
+        new_limiter=limiters.GradientLimiter,
+    ):
         self.clock = clock
+        self.metrics = metrics
         self.rates = rates
         self.utilisation = utilisation
         self.new_limiter = new_limiter
@@ -61,15 +70,22 @@
         organisation = services.organisation(request.document, request.organisation)
         refusal = self.rates.check(request.document.service, organisation)
         if refusal is not None:
-            return expression.Error(refusal)
-        lane = self.lane(bottleneck(request.document))
+            return self._refused(refusal, "rate")
+        pool = bottleneck(request.document)
+        lane = self.lane(pool)
+        started_ms = self.clock.now_ms()
         refusal = await lane.enter(request, organisation.share)
+        self.metrics.observe_ms("queue", self.clock.now_ms() - started_ms, pool=pool)
         if refusal is not None:
-            return expression.Error(refusal)
+            return self._refused(refusal, pool)
         with lane.running(request) as outcome:
             outcome.result = await work()
         return outcome.result
 
+    def _refused(self, refusal, limit):
+        self.metrics.count("requests_refused", limit=limit)
+        return expression.Error(refusal)
+
     def lane(self, pool):
         """Return the lane of a pool; past ``MAX_LANES`` idle ones are dropped."""
         if pool not in self.lanes:
@@ -137,7 +153,6 @@
         self.queue.add(waiter)
         if len(self.queue) > self.n_queued:
             self.queue.remove_least_valuable().refuse()
-        self.admit()
         return await self._wait(waiter)
 
     async def _wait(self, waiter):
@@ -195,8 +210,10 @@
             return
         expected_ms = services.longest_path_ms(request.document)
         ratio = elapsed_ms / expected_ms
-        self.time_ms += TIME_WEIGHT * (elapsed_ms - self.time_ms)
-        self.stretch += TIME_WEIGHT * (ratio - self.stretch)
+        if not late or ratio > self.stretch:
+            time_ms = self.time_ms or elapsed_ms
+            self.time_ms = time_ms + TIME_WEIGHT * (elapsed_ms - time_ms)
+            self.stretch += TIME_WEIGHT * (ratio - self.stretch)
         used = self.utilisation()
         spare = used is not None and used < SPARE_BELOW
         self.limiter.note(ratio, self.in_flight, late, spare)
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -89,6 +89,7 @@
             self.clock,
             rates.Rates(self.clock, self.membership),
             self.fleet.utilisation,
+            self.metrics,
         )
         self.dispatcher = self._dispatcher()
         self.pipeline = pipelines.Pipeline(self.dispatcher)
--- a/teaselwall/loads.py
+++ b/teaselwall/loads.py
@@ -89,6 +89,7 @@
     async def _poll(self, server):
         try:
             while self.fleet.uses(server):
+                server.note_pending(self.clock.now_ms())
                 result = await self.reports.fetch(server, self.interval_ms)
                 if result.is_error():
                     server.n_missed += 1
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -29,6 +29,8 @@
         Incarnation of the process that has taken this one's address, if any.
     in_flight : int
         Calls of this entry host.
+    attempts : set of Attempt
+        The same calls, with their starts.
     n_others : int
         Calls of all other entry hosts by the last report.
     n_sent : int
@@ -59,6 +61,7 @@
         "n_ejections",
         "trial",
         "in_flight",
+        "attempts",
         "report",
         "n_others",
         "n_sent",
@@ -83,6 +86,7 @@
         self.n_ejections = 0
         self.trial = False
         self.in_flight = 0
+        self.attempts = set()
         self.report = None
         self.n_others = 0
         self.n_sent = 0
@@ -110,6 +114,12 @@
         self.n_others = max(0, report.in_flight - self.in_flight)
         self.n_sent = 0
 
+    def note_pending(self, now_ms):
+        """Raise the time of a unit to what calls in flight have taken so far."""
+        if self.unit_ms:
+            taken_ms = (attempt.unit_ms(now_ms) for attempt in self.attempts)
+            self.unit_ms = max(self.unit_ms, *taken_ms, 0.0)
+
     def capacity(self):
         """Return the number of calls that the server bears without slowing down."""
         return max(1, self.report.capacity) if self.report else DEFAULT_CAPACITY
@@ -161,6 +171,7 @@
         attempt = Attempt(self, clock.now_ms(), n_units)
         self.in_flight += 1
         self.n_sent += 1
+        self.attempts.add(attempt)
         try:
             yield attempt
             attempt.cut = False
@@ -169,6 +180,7 @@
             raise
         finally:
             self.in_flight -= 1
+            self.attempts.discard(attempt)
             attempt.end(clock.now_ms())
 
 
@@ -189,20 +201,24 @@
         """Note the call's error."""
         self.error = error
 
+    def unit_ms(self, now_ms):
+        """Return the time of a unit without load, if the call ended now."""
+        server = self.server
+        slowdown = (self.slowdown + server.slowdown(server.load() + 1)) / 2
+        return (now_ms - self.started_ms) / (self.n_units * slowdown)
+
     def end(self, now_ms):
         """Fold the outcome into the server's averages."""
         server = self.server
         if self.error is not None:
             server.n_failures += 1
             return
-        elapsed_ms = now_ms - self.started_ms
-        slowdown = (self.slowdown + server.slowdown(server.load() + 1)) / 2
-        unit_ms = elapsed_ms / (self.n_units * slowdown)
+        unit_ms = self.unit_ms(now_ms)
         if self.cut and unit_ms <= (server.unit_ms or unit_ms):
             return
         server.unit_ms = _average(server.unit_ms, unit_ms)
         server.n_samples += 1
-        server.note_latency(elapsed_ms)
+        server.note_latency(now_ms - self.started_ms)
         if not self.cut:
             server.n_failures = 0
             server.trial = False
--- a/teaselwall/tests/test_admission.py
+++ b/teaselwall/tests/test_admission.py
@@ -12,6 +12,7 @@
     errors,
     limiters,
     membership,
+    metrics,
     queues,
     rates,
     shares,
@@ -50,6 +51,7 @@
             self.clock,
             rates.Rates(self.clock, members),
             lambda pool: None,
+            metrics.Metrics(),
             lambda: limiters.FixedLimiter(2),
         )
         self.ran = []
@@ -148,6 +150,18 @@
     assert [call.document.priority for call, *_ in gate.refused] == [5]
 
 
+async def test_full_queue_makes_the_flooding_organisation_give_way(
+    gate, autojump_clock
+):
+    gate.lane().n_queued = 4
+    async with trio.open_nursery() as nursery:
+        for name in ("large", "large", "large", "small", "large", "large", "large"):
+            nursery.start_soon(gate.send, request(name, deadline_ms=60000))
+            await trio.sleep(0.001)
+    assert [call.organisation for call, *_ in gate.refused] == ["large"]
+    assert "small" in {call.organisation for call in gate.ran}
+
+
 @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
 @hypothesis.given(
     requests=st.lists(
--- a/teaselwall/tests/test_fleet.py
+++ b/teaselwall/tests/test_fleet.py
@@ -140,6 +140,13 @@
     assert known.choices("pool")[0].incarnation == "3"
 
 
+def test_no_more_than_half_are_ejected_at_once():
+    known = new_fleet([entry(address) for address in ADDRESSES], SteppedClock())
+    for server in known.choices("pool"):
+        server.n_failures = ejections.MAX_FAILURES
+    assert len(known.choices("pool")) == len(ADDRESSES) / 2
+
+
 def test_filters_are_asked_at_every_choice():
     known = new_fleet([entry(address) for address in ADDRESSES])
     known.filters.append(lambda server: server.in_flight < 1)
@@ -195,6 +202,15 @@
     assert len(known.choices("pool")) == len(ADDRESSES) - 1
 
 
+async def test_calls_in_flight_show_that_a_server_has_become_slow(autojump_clock):
+    server = new_fleet([entry(ADDRESSES[0])]).choices("pool")[0]
+    for duration_s in (0.1, 3.0):
+        with server.calling(clock.Clock()):
+            await trio.sleep(duration_s)
+            server.note_pending(clock.Clock().now_ms())
+    assert server.unit_ms > 1000
+
+
 async def test_failed_and_cancelled_calls_do_not_look_fast(autojump_clock):
     server = new_fleet([entry(ADDRESSES[0])]).choices("pool")[0]
     with server.calling(clock.Clock()):
--- a/teaselwall/tests/test_subsets.py
+++ b/teaselwall/tests/test_subsets.py
@@ -48,6 +48,18 @@
         assert len(by_host[f"host-{n}"] & near) >= min(SIZE, len(near))
 
 
+def test_a_host_that_few_servers_rank_first_takes_more():
+    for n, seen in enumerate(parts(range(30), range(60)).values()):
+        assert len(seen) >= SIZE, n
+
+
+def test_two_hosts_see_each_server_where_servers_are_many():
+    by_host = parts(range(6), range(300))
+    for n in range(300):
+        near = [by_host[f"host-{h}"] for h in range(6) if h % 3 == n % 3]
+        assert sum(f"server-{n}" in seen for seen in near) == 2
+
+
 def test_a_server_that_leaves_changes_its_own_places_alone():
     before = parts(range(15), range(300))
     after = parts(range(15), range(299))
--- a/teaselwall/tools/policies.py
+++ b/teaselwall/tools/policies.py
@@ -14,6 +14,7 @@
     errors,
     fleet,
     membership,
+    metrics,
     pickers,
     prefixes,
     rates,
@@ -133,7 +134,10 @@
             self.picker = pickers.RoundRobinPicker()
         if policy == "ours":
             self.admission = admission.Admission(
-                self.clock, rates.Rates(self.clock, view), self.fleet.utilisation
+                self.clock,
+                rates.Rates(self.clock, view),
+                self.fleet.utilisation,
+                metrics.Metrics(),
             )
             self.picker = pickers.ExpectedTimePicker(
                 me.data_centre, prefixes.Prefixes(), seed
@@ -169,6 +173,7 @@
         """Read the load reports at their interval."""
         while True:
             for server in self.fleet.used():
+                server.note_pending(self.clock.now_ms())
                 server.note_report(self.servers[server.address].report())
             await self.clock.sleep_ms(REPORT_INTERVAL_MS)
 
