Grow the limit fast while servers have capacity to spare

Change: the limit grows by half in windows with reported spare capacity; a window covers half of the limit; the prefix's home takes a call unless another server is faster by 12 %.

--- a/teaselwall/limiters.py
+++ b/teaselwall/limiters.py
@@ -13,6 +13,7 @@
 BASELINE_DRIFT = 1.05
 CUT = 0.9
 STEP = 1.0
+SPARE_GROWTH = 0.5
 
 
 class Limiter(abc.ABC):
@@ -59,7 +60,8 @@
     """Follows the gradient between the unloaded and the present latency.
 
     A window of requests slower than the baseline by more than ``TOLERANCE`` lowers
-    the limit in proportion; other windows raise it by a step while it is in use.
+    the limit in proportion; other windows raise it while it is in use, by a step,
+    or by ``SPARE_GROWTH`` of it where the servers report capacity to spare.
     The baseline is the fastest window seen, at first little above what the service
     document expects, so that a host which starts during an overload does not take
     the overload for the baseline. It drifts up only where load cannot be
@@ -81,7 +83,7 @@
         self.n_late += late
         self.n_busy += in_flight * 2 >= self.limit
         self.n_spare += spare
-        if self.n_noted >= WINDOW:
+        if self.n_noted >= max(WINDOW, self.limit / 2):
             self._move(self.total / self.n_noted)
             self._start_window()
 
@@ -96,7 +98,8 @@
             wanted = self.limit * max(MIN_GRADIENT, gradient)
             self.limit += SMOOTHING * (wanted - self.limit)
         elif self.n_busy * 2 >= self.n_noted:
-            self.limit += STEP
+            spare = self.n_spare * 2 > self.n_noted
+            self.limit += max(STEP, SPARE_GROWTH * self.limit * spare)
         self.limit = min(MAX_LIMIT, max(MIN_LIMIT, self.limit))
 
     def _start_window(self):
--- a/teaselwall/pickers.py
+++ b/teaselwall/pickers.py
@@ -8,7 +8,7 @@
 SPILL_FACTOR = 1.02
 CROSSING_MS = 1.0
 PREFILL_UNITS = 4
-PREFIX_SAVING = 0.75
+CACHED_FACTOR = 0.88
 
 
 class Call:
@@ -126,9 +126,9 @@
 class ExpectedTimePicker(Picker):
     """The shortest expected completion time of a few servers drawn at random.
 
-    The server that probably caches the call's prefix is always among them, and
-    its expected time is shorter by what the cache saves. Servers of other data
-    centres take calls only where they are faster by ``SPILL_FACTOR``.
+    The server that probably caches the call's prefix is always among them; another
+    one has to be faster by ``CACHED_FACTOR``. Servers of other data centres take
+    calls only where they are faster by ``SPILL_FACTOR``.
 
     Parameters
     ----------
@@ -177,15 +177,14 @@
 
     def _cost_ms(self, server, call, home):
         unit_ms = call.expected_ms / call.n_units
-        units = call.n_units
+        cost_ms = server.expected_ms(call.n_units, unit_ms) * (1 + server.n_failures)
+        if server.data_centre != self.data_centre:
+            if cost_ms + CROSSING_MS > call.remaining_ms:
+                return float("inf")
+            cost_ms = cost_ms * SPILL_FACTOR + CROSSING_MS
         if home is not None and self.prefixes.cached(call.prefix, server, home):
-            units -= min(units, PREFILL_UNITS) * PREFIX_SAVING
-        cost_ms = server.expected_ms(units, unit_ms) * (1 + server.n_failures)
-        if server.data_centre == self.data_centre:
-            return cost_ms
-        if cost_ms + CROSSING_MS > call.remaining_ms:
-            return float("inf")
-        return cost_ms * SPILL_FACTOR + CROSSING_MS
+            cost_ms *= CACHED_FACTOR
+        return cost_ms
 
 
 def expected_load(server):
