--- a/teaselwall/tools/bench_routing.py
+++ b/teaselwall/tools/bench_routing.py
@@ -94,11 +94,11 @@
     return sum(server.n_hits for server in trial.servers) / n_prefixed
 
 
-def flood_figures(sample):
+def flood_figures(sample, percent=FLOOD_PERCENT):
     """Return the attainment of the others while one organisation floods."""
     trial = policies.Trial(sample, "ours")
     flood = trial.documents[0].organisations[0].name
-    trial.run([policies.Phase(RUN_S, FLOOD_PERCENT)], flood)
+    trial.run([policies.Phase(RUN_S, percent)], flood)
     done = [d for d in trial.done if d.sent_ms > WARM_UP_MS]
     small = [d for d in done if d.organisation != flood]
     name = f"small_org_attainment_under_flood_percent_{sample}"
