--- a/teaselwall/control.py
+++ b/teaselwall/control.py
@@ -3,12 +3,15 @@
 import hmac
 import logging
 
+import msgspec
+
 from teaselwall import errors, events, responses
 
 logger = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BEARER = "Bearer "
+MAX_SHOWN = 100
 
 
 class Control:
@@ -47,6 +50,7 @@
             await responses.answer_lifespan(receive, send)
             return
         if scope["type"] != "http":
+            await send(responses.WEBSOCKET_REFUSED)
             return
         try:
             reply = await self._handle(scope, receive)
@@ -55,7 +59,7 @@
             return
         except Exception as error:
             events.log(logger, logging.ERROR, "control_failed", detail=repr(error))
-            await responses.send_problem(send, responses.unexpected(error))
+            await responses.send_problem(send, responses.known(error))
             return
         await responses.send_json(send, reply)
 
@@ -64,9 +68,9 @@
         self._authorize(path, responses.headers_of(scope))
         handler = self.handlers.get(path)
         if handler is None:
-            raise errors.NotFound(f"Nothing is at {path}.")
+            raise errors.NotFound(f"Nothing is at {path[:MAX_SHOWN]!r}.")
         if scope["method"] != "POST":
-            raise errors.InvalidRequest(f"{path} takes POST only.")
+            raise errors.MethodNotAllowed(path, "POST")
         body = await responses.read_body(receive, MAX_BODY_BYTES)
         return await handler(responses.decode(body or b"{}"))
 
@@ -77,3 +81,16 @@
         given = headers.get("authorization", "").removeprefix(BEARER)
         if not hmac.compare_digest(given.encode(), wanted.encode()):
             raise errors.Forbidden(f"{path} needs its key.")
+
+
+def read(message, kind):
+    """Return a handler's message as a struct.
+
+    Raises
+    ------
+    errors.InvalidRequest
+    """
+    try:
+        return msgspec.convert(message, kind)
+    except msgspec.ValidationError as error:
+        raise errors.InvalidRequest(f"The message is wrong: {error}.") from error
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -4,26 +4,48 @@
 
 from teaselwall import (
     admission,
+    askers,
+    budgets,
+    claims,
     clock,
     configuration,
+    confirmations,
     control,
     dispatch,
     engines,
+    eras,
+    evidence,
     fleet,
+    followers,
+    gossip,
+    guards,
     hostlist,
+    issuers,
     loads,
     logservice,
     membership,
     metrics,
+    operators,
+    orders,
+    ownercalls,
+    ownerships,
     peers,
     pickers,
+    pictures,
     pipelines,
     pools,
     prefixes,
+    probes,
+    publications,
+    quarantine,
     rates,
+    recorders,
+    sightings,
+    snapshots,
     subsets,
     traces,
     transport,
+    warmups,
 )
 
 
@@ -46,12 +68,23 @@
         "log",
         "state",
         "follower",
+        "rewriter",
+        "publisher",
+        "orders",
         "membership",
+        "gossip",
         "fleet",
+        "suspects",
+        "evidence",
         "poller",
         "admission",
         "dispatcher",
+        "ownerships",
+        "claims",
+        "eras",
+        "warmups",
         "pipeline",
+        "hand_overs",
     )
 
     def __init__(self, settings):
@@ -67,10 +100,25 @@
         )
         self.state = configuration.State()
         timeout_ms = settings.platform.timeout_ms
-        self.follower = configuration.Follower(
-            self.clock, self.log, self.state, timeout_ms
+        self.membership = membership.Membership(self.clock, settings)
+        self.follower = followers.Follower(
+            self.clock,
+            self.log,
+            self.state,
+            timeout_ms,
+            self.peers,
+            self.membership,
+            settings.membership.seeds,
+        )
+        self.rewriter = snapshots.Rewriter(
+            self.clock, self.log, self.follower, settings.claims.retention_ms
         )
-        self.membership = membership.Membership(settings)
+        self.publisher = publications.Publisher(self.clock, self.log, self.follower)
+        self.orders = orders.Orders(
+            self.clock, self.state, self.publisher, self.peers, self.membership
+        )
+        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
+        self.control.add(gossip.PATH, self.gossip.handle)
         self.fleet = fleet.Fleet(
             self.clock,
             hostlist.HttpHostList(self.transport, settings.platform.host_list),
@@ -91,8 +139,50 @@
             self.fleet.utilisation,
             self.metrics,
         )
+        self.suspects = quarantine.Quarantine(self.clock)
+        self.suspects.add_handlers(self.control)
+        self.evidence = evidence.EvidenceLog(
+            self.clock, self.log, self.suspects, timeout_ms
+        )
         self.dispatcher = self._dispatcher()
-        self.pipeline = pipelines.Pipeline(self.dispatcher)
+        self.warmups = self._warmups(timeout_ms)
+        self.ownerships = ownerships.Ownerships(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims,
+            timeout_ms,
+        )
+        self.ownerships.add_handlers(self.control)
+        self.claims = self._claims()
+        self.eras = eras.EraClock(
+            self.clock,
+            self.log,
+            self.state,
+            self.membership,
+            settings.claims.era_ms,
+            timeout_ms,
+        )
+        self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
+        self.hand_overs = []
+        self._register_operators()
+
+    def _register_operators(self):
+        confirmer = confirmations.Confirmer(self.clock, self.follower)
+        commands = operators.Operators(
+            self.state,
+            self.fleet,
+            self.follower,
+            self.publisher,
+            self.orders,
+            confirmer,
+        )
+        commands.register(self.control)
+        confirmer.register(self.control)
+        self.orders.register(self.control)
+        pictures.Pictures(self, commands).register(self.control)
+        followers.Answerer(self.follower, self.state).register(self.control)
 
     def _dispatcher(self):
         backends = {
@@ -110,8 +200,48 @@
             self.metrics,
             self.tracer,
             self.settings.limits.silence_ms,
+            budgets.RetryBudgets(
+                self.clock, self.settings.routing.retry_budget_percent
+            ),
+            guards.Guard(self.suspects, probes.HttpProber(self.transport)),
+        )
+
+    def _claims(self):
+        calls = ownercalls.OwnerCalls(
+            self.clock, self.peers, self.ownerships, self.membership
+        )
+        return claims.Claims(
+            self.clock,
+            calls,
+            recorders.Recorder(self.clock, calls),
+            self.dispatcher,
+            self.state,
+            self.membership,
+            self.settings.claims.n_partitions,
+            self.settings.limits.max_result_bytes,
         )
 
+    def _warmups(self, timeout_ms):
+        issuer = issuers.Issuer(
+            self.clock,
+            self.log,
+            self.membership,
+            self.fleet,
+            self.settings.routing.cold_slots,
+            timeout_ms,
+        )
+        issuer.register(self.control)
+        asker = askers.Asker(
+            self.clock, self.membership, self.fleet, self.peers, issuer
+        )
+        seen = sightings.Sightings(self.clock, self.log, timeout_ms)
+        result = warmups.Warmups(
+            self.clock, self.membership, self.fleet, issuer, asker, seen
+        )
+        self.fleet.filters.append(result.may_get_work)
+        self.dispatcher.gate = result
+        return result
+
     async def serve(self, request, sink):
         """Run one request once it is admitted; see ``pipelines.Pipeline.run``."""
         return await self.admission.run(
@@ -120,11 +250,24 @@
 
     def ready(self):
         """Return whether callers may be sent here."""
-        return self.follower.caught_up and self.fleet.seen
+        return (
+            not self.membership.me.draining
+            and self.follower.ready()
+            and self.fleet.seen
+            and self.evidence.settled
+        )
 
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.rewriter.run)
+            nursery.start_soon(self.orders.run)
             nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.ownerships.run)
+            nursery.start_soon(self.claims.run)
+            nursery.start_soon(self.eras.run)
+            nursery.start_soon(self.evidence.run)
             nursery.start_soon(self.poller.run)
+            nursery.start_soon(self.warmups.run)
--- a/teaselwall/pickers.py
+++ b/teaselwall/pickers.py
@@ -67,7 +67,7 @@
         choices : list of servers.Server
             Servers that may get new work.
         tried : set of str
-            Addresses this call has already been sent to; taken last.
+            Addresses this call has already been sent to; not taken again.
         call : Call, optional
 
         Returns
@@ -152,7 +152,6 @@
         """Choose the server with the shortest expected time."""
         call = call or Call()
         fresh = untried(choices, tried) if tried else choices
-        fresh = fresh or choices
         if len(fresh) < 2:
             return fresh[0] if fresh else None
         near = [s for s in fresh if s.data_centre == self.data_centre]
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -4,13 +4,35 @@
 import msgspec
 import trio
 
-from teaselwall import clock, errors, logservice
+from teaselwall import clock, errors, logservice, membership
 from teaselwall.generated import messages
 from teaselwall.tools import log
 
 CALL_MS = 2
 
 
+def member(address, data_centre="a", nonce=""):
+    """Return an entry host as membership knows it."""
+    row = messages.MemberRow(address, address, data_centre, nonce or address, 0)
+    return membership.Member(row, 0)
+
+
+class SteppedClock:
+    """Clock that a test sets by hand.
+
+    Attributes
+    ----------
+    at_ms : float
+    """
+
+    def __init__(self):
+        self.at_ms = 0.0
+
+    def now_ms(self):
+        """Return the reading."""
+        return self.at_ms
+
+
 class FakeLog(logservice.LogService):
     """The log service in memory, with faults.
 
--- a/teaselwall/tools/policies.py
+++ b/teaselwall/tools/policies.py
@@ -13,7 +13,6 @@
     configuration,
     errors,
     fleet,
-    membership,
     metrics,
     pickers,
     prefixes,
@@ -22,6 +21,7 @@
     subsets,
 )
 from teaselwall.generated import messages
+from teaselwall.tests import fakes
 
 SAMPLES = pathlib.Path(__file__).resolve().parents[2] / "samples"
 N_SLICES = 4
@@ -236,7 +236,7 @@
     def _hosts(self):
         centres = self.plan["data_centres"]
         members = [
-            membership.Member(f"host-{i}", "", centres[i % len(centres)], "")
+            fakes.member(f"host-{i}", centres[i % len(centres)])
             for i in range(self.plan["n_entry_hosts"])
         ]
         return [
