Give orders to engines from one holder a pool, and check histories of both duties

Cause: nothing kept two entry hosts from ordering the same engine, and the cold bound had been checked on the thin path alone.

Change: orders go out under the lease's fencing number, one at a time for each pool, after a reservation with the weight store; the next holder waits out lease and flight. Seeded runs on the mock clock with pauses, cuts, outages, lost and delayed replies and diverging views.

--- a/teaselwall/askers.py
+++ b/teaselwall/askers.py
@@ -8,7 +8,7 @@
 from teaselwall import issuers, permits
 from teaselwall.generated import messages
 
-RETRY_MS = 10
+RETRY_MS = 50
 USE_MS = 1_000
 IDLE_MS = 400
 REFRESH_MS = 500
@@ -28,19 +28,14 @@
         Longest call seen.
     """
 
-    __slots__ = ("busy", "n_waiting", "call_ms", "turn", "changed")
+    __slots__ = ("busy", "n_waiting", "call_ms", "turn", "lot")
 
     def __init__(self):
         self.busy = False
         self.n_waiting = 0
         self.call_ms = CALL_MS
         self.turn = 0
-        self.changed = trio.Event()
-
-    def wake(self):
-        """Have the calls that wait look again."""
-        self.changed.set()
-        self.changed = trio.Event()
+        self.lot = trio.lowlevel.ParkingLot()
 
 
 class Asker:
@@ -79,9 +74,9 @@
         self.looked_ms = {}
 
     def wake(self, pool):
-        """Have the calls that wait for a pool look again."""
+        """Have one of the calls that wait for a pool look again."""
         if pool in self.demands:
-            self.demands[pool].wake()
+            self.demands[pool].lot.unpark()
 
     async def wait(self, pool, servers, call_ms):
         """Ask for permits, or wait a little for some.
@@ -104,12 +99,11 @@
 
     async def _wait(self, demand, pool, servers):
         data_centre = self._where(demand, servers)
-        if data_centre is not None and not demand.busy:
-            await self._ask(demand, pool, data_centre, demand.n_waiting)
-            if any(self.stock.has(server) for server in servers):
-                return
+        asks = data_centre is not None and not demand.busy
+        if asks and await self._ask(demand, pool, data_centre, demand.n_waiting):
+            return
         with self.clock.timeout_ms(RETRY_MS):
-            await demand.changed.wait()
+            await demand.lot.park()
 
     def _where(self, demand, servers):
         """Return the data centre to ask for: the own one and others in turn."""
@@ -135,17 +129,18 @@
             await self._ask(demand, pool, data_centre, 1)
 
     async def _ask(self, demand, pool, data_centre, n):
+        """Ask for permits; return how many came."""
         demand.busy = True
         try:
             address = await self._holder(data_centre)
-            if address:
-                await self._call(address, data_centre, pool, n, demand.call_ms)
+            if not address:
+                return 0
+            return await self._call(address, data_centre, pool, n, demand)
         finally:
             demand.busy = False
-            demand.wake()
 
-    async def _call(self, address, data_centre, pool, n, call_ms):
-        span_ms = math.ceil(call_ms) + USE_MS
+    async def _call(self, address, data_centre, pool, n, demand):
+        span_ms = math.ceil(demand.call_ms) + USE_MS
         request = messages.PermitRequest(
             data_centre=data_centre,
             pool=pool,
@@ -157,9 +152,12 @@
         result = await self.peers.call(address, issuers.GRANT_PATH, request, USE_MS)
         if result.is_error():
             self.stale.add(data_centre)
-            return
-        for permit in read_grant(result.ok):
+            return 0
+        granted = read_grant(result.ok)
+        for permit in granted:
             self.stock.add(permits.Held(permit, data_centre, asked_ms + span_ms))
+        demand.lot.unpark(count=len(granted))
+        return len(granted)
 
     def _cold(self, pool, data_centre):
         """Return the servers that this host has seen turn cold, for the holder."""
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from teaselwall import clock, errors, events, gates, traces
+from teaselwall import clock, errors, events, gates, placements, traces
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -42,6 +42,7 @@
         "silence_ms",
         "attempts",
         "gate",
+        "demand",
     )
 
     def __init__(self, clock, fleet, picker, backends, metrics, tracer, silence_ms):
@@ -54,6 +55,7 @@
         self.silence_ms = silence_ms
         self.attempts = itertools.count(1)
         self.gate = gates.FleetGate(fleet)
+        self.demand = placements.Demand(clock)
 
     async def call(self, request, stage, inputs):
         """Run a stage that gives one reply.
@@ -194,6 +196,7 @@
         expression.Result
             List of all tokens.
         """
+        self.demand.note(stage.pool, stage.model, stage.max_tokens)
         tokens = []
         tried = set()
         error = None
--- a/teaselwall/duties.py
+++ b/teaselwall/duties.py
@@ -74,6 +74,7 @@
         "number",
         "stopping",
         "reading",
+        "covering",
     )
 
     def __init__(
@@ -106,6 +107,7 @@
         self.number = 0
         self.stopping = False
         self.reading = trio.Lock()
+        self.covering = trio.Event()
 
     def holds(self):
         """Return whether this host may act at this moment.
@@ -132,20 +134,24 @@
         return self.fencing is not None or winner(self.name, self.scope()) is me
 
     def cover(self, flight_ms):
-        """Have the next renewal allow for acts that last longer.
+        """Have the lease allow for acts that last longer, by an early renewal.
 
         Parameters
         ----------
         flight_ms : float
         """
-        self.flight_ms = max(self.flight_ms, flight_ms)
+        if flight_ms > self.flight_ms:
+            self.flight_ms = flight_ms
+            self.covering.set()
 
     async def run(self):
         """Take, renew and watch the duty until cancelled."""
         while not self.stopping:
             if self.wanted():
                 await self.step()
-            await self.clock.sleep_ms(self.lease_ms / CHECKS_PER_LEASE)
+            with self.clock.timeout_ms(self.lease_ms / CHECKS_PER_LEASE):
+                await self.covering.wait()
+            self.covering = trio.Event()
 
     async def step(self):
         """Read the stream, then take or renew the lease where that is due."""
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -15,6 +15,8 @@
     logservice,
     membership,
     metrics,
+    orderers,
+    orders,
     peers,
     pickers,
     pipelines,
@@ -23,6 +25,7 @@
     traces,
     transport,
     warmups,
+    weightstore,
 )
 
 
@@ -49,6 +52,7 @@
         "fleet",
         "dispatcher",
         "warmups",
+        "orderers",
         "pipeline",
     )
 
@@ -78,6 +82,7 @@
         )
         self.dispatcher = self._dispatcher()
         self.warmups = self._warmups(timeout_ms)
+        self.orderers = self._orderers(timeout_ms)
         self.pipeline = pipelines.Pipeline(self.dispatcher)
 
     def _dispatcher(self):
@@ -117,6 +122,21 @@
         self.dispatcher.gate = result
         return result
 
+    def _orderers(self, timeout_ms):
+        result = orderers.Orderers(
+            self.clock,
+            self.log,
+            self.membership,
+            self.fleet,
+            weightstore.HttpWeightStore(
+                self.transport, self.settings.platform.weight_store
+            ),
+            orders.HttpOrderClient(self.transport),
+            timeout_ms,
+        )
+        self.dispatcher.demand = result.demand
+        return result
+
     async def serve(self, request, sink):
         """Run one request; see ``pipelines.Pipeline.run``."""
         return await self.pipeline.run(request, sink)
@@ -131,3 +151,5 @@
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self.warmups.run)
+            if self.settings.platform.weight_store:
+                nursery.start_soon(self.orderers.run)
--- /dev/null
+++ b/teaselwall/orderers.py
@@ -0,0 +1,296 @@
+"""Giving orders to model engines, from one entry host at a time for each pool.
+
+An order carries the fencing number of the duty ``orders-<pool>``. Engines that check
+it refuse a former holder's; for those that do not, the next holder waits until the
+former's lease and the longest order begun under it are over.
+"""
+
+import logging
+
+import msgspec
+import trio
+
+from teaselwall import duties, events, placements
+from teaselwall.generated import messages
+
+logger = logging.getLogger(__name__)
+
+ORDER_MS = 60_000
+GRACE_MS = 1_000
+CHECK_MS = 5_000
+REWRITE_MS = 3_600_000
+
+
+class Orderer:
+    """Keeps the engines of one pool loaded with what the traffic needs.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    log : logservice.LogService
+    duty : duties.Duty
+    pool : str
+    fleet : fleet.Fleet
+    demand : placements.Demand
+    weight_store : weightstore.WeightStore
+    client : orders.OrderClient
+
+    Attributes
+    ----------
+    loaded : dict of str to messages.Loaded
+        What is known to be loaded, by engine address.
+    """
+
+    __slots__ = (
+        "clock",
+        "log",
+        "duty",
+        "pool",
+        "fleet",
+        "demand",
+        "weight_store",
+        "client",
+        "placement",
+        "fencing",
+        "loaded",
+        "written_ms",
+        "busy_ms",
+        "until_ms",
+    )
+
+    def __init__(self, clock, log, duty, pool, fleet, demand, weight_store, client):
+        self.clock = clock
+        self.log = log
+        self.duty = duty
+        self.pool = pool
+        self.fleet = fleet
+        self.demand = demand
+        self.weight_store = weight_store
+        self.client = client
+        self.placement = placements.Placement(clock)
+        self.fencing = None
+        self.loaded = {}
+        self.written_ms = 0.0
+        self.busy_ms = {}
+        self.until_ms = 0.0
+
+    def remaining_ms(self):
+        """Return how long an order that was begun may still last."""
+        return max(0.0, self.until_ms - self.clock.now_ms())
+
+    async def run(self):
+        """Give orders while this host holds the duty, until cancelled."""
+        while True:
+            if self.duty.holds():
+                await self.step()
+            await self.clock.sleep_ms(CHECK_MS)
+
+    async def step(self):
+        """Give the next order that the demand calls for, if any."""
+        if self.fencing != self.duty.fencing and not await self._recover():
+            return
+        if self.clock.now_ms() >= self.written_ms + REWRITE_MS:
+            await self._write()
+        engines = self._engines()
+        self.placement.loaded = self._models(engines)
+        load = self.placement.next_load(sorted(engines), self._weights())
+        if load is not None:
+            await self._load(*load)
+
+    def _engines(self):
+        """Return the engines that may get an order, by address."""
+        now_ms = self.clock.now_ms()
+        return {
+            server.address: server
+            for server in self.fleet.by_pool.get(self.pool, {}).values()
+            if self.fleet.in_service(server)
+            and now_ms >= self.busy_ms.get(server.address, now_ms)
+        }
+
+    def _models(self, engines):
+        """Return the model by address of the engines that have not restarted."""
+        return {
+            address: loaded.model
+            for address, loaded in self.loaded.items()
+            if address in engines and engines[address].incarnation == loaded.incarnation
+        }
+
+    def _weights(self):
+        return {
+            stage.model: self.demand.weight(self.pool, stage.model)
+            for document in self.fleet.state.services.values()
+            for stage in document.stages
+            if stage.kind == "engine" and stage.pool == self.pool
+        }
+
+    async def _load(self, address, model):
+        result = await self.weight_store.reserve(model, self.duty.timeout_ms)
+        if result.is_error():
+            return
+        server = self._engines().get(address)
+        fencing = self.duty.fencing
+        if server is None or fencing != self.fencing or not self.duty.holds():
+            return
+        order = messages.EngineOrder(
+            fencing=fencing, action="load", model=model, timeout_ms=ORDER_MS
+        )
+        self.until_ms = self.clock.now_ms() + ORDER_MS
+        result = await self.client.order(server, order, ORDER_MS)
+        if result.is_error():
+            self._note_failure(server, result.error)
+            return
+        self.until_ms = 0.0
+        self.loaded[address] = messages.Loaded(
+            address=address, incarnation=server.incarnation, model=model
+        )
+        await self._write()
+
+    def _note_failure(self, server, error):
+        """Leave an engine alone while it may still work on a lost order."""
+        self.loaded.pop(server.address, None)
+        now_ms = self.clock.now_ms()
+        self.busy_ms = {a: end for a, end in self.busy_ms.items() if end > now_ms}
+        self.busy_ms[server.address] = self.until_ms
+        events.log(
+            logger,
+            logging.WARNING,
+            "order_failed",
+            pool=self.pool,
+            server=server.address,
+            detail=str(error),
+        )
+
+    async def _recover(self):
+        """Read what former holders loaded; return whether the log answered."""
+        fencing = self.duty.fencing
+        record = await self._last_record()
+        if record is None:
+            return False
+        self.loaded = {loaded.address: loaded for loaded in record.engines}
+        self.fencing = fencing
+        return True
+
+    async def _last_record(self):
+        """Return the newest record of the highest fencing number."""
+        best = messages.PlacementRecord(fencing=-1, engines=[])
+        reply = await self._read(0, 1)
+        if reply is None:
+            return None
+        offset = max(reply.first, reply.end - duties.N_TAIL_RECORDS)
+        reply = await self._read(offset, duties.N_TAIL_RECORDS)
+        if reply is None:
+            return None
+        for record in reply.records:
+            placement = read_record(record)
+            if placement is not None and placement.fencing >= best.fencing:
+                best = placement
+        return best
+
+    async def _read(self, offset, limit):
+        result = await self.log.read(
+            self._stream(), offset, limit, self.duty.timeout_ms
+        )
+        return result.ok if result.is_ok() else None
+
+    async def _write(self):
+        """Record what is loaded, for the next holder; a lost record costs a load."""
+        engines = self.fleet.by_pool.get(self.pool, {})
+        self.loaded = {a: known for a, known in self.loaded.items() if a in engines}
+        loaded = list(self.loaded.values())
+        record = messages.PlacementRecord(fencing=self.fencing, engines=loaded)
+        self.written_ms = self.clock.now_ms()
+        await self.log.append(self._stream(), record, self.duty.timeout_ms)
+
+    def _stream(self):
+        return f"placement-{self.pool}"
+
+
+class Orderers:
+    """The orderers of one entry host, one for each pool of engines.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    log : logservice.LogService
+    membership : membership.Membership
+    fleet : fleet.Fleet
+    weight_store : weightstore.WeightStore
+    client : orders.OrderClient
+    timeout_ms : float
+    """
+
+    __slots__ = (
+        "clock",
+        "log",
+        "membership",
+        "fleet",
+        "weight_store",
+        "client",
+        "timeout_ms",
+        "demand",
+        "by_pool",
+    )
+
+    def __init__(self, clock, log, membership, fleet, weight_store, client, timeout_ms):
+        self.clock = clock
+        self.log = log
+        self.membership = membership
+        self.fleet = fleet
+        self.weight_store = weight_store
+        self.client = client
+        self.timeout_ms = timeout_ms
+        self.demand = placements.Demand(clock)
+        self.by_pool = {}
+
+    async def run(self):
+        """Run an orderer for each pool that a document names, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for pool in self._pools() - self.by_pool.keys():
+                    orderer = self.by_pool[pool] = self._orderer(pool)
+                    nursery.start_soon(orderer.duty.run)
+                    nursery.start_soon(orderer.run)
+                await self.clock.sleep_ms(CHECK_MS)
+
+    def _pools(self):
+        return {
+            stage.pool
+            for document in self.fleet.state.services.values()
+            for stage in document.stages
+            if stage.kind == "engine"
+        }
+
+    def _orderer(self, pool):
+        duty = duties.Duty(
+            self.clock,
+            self.log,
+            self.membership,
+            f"orders-{pool}",
+            self.membership.alive,
+            ORDER_MS + GRACE_MS,
+            self.timeout_ms,
+        )
+        return Orderer(
+            self.clock,
+            self.log,
+            duty,
+            pool,
+            self.fleet,
+            self.demand,
+            self.weight_store,
+            self.client,
+        )
+
+    async def release(self):
+        """Give up every duty that this host holds."""
+        for orderer in self.by_pool.values():
+            await orderer.duty.release(orderer.remaining_ms())
+
+
+def read_record(record):
+    """Return the placement that a log record holds, or None."""
+    try:
+        data = msgspec.to_builtins(record.data)
+        return msgspec.convert(data, messages.PlacementRecord)
+    except msgspec.ValidationError:
+        return None
--- /dev/null
+++ b/teaselwall/orders.py
@@ -0,0 +1,46 @@
+"""Orders to model engines: load or unload a model, change role."""
+
+import abc
+
+from teaselwall import errors
+
+
+class OrderClient(abc.ABC):
+    """Gives orders to engines."""
+
+    @abc.abstractmethod
+    async def order(self, server, order, timeout_ms):
+        """Give one order.
+
+        Parameters
+        ----------
+        server : servers.Server
+        order : messages.EngineOrder
+        timeout_ms : float
+
+        Returns
+        -------
+        expression.Result
+            An error with outcome ``UNKNOWN`` may have taken effect.
+        """
+
+
+class HttpOrderClient(OrderClient):
+    """Orders over HTTP with JSON.
+
+    Parameters
+    ----------
+    transport : transport.Transport
+    """
+
+    __slots__ = ("transport",)
+
+    def __init__(self, transport):
+        self.transport = transport
+
+    async def order(self, server, order, timeout_ms):
+        """Give one order; see ``OrderClient.order``."""
+        result = await self.transport.call(
+            "POST", server.address, "/v1/orders", order, timeout_ms
+        )
+        return result.bind(lambda reply: errors.require_ok(reply, server.address))
--- a/teaselwall/permits.py
+++ b/teaselwall/permits.py
@@ -20,7 +20,10 @@
 
 
 class Ledger:
-    """Permits granted by the holder of the duty.
+    """Permits granted by the holder of the duty, by server address.
+
+    Those of an earlier incarnation count too: what was meant for it reaches its
+    successor at the same address.
 
     Parameters
     ----------
@@ -36,14 +39,14 @@
 
     def n_open(self, server):
         """Return how many slots of a server may be in use."""
-        permits = self.granted.get(key_of(server))
+        permits = self.granted.get(server.address)
         if not permits:
             return 0
         now_ms = self.clock.now_ms()
         for name in [name for name, end_ms in permits.items() if end_ms <= now_ms]:
             del permits[name]
         if not permits:
-            del self.granted[key_of(server)]
+            del self.granted[server.address]
         return len(permits)
 
     def grant(self, server, fencing, span_ms):
@@ -68,7 +71,7 @@
             fencing=fencing,
             number=next(self.numbers),
         )
-        permits = self.granted.setdefault(key_of(permit), {})
+        permits = self.granted.setdefault(server.address, {})
         permits[permit.fencing, permit.number] = (
             self.clock.now_ms() + span_ms + GRACE_MS
         )
@@ -76,15 +79,15 @@
 
     def close(self, permit):
         """Free the slot of a permit; one that is not open is passed over."""
-        permits = self.granted.get(key_of(permit), {})
+        permits = self.granted.get(permit.address, {})
         permits.pop((permit.fencing, permit.number), None)
 
     def sweep(self):
         """Drop what has ended."""
         now_ms = self.clock.now_ms()
-        for key, permits in list(self.granted.items()):
+        for address, permits in list(self.granted.items()):
             if all(end_ms <= now_ms for end_ms in permits.values()):
-                del self.granted[key]
+                del self.granted[address]
 
     def remaining_ms(self):
         """Return the time until the last permit has ended."""
--- /dev/null
+++ b/teaselwall/tests/test_orders.py
@@ -0,0 +1,183 @@
+import random
+
+import expression
+import pytest
+import trio
+
+from teaselwall import (
+    configuration,
+    duties,
+    errors,
+    fleet,
+    orderers,
+    orders,
+    placements,
+    weightstore,
+)
+from teaselwall.generated import messages, service
+from teaselwall.tests import fake_fleet, test_duties
+
+N_SEEDS = 10
+N_MUTANT_SEEDS = 20
+N_ENGINES = 4
+ORDER_MS = 10_000
+LOAD_INTERVAL_MS = 2_000
+MODELS = ("small", "large")
+ENTRIES = [
+    messages.HostEntry(
+        address=f"engine-{index}",
+        pool="generator",
+        data_centre="a",
+        incarnation="1",
+        state="live",
+    )
+    for index in range(N_ENGINES)
+]
+DOCUMENT = service.Service(
+    service="answers",
+    deadline_ms=1000,
+    stages=[
+        service.Stage(name=model, kind="engine", pool="generator", model=model)
+        for model in MODELS
+    ],
+    organisations=[],
+)
+
+
+class FakeEngines(orders.OrderClient):
+    """Engines that ignore fencing numbers; replies may be lost."""
+
+    lost_part = 0.2
+
+    def __init__(self, holder):
+        self.holder = holder
+        self.clock = fake_fleet.clock.Clock()
+
+    async def order(self, server, order, timeout_ms):
+        chance = self.holder.chance
+        began_ms = self.clock.now_ms()
+        end_ms = began_ms + chance.uniform(10, order.timeout_ms)
+        self.holder.acts.append((began_ms, end_ms, order.fencing))
+        await self.clock.sleep_ms(end_ms - began_ms)
+        await self.holder.clock.running.wait()
+        if chance.random() < self.lost_part:
+            return expression.Error(errors.ServerFailed("lost", errors.Outcome.UNKNOWN))
+        return expression.Ok({})
+
+
+class FakeWeights(weightstore.WeightStore):
+    """Weight store with a rate; counts what it let through."""
+
+    def __init__(self):
+        self.clock = fake_fleet.clock.Clock()
+        self.next_ms = 0.0
+        self.n_reserved = 0
+
+    async def reserve(self, model, timeout_ms):
+        await self.clock.sleep_ms(2)
+        now_ms = self.clock.now_ms()
+        if now_ms < self.next_ms:
+            return expression.Error(errors.Overloaded("The rate is used up."))
+        self.next_ms = now_ms + LOAD_INTERVAL_MS
+        self.n_reserved += 1
+        return expression.Ok({})
+
+
+class OrderHolder(test_duties.Holder):
+    """A host that gives orders whenever it holds the duty."""
+
+    def __init__(self, log, address, chance):
+        super().__init__(log, address, chance, ORDER_MS)
+        state = configuration.State()
+        state.services["answers"] = DOCUMENT
+        servers = fleet.Fleet(self.clock, None, state, 500, 1000)
+        servers.apply(messages.HostList(hosts=ENTRIES))
+        log.weights = getattr(log, "weights", None) or FakeWeights()
+        self.demand = placements.Demand(self.clock)
+        self.orderer = orderers.Orderer(
+            self.clock,
+            self.log,
+            self.duty,
+            "generator",
+            servers,
+            self.demand,
+            log.weights,
+            FakeEngines(self),
+        )
+
+    async def act(self):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.orderer.run)
+            while True:
+                self.demand.weights.clear()
+                self.demand.note("generator", self.chance.choice(MODELS), 1000)
+                await self.clock.sleep_ms(15_000)
+
+
+@pytest.fixture
+def quick(monkeypatch):
+    """Short limits, so that a run sees many orders."""
+    monkeypatch.setattr(orderers, "ORDER_MS", ORDER_MS)
+    monkeypatch.setattr(orderers, "CHECK_MS", 100)
+    monkeypatch.setattr(placements, "HOLD_MS", 1000)
+
+
+def run(seed):
+    return fake_fleet.run(test_duties.faulty_run, seed, OrderHolder)
+
+
+@pytest.mark.parametrize("seed", range(N_SEEDS))
+def test_orders_of_two_holders_never_overlap(quick, seed):
+    hosts = run(seed)
+    n_orders = sum(len(host.acts) for host in hosts)
+    assert n_orders > 0
+    assert test_duties.n_overlaps(hosts) == 0
+    assert n_orders <= hosts[0].orderer.weight_store.n_reserved
+
+
+@pytest.mark.parametrize(
+    "attribute, seed, mutant",
+    [
+        ("wait_ms", 2, lambda self: 0.0),
+        ("wait_ms", 2, lambda self: self.lease_ms if self.offset else 0.0),
+        ("holds", 8, lambda self: self.fencing is not None),
+    ],
+)
+def test_checker_catches_a_missing_guard(quick, monkeypatch, attribute, seed, mutant):
+    monkeypatch.setattr(duties.Duty, attribute, mutant)
+    seeds = [seed, *range(N_MUTANT_SEEDS)]
+    assert any(test_duties.n_overlaps(run(s)) for s in seeds)
+
+
+async def test_next_holder_knows_what_is_loaded(autojump_clock, quick, monkeypatch):
+    monkeypatch.setattr(FakeEngines, "lost_part", 0)
+    chance = random.Random(1)
+    async with test_duties.holders(chance, OrderHolder) as (_, _, hosts):
+        await trio.sleep(120)
+        first = next(host for host in hosts if host.duty.holds())
+        first.scope.cancel()
+        left = [host for host in hosts if host is not first]
+        for host in left:
+            test_duties.know(host, left)
+        await trio.sleep(60)
+        second = next(host for host in left if host.duty.holds())
+        assert second.orderer.loaded.keys() == {entry.address for entry in ENTRIES}
+
+
+def test_noise_in_the_demand_loads_nothing():
+    assert fake_fleet.run(noisy_demand, 1) == N_ENGINES
+
+
+async def noisy_demand(seed):
+    """Return the loads that an hour of demand with noise around equal parts needs."""
+    chance = random.Random(seed)
+    placement = placements.Placement(fake_fleet.clock.Clock())
+    n_loads = 0
+    for _ in range(720):
+        weights = {model: chance.uniform(60, 100) for model in MODELS}
+        load = placement.next_load([entry.address for entry in ENTRIES], weights)
+        if load is not None:
+            placement.loaded[load[0]] = load[1]
+            n_loads += 1
+        await trio.sleep(5)
+    return n_loads
--- a/teaselwall/warmth.py
+++ b/teaselwall/warmth.py
@@ -3,7 +3,7 @@
 from teaselwall import clock
 
 REPORT_LAG_MS = 5_000
-REPORT_KEPT_MS = 30_000
+REPORT_KEPT_MS = 5_000
 RAMP_STEP_MS = 500
 MAX_RAMP = 64
 
