Measure duties, cold starts, leaving and orders

Ruled out: processes on loopback for these; the mock clock gives the same verdict at any load of the machine.

--- a/teaselwall/askers.py
+++ b/teaselwall/askers.py
@@ -10,7 +10,7 @@
 
 RETRY_MS = 50
 USE_MS = 1_000
-IDLE_MS = 400
+IDLE_MS = 40
 REFRESH_MS = 500
 CALL_MS = 4_000
 MAX_ASKED = 16
--- a/teaselwall/issuers.py
+++ b/teaselwall/issuers.py
@@ -8,7 +8,7 @@
 GRANT_PATH = "/peer/warmups/permit"
 RETURN_PATH = "/peer/warmups/return"
 MAX_GRANTED = 64
-MAX_CALL_MS = 600_000
+MAX_FLIGHT_MS = 120_000
 FLIGHT_MS = 10_000
 RETRY_AFTER_MS = 500
 
@@ -122,13 +122,14 @@
     def _covers(self, data_centre, call_ms):
         """Return whether a successor would wait for a call to end.
 
-        A longer call has the lease renewed to allow for it.
+        A longer call has the lease renewed to allow for it, up to ``MAX_FLIGHT_MS``;
+        calls that are longer still go to warm servers alone.
         """
         if not self.holds(data_centre):
             return False
         duty = self.duties[data_centre]
         flight_ms = call_ms + permits.GRACE_MS
-        duty.cover(min(flight_ms, MAX_CALL_MS))
+        duty.cover(min(flight_ms, MAX_FLIGHT_MS))
         return flight_ms <= duty.covered_ms
 
     async def grant(self, message):
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -80,6 +80,11 @@
         )
 
 
+def as_json(message):
+    """Return a message as it arrives at another process."""
+    return msgspec.json.decode(msgspec.json.encode(message))
+
+
 def _refused(outcome):
     return expression.Error(errors.Unavailable("The log is away.", outcome=outcome))
 
--- /dev/null
+++ b/teaselwall/tools/bench_duties.py
@@ -0,0 +1,302 @@
+"""Measurements of duties, cold starts, leaving and orders, on trio's mock clock."""
+
+import random
+import time
+
+import trio
+
+from teaselwall import configuration, duties, placements
+from teaselwall.generated import messages
+from teaselwall.tests import fake_fleet, fakes, test_duties, test_orders, test_warmups
+
+N_HISTORIES = 40
+N_OUT_AND_BACK = 10
+TARGET_MS = 2_000
+N_GRANTS = 2_000
+N_PLANNED_DATA_CENTRES = 30
+N_PLANNED_ENGINE_POOLS = 30
+DUTY_SIZES = (1, 10, 30)
+RUN_S = 300
+FLEET_SIZES = (300, 3_000, 10_000)
+N_POOLS = 50
+N_WATCHES = 20
+DATA_CENTRES = ("a", "b")
+
+
+def measure():
+    """Run every measurement.
+
+    Returns
+    -------
+    dict of str to (float, str, float or None)
+        Value, unit and target by name.
+    """
+    figures = {}
+    figures.update(_cold_overloads())
+    figures.update(_overlaps())
+    figures.update(_orders())
+    figures.update(_leaving())
+    figures.update(_appends())
+    figures.update(_permits())
+    figures.update(_reloads())
+    figures.update(fake_fleet.run(costs, 1))
+    return figures
+
+
+def _cold_overloads():
+    seeds = range(N_HISTORIES)
+    worlds = [fake_fleet.run(test_warmups.faulty_run, seed) for seed in seeds]
+    return {
+        "cold_histories": (len(worlds), "count", None),
+        "cold_overload_events": (sum(w.n_overloads() for w in worlds), "count", 0),
+    }
+
+
+def _overlaps():
+    seeds = range(N_HISTORIES)
+    runs = [fake_fleet.run(test_duties.faulty_run, seed) for seed in seeds]
+    n_acts = sum(len(host.acts) for hosts in runs for host in hosts)
+    return {
+        "duty_acts": (n_acts, "count", None),
+        "duty_overlaps": (sum(map(test_duties.n_overlaps, runs)), "count", 0),
+    }
+
+
+def _orders():
+    with test_orders.quick_limits():
+        runs = [test_orders.run(seed) for seed in range(N_HISTORIES)]
+    n_orders = [sum(len(host.acts) for host in hosts) for hosts in runs]
+    n_reserved = [hosts[0].orderer.weight_store.n_reserved for hosts in runs]
+    over = sum(max(0, n - r) for n, r in zip(n_orders, n_reserved, strict=True))
+    return {
+        "orders": (sum(n_orders), "count", None),
+        "order_overlaps": (sum(map(test_duties.n_overlaps, runs)), "count", 0),
+        "weight_store_rate_violations": (over, "count", 0),
+    }
+
+
+def _leaving():
+    leaving_ms = max(fake_fleet.run(last_new_work_ms, s, "leaving") for s in range(3))
+    out_ms = max(fake_fleet.run(last_new_work_ms, s, "out") for s in range(3))
+    n_overloads, n_served = fake_fleet.run(out_and_back, 1)
+    return {
+        "leaving_last_new_work_ms": (leaving_ms, "ms", TARGET_MS),
+        "zone_out_last_new_work_ms": (out_ms, "ms", TARGET_MS),
+        "out_and_back_cold_overloads": (n_overloads, "count", 0),
+        "out_and_back_served_again": (n_served, "count", N_OUT_AND_BACK),
+    }
+
+
+def data_centre_record(name, out):
+    """Return the configuration record that takes a data centre out or back."""
+    return {"kind": "data_centre", "name": name, "out": out}
+
+
+async def last_new_work_ms(seed, order):
+    """Return how long after an order the last call began at a server.
+
+    Parameters
+    ----------
+    seed : int
+    order : str
+        ``leaving`` in the host list, or the data centre ``out`` in the log.
+    """
+    centres = ("a", "b")
+    async with fake_fleet.running(
+        n_hosts=4, n_servers=4, data_centres=centres
+    ) as world:
+        follow(world)
+        world.nursery.start_soon(world.load, random.Random(seed), 15_000, 5)
+        await trio.sleep(6 + seed / 10)
+        server = world.servers["server-0"]
+        server.state = "leaving" if order == "leaving" else "live"
+        world.publish()
+        if order == "out":
+            await world.log.append(
+                configuration.STREAM, data_centre_record("a", True), 1000
+            )
+        ordered_ms = world.clock.now_ms()
+        await trio.sleep(10)
+        return max(0.0, max(server.starts_ms) - ordered_ms)
+
+
+def follow(world):
+    """Have each host follow the configuration in the log."""
+    for host in world.hosts:
+        follower = configuration.Follower(host.clock, host.log, host.state, 1000)
+        world.nursery.start_soon(follower.run)
+
+
+async def out_and_back(seed):
+    """Take a data centre out and back; each time its servers come back cold.
+
+    The log is away while the last two come back, and an entry host is killed.
+
+    Returns
+    -------
+    tuple of int
+        Cold overloads, and returns after which the servers got work again.
+    """
+    chance = random.Random(seed)
+    centres = ("a", "b")
+    n_served = 0
+    async with fake_fleet.running(
+        n_hosts=6, n_servers=4, data_centres=centres
+    ) as world:
+        follow(world)
+        world.nursery.start_soon(world.load, chance, N_OUT_AND_BACK * 45_000, 20)
+        await trio.sleep(10)
+        for number in range(N_OUT_AND_BACK):
+            await _out(world)
+            await _back(world, number >= N_OUT_AND_BACK - 2)
+            back_ms = world.clock.now_ms()
+            await trio.sleep(30)
+            n_served += max(world.servers["server-0"].starts_ms) > back_ms
+        return world.n_overloads(), n_served
+
+
+async def _out(world):
+    record = data_centre_record("a", True)
+    await world.log.append(configuration.STREAM, record, 1000)
+    await trio.sleep(8)
+    for server in world.servers.values():
+        if server.data_centre == "a":
+            server.n_cold_calls = fake_fleet.COLD_CALLS
+
+
+async def _back(world, with_faults):
+    record = data_centre_record("a", False)
+    await world.log.append(configuration.STREAM, record, 1000)
+    if not with_faults:
+        return
+    await trio.sleep(0.5)
+    world.kill(world.hosts.pop())
+    world.nursery.start_soon(test_duties.cut, world.log, "outage", 10)
+
+
+def _appends():
+    per_s = {n: fake_fleet.run(appends_per_s, 1, n) for n in DUTY_SIZES}
+    slope = per_s[DUTY_SIZES[-1]] / DUTY_SIZES[-1]
+    n_planned = N_PLANNED_DATA_CENTRES + N_PLANNED_ENGINE_POOLS
+    figures = {
+        f"duty_appends_per_s_{n}": (value, "1/s", None) for n, value in per_s.items()
+    }
+    figures["duty_appends_per_s_planned"] = (slope * n_planned, "1/s", None)
+    return figures
+
+
+async def appends_per_s(seed, n_duties):
+    """Return the appends a second of so many duties with three hosts each."""
+    async with trio.open_nursery() as nursery:
+        log = fakes.FakeLog(nursery)
+        members = [fake_fleet.membership_of(f"host-{i}") for i in range(3)]
+        everyone = {m.me.address: m.me for m in members}
+        for own in members:
+            own.members = everyone
+            for number in range(n_duties):
+                duty = duties.Duty(
+                    fake_fleet.clock.Clock(),
+                    log,
+                    own,
+                    f"warmup-{number}",
+                    own.alive,
+                    1000,
+                    1000,
+                )
+                nursery.start_soon(duty.run)
+        await trio.sleep(RUN_S)
+        nursery.cancel_scope.cancel()
+    return log.n_appends / RUN_S
+
+
+def _permits():
+    calls_per_server, warm_ms = fake_fleet.run(bootstrap, 1)
+    return {
+        "permit_calls_per_cold_server": (calls_per_server, "count", None),
+        "cold_fleet_warm_ms": (warm_ms, "ms", None),
+        "permit_grant_us": (fake_fleet.run(grant_us, 1), "us", None),
+    }
+
+
+async def bootstrap(seed):
+    """Return peer calls for each server, and the time until all are warm.
+
+    Fifteen entry hosts of one data centre start before ten cold servers.
+    """
+    async with fake_fleet.running(n_hosts=15, n_servers=10) as world:
+        world.nursery.start_soon(world.load, random.Random(seed), 30_000, 5)
+        servers = list(world.servers.values())
+        while any(server.n_cold_calls for server in servers):
+            await trio.sleep(0.05)
+        warm_ms = trio.current_time() * fake_fleet.clock.MS_PER_S
+        return world.network.n_calls / len(servers), round(warm_ms - world.started_ms)
+
+
+async def grant_us(seed):
+    """Return the processor time of one permit that is granted and given back."""
+    async with fake_fleet.running(n_hosts=1, n_servers=1) as world:
+        await trio.sleep(5)
+        issuer = world.hosts[0].issuer
+        request = messages.PermitRequest(
+            data_centre="a", pool=fake_fleet.POOL, n=1, call_ms=1000
+        )
+        started_s = time.process_time()
+        for _ in range(N_GRANTS):
+            grant = await issuer.grant(fakes.as_json(request))
+            back = messages.PermitReturn(data_centre="a", permits=grant.permits)
+            await issuer.take_back(fakes.as_json(back))
+        return round((time.process_time() - started_s) / N_GRANTS * 1e6, 1)
+
+
+def _reloads():
+    held = fake_fleet.run(test_orders.noisy_demand, 1)
+    hold_ms, margin = placements.HOLD_MS, placements.MARGIN
+    placements.HOLD_MS, placements.MARGIN = 0, 0.0
+    try:
+        plain = fake_fleet.run(test_orders.noisy_demand, 1)
+    finally:
+        placements.HOLD_MS, placements.MARGIN = hold_ms, margin
+    return {
+        "loads_an_hour": (held, "count", None),
+        "loads_an_hour_without_hysteresis": (plain, "count", None),
+    }
+
+
+async def costs(seed):
+    """Return the processor time of asking the gate, and of watching the fleet."""
+    figures = {}
+    async with fake_fleet.running(1, 1) as world:
+        await trio.sleep(1)
+        warmups = world.hosts[0].warmups
+        for n_servers in FLEET_SIZES:
+            world.listing = [entry(number) for number in range(n_servers)]
+            listing = messages.HostList(hosts=world.listing)
+            warmups.fleet.apply(listing)
+            watch_us = timed_us(N_WATCHES, warmups.watch, None)
+            figures[f"fleet_watch_us_{n_servers}"] = (watch_us, "us", None)
+        server = next(iter(warmups.fleet.by_pool["pool-0"].values()))
+        report = messages.LoadReport(
+            incarnation="1", in_flight=1, capacity=8, cold=False
+        )
+        server.note_report(report)
+        figures["gate_us"] = (timed_us(N_GRANTS, warmups.begin, server, 1), "us", None)
+    return figures
+
+
+def entry(number):
+    """Return the host list's entry of a server of a large fleet."""
+    return messages.HostEntry(
+        address=f"server-{number}",
+        pool=f"pool-{number % N_POOLS}",
+        data_centre="a",
+        incarnation="1",
+        state="live",
+    )
+
+
+def timed_us(n, function, *arguments):
+    """Return the mean processor time of a call in microseconds."""
+    started_s = time.process_time()
+    for _ in range(n):
+        function(*arguments)
+    return round((time.process_time() - started_s) / n * 1e6, 2)
--- a/teaselwall/warmups.py
+++ b/teaselwall/warmups.py
@@ -11,6 +11,8 @@
 from teaselwall import errors, gates, permits
 
 TICK_MS = 200
+GIVE_BACK_MS = 20
+WATCH_MS = 1_000
 FEED_MS = 1_000
 RETURN_SPREAD_MS = 3_000
 
@@ -111,11 +113,12 @@
             nursery.start_soon(self.sightings.follow)
             nursery.start_soon(self._every, FEED_MS, self._feed)
             nursery.start_soon(self._every, TICK_MS, self.sightings.write)
-            nursery.start_soon(self._every, TICK_MS, self.asker.give_back_unused)
+            nursery.start_soon(self._every, GIVE_BACK_MS, self.asker.give_back_unused)
             while True:
-                self._watch_data_centres(nursery)
+                self.watch(nursery)
                 self.issuer.ledger.sweep()
-                await self.clock.sleep_ms(TICK_MS)
+                seen = bool(self.issuer.duties)
+                await self.clock.sleep_ms(WATCH_MS if seen else TICK_MS)
 
     async def _every(self, interval_ms, act):
         while True:
@@ -127,7 +130,14 @@
         for pool in hungry:
             await self.asker.feed(pool)
 
-    def _watch_data_centres(self, nursery):
+    def watch(self, nursery):
+        """Start the duties of new data centres; note which are out.
+
+        Parameters
+        ----------
+        nursery : trio.Nursery
+            Runs the duties.
+        """
         for servers in self.fleet.by_pool.values():
             for server in servers.values():
                 if server.data_centre not in self.issuer.duties:
