--- a/teaselwall/orders.py
+++ b/teaselwall/orders.py
@@ -1,120 +1,46 @@
-"""Emergency orders: taking a data centre out while the log service is away."""
+"""Orders to model engines: load or unload a model, change role."""
 
-import collections
+import abc
 
-import msgspec
+from teaselwall import errors
 
-from teaselwall import changes, control, spreading, turns
-from teaselwall.generated import messages
 
-INTERVAL_MS = 1000
-RANK_MS = 300
-MAX_ISSUED = 64
-NEAR_TIMEOUT_MS = 700
-FAR_TIMEOUT_MS = 1000
-PATH = "/peer/configuration/order"
+class OrderClient(abc.ABC):
+    """Gives orders to engines."""
 
+    @abc.abstractmethod
+    async def order(self, server, order, timeout_ms):
+        """Give one order.
 
-class Orders:
-    """Spreads emergency orders and brings them into the log once it is back.
-
-    An order takes work away and never gives any, so hosts that disagree on it for a
-    while do no harm. It names the version that it is based on; the log decides on
-    it as on any change, and its verdict replaces the order on every host.
-
-    Parameters
-    ----------
-    clock : clock.Clock
-    state : configuration.State
-    publisher : publications.Publisher
-    peers : peers.Peers
-    membership : membership.Membership
-    """
-
-    __slots__ = ("clock", "state", "publisher", "peers", "membership", "issued")
-
-    def __init__(self, clock, state, publisher, peers, membership):
-        self.clock = clock
-        self.state = state
-        self.publisher = publisher
-        self.peers = peers
-        self.membership = membership
-        self.issued = collections.deque(maxlen=MAX_ISSUED)
-
-    def register(self, host_control):
-        """Add the handler to ``control.Control``."""
-        host_control.add(PATH, self.take)
-
-    async def take(self, message):
-        """Take an order from a peer; pass it on where asked to."""
-        spread = control.read(message, messages.OrderSpread)
-        change = changes.read(changes.record(spread.order))
-        if change is None:
-            return messages.HostsInForce(hosts=[])
-        if spread.relay:
-            return messages.HostsInForce(hosts=await self._near(change))
-        version = self._hold(change)
-        return messages.HostsInForce(
-            hosts=[spreading.status(self.membership.me, version)]
-        )
-
-    def _hold(self, change):
-        """Take an order; return the version, or ``NO_ANSWER`` if it is void."""
-        held = self.state.take_order(change)
-        return self.state.version if held else spreading.NO_ANSWER
-
-    async def issue(self, change):
-        """Put an order in force here and at every entry host that answers.
+        Parameters
+        ----------
+        server : servers.Server
+        order : messages.EngineOrder
+        timeout_ms : float
 
         Returns
         -------
-        list of messages.HostStatus, or None
-            All entry hosts, those where it is not in force with ``NO_ANSWER``; None
-            where the accepted configuration is newer than the order's base.
+        expression.Result
+            An error with outcome ``UNKNOWN`` may have taken effect.
         """
-        if not self.state.take_order(change):
-            return None
-        self.issued.append(change.change)
-        hosts = await self._near(change)
-        message = messages.OrderSpread(order=change, relay=True)
-        hosts += await spreading.far(
-            self.membership, self.peers, PATH, message, FAR_TIMEOUT_MS
-        )
-        return hosts
 
-    async def _near(self, change):
-        message = messages.OrderSpread(order=change, relay=False)
 
-        async def send(member):
-            if member is self.membership.me:
-                return self._hold(change)
-            result = await self.peers.call(
-                member.address, PATH, message, NEAR_TIMEOUT_MS
-            )
-            if result.is_error():
-                return spreading.NO_ANSWER
-            reply = msgspec.convert(result.ok, messages.HostsInForce)
-            return reply.hosts[0].version if reply.hosts else spreading.NO_ANSWER
+class HttpOrderClient(OrderClient):
+    """Orders over HTTP with JSON.
 
-        return await spreading.near(self.membership, send)
+    Parameters
+    ----------
+    transport : transport.Transport
+    """
 
-    async def run(self):
-        """Publish the orders that are open, until cancelled.
+    __slots__ = ("transport",)
 
-        Delegates, and the host that issued an order, come one after another, so
-        that the first as a rule settles it for all.
-        """
-        while True:
-            await self.clock.sleep_ms(INTERVAL_MS)
-            for change in list(self.state.orders.values()):
-                await self._settle(change)
+    def __init__(self, transport):
+        self.transport = transport
 
-    async def _settle(self, change):
-        rank = turns.rank(self.membership, change.change)
-        if rank is None and change.change not in self.issued:
-            return
-        if not self.publisher.follower.log_answers:
-            return
-        await self.clock.sleep_ms((rank or 0) * RANK_MS)
-        if change.change in self.state.orders:
-            await self.publisher.publish(change)
+    async def order(self, server, order, timeout_ms):
+        """Give one order; see ``OrderClient.order``."""
+        result = await self.transport.call(
+            "POST", server.address, "/v1/orders", order, timeout_ms
+        )
+        return result.bind(lambda reply: errors.require_ok(reply, server.address))
--- a/teaselwall/warmth.py
+++ b/teaselwall/warmth.py
@@ -1,7 +1,7 @@
 """What one entry host knows of whether a backend server is warm."""
 
 REPORT_LAG_MS = 5_000
-REPORT_KEPT_MS = 30_000
+REPORT_KEPT_MS = 5_000
 RAMP_STEP_MS = 500
 MAX_RAMP = 64
 
