Read smaller pages where a page is over the size of a reply

Cause: with large documents a page of 500 records can be over the 8 MiB that a reply may have; a reader behind such a page never got further.

Ruled out: a higher limit of the reply; it bounds memory.

Change: a follower asks for fewer records after a failed read, for more after a good one; a gap in the log ends in status once it is bridged by a peer; a restart record that another task has read meanwhile is passed over.

--- a/teaselwall/followers.py
+++ b/teaselwall/followers.py
@@ -12,6 +12,8 @@
 logger = logging.getLogger(__name__)
 
 READ_LIMIT = 500
+LIMIT_GROWTH = 2
+LIMIT_SHRINKAGE = 8
 WAIT_MS = 3000
 RETRY_MS = 200
 OUTAGE_RETRY_MS = 1000
@@ -44,6 +46,8 @@
     log_gap : bool
         Whether the log has dropped records that neither a snapshot nor a peer
         stands in for; the newest known state stays in force.
+    limit : int
+        Number of records to ask for in the next page.
     log_now_ms : int
         The log service's own time at its newest answer.
     """
@@ -60,6 +64,7 @@
         "log_answers",
         "log_gap",
         "log_now_ms",
+        "limit",
     )
 
     def __init__(self, clock, log, state, timeout_ms, peers, membership, seeds):
@@ -74,6 +79,7 @@
         self.log_answers = False
         self.log_gap = False
         self.log_now_ms = 0
+        self.limit = READ_LIMIT
 
     def ready(self):
         """Return whether there is a configuration to serve by."""
@@ -89,19 +95,27 @@
 
     async def step(self, wait_ms=0):
         """Read once; return whether the state is on its way with the log."""
-        result = await self.log.read(
-            configuration.STREAM,
-            self.state.version,
-            READ_LIMIT,
-            self.timeout_ms,
-            wait_ms,
-        )
+        result = await self._read(self.state.version, wait_ms)
         self.log_answers = result.is_ok()
         if result.is_error():
             _warn("configuration_read_failed", detail=str(result.error))
             return False
         return await self._take(result.ok)
 
+    async def _read(self, offset, wait_ms=0):
+        """Read a page; ask for fewer records after a failure, then for more again.
+
+        A page of large documents can be over the size that a reply may have.
+        """
+        result = await self.log.read(
+            configuration.STREAM, offset, self.limit, self.timeout_ms, wait_ms
+        )
+        if result.is_ok():
+            self.limit = min(READ_LIMIT, self.limit * LIMIT_GROWTH)
+        else:
+            self.limit = max(1, self.limit // LIMIT_SHRINKAGE)
+        return result
+
     async def _take(self, page):
         self.log_now_ms = max(self.log_now_ms, page.now_ms)
         if page.end < self.state.version:
@@ -109,6 +123,7 @@
             return False
         if page.first > self.state.version:
             return await self._bridge(page.first)
+        self.log_gap = False
         for record in page.records:
             self.state.apply(record.offset, record.data, record.time_ms)
         if self.state.version >= page.end:
@@ -132,9 +147,9 @@
         collector = snapshots.Collector()
         offset = first
         while True:
-            result = await self.log.read(
-                configuration.STREAM, offset, READ_LIMIT, self.timeout_ms
-            )
+            result = await self._read(offset)
+            if result.is_error() and self.limit > 1:
+                continue
             if result.is_error() or not result.ok.records:
                 return False
             for record in result.ok.records:
@@ -143,7 +158,9 @@
             offset = result.ok.records[-1].offset + 1
 
     def _take_chunk(self, collector, record, first):
-        if self.state.restart(record.offset, record.data):
+        # Another task may have read on while this one waited for the page.
+        unread = record.offset >= self.state.version
+        if unread and self.state.restart(record.offset, record.data):
             return True
         chunk = changes.read_chunk(record.data)
         if chunk is None or chunk.through < first:
--- a/teaselwall/tests/test_configuration.py
+++ b/teaselwall/tests/test_configuration.py
@@ -1,10 +1,11 @@
+import expression
 import msgspec
 import pytest
 
-from teaselwall import changes, configuration, publications, snapshots
+from teaselwall import changes, configuration, errors, publications, snapshots
 from teaselwall.generated import messages
 from teaselwall.generated import service as schema
-from teaselwall.tests import races
+from teaselwall.tests import fakes, races
 
 
 @pytest.fixture
@@ -111,3 +112,29 @@
     result = await host.publisher.publish(change, publications.LIMIT_MS)
     assert result.ok.accepted
     assert cluster.log.n_appends == 2
+
+
+async def test_pages_over_the_size_limit_are_read_in_smaller_ones(
+    nursery, autojump_clock
+):
+    cluster = races.Cluster(1)
+    await cluster.open(nursery)
+    log = SmallPages(nursery)
+    host = races.Host(cluster, "host-alone")
+    host.follower.log = log
+    for base in range(9):
+        change = changes.data_centre("tuz-a", True, base, "ayse")
+        await log.append(configuration.STREAM, changes.record(change), 100)
+    for _ in range(12):
+        await host.follower.step()
+    assert host.state.version == log.stream(configuration.STREAM).end
+
+
+class SmallPages(fakes.FakeLog):
+    """A log whose replies with more than two records are over the limit."""
+
+    async def read(self, stream, offset, limit, timeout_ms, wait_ms=0):
+        page = await super().read(stream, offset, limit, timeout_ms, wait_ms)
+        if len(page.ok.records) > 2:
+            return expression.Error(errors.TransportError("Over the size limit."))
+        return page
