--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -4,6 +4,7 @@
 
 from teaselwall import (
     admission,
+    askers,
     budgets,
     claims,
     clock,
@@ -19,6 +20,7 @@
     gossip,
     guards,
     hostlist,
+    issuers,
     loads,
     logservice,
     membership,
@@ -38,10 +40,12 @@
     quarantine,
     rates,
     recorders,
+    sightings,
     snapshots,
     subsets,
     traces,
     transport,
+    warmups,
 )
 
 
@@ -78,6 +82,7 @@
         "ownerships",
         "claims",
         "eras",
+        "warmups",
         "pipeline",
         "hand_overs",
     )
@@ -139,6 +144,7 @@
             self.clock, self.log, self.suspects, timeout_ms
         )
         self.dispatcher = self._dispatcher()
+        self.warmups = self._warmups(timeout_ms)
         self.ownerships = ownerships.Ownerships(
             self.clock,
             self.log,
@@ -214,6 +220,27 @@
             self.settings.limits.max_result_bytes,
         )
 
+    def _warmups(self, timeout_ms):
+        issuer = issuers.Issuer(
+            self.clock,
+            self.log,
+            self.membership,
+            self.fleet,
+            self.settings.routing.cold_slots,
+            timeout_ms,
+        )
+        issuer.register(self.control)
+        asker = askers.Asker(
+            self.clock, self.membership, self.fleet, self.peers, issuer
+        )
+        seen = sightings.Sightings(self.clock, self.log, timeout_ms)
+        result = warmups.Warmups(
+            self.clock, self.membership, self.fleet, issuer, asker, seen
+        )
+        self.fleet.filters.append(result.may_get_work)
+        self.dispatcher.gate = result
+        return result
+
     async def serve(self, request, sink):
         """Run one request once it is admitted; see ``pipelines.Pipeline.run``."""
         return await self.admission.run(
@@ -242,3 +269,4 @@
             nursery.start_soon(self.eras.run)
             nursery.start_soon(self.evidence.run)
             nursery.start_soon(self.poller.run)
+            nursery.start_soon(self.warmups.run)
--- a/teaselwall/tests/test_fleet.py
+++ b/teaselwall/tests/test_fleet.py
@@ -16,19 +16,12 @@
     transport,
 )
 from teaselwall.generated import messages
+from teaselwall.tests import fakes
 
 ADDRESSES = [f"10.0.0.{index}:80" for index in range(8)]
 CENTRES = ("a", "b")
 
 
-class SteppedClock:
-    def __init__(self):
-        self.at_ms = 0.0
-
-    def now_ms(self):
-        return self.at_ms
-
-
 def entry(address, incarnation="1", state="live"):
     centre = CENTRES[ADDRESSES.index(address) % 2]
     return messages.HostEntry(address, "pool", centre, incarnation, state)
@@ -51,7 +44,7 @@
 
     def __init__(self):
         super().__init__()
-        self.clock = SteppedClock()
+        self.clock = fakes.SteppedClock()
         self.entries = {address: entry(address) for address in ADDRESSES}
         self.fleet = new_fleet(self.entries.values(), self.clock)
 
