--- a/teaselwall/tools/bench.py
+++ b/teaselwall/tools/bench.py
@@ -15,6 +15,7 @@
 
 TOPICS = (
     "relay",
+    "idle",
     "membership",
     "claims",
     "attempts",
