Leave open whether a refused key has run before

Cause: admission comes before an idempotency key is looked up. A caller that sent a purchase again after a lost answer was told 'not run' when the resend was shed, and could have bought again with a new key.

Ruled out: admission after the claim, which costs the log service appends for each refused request; looking the key up first, which costs a peer call.

Change: a refusal of a service that is not idempotent has the outcome unknown and the remedy to send the same key again.

Conclusion: the test fails with the outcome left at not run.

--- a/teaselwall/admission.py
+++ b/teaselwall/admission.py
@@ -18,6 +18,7 @@
 MAX_RETRY_AFTER_MS = 30000.0
 TIME_WEIGHT = 0.2
 SPARE_BELOW = 0.8
+SAME_KEY_REMEDY = "Send it again after Retry-After with the same Idempotency-Key."
 LATE = (errors.DeadlineExceeded, errors.ServerFailed, errors.Overloaded)
 
 
@@ -65,24 +66,29 @@
         -------
         expression.Result
             The result of ``work``, or ``errors.Overloaded`` of a request that has
-            not run and will not.
+            not run and will not. Where the service is not idempotent its outcome
+            is unknown, as its key may have run before.
         """
         organisation = services.organisation(request.document, request.organisation)
         refusal = self.rates.check(request.document.service, organisation)
         if refusal is not None:
-            return self._refused(refusal, "rate")
+            return self._refused(request, refusal, "rate")
         pool = bottleneck(request.document)
         lane = self.lane(pool)
         started_ms = self.clock.now_ms()
         refusal = await lane.enter(request, organisation.share)
         self.metrics.observe_ms("queue", self.clock.now_ms() - started_ms, pool=pool)
         if refusal is not None:
-            return self._refused(refusal, pool)
+            return self._refused(request, refusal, pool)
         with lane.running(request) as outcome:
             outcome.result = await work()
         return outcome.result
 
-    def _refused(self, refusal, limit):
+    def _refused(self, request, refusal, limit):
+        if not request.document.idempotent:
+            # An earlier sending of the same key may have run.
+            refusal.outcome = errors.Outcome.UNKNOWN
+            refusal.remedy = SAME_KEY_REMEDY
         self.metrics.count("requests_refused", limit=limit)
         return expression.Error(refusal)
 
--- a/teaselwall/tests/test_admission.py
+++ b/teaselwall/tests/test_admission.py
@@ -23,11 +23,12 @@
 WORK_MS = 100
 
 
-def document(priority=5, limit_per_s=0, deadline_ms=2000):
+def document(priority=5, limit_per_s=0, deadline_ms=2000, idempotent=True):
     return service.Service(
         service="answers",
         deadline_ms=deadline_ms,
         priority=priority,
+        idempotent=idempotent,
         stages=[service.Stage("generate", "engine", "pool", expected_ms=WORK_MS)],
         organisations=[
             service.Organisation("large", 1, limit_per_s),
@@ -121,6 +122,15 @@
     assert any(waited_ms == 0 for _, _, waited_ms in gate.refused)
 
 
+async def test_a_refusal_does_not_claim_that_a_key_never_ran(gate, autojump_clock):
+    async with trio.open_nursery() as nursery:
+        await flood(gate, nursery, duration_s=1, idempotent=False)
+    assert gate.refused
+    for _, error, _ in gate.refused:
+        assert error.outcome is errors.Outcome.UNKNOWN
+        assert "same Idempotency-Key" in error.remedy
+
+
 async def test_admitted_requests_meet_their_deadline(gate, autojump_clock):
     async with trio.open_nursery() as nursery:
         await flood(gate, nursery)
