--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -18,6 +18,7 @@
     hedges,
     outcomes,
     pickers,
+    placements,
     prefixes,
     services,
     streams,
@@ -67,6 +68,7 @@
         "retries",
         "guard",
         "gate",
+        "demand",
     )
 
     def __init__(
@@ -92,6 +94,7 @@
         self.retries = retries or budgets.RetryBudgets(clock, DEFAULT_PERCENT)
         self.guard = guard or guards.local(clock)
         self.gate = gates.FleetGate(fleet)
+        self.demand = placements.Demand(clock)
 
     async def call(self, request, stage, inputs):
         """Run a stage that gives one reply.
@@ -333,6 +336,7 @@
         expression.Result
             List of all tokens.
         """
+        self.demand.note(stage.pool, stage.model, stage.max_tokens)
         tokens = []
         made = attempts.Attempts(
             request,
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -17,6 +17,36 @@
     return membership.Member(row, 0)
 
 
+class View:
+    """Membership as one host sees it, changed by the run.
+
+    Attributes
+    ----------
+    members : dict of str to membership.Member
+        By address.
+    """
+
+    def __init__(self, address, data_centre="a", nonce=""):
+        self.me = member(address, data_centre, nonce)
+        self.members = {address: self.me}
+
+    def alive(self):
+        """Return the members in view."""
+        return list(self.members.values())
+
+    def delegates(self):
+        """Return the members in view."""
+        return self.alive()
+
+    def find(self, address):
+        """Return the member at an address, or None."""
+        return self.members.get(address)
+
+    def forget(self, address):
+        """Take a member out of view."""
+        self.members.pop(address, None)
+
+
 class SteppedClock:
     """Clock that a test sets by hand.
 
@@ -102,6 +132,11 @@
         )
 
 
+def as_json(message):
+    """Return a message as it arrives at another process."""
+    return msgspec.json.decode(msgspec.json.encode(message))
+
+
 def _refused(outcome):
     return expression.Error(errors.Unavailable("The log is away.", outcome=outcome))
 
