--- a/teaselwall/attempts.py
+++ b/teaselwall/attempts.py
@@ -1,5 +1,7 @@
 """Attempts of one stage of one request: where it was tried, what may come next."""
 
+import expression
+
 from teaselwall import budgets, errors
 
 MAX_ATTEMPTS = 3
@@ -7,6 +9,7 @@
 EXPECTED_FACTOR = 4
 LATE_FACTOR = 3
 CLOSE_MS = 5
+RETRY_AFTER_MS = 1000
 
 
 class Attempts:
@@ -114,3 +117,30 @@
     def patience_ms(self, silence_ms):
         """Return how long a reply is awaited while another server may be tried."""
         return max(silence_ms, EXPECTED_FACTOR * self.stage.expected_ms)
+
+    def options(self):
+        """Return what the backend's call takes besides; see ``fresh``."""
+        return {"fresh": True} if self.fresh() else {}
+
+    def no_server(self):
+        """Return the error of a stage for which no server may get work."""
+        detail = f"No server of pool {self.stage.pool} may get new work."
+        error = errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
+        return expression.Error(error)
+
+    def final(self, result):
+        """Return the stage's failure.
+
+        A server's own error is preferred to the one that ended the attempts.
+        """
+        error = self.error
+        if error is None or isinstance(result.error, errors.Quarantined):
+            return result
+        unknown = error.outcome is errors.Outcome.UNKNOWN
+        if unknown and not self.stage.idempotent:
+            return expression.Error(errors.OutcomeUnknown(error.detail))
+        if self.part_ms() <= 0:
+            detail = f"The time for stage {self.stage.name} ran out. {error.detail}"
+            error = errors.DeadlineExceeded(detail, outcome=error.outcome)
+        error.retry_after_ms = error.retry_after_ms or RETRY_AFTER_MS
+        return expression.Error(error)
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -3,7 +3,6 @@
 import contextlib
 import functools
 import itertools
-import logging
 
 import expression
 
@@ -12,7 +11,6 @@
     budgets,
     clock,
     errors,
-    events,
     gates,
     guards,
     hedges,
@@ -25,11 +23,8 @@
 )
 from teaselwall.generated import messages
 
-logger = logging.getLogger(__name__)
-
 DEFAULT_PERCENT = 10
 ROOM_WAIT_MS = 1000
-RETRY_AFTER_MS = 1000
 
 
 class Dispatcher:
@@ -116,7 +111,7 @@
             if result.is_ok():
                 return result
             if made.error is not result.error or not self._may_retry(made):
-                return _final(made, result)
+                return made.final(result)
 
     async def _hedged(self, made, inputs):
         """Make one attempt, or two where the first is late and it is safe."""
@@ -184,6 +179,8 @@
             remaining_ms = made.request.deadline.remaining_ms()
             if not await self.gate.wait(pool, made.tried, remaining_ms):
                 return granted
+            if trial is None and self.guard.suspected(made):
+                return granted
 
     def _begin(self, made, trial):
         passed_over = set()
@@ -204,7 +201,7 @@
         if server is None and trial is None:
             server = self.choose(made, passed_over)
         if server is None or server.address in passed_over:
-            return _no_server(made.stage)
+            return made.no_server()
         if not made.possible(server.latency_ms):
             detail = f"The time left is too short for stage {made.stage.name}."
             return expression.Error(errors.DeadlineExceeded(detail))
@@ -270,7 +267,7 @@
         ):
             with outcomes.noting(request, stage) as outcome:
                 result = await backend.run(
-                    server, call, timeout_ms, [traces.header(span)], **_options(made)
+                    server, call, timeout_ms, [traces.header(span)], **made.options()
                 )
                 outcome.take(result)
             if result.is_error():
@@ -345,20 +342,10 @@
             if result.is_ok():
                 return result
             if made.error is not result.error:
-                return _final(made, result)
-            self._note_broken(made, tokens)
+                return made.final(result)
+            streams.note_broken(made, tokens)
             if not self._may_retry(made, len(tokens)):
-                return _final(made, result)
-
-    def _note_broken(self, made, tokens):
-        events.log(
-            logger,
-            logging.INFO,
-            "stream_broken",
-            request=made.request.id,
-            n_tokens=len(tokens),
-            detail=str(made.error),
-        )
+                return made.final(result)
 
     async def _stream(self, made, server, prompt, tokens, sink):
         request, stage = made.request, made.stage
@@ -388,7 +375,7 @@
                         silence_ms,
                         [traces.header(span)],
                         first_ms,
-                        **_options(made),
+                        **made.options(),
                     ) as batches:
                         await streams.relay(batches, server, tokens, sink)
                     result = expression.Ok(tokens)
@@ -407,27 +394,3 @@
     """Write an error on a span."""
     span.set_attribute("error", type(error).__name__)
     span.set_attribute("outcome", error.outcome.value)
-
-
-def _options(made):
-    return {"fresh": True} if made.fresh() else {}
-
-
-def _no_server(stage):
-    detail = f"No server of pool {stage.pool} may get new work."
-    return expression.Error(errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS))
-
-
-def _final(made, result):
-    """Prefer a server's own error to the one that ended the attempts."""
-    error = made.error
-    if error is None or isinstance(result.error, errors.Quarantined):
-        return result
-    unknown = error.outcome is errors.Outcome.UNKNOWN
-    if unknown and not made.stage.idempotent:
-        return expression.Error(errors.OutcomeUnknown(error.detail))
-    if made.part_ms() <= 0:
-        detail = f"The time for stage {made.stage.name} ran out. {error.detail}"
-        error = errors.DeadlineExceeded(detail, outcome=error.outcome)
-    error.retry_after_ms = error.retry_after_ms or RETRY_AFTER_MS
-    return expression.Error(error)
--- a/teaselwall/streams.py
+++ b/teaselwall/streams.py
@@ -1,6 +1,10 @@
 """Passing an engine's stream on to the caller."""
 
-from teaselwall import errors
+import logging
+
+from teaselwall import errors, events
+
+logger = logging.getLogger(__name__)
 
 
 async def relay(batches, server, tokens, sink):
@@ -30,3 +34,22 @@
             return
     detail = f"{server.address} broke its stream off."
     raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN)
+
+
+def note_broken(made, tokens):
+    """Write down that a stream broke.
+
+    Parameters
+    ----------
+    made : attempts.Attempts
+    tokens : list of str
+        Passed on so far.
+    """
+    events.log(
+        logger,
+        logging.INFO,
+        "stream_broken",
+        request=made.request.id,
+        n_tokens=len(tokens),
+        detail=str(made.error),
+    )
--- a/teaselwall/tests/test_faults.py
+++ b/teaselwall/tests/test_faults.py
@@ -34,11 +34,12 @@
     encoders = servers_of(deployment, "encoder")
     for server in encoders:
         await deployment.set_faults(server.entry.address, crash_marker=POISON)
-    outcomes = [await ask(deployment, i, f"{POISON} question") for i in range(6)]
+    calls = [await ask(deployment, i, f"{POISON} question") for i in range(6)]
+    answers = [call.answer for call in calls]
     n_dead = sum(s.process.poll() is not None for s in encoders)
-    assert n_dead <= 3
-    assert outcomes[-1].status == 422
-    assert outcomes[-1].outcome == "not_run"
+    assert n_dead <= 3, answers
+    assert calls[-1].status == 422, answers
+    assert calls[-1].outcome == "not_run", answers
     assert (await ask(deployment, 0, "healthy")).whole
 
 
--- a/teaselwall/tests/test_transport.py
+++ b/teaselwall/tests/test_transport.py
@@ -141,7 +141,9 @@
         inputs={},
     )
     for _ in range(3):
-        assert (await plain.run(servers.Server(server), call, 500)).is_ok()
+        assert (
+            await plain.run(servers.Server(server, clock.Clock()), call, 500)
+        ).is_ok()
 
 
 async def test_silence_after_the_head_ends_a_stream(autojump_clock):
--- a/teaselwall/tools/bench_attempts.py
+++ b/teaselwall/tools/bench_attempts.py
@@ -11,7 +11,7 @@
 import trio
 import trio.testing
 
-from teaselwall import dispatch, errors, pickers
+from teaselwall import dispatch, errors, pickers, prefixes
 from teaselwall.tests import fakes
 from teaselwall.tools import callers, deployments, engine, rigs
 
@@ -58,21 +58,12 @@
         return False
 
 
-class LatencyPicker(pickers.TwoChoicesPicker):
-    """The one of two servers with the shorter expected wait; a trial only."""
-
-    def pick(self, choices, tried):
-        """Choose a server; see ``pickers.Picker.pick``."""
-        fresh = pickers.untried(choices, tried)
-        sample = self.random.sample(fresh, min(2, len(fresh)))
-        return min(sample, key=_expected_wait_ms, default=None)
-
-
-def _expected_wait_ms(server):
-    return (server.in_flight + 1) * server.latency_ms
-
-
-PICKERS = {"two_choices": pickers.TwoChoicesPicker, "latency": LatencyPicker}
+PICKERS = {
+    "two_choices": pickers.TwoChoicesPicker,
+    "expected_time": functools.partial(
+        pickers.ExpectedTimePicker, "centre-0", prefixes.Prefixes()
+    ),
+}
 
 
 def measure():
@@ -87,19 +78,25 @@
         "poison_healthy_refused": (sum(n_refused), "requests", 0),
         "stream_resume_tokens_wrong": (n_wrong, "streams", 0),
     }
-    for label, picker in PICKERS.items():
-        for suffix, hedged in (("", False), ("_hedged", True)):
-            name = f"slow_server_{label}{suffix}"
-            attainment, calls = on_mock_clock(hedge_run, picker(0), hedged)
-            result[f"{name}_attainment_percent"] = (attainment, "%", None)
-            result[f"{name}_calls_per_request"] = (calls, "ratio", None)
-    attainment, _ = on_mock_clock(hedge_run, pickers.TwoChoicesPicker(0), True, 1)
-    result["slow_server_equal_requests_attainment_percent"] = (attainment, "%", None)
+    result.update(late_reply_figures())
     attainment = trio.run(outage_run)
     result["idempotent_attainment_log_outage_percent"] = (attainment, "%", 99)
     return result
 
 
+def late_reply_figures():
+    """Return figures of second attempts beside a late first one."""
+    result = {}
+    for case in ("slow_server", "late_replies"):
+        for label, picker in PICKERS.items():
+            for suffix, hedged in (("", False), ("_hedged", True)):
+                name = f"{case}_{label}{suffix}"
+                attainment, calls = on_mock_clock(hedge_run, case, picker(0), hedged)
+                result[f"{name}_attainment_percent"] = (attainment, "%", None)
+                result[f"{name}_calls_per_request"] = (calls, "ratio", None)
+    return result
+
+
 def on_mock_clock(function, *arguments):
     """Run an async function on a clock that jumps over waits."""
     clock = trio.testing.MockClock(autojump_threshold=0)
@@ -214,11 +211,15 @@
     got.extend(tokens)
 
 
-async def hedge_run(picker, hedged, n_questions=2000):
-    """Return attainment in percent and calls a request with one slow server."""
+async def hedge_run(case, picker, hedged, n_questions=2000):
+    """Return attainment in percent and calls a request where replies are late."""
     chance = random.Random(1)
     servers = rigs.fake_servers("encode", 4)
-    servers[0].service_ms = 400
+    if case == "slow_server":
+        servers[0].service_ms = 400
+    else:
+        for server in servers:
+            server.late_share = 0.02
     rig = rigs.Rig({"encode": servers})
     rig.dispatcher.picker = picker
     if not hedged:
--- a/teaselwall/tools/rigs.py
+++ b/teaselwall/tools/rigs.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import random
 
 import expression
 import httpcore
@@ -36,6 +37,7 @@
 SILENCE_MS = 1000
 TOKEN_MS = 10
 ENDLESS_BYTES = 4096
+LATE_MS = 400
 
 
 class FakeServer:
@@ -48,6 +50,8 @@
         HTTP status of each answer.
     dead : bool
         Connections are refused.
+    late_share : float
+        Share of calls that take ``LATE_MS`` longer.
     silent : bool
         Calls are taken and never answered.
     first_silent : bool
@@ -69,6 +73,8 @@
         self.status = 200
         self.dead = False
         self.silent = False
+        self.late_share = 0.0
+        self.random = random.Random(0)
         self.first_silent = False
         self.restarts = True
         self.poison = ""
@@ -119,7 +125,8 @@
         """Spend the service time of one call."""
         if self.silent:
             await trio.sleep_forever()
-        await self.clock.sleep_ms(self.service_ms / 2)
+        late_ms = LATE_MS if self.random.random() < self.late_share else 0
+        await self.clock.sleep_ms(self.service_ms / 2 + late_ms)
         if self.poison and self.poison.encode() in msgspec.json.encode(message):
             self.crash()
         await self.clock.sleep_ms(self.service_ms / 2)
