Ask a dying server again until it is clear whether it has crashed

Cause: a process that is killed closes its connections before its listener. A probe right after the break could still be accepted and then break, and the crash was taken for none.

Change: the probe is made again, four times at most, until a report or a refusal comes; if neither does, the server counts as ended. No second attempt is made beside one that has failed already.

--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -122,7 +122,8 @@
         return await hedges.first_success(self.clock, run, made.late_ms(), allowed)
 
     def _may_hedge(self, made):
-        if not made.room() or self.guard.suspected(made):
+        failed = made.error is not None
+        if failed or not made.room() or self.guard.suspected(made):
             return False
         if not made.possible(0) or not self._has_other(made):
             return False
--- a/teaselwall/probes.py
+++ b/teaselwall/probes.py
@@ -7,7 +7,9 @@
 from teaselwall import errors
 from teaselwall.generated import messages
 
-PROBE_MS = 500
+PROBE_MS = 200
+N_PROBES = 4
+PROBE_PAUSE_MS = 20
 
 
 class Prober(abc.ABC):
@@ -55,16 +57,28 @@
         self.transport = transport
 
     async def crash(self, server):
-        """Ask the server; see ``Prober.crash``."""
-        result = await self.transport.call(
-            "GET", server.address, "/v1/load", None, PROBE_MS, fresh=True
-        )
-        if result.is_error():
-            refused = isinstance(result.error, errors.ConnectRefused)
-            return f"{server.address}/{server.incarnation}/ended" if refused else ""
-        try:
-            report = result.ok.decode(messages.LoadReport)
-        except msgspec.DecodeError:
-            return ""
-        same = report.incarnation == server.incarnation or not server.incarnation
-        return "" if same else f"{server.address}/{report.incarnation}"
+        """Ask the server; see ``Prober.crash``.
+
+        A dying process closes its connections before its listener, so a probe
+        may still be accepted and break; it is made again until the answer is clear.
+        """
+        for _ in range(N_PROBES):
+            result = await self.transport.call(
+                "GET", server.address, "/v1/load", None, PROBE_MS, fresh=True
+            )
+            if result.is_ok():
+                return _restarted(server, result.ok)
+            if isinstance(result.error, errors.ConnectRefused):
+                break
+            await self.transport.clock.sleep_ms(PROBE_PAUSE_MS)
+        return f"{server.address}/{server.incarnation}/ended"
+
+
+def _restarted(server, reply):
+    """Return the crash that a load report tells of, or an empty name."""
+    try:
+        report = reply.decode(messages.LoadReport)
+    except msgspec.DecodeError:
+        return ""
+    same = report.incarnation == server.incarnation or not server.incarnation
+    return "" if same else f"{server.address}/{report.incarnation}"
--- a/teaselwall/tools/rigs.py
+++ b/teaselwall/tools/rigs.py
@@ -203,6 +203,7 @@
 
     def __init__(self, servers):
         self.servers = servers
+        self.clock = clock.Clock()
 
     async def call(
         self, method, address, path, message, timeout_ms, headers=(), fresh=False
