--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -10,10 +10,14 @@
 from teaselwall import (
     attempts,
     budgets,
+    clock,
     errors,
     events,
+    gates,
     guards,
     outcomes,
+    pickers,
+    prefixes,
     services,
     traces,
 )
@@ -22,6 +26,7 @@
 logger = logging.getLogger(__name__)
 
 DEFAULT_PERCENT = 10
+ROOM_WAIT_MS = 1000
 RETRY_AFTER_MS = 1000
 
 
@@ -41,6 +46,11 @@
         Longest silence borne on an open stream.
     retries : budgets.RetryBudgets, optional
     guard : guards.Guard, optional
+
+    Attributes
+    ----------
+    gate : gates.Gate
+        Asked for leave right before each call.
     """
 
     __slots__ = (
@@ -54,6 +64,7 @@
         "attempts",
         "retries",
         "guard",
+        "gate",
     )
 
     def __init__(
@@ -78,6 +89,7 @@
         self.attempts = itertools.count(1)
         self.retries = retries or budgets.RetryBudgets(clock, DEFAULT_PERCENT)
         self.guard = guard or guards.local(clock)
+        self.gate = gates.FleetGate(fleet)
 
     async def call(self, request, stage, inputs):
         """Run a stage that gives one reply.
@@ -120,56 +132,90 @@
             return admitted
         result = None
         try:
-            chosen = self._next_server(made, admitted.ok)
-            if chosen.is_error():
-                return chosen
-            with self.guard.running_on(made, chosen.ok):
-                result = await attempt(made, chosen.ok, *arguments)
-            if result.is_error():
-                made.error = result.error
-                await self.guard.examine(made, chosen.ok, admitted.ok)
+            granted = await self._admit(made, admitted.ok)
+            if granted.is_error():
+                return granted
+            ticket = granted.ok
+            with self.guard.running_on(made, ticket.server):
+                result = await attempt(made, ticket.server, *arguments)
+            error = result.error if result.is_error() else None
+            self.gate.end(ticket, error, made.request.deadline)
+            if error is not None:
+                made.error = error
+                await self.guard.examine(made, ticket.server, admitted.ok)
             return result
         finally:
             self.guard.settle(made, admitted.ok, result)
 
-    def _next_server(self, made, trial):
-        """Choose the next server; nothing may be awaited before it is sent to."""
+    async def _admit(self, made, trial):
+        """Return leave to call a server, with no await after the last check.
+
+        Where only cold servers without room are left, wait a little for one.
+        """
+        pool = made.stage.pool
+        remaining_ms = made.request.deadline.remaining_ms()
+        limit = clock.Deadline(self.clock, min(ROOM_WAIT_MS, remaining_ms))
+        while True:
+            granted = self._begin(made, trial)
+            if granted.is_ok() or limit.passed():
+                return granted
+            if not isinstance(granted.error, errors.Unavailable):
+                return granted
+            remaining_ms = made.request.deadline.remaining_ms()
+            if not await self.gate.wait(pool, made.tried, remaining_ms):
+                return granted
+
+    def _begin(self, made, trial):
+        passed_over = set()
+        while True:
+            chosen = self._next_server(made, trial, passed_over)
+            if chosen.is_error():
+                return chosen
+            server = chosen.ok
+            ticket = self.gate.begin(server, made.request.deadline.remaining_ms())
+            if ticket is not None:
+                made.note_sent(server)
+                return expression.Ok(ticket)
+            passed_over.add(server.address)
+
+    def _next_server(self, made, trial, passed_over):
         wanted = self.guard.beside(made) if trial is None else trial.server
-        server = self._open_server(made, wanted)
+        server = self._open_server(made, wanted, passed_over)
         if server is None and trial is None:
-            server = self.choose(made.stage, made.tried, made.data_centres)
-        if server is None:
+            server = self.choose(made, passed_over)
+        if server is None or server.address in passed_over:
             return _no_server(made.stage)
         if not made.possible(server.latency_ms):
             detail = f"The time left is too short for stage {made.stage.name}."
             return expression.Error(errors.DeadlineExceeded(detail))
-        made.note_sent(server)
         return expression.Ok(server)
 
-    def _open_server(self, made, address):
-        if address is None or address in made.tried:
+    def _open_server(self, made, address, passed_over):
+        if address is None or address in made.tried or address in passed_over:
             return None
         choices = self.fleet.choices(made.stage.pool)
         return next((s for s in choices if s.address == address), None)
 
-    def choose(self, stage, tried, data_centres=frozenset()):
+    def choose(self, made, passed_over=frozenset()):
         """Return the server for the next attempt, or None.
 
         Parameters
         ----------
-        stage : generated.service.Stage
-        tried : set of str
-            Addresses.
-        data_centres : set of str
-            Avoided where servers elsewhere may get work.
+        made : attempts.Attempts
+            Servers elsewhere than the data centres tried go first.
+        passed_over : set of str
+            Addresses that have no room at the moment.
         """
-        choices = self.fleet.choices(stage.pool)
-        if data_centres:
-            elsewhere = [s for s in choices if s.data_centre not in data_centres]
-            server = self.picker.pick(elsewhere, tried)
+        stage = made.stage
+        tried = made.tried | passed_over
+        call = pickers.call_of(made.request, stage, made.prefix)
+        choices = self.fleet.choices(stage.pool, made.prefix)
+        if made.data_centres:
+            elsewhere = [s for s in choices if s.data_centre not in made.data_centres]
+            server = self.picker.pick(elsewhere, tried, call)
             if server is not None:
                 return server
-        return self.picker.pick(choices, tried)
+        return self.picker.pick(choices, tried, call)
 
     def _may_retry(self, made, n_tokens=0):
         if not made.safe() or not made.possible(0) or not self._has_other(made):
@@ -198,7 +244,10 @@
             inputs=inputs,
         )
         backend = self.backends[stage.kind]
-        with self.tracking(request, stage, server, call.attempt) as span:
+        with (
+            self.tracking(request, stage, server, call.attempt) as span,
+            server.calling(self.clock) as counted,
+        ):
             with outcomes.noting(request, stage) as outcome:
                 result = await backend.run(
                     server, call, timeout_ms, [traces.header(span)], **_options(made)
@@ -206,6 +255,7 @@
                 outcome.take(result)
             if result.is_error():
                 note_failure(span, result.error)
+                counted.fail(result.error)
             else:
                 self.retries.of(stage.pool).note_success()
         return result.map(lambda reply: reply.output)
@@ -227,14 +277,11 @@
             attempt=attempt,
             request=request.id,
         )
-        server.in_flight += 1
         started_ms = self.clock.now_ms()
         try:
             yield span
         finally:
-            server.in_flight -= 1
             elapsed_ms = self.clock.now_ms() - started_ms
-            server.note_latency(elapsed_ms)
             self.metrics.observe_ms(
                 "stage", elapsed_ms, stage=stage.name, service=request.document.service
             )
@@ -268,7 +315,10 @@
         """
         tokens = []
         made = attempts.Attempts(
-            request, stage, services.rest_ms(request.document, stage)
+            request,
+            stage,
+            services.rest_ms(request.document, stage),
+            prefixes.prefix_of(prompt),
         )
         while True:
             result = await self._guarded(made, self._stream, prompt, tokens, sink)
@@ -305,7 +355,11 @@
         first_ms = min(made.part_ms(), max(self.silence_ms, stage.expected_ms))
         silence_ms = min(self.silence_ms, first_ms)
         engine = self.backends["engine"]
-        with self.tracking(request, stage, server, call.attempt) as span:
+        n_units = pickers.n_units(stage) - len(tokens)
+        with (
+            self.tracking(request, stage, server, call.attempt) as span,
+            server.calling(self.clock, n_units) as counted,
+        ):
             with outcomes.noting(request, stage) as outcome:
                 try:
                     async with engine.generate(
@@ -320,6 +374,7 @@
                     result = expression.Ok(tokens)
                 except errors.TransportError as error:
                     note_failure(span, error)
+                    counted.fail(error)
                     result = expression.Error(error)
                 outcome.take(result)
             span.set_attribute("n_tokens", len(tokens))
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -3,6 +3,8 @@
 import trio
 
 from teaselwall import (
+    admission,
+    askers,
     budgets,
     claims,
     clock,
@@ -18,6 +20,8 @@
     gossip,
     guards,
     hostlist,
+    issuers,
+    loads,
     logservice,
     membership,
     metrics,
@@ -30,13 +34,18 @@
     pictures,
     pipelines,
     pools,
+    prefixes,
     probes,
     publications,
     quarantine,
+    rates,
     recorders,
+    sightings,
     snapshots,
+    subsets,
     traces,
     transport,
+    warmups,
 )
 
 CONFIGURATION_POLL_MS = 20
@@ -69,10 +78,13 @@
         "fleet",
         "suspects",
         "evidence",
+        "poller",
+        "admission",
         "dispatcher",
         "ownerships",
         "claims",
         "eras",
+        "warmups",
         "pipeline",
         "hand_overs",
     )
@@ -115,6 +127,18 @@
             self.state,
             settings.routing.host_list_interval_ms,
             timeout_ms,
+            subsets.Subsets(self.membership, settings.routing.subset_size),
+        )
+        self.poller = loads.Poller(
+            self.clock,
+            self.fleet,
+            loads.HttpLoadReports(self.transport),
+            settings.routing.load_interval_ms,
+        )
+        self.admission = admission.Admission(
+            self.clock,
+            rates.Rates(self.clock, self.membership),
+            self.fleet.utilisation,
         )
         self.suspects = quarantine.Quarantine(self.clock)
         self.suspects.add_handlers(self.control)
@@ -122,6 +146,7 @@
             self.clock, self.log, self.suspects, timeout_ms
         )
         self.dispatcher = self._dispatcher()
+        self.warmups = self._warmups(timeout_ms)
         self.ownerships = ownerships.Ownerships(
             self.clock,
             self.log,
@@ -169,7 +194,9 @@
         return dispatch.Dispatcher(
             self.clock,
             self.fleet,
-            pickers.TwoChoicesPicker(),
+            pickers.ExpectedTimePicker(
+                self.settings.host.data_centre, prefixes.Prefixes()
+            ),
             backends,
             self.metrics,
             self.tracer,
@@ -195,9 +222,32 @@
             self.settings.limits.max_result_bytes,
         )
 
+    def _warmups(self, timeout_ms):
+        issuer = issuers.Issuer(
+            self.clock,
+            self.log,
+            self.membership,
+            self.fleet,
+            self.settings.routing.cold_slots,
+            timeout_ms,
+        )
+        issuer.register(self.control)
+        asker = askers.Asker(
+            self.clock, self.membership, self.fleet, self.peers, issuer
+        )
+        seen = sightings.Sightings(self.clock, self.log, timeout_ms)
+        result = warmups.Warmups(
+            self.clock, self.membership, self.fleet, issuer, asker, seen
+        )
+        self.fleet.filters.append(result.may_get_work)
+        self.dispatcher.gate = result
+        return result
+
     async def serve(self, request, sink):
-        """Run one request; see ``pipelines.Pipeline.run``."""
-        return await self.pipeline.run(request, sink)
+        """Run one request once it is admitted; see ``pipelines.Pipeline.run``."""
+        return await self.admission.run(
+            request, lambda: self.pipeline.run(request, sink)
+        )
 
     def ready(self):
         """Return whether callers may be sent here."""
@@ -220,6 +270,8 @@
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.eras.run)
             nursery.start_soon(self.evidence.run)
+            nursery.start_soon(self.poller.run)
+            nursery.start_soon(self.warmups.run)
 
     async def _run_ownerships(self):
         # What is forgotten of keys depends on the era, so that has to be read first.
