Tell an unread configuration by its services

Cause: the follower is not part of what the application's tests give it.

Change: a host that knows no service at all has not read the configuration.

Conclusion: the tests of the application pass unchanged.

--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -143,7 +143,7 @@
         )
 
     def _no_service(self, service, headers):
-        if self.host.follower.ready():
+        if self.host.state.services:
             return errors.NotFound(f"There is no service {service}.")
         # Without its document, nothing says whether the key may have run.
         unknown, not_run = errors.Outcome.UNKNOWN, errors.Outcome.NOT_RUN
