--- a/teaselwall/tests/test_histories.py
+++ b/teaselwall/tests/test_histories.py
@@ -1,6 +1,14 @@
 import pytest
 
-from teaselwall import checkpoints, grants, owners, partitions, recorders
+from teaselwall import (
+    checkpoints,
+    grants,
+    outcomes,
+    owners,
+    partitions,
+    pipelines,
+    recorders,
+)
 from teaselwall.generated import messages
 from teaselwall.tools import histories
 
@@ -78,7 +86,15 @@
     monkeypatch.setattr(recorders.Recorder, "record", record)
 
 
+def without_undecided_claims(monkeypatch):
+    def honest(run, error):
+        return outcomes.honest(run.request, error)
+
+    monkeypatch.setattr(pipelines._Run, "honest", honest)
+
+
 MUTANTS = [
+    (without_undecided_claims, "lose_peer_replies", "n_false_not_run"),
     (without_read_back, "pause diverge", "n_doubled"),
     (without_claim_id, "lose_peer_replies", "n_doubled"),
     (without_conflict_check, "lose_peer_replies", "n_misdelivered"),
