--- a/teaselwall/control.py
+++ b/teaselwall/control.py
@@ -3,12 +3,16 @@
 import hmac
 import logging
 
+import msgspec
+import trio
+
 from teaselwall import errors, events, responses
 
 logger = logging.getLogger(__name__)
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 BEARER = "Bearer "
+MAX_SHOWN = 100
 
 
 class Control:
@@ -22,13 +26,14 @@
     access : generated.settings.AccessSettings
     """
 
-    __slots__ = ("access", "handlers")
+    __slots__ = ("access", "handlers", "watched")
 
     def __init__(self, access):
         self.access = access
         self.handlers = {}
+        self.watched = set()
 
-    def add(self, path, handler):
+    def add(self, path, handler, watched=False):
         """Add a handler.
 
         Parameters
@@ -38,8 +43,12 @@
         handler : callable
             ``await handler(message)`` with the decoded JSON object; returns a
             JSON-encodable reply or raises an ``errors.Error``.
+        watched : bool
+            Whether the handler is cancelled once its caller has gone away.
         """
         self.handlers[path] = handler
+        if watched:
+            self.watched.add(path)
 
     async def __call__(self, scope, receive, send):
         """Answer one connection event."""
@@ -47,6 +56,7 @@
             await responses.answer_lifespan(receive, send)
             return
         if scope["type"] != "http":
+            await send(responses.WEBSOCKET_REFUSED)
             return
         try:
             reply = await self._handle(scope, receive)
@@ -55,7 +65,7 @@
             return
         except Exception as error:
             events.log(logger, logging.ERROR, "control_failed", detail=repr(error))
-            await responses.send_problem(send, responses.unexpected(error))
+            await responses.send_problem(send, responses.known(error))
             return
         await responses.send_json(send, reply)
 
@@ -64,11 +74,14 @@
         self._authorize(path, responses.headers_of(scope))
         handler = self.handlers.get(path)
         if handler is None:
-            raise errors.NotFound(f"Nothing is at {path}.")
+            raise errors.NotFound(f"Nothing is at {path[:MAX_SHOWN]!r}.")
         if scope["method"] != "POST":
-            raise errors.InvalidRequest(f"{path} takes POST only.")
+            raise errors.MethodNotAllowed(path, "POST")
         body = await responses.read_body(receive, MAX_BODY_BYTES)
-        return await handler(responses.decode(body or b"{}"))
+        message = responses.decode(body or b"{}")
+        if path in self.watched:
+            return await _handle_watched(handler, message, receive)
+        return await handler(message)
 
     def _authorize(self, path, headers):
         wanted = self.access.operator_key
@@ -77,3 +90,37 @@
         given = headers.get("authorization", "").removeprefix(BEARER)
         if not hmac.compare_digest(given.encode(), wanted.encode()):
             raise errors.Forbidden(f"{path} needs its key.")
+
+
+async def _handle_watched(handler, message, receive):
+    reply = None
+    failure = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_at_disconnect, receive, nursery.cancel_scope)
+        try:
+            reply = await handler(message)
+        except Exception as error:
+            failure = error
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    return reply
+
+
+async def _cancel_at_disconnect(receive, cancel_scope):
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    cancel_scope.cancel()
+
+
+def read(message, kind):
+    """Return a handler's message as a struct.
+
+    Raises
+    ------
+    errors.InvalidRequest
+    """
+    try:
+        return msgspec.convert(message, kind)
+    except msgspec.ValidationError as error:
+        raise errors.InvalidRequest(f"The message is wrong: {error}.") from error
--- a/teaselwall/orderers.py
+++ b/teaselwall/orderers.py
@@ -33,7 +33,7 @@
     fleet : fleet.Fleet
     demand : placements.Demand
     weight_store : weightstore.WeightStore
-    client : orders.OrderClient
+    client : engineorders.OrderClient
 
     Attributes
     ----------
@@ -215,7 +215,7 @@
     membership : membership.Membership
     fleet : fleet.Fleet
     weight_store : weightstore.WeightStore
-    client : orders.OrderClient
+    client : engineorders.OrderClient
     timeout_ms : float
     """
 
@@ -283,8 +283,10 @@
 
     async def release(self):
         """Give up every duty that this host holds."""
-        for orderer in self.by_pool.values():
-            await orderer.duty.release(orderer.remaining_ms())
+        async with trio.open_nursery() as nursery:
+            for orderer in self.by_pool.values():
+                remaining_ms = orderer.remaining_ms()
+                nursery.start_soon(orderer.duty.release, remaining_ms)
 
 
 def read_record(record):
--- a/teaselwall/tests/test_warmups.py
+++ b/teaselwall/tests/test_warmups.py
@@ -80,7 +80,6 @@
         },
         0,
     ),
-    "old reports count for ever": (warmth, {"REPORT_KEPT_MS": float("inf")}, 1),
     "takes over at once": (duties.Duty, {"wait_ms": lambda self: 0.0}, 10),
 }
 
@@ -94,6 +93,26 @@
     assert any(fake_fleet.run(faulty_run, seed).n_overloads() for seed in seeds)
 
 
+async def unseen_restart(seed):
+    """Return the overloads by a host that saw nothing of a restart."""
+    async with fake_fleet.running(n_hosts=2, n_servers=1) as world:
+        host, server = world.hosts[0], world.servers["server-0"]
+        server.n_cold_calls = 0
+        await trio.sleep(3)
+        host.polls = False
+        await world.restart(server, fake_fleet.DOWN_MS)
+        for _ in range(fake_fleet.CAPACITY):
+            world.nursery.start_soon(host.call)
+        await trio.sleep(5)
+        return world.n_overloads()
+
+
+def test_old_reports_do_not_count(monkeypatch):
+    assert fake_fleet.run(unseen_restart, 1) == 0
+    monkeypatch.setattr(warmth, "REPORT_KEPT_MS", float("inf"))
+    assert fake_fleet.run(unseen_restart, 1) > 0
+
+
 async def test_server_that_turns_cold_is_left_by_all_hosts(autojump_clock):
     async with fake_fleet.running(n_hosts=5, n_servers=3) as world:
         world.nursery.start_soon(world.load, random.Random(1), 40_000, 10)
@@ -165,7 +184,7 @@
     entry = messages.HostEntry(
         address="s", pool="p", data_centre="a", incarnation=incarnation, state="live"
     )
-    return servers.Server(entry)
+    return servers.Server(entry, fake_fleet.clock.Clock())
 
 
 async def test_slot_stays_taken_until_after_the_permit_has_ended(autojump_clock):
--- a/teaselwall/warmth.py
+++ b/teaselwall/warmth.py
@@ -1,7 +1,5 @@
 """What one entry host knows of whether a backend server is warm."""
 
-from teaselwall import clock
-
 REPORT_LAG_MS = 5_000
 REPORT_KEPT_MS = 5_000
 RAMP_STEP_MS = 500
@@ -15,6 +13,10 @@
     earlier moment. Once it is known to have turned cold again, or was out of sight,
     a warm report counts only when it came too late to be older than that.
 
+    Parameters
+    ----------
+    clock : clock.Clock
+
     Attributes
     ----------
     warm : bool
@@ -38,8 +40,8 @@
         "delay_ms",
     )
 
-    def __init__(self):
-        self.clock = clock.Clock()
+    def __init__(self, clock):
+        self.clock = clock
         self.warm = False
         self.suspect = False
         self.turned = False
--- a/teaselwall/warmups.py
+++ b/teaselwall/warmups.py
@@ -158,7 +158,7 @@
     A connection that was refused, reset or silent does; a refusal by the server, or
     a deadline that passed, does not.
     """
-    if type(error) is not errors.TransportError:
+    if not isinstance(error, errors.ConnectFailed | errors.ConnectionBroken):
         return False
     return deadline is None or not deadline.passed()
 
