--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -49,6 +49,7 @@
     ----------
     gate : gates.Gate
         Asked for leave right before each call.
+    demand : placements.Demand
     """
 
     __slots__ = (
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -13,6 +13,7 @@
     control,
     dispatch,
     emergencies,
+    engineorders,
     engines,
     eras,
     evidence,
@@ -28,7 +29,6 @@
     metrics,
     operators,
     orderers,
-    orders,
     ownercalls,
     ownerships,
     peers,
@@ -172,7 +172,11 @@
             timeout_ms,
         )
         self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
-        self.hand_overs = [self.claims.finish]
+        self.hand_overs = [
+            self.claims.finish,
+            self.warmups.issuer.release,
+            self.orderers.release,
+        ]
         self._register_operators()
 
     def _register_operators(self):
@@ -258,7 +262,7 @@
             weightstore.HttpWeightStore(
                 self.transport, self.settings.platform.weight_store
             ),
-            orders.HttpOrderClient(self.transport),
+            engineorders.HttpOrderClient(self.transport),
             timeout_ms,
         )
         self.dispatcher.demand = result.demand
--- a/teaselwall/issuers.py
+++ b/teaselwall/issuers.py
@@ -1,6 +1,7 @@
 """Granting permits for cold servers, as the holder of a warm-up duty."""
 
 import msgspec
+import trio
 
 from teaselwall import duties, errors, permits
 from teaselwall.generated import messages
@@ -182,8 +183,9 @@
 
     async def release(self):
         """Give up every duty that this host holds."""
-        for duty in self.duties.values():
-            await duty.release(self.ledger.remaining_ms())
+        async with trio.open_nursery() as nursery:
+            for duty in self.duties.values():
+                nursery.start_soon(duty.release, self.ledger.remaining_ms())
 
 
 def decode(message, kind):
--- a/teaselwall/loads.py
+++ b/teaselwall/loads.py
@@ -93,6 +93,8 @@
                 result = await self.reports.fetch(server, self.interval_ms)
                 if result.is_error():
                     server.n_missed += 1
+                    if result.error.outcome is errors.Outcome.NOT_RUN:
+                        server.warmth.doubt()
                 else:
                     self.fleet.note_polled(server, result.ok)
                 await self.clock.sleep_ms(self.interval_ms)
--- a/teaselwall/tests/fake_fleet.py
+++ b/teaselwall/tests/fake_fleet.py
@@ -14,6 +14,7 @@
     errors,
     fleet,
     issuers,
+    membership,
     metrics,
     pickers,
     pools,
@@ -195,7 +196,7 @@
     def __init__(self, world, address, data_centre):
         self.world = world
         self.clock = PausableClock()
-        self.membership = membership_of(address, data_centre)
+        self.membership = FakeMembership(address, data_centre)
         self.state = configuration.State()
         self.fleet = fleet.Fleet(self.clock, None, self.state, POLL_MS, 1000)
         self.log = Pausable(world.log, self.clock)
@@ -225,6 +226,7 @@
         )
         self.dispatcher.gate = self.warmups
         self.scope = trio.CancelScope()
+        self.polls = True
         self.n_ok = 0
         self.n_failed = 0
 
@@ -248,16 +250,21 @@
 
     async def _poll(self):
         while True:
+            await self._await_polls()
             listing = messages.HostList(hosts=self.world.listing)
             self.fleet.apply(listing)
-            for server in self.fleet.by_pool.get(POOL, {}).values():
+            for server in list(self.fleet.by_pool[POOL].values()):
                 target = self.world.servers[server.address]
                 if target.up:
-                    server.note_report(target.report())
+                    self.fleet.note_polled(server, target.report())
                 else:
                     server.warmth.doubt()
             await self.clock.sleep_ms(POLL_MS)
 
+    async def _await_polls(self):
+        while not self.polls:
+            await self.clock.sleep_ms(POLL_MS)
+
     async def call(self):
         """Make one call, whatever becomes of it."""
         await self.clock.running.wait()
@@ -347,9 +354,16 @@
     return trio.run(function, seed, *arguments, clock=mock)
 
 
-def membership_of(address, data_centre="a"):
-    """Return the membership of a host whose nonce is the same in each run."""
-    return fakes.View(address, data_centre, f"nonce of {address}")
+class FakeMembership(membership.Membership):
+    """Membership whose view a test sets; its nonce is the same in each run."""
+
+    def __init__(self, address, data_centre="a"):
+        nonce = address.encode().hex()
+        super().__init__(clock.Clock(), settings_of(address, data_centre), nonce)
+        self.members = {address: self.me}
+
+    def alive(self):
+        return list(self.members.values())
 
 
 @contextlib.asynccontextmanager
--- a/teaselwall/tests/test_orders.py
+++ b/teaselwall/tests/test_orders.py
@@ -8,10 +8,10 @@
 from teaselwall import (
     configuration,
     duties,
+    engineorders,
     errors,
     fleet,
     orderers,
-    orders,
     placements,
     weightstore,
 )
@@ -45,7 +45,7 @@
 )
 
 
-class FakeEngines(orders.OrderClient):
+class FakeEngines(engineorders.OrderClient):
     """Engines that ignore fencing numbers; replies may be lost."""
 
     lost_part = 0.2
--- a/teaselwall/tests/test_warmups.py
+++ b/teaselwall/tests/test_warmups.py
@@ -3,9 +3,9 @@
 import pytest
 import trio
 
-from teaselwall import clock, duties, issuers, permits, servers, warmth
+from teaselwall import duties, issuers, permits, servers, warmth
 from teaselwall.generated import messages
-from teaselwall.tests import fake_fleet, fakes
+from teaselwall.tests import fake_fleet
 
 LOAD_MS = 45_000
 N_SEEDS = 8
@@ -93,17 +93,24 @@
     assert any(fake_fleet.run(faulty_run, seed).n_overloads() for seed in seeds)
 
 
-@pytest.mark.parametrize("kept_ms", [warmth.REPORT_KEPT_MS, float("inf")])
-def test_old_report_does_not_count(monkeypatch, kept_ms):
-    monkeypatch.setattr(warmth, "REPORT_KEPT_MS", kept_ms)
-    stepped = fakes.SteppedClock()
-    evidence = warmth.Warmth(stepped)
-    report = messages.LoadReport(incarnation="1", in_flight=0, capacity=8, cold=False)
-    evidence.note(report, "1")
-    assert evidence.is_warm()
-    stepped.at_ms = 30_000
-    is_kept_for_ever = kept_ms == float("inf")
-    assert evidence.is_warm() == is_kept_for_ever
+async def unseen_restart(seed):
+    """Return the overloads by a host that saw nothing of a restart."""
+    async with fake_fleet.running(n_hosts=2, n_servers=1) as world:
+        host, server = world.hosts[0], world.servers["server-0"]
+        server.n_cold_calls = 0
+        await trio.sleep(3)
+        host.polls = False
+        await world.restart(server, fake_fleet.DOWN_MS)
+        for _ in range(fake_fleet.CAPACITY):
+            world.nursery.start_soon(host.call)
+        await trio.sleep(5)
+        return world.n_overloads()
+
+
+def test_old_reports_do_not_count(monkeypatch):
+    assert fake_fleet.run(unseen_restart, 1) == 0
+    monkeypatch.setattr(warmth, "REPORT_KEPT_MS", float("inf"))
+    assert fake_fleet.run(unseen_restart, 1) > 0
 
 
 async def test_server_that_turns_cold_is_left_by_all_hosts(autojump_clock):
@@ -177,7 +184,7 @@
     entry = messages.HostEntry(
         address="s", pool="p", data_centre="a", incarnation=incarnation, state="live"
     )
-    return servers.Server(entry, clock.Clock())
+    return servers.Server(entry, fake_fleet.clock.Clock())
 
 
 async def test_slot_stays_taken_until_after_the_permit_has_ended(autojump_clock):
--- a/teaselwall/tools/bench_duties.py
+++ b/teaselwall/tools/bench_duties.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from teaselwall import configuration, duties, placements
+from teaselwall import changes, configuration, duties, followers, placements
 from teaselwall.generated import messages
 from teaselwall.tests import fake_fleet, fakes, test_duties, test_orders, test_warmups
 
@@ -87,9 +87,12 @@
     }
 
 
-def data_centre_record(name, out):
-    """Return the configuration record that takes a data centre out or back."""
-    return {"kind": "data_centre", "name": name, "out": out}
+async def order_data_centre(world, name, out):
+    """Take a data centre out or back by a record of the configuration stream."""
+    base = world.hosts[0].state.version
+    change = changes.data_centre(name, out, base, "operator")
+    record = changes.record(change)
+    await world.log.append(configuration.STREAM, record, 1000)
 
 
 async def last_new_work_ms(seed, order):
@@ -112,9 +115,7 @@
         server.state = "leaving" if order == "leaving" else "live"
         world.publish()
         if order == "out":
-            await world.log.append(
-                configuration.STREAM, data_centre_record("a", True), 1000
-            )
+            await order_data_centre(world, "a", True)
         ordered_ms = world.clock.now_ms()
         await trio.sleep(10)
         return max(0.0, max(server.starts_ms) - ordered_ms)
@@ -123,7 +124,10 @@
 def follow(world):
     """Have each host follow the configuration in the log."""
     for host in world.hosts:
-        follower = configuration.Follower(host.clock, host.log, host.state, 1000)
+        peers = world.network.peers(host.membership.me.address)
+        follower = followers.Follower(
+            host.clock, host.log, host.state, 1000, peers, host.membership, []
+        )
         world.nursery.start_soon(follower.run)
 
 
@@ -156,8 +160,7 @@
 
 
 async def _out(world):
-    record = data_centre_record("a", True)
-    await world.log.append(configuration.STREAM, record, 1000)
+    await order_data_centre(world, "a", True)
     await trio.sleep(8)
     for server in world.servers.values():
         if server.data_centre == "a":
@@ -165,8 +168,7 @@
 
 
 async def _back(world, with_faults):
-    record = data_centre_record("a", False)
-    await world.log.append(configuration.STREAM, record, 1000)
+    await order_data_centre(world, "a", False)
     if not with_faults:
         return
     await trio.sleep(0.5)
@@ -189,7 +191,7 @@
     """Return the appends a second of so many duties with three hosts each."""
     async with trio.open_nursery() as nursery:
         log = fakes.FakeLog(nursery)
-        members = [fake_fleet.membership_of(f"host-{i}") for i in range(3)]
+        members = [fake_fleet.FakeMembership(f"host-{i}") for i in range(3)]
         everyone = {m.me.address: m.me for m in members}
         for own in members:
             own.members = everyone
