Poll load reports only where no reply brought one

Cause: three quarters of an idle entry host's processor time went into polling each of 23 servers twice a second. Change: a server is polled when no report rode on a reply since the last round; one that is warm and idle is polled every eighth round.

--- a/teaselwall/loads.py
+++ b/teaselwall/loads.py
@@ -10,6 +10,7 @@
 from teaselwall.generated import messages
 
 LOAD_PATH = "/v1/load"
+IDLE_ROUNDS = 8
 
 
 class LoadReports(abc.ABC):
@@ -87,16 +88,34 @@
                 await self.clock.sleep_ms(self.interval_ms)
 
     async def _poll(self, server):
+        n_reports = server.n_reports
+        n_rounds = 0
         try:
             while self.fleet.uses(server):
                 server.note_pending(self.clock.now_ms())
-                result = await self.reports.fetch(server, self.interval_ms)
-                if result.is_error():
-                    server.n_missed += 1
-                    if result.error.outcome is errors.Outcome.NOT_RUN:
-                        server.warmth.doubt()
-                else:
-                    self.fleet.note_polled(server, result.ok)
+                if server.n_reports == n_reports and _due(server, n_rounds):
+                    await self._fetch(server)
+                n_reports = server.n_reports
+                n_rounds += 1
                 await self.clock.sleep_ms(self.interval_ms)
         finally:
             self.polled.discard(server)
+
+    async def _fetch(self, server):
+        result = await self.reports.fetch(server, self.interval_ms)
+        if result.is_ok():
+            self.fleet.note_polled(server, result.ok)
+            return
+        server.n_missed += 1
+        if result.error.outcome is errors.Outcome.NOT_RUN:
+            server.warmth.doubt()
+
+
+def _due(server, n_rounds):
+    """Return whether to poll a server that has sent no report meanwhile.
+
+    One that is warm and idle is asked less often.
+    """
+    if server.in_flight or server.ejected or server.n_missed:
+        return True
+    return not server.warmth.is_warm() or n_rounds % IDLE_ROUNDS == 0
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -44,6 +44,8 @@
         Failed calls since the last good one.
     n_missed : int
         Load reports missed in a row.
+    n_reports : int
+        Load reports taken, polled or on replies.
     trial : bool
         Back from ejection; gets one call at a time until one succeeds.
     """
@@ -71,6 +73,7 @@
         "n_samples",
         "n_failures",
         "n_missed",
+        "n_reports",
         "warmth",
     )
 
@@ -97,6 +100,7 @@
         self.n_samples = 0
         self.n_failures = 0
         self.n_missed = 0
+        self.n_reports = 0
         self.warmth = warmth.Warmth(clock)
 
     def note_latency(self, latency_ms):
@@ -115,6 +119,7 @@
             self.successor = report.incarnation
             return
         self.report = report
+        self.n_reports += 1
         self.n_others = max(0, report.in_flight - self.in_flight)
         self.n_sent = 0
 
