--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -12,7 +12,7 @@
     confirmations,
     control,
     dispatch,
-    engineorders,
+    emergencies,
     engines,
     eras,
     evidence,
@@ -75,7 +75,7 @@
         "follower",
         "rewriter",
         "publisher",
-        "orders",
+        "emergencies",
         "membership",
         "gossip",
         "fleet",
@@ -120,7 +120,7 @@
             self.clock, self.log, self.follower, settings.claims.retention_ms
         )
         self.publisher = publications.Publisher(self.clock, self.log, self.follower)
-        self.orders = orders.Orders(
+        self.emergencies = emergencies.Orders(
             self.clock, self.state, self.publisher, self.peers, self.membership
         )
         self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
@@ -186,12 +186,12 @@
             self.fleet,
             self.follower,
             self.publisher,
-            self.orders,
+            self.emergencies,
             confirmer,
         )
         commands.register(self.control)
         confirmer.register(self.control)
-        self.orders.register(self.control)
+        self.emergencies.register(self.control)
         pictures.Pictures(self, commands).register(self.control)
         followers.Answerer(self.follower, self.state).register(self.control)
 
@@ -262,7 +262,7 @@
             weightstore.HttpWeightStore(
                 self.transport, self.settings.platform.weight_store
             ),
-            engineorders.HttpOrderClient(self.transport),
+            orders.HttpOrderClient(self.transport),
             timeout_ms,
         )
         self.dispatcher.demand = result.demand
@@ -289,7 +289,7 @@
             nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self.rewriter.run)
-            nursery.start_soon(self.orders.run)
+            nursery.start_soon(self.emergencies.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self._run_ownerships)
             nursery.start_soon(self.claims.run)
--- a/teaselwall/orderers.py
+++ b/teaselwall/orderers.py
@@ -33,7 +33,7 @@
     fleet : fleet.Fleet
     demand : placements.Demand
     weight_store : weightstore.WeightStore
-    client : engineorders.OrderClient
+    client : orders.OrderClient
 
     Attributes
     ----------
@@ -215,7 +215,7 @@
     membership : membership.Membership
     fleet : fleet.Fleet
     weight_store : weightstore.WeightStore
-    client : engineorders.OrderClient
+    client : orders.OrderClient
     timeout_ms : float
     """
 
--- a/teaselwall/tests/fake_fleet.py
+++ b/teaselwall/tests/fake_fleet.py
@@ -14,7 +14,6 @@
     errors,
     fleet,
     issuers,
-    membership,
     metrics,
     pickers,
     pools,
@@ -196,7 +195,7 @@
     def __init__(self, world, address, data_centre):
         self.world = world
         self.clock = PausableClock()
-        self.membership = FakeMembership(address, data_centre)
+        self.membership = membership_of(address, data_centre)
         self.state = configuration.State()
         self.fleet = fleet.Fleet(self.clock, None, self.state, POLL_MS, 1000)
         self.log = Pausable(world.log, self.clock)
@@ -354,16 +353,9 @@
     return trio.run(function, seed, *arguments, clock=mock)
 
 
-class FakeMembership(membership.Membership):
-    """Membership whose view a test sets; its nonce is the same in each run."""
-
-    def __init__(self, address, data_centre="a"):
-        nonce = address.encode().hex()
-        super().__init__(clock.Clock(), settings_of(address, data_centre), nonce)
-        self.members = {address: self.me}
-
-    def alive(self):
-        return list(self.members.values())
+def membership_of(address, data_centre="a"):
+    """Return the membership of a host whose nonce is the same in each run."""
+    return fakes.View(address, data_centre, f"nonce of {address}")
 
 
 @contextlib.asynccontextmanager
--- a/teaselwall/tests/test_histories.py
+++ b/teaselwall/tests/test_histories.py
@@ -1,6 +1,14 @@
 import pytest
 
-from teaselwall import checkpoints, grants, owners, partitions, recorders
+from teaselwall import (
+    checkpoints,
+    errors,
+    grants,
+    owners,
+    partitions,
+    recorders,
+    requests,
+)
 from teaselwall.generated import messages
 from teaselwall.tools import histories
 
@@ -78,7 +86,16 @@
     monkeypatch.setattr(recorders.Recorder, "record", record)
 
 
+def without_undecided_claims(monkeypatch):
+    def outcome(request):
+        sent = errors.Outcome.UNKNOWN if request.sent else errors.Outcome.NOT_RUN
+        return errors.Outcome.RAN if request.effective else sent
+
+    monkeypatch.setattr(requests.Request, "outcome", outcome)
+
+
 MUTANTS = [
+    (without_undecided_claims, "lose_peer_replies", "n_false_not_run"),
     (without_read_back, "pause diverge", "n_doubled"),
     (without_claim_id, "lose_peer_replies", "n_doubled"),
     (without_conflict_check, "lose_peer_replies", "n_misdelivered"),
--- a/teaselwall/tools/bench_claims.py
+++ b/teaselwall/tools/bench_claims.py
@@ -29,6 +29,7 @@
     transport,
 )
 from teaselwall.generated import settings as schema
+from teaselwall.tests import fakes
 from teaselwall.tools import deployments, histories
 
 N_HISTORIES = 2000
@@ -51,7 +52,7 @@
         self.latencies = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
         self.n_recorded = 0
         self.n_done = 0
-        member = histories.View("host", "nonce")
+        member = fakes.View("host")
         settings = schema.ClaimSettings()
         state = configuration.State()
         self.ownerships = ownerships.Ownerships(
--- a/teaselwall/tools/bench_duties.py
+++ b/teaselwall/tools/bench_duties.py
@@ -192,7 +192,7 @@
     """Return the appends a second of so many duties with three hosts each."""
     async with trio.open_nursery() as nursery:
         log = fakes.FakeLog(nursery)
-        members = [fake_fleet.FakeMembership(f"host-{i}") for i in range(3)]
+        members = [fake_fleet.membership_of(f"host-{i}") for i in range(3)]
         everyone = {m.me.address: m.me for m in members}
         for own in members:
             own.members = everyone
--- a/teaselwall/warmups.py
+++ b/teaselwall/warmups.py
@@ -158,7 +158,9 @@
     A connection that was refused, reset or silent does; a refusal by the server, or
     a deadline that passed, does not.
     """
-    if not isinstance(error, errors.ConnectFailed | errors.ConnectionBroken):
+    if not isinstance(error, errors.TransportError):
+        return False
+    if isinstance(error, errors.ServerFailed):
         return False
     return deadline is None or not deadline.passed()
 
