--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -13,7 +13,6 @@
     control,
     dispatch,
     emergencies,
-    engineorders,
     engines,
     eras,
     evidence,
@@ -29,6 +28,7 @@
     metrics,
     operators,
     orderers,
+    orders,
     ownercalls,
     ownerships,
     peers,
@@ -262,7 +262,7 @@
             weightstore.HttpWeightStore(
                 self.transport, self.settings.platform.weight_store
             ),
-            engineorders.HttpOrderClient(self.transport),
+            orders.HttpOrderClient(self.transport),
             timeout_ms,
         )
         self.dispatcher.demand = result.demand
