--- a/teaselwall/tests/test_faults.py
+++ b/teaselwall/tests/test_faults.py
@@ -56,5 +56,6 @@
         await trio.sleep(0.3)
         for engine in engines[: len(engines) // 2]:
             await deployment.set_faults(engine.entry.address, silent=True)
-    assert [call.whole for call in done] == [True] * 6
+    broken = [(c.elapsed_ms, c.status, c.answer) for c in done if not c.whole]
+    assert not broken
     assert [len(call.tokens) for call in done] == [60] * 6
