--- a/teaselwall/admission.py
+++ b/teaselwall/admission.py
@@ -18,6 +18,7 @@
 MAX_RETRY_AFTER_MS = 30000.0
 TIME_WEIGHT = 0.2
 SPARE_BELOW = 0.8
+SAME_KEY_REMEDY = "Send it again after Retry-After with the same Idempotency-Key."
 LATE = (errors.DeadlineExceeded, errors.ServerFailed, errors.Overloaded)
 
 
@@ -30,14 +31,23 @@
     rates : rates.Rates
     utilisation : callable
         Returns the part of a pool's reported capacity that is in use, or None.
+    metrics : metrics.Metrics
     new_limiter : callable
         Returns the ``limiters.Limiter`` of a lane.
     """
 
-    __slots__ = ("clock", "rates", "utilisation", "new_limiter", "lanes")
+    __slots__ = ("clock", "rates", "utilisation", "metrics", "new_limiter", "lanes")
 
-    def __init__(self, clock, rates, utilisation, new_limiter=limiters.GradientLimiter):
+    def __init__(
+        self,
+        clock,
+        rates,
+        utilisation,
+        metrics,
+        new_limiter=limiters.GradientLimiter,
+    ):
         self.clock = clock
+        self.metrics = metrics
         self.rates = rates
         self.utilisation = utilisation
         self.new_limiter = new_limiter
@@ -56,20 +66,32 @@
         -------
         expression.Result
             The result of ``work``, or ``errors.Overloaded`` of a request that has
-            not run and will not.
+            not run and will not. Where the service is not idempotent its outcome
+            is unknown, as its key may have run before.
         """
         organisation = services.organisation(request.document, request.organisation)
         refusal = self.rates.check(request.document.service, organisation)
         if refusal is not None:
-            return expression.Error(refusal)
-        lane = self.lane(bottleneck(request.document))
+            return self._refused(request, refusal, "rate")
+        pool = bottleneck(request.document)
+        lane = self.lane(pool)
+        started_ms = self.clock.now_ms()
         refusal = await lane.enter(request, organisation.share)
+        self.metrics.observe_ms("queue", self.clock.now_ms() - started_ms, pool=pool)
         if refusal is not None:
-            return expression.Error(refusal)
+            return self._refused(request, refusal, pool)
         with lane.running(request) as outcome:
             outcome.result = await work()
         return outcome.result
 
+    def _refused(self, request, refusal, limit):
+        if not request.document.idempotent:
+            # An earlier sending of the same key may have run.
+            refusal.outcome = errors.Outcome.UNKNOWN
+            refusal.remedy = SAME_KEY_REMEDY
+        self.metrics.count("requests_refused", limit=limit)
+        return expression.Error(refusal)
+
     def lane(self, pool):
         """Return the lane of a pool; past ``MAX_LANES`` idle ones are dropped."""
         if pool not in self.lanes:
@@ -137,7 +159,6 @@
         self.queue.add(waiter)
         if len(self.queue) > self.n_queued:
             self.queue.remove_least_valuable().refuse()
-        self.admit()
         return await self._wait(waiter)
 
     async def _wait(self, waiter):
@@ -195,8 +216,10 @@
             return
         expected_ms = services.longest_path_ms(request.document)
         ratio = elapsed_ms / expected_ms
-        self.time_ms += TIME_WEIGHT * (elapsed_ms - self.time_ms)
-        self.stretch += TIME_WEIGHT * (ratio - self.stretch)
+        if not late or ratio > self.stretch:
+            time_ms = self.time_ms or elapsed_ms
+            self.time_ms = time_ms + TIME_WEIGHT * (elapsed_ms - time_ms)
+            self.stretch += TIME_WEIGHT * (ratio - self.stretch)
         used = self.utilisation()
         spare = used is not None and used < SPARE_BELOW
         self.limiter.note(ratio, self.in_flight, late, spare)
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -16,6 +16,7 @@
     hedges,
     outcomes,
     pickers,
+    placements,
     prefixes,
     services,
     streams,
@@ -62,6 +63,7 @@
         "retries",
         "guard",
         "gate",
+        "demand",
     )
 
     def __init__(
@@ -87,6 +89,7 @@
         self.retries = retries or budgets.RetryBudgets(clock, DEFAULT_PERCENT)
         self.guard = guard or guards.local(clock)
         self.gate = gates.FleetGate(fleet)
+        self.demand = placements.Demand(clock)
 
     async def call(self, request, stage, inputs):
         """Run a stage that gives one reply.
@@ -331,6 +334,7 @@
         expression.Result
             List of all tokens.
         """
+        self.demand.note(stage.pool, stage.model, stage.max_tokens)
         tokens = []
         made = attempts.Attempts(
             request,
--- a/teaselwall/operators.py
+++ b/teaselwall/operators.py
@@ -19,7 +19,7 @@
     fleet : fleet.Fleet
     follower : followers.Follower
     publisher : publications.Publisher
-    orders : orders.Orders
+    orders : emergencies.Orders
     confirmer : confirmations.Confirmer
     """
 
--- a/teaselwall/pipelines.py
+++ b/teaselwall/pipelines.py
@@ -56,7 +56,7 @@
             for stage in document.stages:
                 nursery.start_soon(run.stage, stage, nursery.cancel_scope)
         if run.error is not None:
-            return expression.Error(run.final_error())
+            return expression.Error(run.error)
         output = run.outputs[document.stages[-1].name]
         answer = messages.Answer(
             request=request.id,
@@ -79,7 +79,6 @@
         "done",
         "error",
         "n_tokens",
-        "n_begun",
         "n_claimed",
         "n_recorded",
     )
@@ -93,7 +92,6 @@
         self.done = {stage.name: trio.Event() for stage in request.document.stages}
         self.error = None
         self.n_tokens = 0
-        self.n_begun = 0
         self.n_claimed = 0
         self.n_recorded = 0
 
@@ -124,23 +122,13 @@
         return result.map("".join)
 
     async def _call_once(self, stage, inputs):
-        self.n_begun += 1
         self.request.n_pending += 1
         result = await self.claims.call(self.request, stage, inputs)
         self.request.n_pending -= 1
         if result.is_error():
             self.request.note_outcome(result.error.outcome)
-            if result.error.outcome is errors.Outcome.NOT_RUN:
-                self.n_begun -= 1
             return result
+        self.request.effective = True
         self.n_claimed += 1
         self.n_recorded += result.ok.recorded
         return result.map(lambda outcome: outcome.output)
-
-    def final_error(self):
-        """Return the error to answer; not "not run" where a stage may have run."""
-        if not self.n_begun or self.error.outcome is not errors.Outcome.NOT_RUN:
-            return self.error
-        detail = f"A stage that may not be repeated ran. {self.error.detail}"
-        remedy = "Send it again with the same key; what ran is not repeated."
-        return errors.OutcomeUnknown(detail, remedy=remedy)
--- a/teaselwall/tools/histories.py
+++ b/teaselwall/tools/histories.py
@@ -6,7 +6,6 @@
 
 import math
 import random
-import types
 
 import expression
 import trio
@@ -19,13 +18,14 @@
     control,
     errors,
     logservice,
-    membership,
+    outcomes,
     ownercalls,
     ownerships,
+    pipelines,
     recorders,
     requests,
 )
-from teaselwall.generated import messages
+from teaselwall.generated import service
 from teaselwall.generated import settings as schema
 from teaselwall.tests import fakes
 
@@ -33,12 +33,22 @@
 N_KEYS = 4
 RUN_MS = 5000
 HEALED_MS = 4000
+START_MS = 50
 DEADLINE_MS = 1500
 MAX_CALLS_PER_KEY = 4
 OTHER_BODY_SHARE = 0.1
 RETENTION_MS = 10000
 REWRITE_MS = 400
 HOUR_MS = 3600000
+DOCUMENT = service.Service(
+    service="purchase",
+    deadline_ms=DEADLINE_MS,
+    idempotent=False,
+    stages=[
+        service.Stage(name="purchase", kind="plain", pool="tills", idempotent=False)
+    ],
+    organisations=[service.Organisation(name="kiosks")],
+)
 
 
 class Call:
@@ -127,37 +137,6 @@
         return result
 
 
-class View:
-    """Membership as one host sees it, changed by the run.
-
-    Attributes
-    ----------
-    members : dict of str to membership.Member
-        By address.
-    """
-
-    def __init__(self, address, nonce):
-        row = messages.MemberRow(address, address, "a", nonce, 0)
-        self.me = membership.Member(row, 0)
-        self.members = {address: self.me}
-
-    def alive(self):
-        """Return the members in view."""
-        return list(self.members.values())
-
-    def delegates(self):
-        """Return the members in view."""
-        return self.alive()
-
-    def find(self, address):
-        """Return the member at an address, or None."""
-        return self.members.get(address)
-
-    def forget(self, address):
-        """Take a member out of view."""
-        self.members.pop(address, None)
-
-
 class Host:
     """The parts of an entry host that claims need."""
 
@@ -167,7 +146,7 @@
         self.gate = Gate()
         self.scope = trio.CancelScope()
         self.nursery = None
-        self.membership = View(address, run.random.randbytes(8).hex())
+        self.membership = fakes.View(address, nonce=run.random.randbytes(8).hex())
         log = GatedLog(run.log, self.gate)
         self.ownerships = ownerships.Ownerships(
             run.clock, log, run.state, self.membership, run.settings, 1000
@@ -186,6 +165,7 @@
             run.settings.n_partitions,
             256,
         )
+        self.pipeline = pipelines.Pipeline(self.claims.dispatcher, self.claims)
         interface = control.Control(None)
         self.ownerships.add_handlers(interface)
         run.network.handlers[address] = {
@@ -214,15 +194,29 @@
         self.scope.cancel()
 
 
+class Guard:
+    """Refuses no request."""
+
+    def refusal(self, request):
+        """Return None."""
+
+
 class Dispatcher:
     """Calls of the plain service; its effects outlive the caller's process."""
 
     def __init__(self, run, gate):
         self.run = run
         self.gate = gate
+        self.guard = Guard()
 
     async def call(self, request, stage, inputs):
         """Run a stage; see ``dispatch.Dispatcher.call``."""
+        with outcomes.noting(request, stage) as noted:
+            result = await self._attempt(request)
+            noted.take(result)
+        return result
+
+    async def _attempt(self, request):
         run = self.run
         await self.gate.wait()
         if run.random.random() < run.refuse_share:
@@ -329,17 +323,14 @@
         request = requests.Request(
             id=call.id,
             organisation="kiosks",
-            document=types.SimpleNamespace(service="purchase"),
+            document=DOCUMENT,
             input=call.body,
             key=call.key,
             body_hash=call.body,
             deadline=clock.Deadline(self.clock, DEADLINE_MS),
             span=None,
         )
-        stage = types.SimpleNamespace(name="purchase")
-        result = None
-        with self.clock.timeout_ms(DEADLINE_MS):
-            result = await host.claims.call(request, stage, {})
+        result = await host.pipeline.run(request, None)
         await host.gate.wait()
         if host.address in self.network.down:
             return
@@ -367,9 +358,19 @@
                 self.start(address)
         self.show_members()
         await self.clock.sleep_ms(HEALED_MS)
+        await self._read_recorded()
         if self.log.retention_ms:
             await self.clock.sleep_ms(2 * RETENTION_MS)
-        for call in [c for c in self.calls if c.recorded]:
+        for address, host in list(self.hosts.items()):
+            host.kill()
+            self.start(address)
+        await self.clock.sleep_ms(START_MS)
+        await self._read_recorded()
+
+    async def _read_recorded(self):
+        """Ask every host again for what it said to be recorded."""
+        recorded = {call.key: call for call in self.calls if call.recorded}
+        for call in recorded.values():
             for host in self.hosts.values():
                 again = await self.send(call.key, call.body, host)
                 if again.output != call.output:
@@ -389,9 +390,7 @@
 def note_answer(call, result, now_ms):
     """Write a call's answer down."""
     call.answered_ms = now_ms
-    if result is None:
-        call.outcome = "unknown"
-    elif result.is_ok():
+    if result.is_ok():
         call.outcome = "ran"
         call.output = result.ok.output
         call.recorded = result.ok.recorded
