--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -125,8 +125,7 @@
         return await hedges.first_success(self.clock, run, made.late_ms(), allowed)
 
     def _may_hedge(self, made):
-        failed = made.error is not None
-        if failed or not made.room() or self.guard.suspected(made):
+        if made.error is not None or not made.room() or self.guard.suspected(made):
             return False
         if not made.possible(0) or not self._has_other(made):
             return False
@@ -144,8 +143,7 @@
         attempt : callable
             ``await attempt(made, server, *arguments)`` gives a result.
         """
-        pool = made.stage.pool
-        choices = functools.partial(self.fleet.choices, pool)
+        choices = functools.partial(self.fleet.choices, made.stage.pool)
         admitted = await self.guard.admit(made, choices)
         if admitted.is_error():
             return admitted
