Use the free slots of cold servers first, of all data centres

Only hosts of the same data centre asked for permits before there was need, and the choice preferred warm servers. Ruled out: second attempts (the same with and without), cut requests (0). Change: a cold server with a free slot goes before warm ones, and every host that sees cold servers asks for two permits a second.

--- a/teaselwall/askers.py
+++ b/teaselwall/askers.py
@@ -8,6 +8,7 @@
 from teaselwall import issuers, permits
 from teaselwall.generated import messages
 
+N_FED = 2
 RETRY_MS = 50
 USE_MS = 1_000
 IDLE_MS = 40
@@ -118,15 +119,16 @@
         return names[demand.turn // 2 % len(names)]
 
     async def feed(self, pool):
-        """Get one permit for the own data centre's cold servers of a pool.
+        """Get a few permits for cold servers of a pool.
 
         A pool with enough warm servers would never ask, and its cold ones would
-        stay cold.
+        stay cold until the warm ones leave.
         """
         demand = self.demands.setdefault(pool, Demand())
-        data_centre = self.membership.me.data_centre
-        if not demand.busy and not self.issuer.holds(data_centre):
-            await self._ask(demand, pool, data_centre, 1)
+        servers = self.fleet.by_pool.get(pool, {}).values()
+        data_centre = self._where(demand, filter(self.fleet.in_service, servers))
+        if data_centre is not None and not demand.busy:
+            await self._ask(demand, pool, data_centre, N_FED)
 
     async def _ask(self, demand, pool, data_centre, n):
         """Ask for permits; return how many came."""
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -230,9 +230,12 @@
         tried = made.tried | passed_over
         call = pickers.call_of(made.request, stage, made.prefix)
         choices = self.fleet.choices(stage.pool, made.prefix)
-        if made.data_centres:
-            elsewhere = [s for s in choices if s.data_centre not in made.data_centres]
-            server = self.picker.pick(elsewhere, tried, call)
+        elsewhere = [s for s in choices if s.data_centre not in made.data_centres]
+        # A free slot of a cold server costs the call nothing and warms the server,
+        # which may be needed once others leave.
+        warming = [server for server in elsewhere if not server.warmth.is_warm()]
+        for preferred in (warming, elsewhere):
+            server = self.picker.pick(preferred, tried, call)
             if server is not None:
                 return server
         return self.picker.pick(choices, tried, call)
--- a/teaselwall/warmups.py
+++ b/teaselwall/warmups.py
@@ -61,8 +61,7 @@
             return False
         if server.warmth.is_warm():
             return server.warmth.has_room(server.in_flight)
-        if server.data_centre == self.membership.me.data_centre:
-            self.hungry.add(server.pool)
+        self.hungry.add(server.pool)
         if self.issuer.holds(server.data_centre):
             return self.issuer.n_free(server) > 0
         return self.asker.stock.has(server)
