--- a/teaselwall/tools/streams.py
+++ b/teaselwall/tools/streams.py
@@ -6,6 +6,8 @@
 
 NS_PER_MS = 1e6
 READ_BYTES = 65536
+RIGHT_STATUS = b"HTTP/1.1 200"
+LIMIT_S = 15.0
 END_MARK = b"\r\n0\r\n\r\n"
 
 
@@ -18,7 +20,7 @@
         From sending the request to the first token, and between later reads.
     n_tokens : int
     n_cut : int
-        Streams that ended before their last chunk.
+        Streams that were refused or ended before their last chunk.
     """
 
     __slots__ = ("first_ms", "gaps_ms", "n_tokens", "n_cut")
@@ -39,6 +41,13 @@
         bodies : list of bytes
         spread_s : float
         """
+        n_before = len(self.first_ms)
+        with trio.move_on_after(LIMIT_S) as limit:
+            await self._run_all(address, path, bodies, spread_s)
+        if limit.cancelled_caught:
+            self.n_cut += len(bodies) - (len(self.first_ms) - n_before)
+
+    async def _run_all(self, address, path, bodies, spread_s):
         async with trio.open_nursery() as nursery:
             for index, body in enumerate(bodies):
                 delay_s = spread_s * index / len(bodies)
@@ -59,7 +68,7 @@
             await stream.send_all(head.encode() + body)
             while not tail.endswith(END_MARK):
                 part = await stream.receive_some(READ_BYTES)
-                if not part:
+                if not part or (not tail and not part.startswith(RIGHT_STATUS)):
                     self.n_cut += 1
                     return
                 tail = (tail + part)[-len(END_MARK) :]
