--- /dev/null
+++ b/teaselwall/tools/capacity.py
@@ -0,0 +1,184 @@
+"""Work out docs/CAPACITY.md from build/bench.json: ``make capacity``.
+
+The page's text is ``docs/capacity.template.md``; names in double braces are
+replaced by figures, fits and divisions, so page and measurement cannot part.
+"""
+
+import math
+import pathlib
+import re
+import statistics
+import sys
+
+from teaselwall.tools import bench
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+TEMPLATE = ROOT / "docs" / "capacity.template.md"
+PAGE = ROOT / "docs" / "CAPACITY.md"
+NAME = re.compile(r"\{\{([a-z0-9_]+)\}\}")
+
+N_ENTRY_HOSTS = 450
+N_SERVERS = 10_000
+REQUESTS_PER_S = 36_000
+TOKENS_PER_S = 11_000_000
+NON_IDEMPOTENT_SHARE = 0.02
+CHANGES_PER_DAY = 22_000
+SECONDS_PER_DAY = 86_400
+N_WRITERS = 32
+N_ERAS_OF_KEYS = 3
+BUDGET_BYTES = 128 * 2**20
+US_PER_S = 1e6
+MEMBERSHIP_SIZES = (8, 50, 150, 450)
+RECOVERY_SIZES = {"1k": 1_000, "10k": 10_000, "100k": 100_000}
+CHANGE_SIZES = {"_5": 5, "_2000": 2_000, "_16000": 16_000}
+
+
+class Fit:
+    """Straight line through measured points.
+
+    Attributes
+    ----------
+    slope, intercept : float
+    error_percent : float
+        Largest distance of a point from the line, in percent of the point.
+    """
+
+    __slots__ = ("slope", "intercept", "error_percent")
+
+    def __init__(self, points):
+        xs = [x for x, _ in points]
+        ys = [y for _, y in points]
+        self.slope, self.intercept = statistics.linear_regression(xs, ys)
+        distances = [abs(self.at(x) - y) / y for x, y in points if y]
+        self.error_percent = 100 * max(distances)
+
+    def at(self, x):
+        """Return the line's value."""
+        return self.slope * x + self.intercept
+
+
+def values(measured):
+    """Return everything that the page may name, by name.
+
+    Parameters
+    ----------
+    measured : dict of str to float
+        The benchmark's values.
+
+    Returns
+    -------
+    dict of str to float
+    """
+    result = dict(measured)
+    result |= _tokens(measured)
+    result |= _claims(measured)
+    result |= _membership(measured)
+    result |= _configuration(measured)
+    return result
+
+
+def _tokens(measured):
+    per_node = TOKENS_PER_S / N_ENTRY_HOSTS
+    result = {"node_tokens_per_s": per_node}
+    result["node_requests_per_s"] = REQUESTS_PER_S / N_ENTRY_HOSTS
+    cost_us = measured.get("relay_cpu_us_per_token")
+    if cost_us:
+        result["node_token_cores"] = per_node * cost_us / US_PER_S
+        result["relay_factor"] = cost_us / 41
+    rate = measured.get("requests_per_s_per_process")
+    if rate:
+        result["node_request_processes"] = result["node_requests_per_s"] / rate
+    return result
+
+
+def _claims(measured):
+    claims_per_s = REQUESTS_PER_S * NON_IDEMPOTENT_SHARE
+    result = {"claims_per_s": claims_per_s, "n_writers": N_WRITERS}
+    result["claims_per_s_per_writer"] = claims_per_s / N_WRITERS
+    key_bytes = measured.get("claim_memory_bytes_per_key")
+    if key_bytes:
+        fitting = BUDGET_BYTES / 2 / key_bytes
+        result["keys_per_writer"] = fitting
+        era_s = fitting / result["claims_per_s_per_writer"] / N_ERAS_OF_KEYS
+        result["era_minutes"] = era_s / 60
+    points = _points(measured, "claim_owner_recovery_ms_{}", RECOVERY_SIZES)
+    if len(points) > 2:
+        fit = Fit(points)
+        result["recovery_us_per_key"] = 1000 * fit.slope
+        result["recovery_fit_error_percent"] = fit.error_percent
+        if key_bytes:
+            result["recovery_planned_ms"] = fit.at(result["keys_per_writer"])
+    return result
+
+
+def _membership(measured):
+    result = {}
+    sizes = {str(size): size for size in MEMBERSHIP_SIZES}
+    for unit in ("bytes_per_s", "cpu_percent", "death_seen_s"):
+        points = _points(measured, f"membership_{unit}_{{}}", sizes)
+        if len(points) > 2:
+            fit = Fit(points[1:])
+            result[f"membership_{unit}_slope"] = fit.slope
+            result[f"membership_{unit}_fit_error_percent"] = fit.error_percent
+    return result
+
+
+def _configuration(measured):
+    changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    result = {"changes_per_s": changes_per_s}
+    points = _points(measured, "config_cpu_us_per_change{}", CHANGE_SIZES)
+    if len(points) > 2:
+        fit = Fit(points)
+        result["change_us_per_1000_organisations"] = 1000 * fit.slope
+        result["change_fit_error_percent"] = fit.error_percent
+        cost_us = fit.at(16_000)
+        result["change_cpu_percent"] = 100 * cost_us * changes_per_s / US_PER_S
+    n_bytes = measured.get("config_bytes_per_change")
+    if n_bytes:
+        result["change_bytes_per_s"] = n_bytes * changes_per_s
+    return result
+
+
+def _points(measured, pattern, sizes):
+    points = []
+    for label, size in sizes.items():
+        value = measured.get(pattern.format(label))
+        if value is not None:
+            points.append((size, value))
+    return points
+
+
+def show(value):
+    """Return a number with three figures, or a note where there is none."""
+    if value is None:
+        return "not measured"
+    if value == 0:
+        return "0"
+    digits = max(0, 2 - math.floor(math.log10(abs(value))))
+    return f"{value:,.{min(digits, 4)}f}"
+
+
+def render(template, known):
+    """Return the template with every name replaced.
+
+    Parameters
+    ----------
+    template : str
+    known : dict of str to float
+    """
+    return NAME.sub(lambda match: show(known.get(match.group(1))), template)
+
+
+def main():
+    """Write the page from the newest measurement."""
+    measured = {name: row["value"] for name, row in bench.read().items()}
+    if not measured:
+        print("There is no build/bench.json; run 'make bench' first.")
+        return 2
+    PAGE.write_text(render(TEMPLATE.read_text(), values(measured)))
+    print(f"{PAGE.relative_to(ROOT)} is written.")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
