Answer unreadable replies of the platform with an error

Cause: the log service's client let a decoding error through, which would have ended the tasks that follow its streams, and with them the process. Change: one function reads a reply into a message or an error; the clients of the log service, the host list, the load reports and the pools share it. Conclusion: five unreadable bodies are tested.

--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -3,6 +3,7 @@
 import enum
 
 import expression
+import msgspec
 
 HTTP_OK = 200
 REFUSALS = (429, 503)
@@ -206,6 +207,33 @@
     remedy = "Name running ones with --hosts or TEASELWALL_HOSTS."
 
 
+def read_reply(reply, kind, part):
+    """Return a successful reply's message as a result.
+
+    Parameters
+    ----------
+    reply : transport.Reply
+    kind : type
+        Struct class of the message.
+    part : str
+        Who answered.
+
+    Returns
+    -------
+    expression.Result
+        As ``require_ok``; a reply that cannot be read leaves the outcome unknown.
+    """
+    return require_ok(reply, part).bind(lambda right: _decoded(right, kind, part))
+
+
+def _decoded(reply, kind, part):
+    try:
+        return expression.Ok(reply.decode(kind))
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        detail = f"The {part} sent a reply that cannot be read: {error}."
+        return expression.Error(ServerFailed(detail, outcome=Outcome.UNKNOWN))
+
+
 def require_ok(reply, part):
     """Return the reply as a result, or an error where its status is not 200.
 
--- a/teaselwall/hostlist.py
+++ b/teaselwall/hostlist.py
@@ -2,9 +2,6 @@
 
 import abc
 
-import expression
-import msgspec
-
 from teaselwall import errors
 from teaselwall.generated import messages
 
@@ -37,13 +34,6 @@
         result = await self.transport.call(
             "GET", self.address, "/v1/hosts", None, timeout_ms
         )
-        result = result.bind(lambda reply: errors.require_ok(reply, "host list"))
-        return result.bind(_listing)
-
-
-def _listing(reply):
-    try:
-        return expression.Ok(reply.decode(messages.HostList))
-    except msgspec.DecodeError as error:
-        detail = f"The host list cannot be read: {error}."
-        return expression.Error(errors.ServerFailed(detail))
+        return result.bind(
+            lambda reply: errors.read_reply(reply, messages.HostList, "host list")
+        )
--- a/teaselwall/loads.py
+++ b/teaselwall/loads.py
@@ -2,8 +2,6 @@
 
 import abc
 
-import expression
-import msgspec
 import trio
 
 from teaselwall import errors
@@ -45,16 +43,11 @@
         result = await self.transport.call(
             "GET", server.address, LOAD_PATH, None, timeout_ms
         )
-        result = result.bind(lambda reply: errors.require_ok(reply, server.address))
-        return result.bind(lambda reply: _report(server, reply))
-
-
-def _report(server, reply):
-    try:
-        return expression.Ok(reply.decode(messages.LoadReport))
-    except msgspec.DecodeError as error:
-        detail = f"{server.address} sent a load report that cannot be read: {error}."
-        return expression.Error(errors.ServerFailed(detail))
+        return result.bind(
+            lambda reply: errors.read_reply(
+                reply, messages.LoadReport, f"server {server.address}"
+            )
+        )
 
 
 class Poller:
--- a/teaselwall/logservice.py
+++ b/teaselwall/logservice.py
@@ -6,6 +6,8 @@
 from teaselwall import errors
 from teaselwall.generated import messages
 
+PART = "log service"
+
 
 class LogService(abc.ABC):
     """Append-only streams, kept by the platform for a limited time."""
@@ -64,7 +66,9 @@
         result = await self.transport.call(
             "POST", self.address, path, {"data": data}, timeout_ms
         )
-        return result.bind(_ok).map(lambda r: r.decode(messages.LogAppended).offset)
+        return result.bind(
+            lambda reply: errors.read_reply(reply, messages.LogAppended, PART)
+        ).map(lambda appended: appended.offset)
 
     async def read(self, stream, offset, limit, timeout_ms, wait_ms=0):
         """Read records; see ``LogService.read``."""
@@ -73,12 +77,10 @@
         result = await self.transport.call(
             "GET", self.address, path, None, timeout_ms + wait_ms
         )
-        return result.bind(_ok).map(lambda r: r.decode(messages.LogRecords))
+        return result.bind(
+            lambda reply: errors.read_reply(reply, messages.LogRecords, PART)
+        )
 
 
 def _path(stream):
     return f"/v1/streams/{urllib.parse.quote(stream, safe='')}/records"
-
-
-def _ok(reply):
-    return errors.require_ok(reply, "log service")
--- a/teaselwall/pools.py
+++ b/teaselwall/pools.py
@@ -3,7 +3,6 @@
 import abc
 
 import expression
-import msgspec
 
 from teaselwall import errors, servers
 from teaselwall.generated import messages
@@ -47,8 +46,10 @@
             "POST", server.address, self.path, call, timeout_ms, headers, fresh
         )
         result = result.map(lambda reply: servers.note_reply(server, reply))
-        result = result.bind(lambda reply: errors.require_ok(reply, server.address))
-        return result.bind(lambda reply: _matching(server, call, reply))
+        part = f"server {server.address}"
+        return result.bind(
+            lambda reply: errors.read_reply(reply, messages.StageReply, part)
+        ).bind(lambda answer: _matching(server, call, answer))
 
 
 class HttpPlainService(HttpStagePool):
@@ -68,12 +69,7 @@
         return await super().run(server, call, timeout_ms, headers, True)
 
 
-def _matching(server, call, reply):
-    try:
-        answer = reply.decode(messages.StageReply)
-    except msgspec.DecodeError as error:
-        detail = f"{server.address} sent a reply that cannot be read: {error}."
-        return _mismatch(detail)
+def _matching(server, call, answer):
     if answer.request != call.request or answer.attempt != call.attempt:
         detail = f"{server.address} sent the reply of another request."
         return _mismatch(detail)
--- a/teaselwall/tests/test_transport.py
+++ b/teaselwall/tests/test_transport.py
@@ -156,3 +156,11 @@
             async for _ in response.aiter_stream():
                 pass
     assert trio.current_time() - started == pytest.approx(0.3)
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"offset": "x"}', b"\xff"])
+def test_replies_that_cannot_be_read_are_errors(body):
+    reply = transport.Reply(200, {}, body)
+    result = errors.read_reply(reply, messages.LogAppended, "log service")
+    assert result.error.outcome is errors.Outcome.UNKNOWN
+    assert "log service" in str(result.error)
