Count the entry hosts of other data centres for organisations' limits

Cause: an organisation's limit is split by the number of entry hosts, but of other data centres only three delegates are known, so 450 hosts would have counted 102 and let 4.4 times the limit through. Change: a summary carries the number of members; hosts' constructor is split by subject. Conclusion: nine hosts are counted with one delegate a data centre known.

--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -104,14 +104,32 @@
         self.log = logservice.HttpLogService(
             self.transport, settings.platform.log_service
         )
-        self.state = configuration.State()
-        timeout_ms = settings.platform.timeout_ms
         self.membership = membership.Membership(self.clock, settings)
+        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
+        self.control.add(gossip.PATH, self.gossip.handle)
+        self._add_configuration()
+        self._add_fleet()
+        self._add_quarantine()
+        self.dispatcher = self._dispatcher()
+        self.warmups = self._warmups(settings.platform.timeout_ms)
+        self.orderers = self._orderers(settings.platform.timeout_ms)
+        self._add_claims()
+        self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
+        self.hand_overs = [
+            self.claims.finish,
+            self.warmups.issuer.release,
+            self.orderers.release,
+        ]
+        self._register_operators()
+
+    def _add_configuration(self):
+        settings = self.settings
+        self.state = configuration.State()
         self.follower = followers.Follower(
             self.clock,
             self.log,
             self.state,
-            timeout_ms,
+            settings.platform.timeout_ms,
             self.peers,
             self.membership,
             settings.membership.seeds,
@@ -123,14 +141,15 @@
         self.emergencies = emergencies.Orders(
             self.clock, self.state, self.publisher, self.peers, self.membership
         )
-        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
-        self.control.add(gossip.PATH, self.gossip.handle)
+
+    def _add_fleet(self):
+        settings = self.settings
         self.fleet = fleet.Fleet(
             self.clock,
             hostlist.HttpHostList(self.transport, settings.platform.host_list),
             self.state,
             settings.routing.host_list_interval_ms,
-            timeout_ms,
+            settings.platform.timeout_ms,
             subsets.Subsets(self.membership, settings.routing.subset_size),
         )
         self.poller = loads.Poller(
@@ -145,21 +164,23 @@
             self.fleet.utilisation,
             self.metrics,
         )
+
+    def _add_quarantine(self):
         self.suspects = quarantine.Quarantine(self.clock)
         self.suspects.add_handlers(self.control)
         self.evidence = evidence.EvidenceLog(
-            self.clock, self.log, self.suspects, timeout_ms
+            self.clock, self.log, self.suspects, self.settings.platform.timeout_ms
         )
-        self.dispatcher = self._dispatcher()
-        self.warmups = self._warmups(timeout_ms)
-        self.orderers = self._orderers(timeout_ms)
+
+    def _add_claims(self):
+        settings = self.settings
         self.ownerships = ownerships.Ownerships(
             self.clock,
             self.log,
             self.state,
             self.membership,
             settings.claims,
-            timeout_ms,
+            settings.platform.timeout_ms,
         )
         self.ownerships.add_handlers(self.control)
         self.claims = self._claims()
@@ -169,15 +190,8 @@
             self.state,
             self.membership,
             settings.claims.era_ms,
-            timeout_ms,
+            settings.platform.timeout_ms,
         )
-        self.pipeline = pipelines.Pipeline(self.dispatcher, self.claims)
-        self.hand_overs = [
-            self.claims.finish,
-            self.warmups.issuer.release,
-            self.orderers.release,
-        ]
-        self._register_operators()
 
     def _register_operators(self):
         confirmer = confirmations.Confirmer(self.clock, self.follower)
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -80,15 +80,19 @@
     counter : int
         Grows with each issue; the highest wins.
     members : list of Member
+        Its delegates.
+    n_members : int
+        Members of the data centre that do not drain.
     seen_ms : float
         When the counter was last seen to advance.
     """
 
-    __slots__ = ("counter", "members", "seen_ms")
+    __slots__ = ("counter", "members", "n_members", "seen_ms")
 
-    def __init__(self, counter, members, seen_ms):
+    def __init__(self, counter, members, n_members, seen_ms):
         self.counter = counter
         self.members = members
+        self.n_members = n_members
         self.seen_ms = seen_ms
 
 
@@ -140,14 +144,22 @@
 
     def remote(self):
         """Return the known live members of the other data centres."""
-        members = []
-        limit_ms = self._summary_dead_ms()
-        for data_centre, summary in self.summaries.items():
-            if data_centre == self.me.data_centre:
-                continue
-            if self.clock.now_ms() - summary.seen_ms < limit_ms:
-                members.extend(summary.members)
-        return members
+        return [
+            member for summary in self._live_summaries() for member in summary.members
+        ]
+
+    def n_hosts(self):
+        """Return the number of entry hosts of all data centres that do not drain."""
+        n_near = sum(not member.draining for member in self.neighbours())
+        return n_near + sum(s.n_members for s in self._live_summaries())
+
+    def _live_summaries(self):
+        oldest_ms = self.clock.now_ms() - self._summary_dead_ms()
+        return [
+            summary
+            for data_centre, summary in self.summaries.items()
+            if data_centre != self.me.data_centre and summary.seen_ms > oldest_ms
+        ]
 
     def delegates(self):
         """Return the members that hosts of every data centre know of.
@@ -197,6 +209,7 @@
             messages.SummaryRow(
                 data_centre=name,
                 counter=summary.counter,
+                n_members=summary.n_members,
                 members=[member.row() for member in summary.members],
             )
             for name, summary in self.summaries.items()
@@ -267,7 +280,9 @@
             self._meet(row.members)
         now_ms = self.clock.now_ms()
         members = [Member(member, now_ms) for member in row.members[:N_DELEGATES]]
-        self.summaries[row.data_centre] = Summary(row.counter, members, now_ms)
+        self.summaries[row.data_centre] = Summary(
+            row.counter, members, row.n_members, now_ms
+        )
 
     def _meet(self, rows):
         """Take neighbours that are known only elsewhere.
@@ -285,14 +300,18 @@
 
     def _issue_summary(self):
         known = self.summaries.get(self.me.data_centre)
-        members = delegates_of(self.neighbours())
-        if known is not None and not self._is_due(known, members):
+        near = self.neighbours()
+        members = delegates_of(near)
+        n_members = sum(not member.draining for member in near)
+        if known is not None and not self._is_due(known, members, n_members):
             return
         counter = known.counter if known is not None else 0
         counter += self._counter_step()
         now_ms = self.clock.now_ms()
         copies = [Member(member.row(), now_ms) for member in members]
-        self.summaries[self.me.data_centre] = Summary(counter, copies, now_ms)
+        self.summaries[self.me.data_centre] = Summary(
+            counter, copies, n_members, now_ms
+        )
 
     def _counter_step(self):
         """Return by how much an issue counts up.
@@ -302,7 +321,9 @@
         """
         return 1 + int(self.me.nonce[:2], 16)
 
-    def _is_due(self, known, members):
+    def _is_due(self, known, members, n_members):
+        if n_members != known.n_members:
+            return True
         old = [(member.nonce, member.draining) for member in known.members]
         new = [(member.nonce, member.draining) for member in members]
         elapsed_ms = self.clock.now_ms() - known.seen_ms
--- a/teaselwall/rates.py
+++ b/teaselwall/rates.py
@@ -66,7 +66,7 @@
         return errors.Overloaded(detail, retry_after_ms=wait_ms)
 
     def _n_hosts(self):
-        return max(1, sum(not m.draining for m in self.membership.alive()))
+        return max(1, self.membership.n_hosts())
 
     def _bucket(self, key, per_ms):
         now_ms = self.clock.now_ms()
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -38,6 +38,10 @@
         """Return the members in view."""
         return self.alive()
 
+    def n_hosts(self):
+        """Return the number of members in view."""
+        return len(self.members)
+
     def find(self, address):
         """Return the member at an address, or None."""
         return self.members.get(address)
--- a/teaselwall/tests/test_membership.py
+++ b/teaselwall/tests/test_membership.py
@@ -84,6 +84,19 @@
     assert fleet.views() == [everyone] * len(fleet.hosts)
 
 
+async def test_hosts_are_counted_beyond_the_delegates(
+    fleet, autojump_clock, monkeypatch
+):
+    monkeypatch.setattr(membership, "N_DELEGATES", 1)
+    await trio.sleep(15)
+    for host in fleet.hosts:
+        assert len(host.membership.alive()) == N_PER_CENTRE + 2
+        assert host.membership.n_hosts() == 3 * N_PER_CENTRE
+    fleet.hosts[4].membership.me.draining = True
+    await trio.sleep(15)
+    assert fleet.hosts[0].membership.n_hosts() == 3 * N_PER_CENTRE - 1
+
+
 async def test_dead_host_leaves_every_view(fleet, autojump_clock):
     victim = fleet.hosts[4]
     fleet.kill(victim)
--- a/teaselwall/tools/policies.py
+++ b/teaselwall/tools/policies.py
@@ -94,6 +94,10 @@
         """Return the members."""
         return self.members
 
+    def n_hosts(self):
+        """Return the number of members that do not drain."""
+        return sum(not member.draining for member in self.members)
+
 
 class Request:
     """A caller's request."""
