Say unknown, not 'not run', before a key's record was looked up

Cause: a purchase that ran and is sent again could be answered 'not run' where the second sending was refused before its key was looked up: by a full entry host, by the quarantine, or by an earlier stage. The caller would have taken that for the truth about its purchase. Ruled out: looking each key up first, which costs an owner's answer on a host that sheds load. Change: a request with a key is 'not run' only where the key's owner has proved it; the tests fail without it.

--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -97,13 +97,12 @@
         )
 
     async def _serve(self, service, scope, receive, send):
+        headers = responses.headers_of(scope)
         if self.n_in_flight >= self.host.settings.limits.max_requests_in_flight:
-            detail = "This entry host has too many requests in flight."
-            raise errors.Overloaded(detail, retry_after_ms=RETRY_AFTER_MS)
+            raise self._too_many(headers)
         self.n_in_flight += 1
         self.host.membership.me.n_requests = self.n_in_flight
         try:
-            headers = responses.headers_of(scope)
             request = await self._read(service, headers, receive)
             streams = "text/event-stream" in headers.get("accept", "")
             reply = StreamReply(send) if streams else WholeReply(send)
@@ -112,6 +111,11 @@
             self.n_in_flight -= 1
             self.host.membership.me.n_requests = self.n_in_flight
 
+    def _too_many(self, headers):
+        detail = "This entry host has too many requests in flight."
+        outcome = unread_outcome(headers)
+        return errors.Overloaded(detail, outcome, RETRY_AFTER_MS)
+
     async def _read(self, service, headers, receive):
         limits = self.host.settings.limits
         body = await self._read_body(receive, limits.max_body_bytes)
@@ -145,11 +149,8 @@
     def _no_service(self, service, headers):
         if self.host.state.services:
             return errors.NotFound(f"There is no service {service}.")
-        # Without its document, nothing says whether the key may have run.
-        unknown, not_run = errors.Outcome.UNKNOWN, errors.Outcome.NOT_RUN
-        outcome = unknown if "idempotency-key" in headers else not_run
         detail = "This entry host has not read the configuration yet."
-        return errors.Unavailable(detail, outcome, RETRY_AFTER_MS)
+        return errors.Unavailable(detail, unread_outcome(headers), RETRY_AFTER_MS)
 
     async def _read_body(self, receive, max_bytes):
         with self.host.clock.timeout_ms(BODY_LIMIT_MS):
@@ -283,6 +284,16 @@
         raise errors.MethodNotAllowed(path, allowed)
 
 
+def unread_outcome(headers):
+    """Return the outcome of a request that was refused before it was read.
+
+    One with a key may have run when it was sent before.
+    """
+    if "idempotency-key" in headers:
+        return errors.Outcome.UNKNOWN
+    return errors.Outcome.NOT_RUN
+
+
 def read_organisation(headers, state, service):
     """Return the organisation, which must be one of the service's."""
     name = headers.get("organisation", "")
--- a/teaselwall/pipelines.py
+++ b/teaselwall/pipelines.py
@@ -40,7 +40,7 @@
         """
         refusal = self.dispatcher.guard.refusal(request)
         if refusal is not None:
-            return expression.Error(refusal)
+            return expression.Error(outcomes.honest(request, refusal))
         result = None
         with request.deadline.clock.timeout_ms(request.deadline.remaining_ms()):
             result = await self._run_stages(request, sink)
@@ -125,6 +125,7 @@
         self.request.n_pending += 1
         result = await self.claims.call(self.request, stage, inputs)
         self.request.n_pending -= 1
+        self.request.looked_up = True
         if result.is_error():
             self.request.note_outcome(result.error.outcome)
             return result
--- a/teaselwall/requests.py
+++ b/teaselwall/requests.py
@@ -36,6 +36,8 @@
         Keyed calls under way; this host does not know what came of them.
     effective : bool
         Whether a stage that is not idempotent has answered.
+    looked_up : bool
+        Whether the record of the key was asked for.
     """
 
     __slots__ = (
@@ -52,6 +54,7 @@
         "sent",
         "n_pending",
         "effective",
+        "looked_up",
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         self.sent = False
         self.n_pending = 0
         self.effective = False
+        self.looked_up = False
 
     def note_outcome(self, outcome):
         """Take the outcome of one attempt at one stage."""
@@ -91,6 +95,9 @@
         if self.effective:
             return errors.Outcome.RAN
         known = not self.sent and not self.n_pending
+        if not self.document.idempotent:
+            # An earlier sending of the same key may have run.
+            known = known and self.looked_up
         return errors.Outcome.NOT_RUN if known else errors.Outcome.UNKNOWN
 
 
--- a/teaselwall/tests/test_application.py
+++ b/teaselwall/tests/test_application.py
@@ -255,3 +255,15 @@
                 await stream.send_all(raw)
                 assert status in (await stream.receive_some(65536))[:12], raw[:40]
         shutdown.set()
+
+
+@pytest.mark.parametrize(("key", "outcome"), [("", "not_run"), ("1-k", "unknown")])
+async def test_full_host_does_not_call_a_keyed_request_not_run(
+    host, key, outcome, autojump_clock
+):
+    served = application.Application(host)
+    served.n_in_flight = host.settings.limits.max_requests_in_flight
+    headers = {"idempotency-key": key} if key else {}
+    status, body = await ask(served, **headers)
+    assert status == 429
+    assert msgspec.json.decode(body)["outcome"] == outcome
--- a/teaselwall/tests/test_attempts.py
+++ b/teaselwall/tests/test_attempts.py
@@ -263,3 +263,13 @@
     result = await rig.run(document, key="k")
     assert isinstance(result.error, errors.Quarantined)
     assert result.error.outcome is errors.Outcome.NOT_RUN
+
+
+async def test_keyed_request_is_not_called_not_run_before_its_key_was_looked_up(
+    autojump_clock,
+):
+    rig = rigs.Rig({"encode": [], "pay": rigs.fake_servers("pay", 1)})
+    pay = rigs.stage("pay", "plain", idempotent=False)
+    document = rigs.document(rigs.stage("encode"), pay, idempotent=False)
+    result = await rig.pipeline.run(rig.request(document, key="1-k"), rigs.drop)
+    assert result.error.outcome is errors.Outcome.UNKNOWN
