Do not lower a limit while servers report capacity to spare

Change: a window in which servers mostly report capacity to spare does not lower the limit, unless most requests were late; the benchmark's document says what its stage takes.

--- a/teaselwall/limiters.py
+++ b/teaselwall/limiters.py
@@ -88,17 +88,20 @@
             self._start_window()
 
     def _move(self, ratio):
-        if self.n_spare * 2 > self.n_noted or self.limit <= MIN_LIMIT:
+        spare = self.n_spare * 2 > self.n_noted
+        if spare or self.limit <= MIN_LIMIT:
             self.baseline *= BASELINE_DRIFT
         self.baseline = min(ratio, self.baseline)
         gradient = TOLERANCE * self.baseline / ratio if ratio else 1.0
+        if spare:
+            # Slow for another reason than load, such as a wrong expected_ms.
+            gradient = max(1.0, gradient)
         if self.n_late * 2 > self.n_noted:
             gradient = min(gradient, CUT)
         if gradient < 1.0:
             wanted = self.limit * max(MIN_GRADIENT, gradient)
             self.limit += SMOOTHING * (wanted - self.limit)
         elif self.n_busy * 2 >= self.n_noted:
-            spare = self.n_spare * 2 > self.n_noted
             self.limit += max(STEP, SPARE_GROWTH * self.limit * spare)
         self.limit = min(MAX_LIMIT, max(MIN_LIMIT, self.limit))
 
--- a/teaselwall/tools/bench_relay.py
+++ b/teaselwall/tools/bench_relay.py
@@ -28,6 +28,7 @@
 pool = "generator"
 model = "bench"
 max_tokens = {MAX_TOKENS}
+expected_ms = {MAX_TOKENS * TOKEN_MS}
 [[organisations]]
 name = "bench"
 """
--- a/teaselwall/tools/capacity.py
+++ b/teaselwall/tools/capacity.py
@@ -30,7 +30,7 @@
 US_PER_S = 1e6
 MEMBERSHIP_SIZES = (8, 50, 150, 450)
 RECOVERY_SIZES = {"1k": 1_000, "10k": 10_000, "100k": 100_000}
-CHANGE_SIZES = {"_5": 5, "_2000": 2_000, "_16000": 16_000}
+CHANGE_SIZES = {"": 5, "_2000_organisations": 2_000, "_16000_organisations": 16_000}
 
 
 class Fit:
