--- a/teaselwall/tools/bench_relay.py
+++ b/teaselwall/tools/bench_relay.py
@@ -180,15 +180,15 @@
     """Count requests of a short four-stage pipeline that one process carries."""
     run = streams.Streams()
     started = trio.current_time()
-    share = bodies(N_SHORT // SHORT_WORKERS)
+    shares = [bodies(N_SHORT)[worker::SHORT_WORKERS] for worker in range(SHORT_WORKERS)]
 
-    async def work():
+    async def work(share):
         for body in share:
             await run.run(host.callers, "/v1/services/short/requests", [body], 0)
 
     async with trio.open_nursery() as nursery:
-        for _ in range(SHORT_WORKERS):
-            nursery.start_soon(work)
+        for share in shares:
+            nursery.start_soon(work, share)
     elapsed_s = trio.current_time() - started
     n_done = len(run.first_ms)
     figures["requests_per_s_per_process"] = (n_done / elapsed_s, "1/s", 80)
