Keep a connection pool for each address

A profile has 17 of 34 s in httpcore's pool: it looks through all kept connections on each call and counts the idle ones for each of them, 40 million checks for 13,256 calls. Change: one pool an address, the oldest closed past 2,000.

--- a/teaselwall/tests/test_transport.py
+++ b/teaselwall/tests/test_transport.py
@@ -47,6 +47,9 @@
         return None
 
 
+ADDRESS = "10.0.0.1:1"
+
+
 async def act(step, timeout, timed_out):
     if isinstance(step, Exception):
         raise step
@@ -59,7 +62,7 @@
 def calls_over(network):
     calls = transport.Transport(clock.Clock())
     options = {"network_backend": network}
-    calls.pool = httpcore.AsyncConnectionPool(**options)
+    calls.pools[ADDRESS] = httpcore.AsyncConnectionPool(**options)
     calls.fresh_pool = httpcore.AsyncConnectionPool(
         max_keepalive_connections=0, **options
     )
@@ -84,20 +87,20 @@
     autojump_clock, network, outcome, kind
 ):
     calls = calls_over(network)
-    result = await calls.call("POST", "10.0.0.1:1", "/v1/call", {}, 500)
+    result = await calls.call("POST", ADDRESS, "/v1/call", {}, 500)
     assert result.error.outcome is outcome
     assert type(result.error) is kind
 
 
 async def test_wait_for_a_connection_of_a_full_pool_is_not_run(autojump_clock):
     calls = calls_over(Network(reads=["hang"]))
-    calls.pool = httpcore.AsyncConnectionPool(
-        max_connections=1, network_backend=calls.pool._network_backend
+    calls.pools[ADDRESS] = httpcore.AsyncConnectionPool(
+        max_connections=1, network_backend=calls.pools[ADDRESS]._network_backend
     )
     results = []
 
     async def one(timeout_ms):
-        results.append(await calls.call("GET", "10.0.0.1:1", "/", None, timeout_ms))
+        results.append(await calls.call("GET", ADDRESS, "/", None, timeout_ms))
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(one, 900)
@@ -111,8 +114,8 @@
 ):
     network = Network(reads=[HEAD + b"{}", b""])
     calls = calls_over(network)
-    assert (await calls.call("POST", "10.0.0.1:1", "/", {}, 500)).is_ok()
-    result = await calls.call("POST", "10.0.0.1:1", "/", {}, 500)
+    assert (await calls.call("POST", ADDRESS, "/", {}, 500)).is_ok()
+    result = await calls.call("POST", ADDRESS, "/", {}, 500)
     assert result.error.outcome is UNKNOWN
     assert network.n_connections == 1
 
@@ -121,7 +124,7 @@
     network = Network(reads=[HEAD + b"{}", b""])
     calls = calls_over(network)
     for _ in range(3):
-        result = await calls.call("POST", "10.0.0.1:1", "/", {}, 500, fresh=True)
+        result = await calls.call("POST", ADDRESS, "/", {}, 500, fresh=True)
         assert result.is_ok()
     assert network.n_connections == 3
 
@@ -151,7 +154,7 @@
     started = trio.current_time()
     with pytest.raises(httpcore.ReadTimeout):
         async with calls.open(
-            "POST", "10.0.0.1:1", "/", {}, 60000, silence_ms=300
+            "POST", ADDRESS, "/", {}, 60000, silence_ms=300
         ) as response:
             async for _ in response.aiter_stream():
                 pass
@@ -164,3 +167,13 @@
     result = errors.read_reply(reply, messages.LogAppended, "log service")
     assert result.error.outcome is errors.Outcome.UNKNOWN
     assert "log service" in str(result.error)
+
+
+async def test_pools_of_addresses_that_are_no_longer_used_are_closed(
+    autojump_clock, monkeypatch
+):
+    monkeypatch.setattr(transport, "MAX_POOLS", 3)
+    calls = transport.Transport(clock.Clock())
+    for index in range(10):
+        await calls._pool_of(f"10.0.0.{index}:1")
+    assert list(calls.pools) == [f"10.0.0.{index}:1" for index in (7, 8, 9)]
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -1,5 +1,6 @@
 """HTTP calls to other processes, with what each failure says of the outcome."""
 
+import collections
 import contextlib
 
 import expression
@@ -10,6 +11,7 @@
 from teaselwall import errors
 
 MAX_CONNECTIONS = 1000
+MAX_POOLS = 2000
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 KEEP_ALIVE_S = 30.0
 CONNECT_MS = 300
@@ -72,22 +74,47 @@
     clock : clock.Clock
     """
 
-    __slots__ = ("clock", "pool", "fresh_pool")
+    __slots__ = ("clock", "pools", "fresh_pool")
 
     def __init__(self, clock):
         self.clock = clock
-        self.pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=MAX_CONNECTIONS,
-            keepalive_expiry=KEEP_ALIVE_S,
-        )
+        self.pools = collections.OrderedDict()
         self.fresh_pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
         )
 
+    async def _pool_of(self, address):
+        """Return the pool of kept connections to one address.
+
+        A pool looks through all of its connections on each call, so one pool for
+        all addresses costs more with every server.
+        """
+        pool = self.pools.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=MAX_CONNECTIONS,
+                keepalive_expiry=KEEP_ALIVE_S,
+            )
+            self.pools[address] = pool
+            await self._drop_oldest()
+        else:
+            self.pools.move_to_end(address)
+        return pool
+
+    async def _drop_oldest(self):
+        """Close the pool that was used longest ago where there are too many."""
+        if len(self.pools) <= MAX_POOLS:
+            return
+        address, oldest = next(iter(self.pools.items()))
+        if all(connection.is_idle() for connection in oldest.connections):
+            del self.pools[address]
+            await oldest.aclose()
+
     async def close(self):
         """Close every connection."""
-        await self.pool.aclose()
+        for pool in self.pools.values():
+            await pool.aclose()
         await self.fresh_pool.aclose()
 
     async def call(
@@ -169,7 +196,7 @@
         extensions = {"timeout": timeouts}
         if progress is not None:
             extensions["trace"] = progress.note
-        pool = self.fresh_pool if fresh else self.pool
+        pool = self.fresh_pool if fresh else await self._pool_of(address)
         async with pool.stream(
             method,
             f"http://{address}{path}",
