--- /dev/null
+++ b/teaselwall/calls.py
@@ -0,0 +1,99 @@
+"""One caller's request on a gateway."""
+
+from teaselwall import errors, routes
+
+
+class Call:
+    """A request that has been read and matched to a route.
+
+    Parameters
+    ----------
+    head : protocols.RequestHead
+    body : bytes
+    route : routes.Route
+    pool : routes.Pool
+    organisation : routes.Organisation or None
+    priority : int
+    deadline : clock.Deadline
+    due_ms : float
+        When its answer, or its first event, has to be there to be on time.
+    span : opentelemetry.trace.Span
+
+    Attributes
+    ----------
+    n_ran : int
+        Servers that may have run it.
+    n_sent : int
+        Servers that it was sent to.
+    tried : set of str
+        Their addresses.
+    """
+
+    __slots__ = (
+        "head",
+        "body",
+        "route",
+        "pool",
+        "organisation",
+        "priority",
+        "deadline",
+        "due_ms",
+        "span",
+        "n_ran",
+        "n_sent",
+        "tried",
+    )
+
+    def __init__(
+        self, head, body, route, pool, organisation, priority, deadline, due_ms, span
+    ):
+        self.head = head
+        self.body = body
+        self.route = route
+        self.pool = pool
+        self.organisation = organisation
+        self.priority = priority
+        self.deadline = deadline
+        self.due_ms = due_ms
+        self.span = span
+        self.n_ran = 0
+        self.n_sent = 0
+        self.tried = set()
+
+    @property
+    def organisation_name(self):
+        """Return the organisation's name, empty where there is none."""
+        return self.organisation.name if self.organisation is not None else ""
+
+    def may_run_again(self):
+        """Return whether a further server may run it."""
+        if not self.n_ran:
+            return True
+        return self.route.repeatable and self.n_ran < self.route.max_attempts
+
+    def regions(self):
+        """Return the regions that it may run in; any if empty."""
+        bound = [set(self.route.regions)] if self.route.regions else []
+        if self.organisation is not None and self.organisation.regions:
+            bound.append(set(self.organisation.regions))
+        return set.intersection(*bound) if bound else set()
+
+    def failure(self, error):
+        """Return an error that says what is true of all attempts together."""
+        if not self.n_ran:
+            return error
+        if isinstance(error, errors.DeadlineExceeded):
+            return errors.DeadlineExceeded(error.detail, outcome=errors.Outcome.UNKNOWN)
+        return errors.OutcomeUnknown(error.detail)
+
+
+def kind_streams(route):
+    """Return whether a route's answers are streams of events."""
+    return route.kind is routes.Kind.STREAM
+
+
+def piece_counts(call):
+    """Return the number of pieces of each stage of a call's route."""
+    given = call.head.n_pieces
+    n_missing = len(call.route.stages) - len(given)
+    return (given + (0,) * max(0, n_missing))[: len(call.route.stages)]
--- a/teaselwall/clock.py
+++ b/teaselwall/clock.py
@@ -3,6 +3,8 @@
 Readings of two processes are never compared; only remaining times travel.
 """
 
+import time
+
 import trio
 
 MS_PER_S = 1000.0
@@ -26,6 +28,20 @@
         return trio.move_on_after(max(0.0, duration_ms) / MS_PER_S)
 
 
+class BootClock(Clock):
+    """Clock that also counts the time for which the machine was suspended.
+
+    Whatever an age decides, such as a configuration's, has to grow while the
+    process stands still. Sleeps and timeouts stay trio's.
+    """
+
+    __slots__ = ()
+
+    def now_ms(self):
+        """Return the milliseconds since the machine started as a float."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
+
 class Deadline:
     """Point in time of this process's clock by which an answer is due.
 
--- /dev/null
+++ b/teaselwall/coordination.py
@@ -0,0 +1,217 @@
+"""Which entry host does the stages, and handing them to it."""
+
+import logging
+
+import expression
+import msgspec
+import trio
+
+from teaselwall import control, errors, events
+from teaselwall.generated import messages
+
+logger = logging.getLogger(__name__)
+
+RUN_PATH = "/peer/stages/run"
+RELEASE_PATH = "/peer/stages/release"
+WATCH_MS = 50.0
+MAX_TRIES = 4
+RETRY_MS = 50.0
+RELEASE_TIMEOUT_MS = 500.0
+# Past the moment at which results were due, an open connection may have fallen
+# silent; the coordinator is asked for them again over a new one.
+ASK_AGAIN_MS = 700.0
+
+
+class Coordination:
+    """Sends the stages of requests to the coordinator.
+
+    The coordinator is the entry host that has run longest among the delegates of
+    all data centres: it changes only when it stops or dies. Two hosts may hold
+    each other for it while news travels; that costs full batches, nothing else.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    membership : membership.Membership
+    peers : peers.Peers
+    work : stagework.StageWork
+    """
+
+    __slots__ = ("clock", "membership", "peers", "work", "coordinator", "nursery")
+
+    def __init__(self, clock, membership, peers, work):
+        self.clock = clock
+        self.membership = membership
+        self.peers = peers
+        self.work = work
+        self.coordinator = ""
+        self.nursery = None
+
+    def register(self, interface):
+        """Answer the other entry hosts.
+
+        Parameters
+        ----------
+        interface : control.Control
+        """
+        interface.add(RUN_PATH, self._handle_run, watched=True)
+        interface.add(RELEASE_PATH, self._handle_release)
+
+    async def run(self):
+        """Send releases until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            await trio.sleep_forever()
+
+    def holder(self):
+        """Return the coordinator as this host sees it."""
+        candidates = [m for m in self.membership.delegates() if not m.draining]
+        holder = min(
+            candidates or [self.membership.me], key=lambda member: member.nonce
+        )
+        if holder.nonce != self.coordinator:
+            events.log(
+                logger,
+                logging.INFO,
+                "coordinator",
+                peer=holder.address,
+                nonce=holder.nonce,
+                n_candidates=len(candidates),
+            )
+            self.coordinator = holder.nonce
+        return holder
+
+    async def stages(self, message):
+        """Have the stages of a request done.
+
+        Parameters
+        ----------
+        message : messages.StageJob
+
+        Returns
+        -------
+        expression.Result
+            ``(messages.StageResults, callable)``; the callable gives the results
+            up.
+        """
+        started_ms = self.clock.now_ms()
+        result = None
+        for attempt in range(MAX_TRIES):
+            if attempt:
+                await self.clock.sleep_ms(RETRY_MS)
+            holder = self.holder()
+            elapsed_ms = self.clock.now_ms() - started_ms
+            rest = msgspec.structs.replace(
+                message,
+                remaining_ms=message.remaining_ms - elapsed_ms,
+                due_ms=message.due_ms - elapsed_ms,
+            )
+            if rest.remaining_ms <= 0:
+                break
+            result = await self._ask(holder, rest)
+            if result.is_ok() or not isinstance(result.error, errors.TransportError):
+                break
+            events.log(
+                logger,
+                logging.WARNING,
+                "coordinator_lost",
+                request=message.request,
+                peer=holder.address,
+                attempt=attempt + 1,
+                elapsed_ms=round(self.clock.now_ms() - started_ms),
+                detail=str(result.error),
+            )
+        if result is None or _is_transport(result):
+            detail = "No entry host did the stages in time."
+            return expression.Error(errors.Unavailable(detail))
+        return result.map(lambda reply: (reply, lambda: self._release(holder, message)))
+
+    async def _ask(self, holder, message):
+        if holder is self.membership.me:
+            result = await self.work.submit(message)
+            return result.map(_reply)
+        result = expression.Error(errors.TransportError("The coordinator is gone."))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, holder, nursery.cancel_scope)
+            result = await self._call(holder, message)
+            nursery.cancel_scope.cancel()
+        return result
+
+    async def _call(self, holder, message):
+        """Ask a peer; once more over a new connection where it stays silent."""
+        timeout_ms = message.remaining_ms
+        patience_ms = max(0.0, message.due_ms) + ASK_AGAIN_MS
+        if patience_ms < timeout_ms:
+            result = await self._call_once(holder, message, patience_ms)
+            if not _timed_out(result):
+                return result
+            timeout_ms -= patience_ms
+        return await self._call_once(holder, message, timeout_ms)
+
+    async def _call_once(self, holder, message, timeout_ms):
+        result = await self.peers.call(
+            holder.address, RUN_PATH, message, timeout_ms, fresh=True
+        )
+        return result.map(lambda reply: msgspec.convert(reply, messages.StageResults))
+
+    async def _watch(self, holder, cancel_scope):
+        while self.membership.knows(holder.nonce):
+            await self.clock.sleep_ms(WATCH_MS)
+        cancel_scope.cancel()
+
+    def _release(self, holder, message):
+        if holder is self.membership.me:
+            self.work.release(message.request)
+        elif self.nursery is not None:
+            self.nursery.start_soon(self._send_release, holder, message.request)
+
+    async def _send_release(self, holder, request):
+        message = messages.StageRelease(requests=[request])
+        result = await self.peers.call(
+            holder.address, RELEASE_PATH, message, RELEASE_TIMEOUT_MS
+        )
+        if result.is_error():
+            events.log(
+                logger,
+                logging.INFO,
+                "release_failed",
+                request=request,
+                peer=holder.address,
+                detail=str(result.error),
+            )
+
+    async def _handle_run(self, message):
+        result = await self.work.submit(control.read(message, messages.StageJob))
+        if result.is_error():
+            raise result.error
+        return _reply(result.ok)
+
+    async def _handle_release(self, message):
+        release = control.read(message, messages.StageRelease)
+        for request in release.requests:
+            self.work.release(request)
+        return {}
+
+
+def _reply(job):
+    outputs = job.outputs()
+    sizes = {}
+    for piece in outputs:
+        data_centre = piece.server.data_centre
+        sizes[data_centre] = sizes.get(data_centre, 0) + piece.stage.n_bytes
+    return messages.StageResults(
+        handles=[piece.handle for piece in outputs],
+        data_centre=max(sizes, key=sizes.get, default=""),
+    )
+
+
+def _is_transport(result):
+    return result.is_error() and isinstance(result.error, errors.TransportError)
+
+
+def _timed_out(result):
+    return (
+        result.is_error()
+        and isinstance(result.error, errors.TransportError)
+        and not isinstance(result.error, errors.ConnectFailed | errors.ConnectionBroken)
+    )
--- /dev/null
+++ b/teaselwall/entry.py
@@ -0,0 +1,260 @@
+"""One entry host that forwards callers' requests: its parts, put together."""
+
+import logging
+import secrets
+import time
+
+import trio
+
+from teaselwall import (
+    clock,
+    coldstarts,
+    control,
+    coordination,
+    enginechoices,
+    events,
+    fleet,
+    forwards,
+    gossip,
+    keyedlogs,
+    listings,
+    membership,
+    metrics,
+    operations,
+    peers,
+    pickers,
+    placing,
+    prefixes,
+    retries,
+    stagework,
+    traces,
+    transport,
+)
+
+logger = logging.getLogger(__name__)
+
+UPKEEP_MS = 50.0
+ANNOUNCE_MS = 1000.0
+# Part of the time within which a removed key must be refused that may pass since
+# the newest proof of the keys; the rest covers reading a request.
+KEYS_PART = 0.94
+ANSWER_KEPT_S = 1.0
+
+
+class Entry:
+    """The parts of one entry host on a platform.
+
+    Parameters
+    ----------
+    settings : generated.gateway.GatewaySettings
+    platform : platforms.Platform
+        What differs between platforms.
+    """
+
+    __slots__ = (
+        "settings",
+        "platform",
+        "protocol",
+        "clock",
+        "transport",
+        "metrics",
+        "tracer",
+        "control",
+        "peers",
+        "membership",
+        "gossip",
+        "store",
+        "operations",
+        "orders",
+        "fleet",
+        "cold_starts",
+        "listing",
+        "servers",
+        "placement",
+        "forwarder",
+        "work",
+        "coordination",
+        "stop",
+        "members_known",
+    )
+
+    def __init__(self, settings, platform):
+        self.settings = settings
+        self.platform = platform
+        self.protocol = platform.protocol
+        self.clock = clock.BootClock()
+        self.transport = transport.Transport(self.clock)
+        self.metrics = metrics.Metrics()
+        self.tracer = traces.Tracer(settings.traces, settings.host.name)
+        self.control = control.Control(settings.access)
+        self.peers = peers.Peers(self.transport, settings.access.peer_key)
+        self.stop = None
+        self.members_known = False
+        self._add_membership()
+        self._add_store()
+        self._add_servers()
+        self._add_stages()
+        self.forwarder = forwards.Forwarder(
+            self.clock,
+            self.transport,
+            self.protocol,
+            self.placement,
+            retries.RetryWindow(self.clock, settings.bounds, self.n_hosts),
+            self.metrics,
+            self.tracer,
+        )
+
+    def _add_membership(self):
+        settings = self.settings
+        self.membership = membership.Membership(
+            self.clock,
+            settings,
+            new_nonce(),
+            settings.membership.summary_interval_ms,
+        )
+        self.membership.me.draining = True
+        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
+        self.control.add(gossip.PATH, self.gossip.handle)
+
+    def _add_store(self):
+        settings = self.settings.store
+        self.store = self.platform.store(self.transport)
+        self.operations = operations.Operations(
+            self.platform.read_table,
+            self.platform.data_centre_out,
+            self.platform.table_key,
+        )
+        self.operations.on_return = self._note_return
+        self.orders = keyedlogs.Follower(
+            self.clock,
+            self.store,
+            self.platform.orders_topic,
+            self.operations,
+            settings.watch_ms,
+            0.0,
+        )
+
+    def _add_servers(self):
+        settings = self.settings
+        self.fleet = fleet.Fleet(self.clock, None, self.operations, 0, 0)
+        self.cold_starts = coldstarts.ColdStarts(
+            self.clock, self.membership, self.operations.pool
+        )
+        self.fleet.filters.append(self.cold_starts.has_room)
+        self.listing = listings.Listing(
+            self.clock, self.fleet, self.platform.read_registration, self.cold_starts
+        )
+        self.servers = keyedlogs.Follower(
+            self.clock,
+            self.store,
+            self.platform.servers_topic,
+            self.listing,
+            0.0,
+            settings.store.listing_interval_ms,
+        )
+        self.placement = placing.Placement(
+            self.fleet,
+            pickers.ExpectedTimePicker(settings.host.data_centre, prefixes.Prefixes()),
+            enginechoices.EngineChoices(),
+            self.cold_starts,
+            settings.regions,
+            self.n_hosts,
+        )
+
+    def _add_stages(self):
+        self.work = stagework.StageWork(
+            self.clock,
+            self.fleet,
+            self.platform.stage_client(self.transport),
+            self.operations.pool,
+            self.metrics,
+        )
+        self.coordination = coordination.Coordination(
+            self.clock, self.membership, self.peers, self.work
+        )
+        self.coordination.register(self.control)
+
+    def n_hosts(self):
+        """Return the number of entry hosts, at least 1."""
+        return max(1, len(self.membership.alive()), self.membership.n_hosts())
+
+    def configuration_age_ms(self):
+        """Return the age of the configuration's newest proof in whole ms."""
+        age_ms = self.orders.age_ms()
+        return round(age_ms) if age_ms != float("inf") else 10**9
+
+    def keys_current(self):
+        """Return whether a key that is known here can't have been taken away long."""
+        return self.orders.age_ms() < KEYS_PART * self.settings.bounds.revocation_ms
+
+    def answer_kept_s(self):
+        """Return how long callers may keep an address answer, in s."""
+        return min(ANSWER_KEPT_S, self.settings.bounds.answer_kept_s)
+
+    def stopping(self):
+        """Return whether callers are to leave."""
+        return self.stop is not None and self.stop.requested.is_set()
+
+    def ready(self):
+        """Return whether callers may be sent here."""
+        table = self.operations.table
+        if self.stopping() or table is None or not self.listing.loaded:
+            return False
+        return not table.keyed or self.keys_current()
+
+    async def run(self):
+        """Run the background tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.gossip.run)
+            nursery.start_soon(self.orders.run)
+            nursery.start_soon(self.servers.run)
+            nursery.start_soon(self.work.run)
+            nursery.start_soon(self.coordination.run)
+            nursery.start_soon(self._keep_up)
+            nursery.start_soon(self._meet_members)
+
+    async def _keep_up(self):
+        """Keep what depends on time alone up to date."""
+        while True:
+            self.membership.me.draining = not self.ready()
+            self.listing.expire()
+            for server in self.fleet.used():
+                self.fleet.ejections.probe(server)
+            await self.clock.sleep_ms(UPKEEP_MS)
+
+    async def _meet_members(self):
+        """Leave the own address in the store and greet whoever left one there."""
+        topic = self.platform.members_topic
+        me = self.membership.me
+        while not self.members_known:
+            written = await self.store.put(
+                topic, me.address, self.settings.host.name.encode()
+            )
+            found = await self.store.newest(topic)
+            if written.is_ok() and found.is_ok():
+                self.members_known = True
+                addresses = [r.key for r in found.ok.records if r.key != me.address]
+                await self._greet(addresses)
+                return
+            await self.clock.sleep_ms(ANNOUNCE_MS)
+
+    async def _greet(self, addresses):
+        events.log(logger, logging.INFO, "members_read", n_members=len(addresses))
+        async with trio.open_nursery() as nursery:
+            for address in addresses:
+                nursery.start_soon(self.gossip.exchange, address)
+
+    def _note_return(self, data_centre):
+        returned = [s for s in self.fleet.used() if s.data_centre == data_centre]
+        listed = [
+            server
+            for known in self.fleet.by_pool.values()
+            for server in known.values()
+            if server.data_centre == data_centre
+        ]
+        self.cold_starts.note_returned([*returned, *listed])
+
+
+def new_nonce():
+    """Return a nonce that sorts by the start of its process."""
+    return f"{int(time.time() * 1000):012x}{secrets.token_hex(3)}"
--- a/teaselwall/events.py
+++ b/teaselwall/events.py
@@ -5,6 +5,7 @@
 import msgspec
 from absl import logging as absl_logging
 
+MS_PER_S = 1000
 _encoder = msgspec.json.Encoder()
 
 
@@ -14,6 +15,7 @@
     def format(self, record):
         """Return the record's line."""
         fields = {
+            "time_ms": round(record.created * MS_PER_S),
             "level": record.levelname.lower(),
             "logger": record.name,
             "event": record.getMessage(),
@@ -24,9 +26,18 @@
         return _encoder.encode(fields).decode()
 
 
-def configure(verbosity=absl_logging.INFO):
-    """Send every logger's lines through absl's handler as JSON."""
+def configure(verbosity=absl_logging.INFO, stream=None):
+    """Send every logger's lines through absl's handler as JSON.
+
+    Parameters
+    ----------
+    verbosity : int
+    stream : file, optional
+        Where they go; standard error if it is not given.
+    """
     absl_logging.use_absl_handler()
+    if stream is not None:
+        absl_logging.get_absl_handler().python_handler.stream = stream
     absl_logging.get_absl_handler().setFormatter(JsonFormatter())
     absl_logging.set_verbosity(verbosity)
     logging.getLogger("hypercorn.error").setLevel(logging.WARNING)
--- a/teaselwall/listeners.py
+++ b/teaselwall/listeners.py
@@ -1,16 +1,24 @@
 """Serving an ASGI application on one address."""
 
 import functools
+import logging
 import socket
 
 import expression
+import trio
+from hypercorn import app_wrappers, typing
 from hypercorn import config as hypercorn_config
-from hypercorn import trio as hypercorn_trio
+from hypercorn.trio import tcp_server, worker_context
 
-from teaselwall import settings
+from teaselwall import events, settings
+
+logger = logging.getLogger(__name__)
 
 GRACE_S = 3600.0
+KEEP_ALIVE_S = 3600.0
 BACKLOG = 1024
+MAX_REQUESTS = 1_000_000
+MAX_HEAD_BYTES = 64 * 1024
 
 
 def check(wanted, source):
@@ -41,7 +49,7 @@
     return expression.Ok(wanted)
 
 
-async def serve(application, address, shutdown, task_status):
+async def serve(application, address, shutdown, task_status, keep_alive_s=KEEP_ALIVE_S):
     """Serve until ``shutdown`` is set and what is in flight has ended.
 
     Parameters
@@ -52,20 +60,61 @@
         ``IP:port``.
     shutdown : trio.Event
     task_status : trio.TaskStatus
+    keep_alive_s : float
+        How long a connection may stay idle, before its first request too.
     """
+    config = _config(address, keep_alive_s)
+    context = worker_context.WorkerContext(None)
+    state = typing.ConnectionState({})
+    wrapped = app_wrappers.ASGIWrapper(application)
+
+    async def handle(stream):
+        await _guarded(
+            tcp_server.TCPServer(wrapped, config, context, state, stream), stream
+        )
+
+    sockets = config.create_sockets().insecure_sockets
+    for sock in sockets:
+        sock.listen(BACKLOG)
+    found = [trio.SocketListener(trio.socket.from_stdlib_socket(s)) for s in sockets]
+    async with trio.open_nursery() as connections:
+        task_status.started([address])
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                functools.partial(
+                    trio.serve_listeners, handle, found, handler_nursery=connections
+                )
+            )
+            await shutdown.wait()
+            accepting.cancel_scope.cancel()
+        await context.terminated.set()
+        connections.cancel_scope.deadline = trio.current_time() + GRACE_S
+
+
+def _config(address, keep_alive_s):
     config = hypercorn_config.Config()
     config.bind = [address]
     config.backlog = BACKLOG
-    config.graceful_timeout = GRACE_S
-    config.keep_alive_timeout = GRACE_S
+    config.keep_alive_timeout = keep_alive_s
+    config.keep_alive_max_requests = MAX_REQUESTS
+    config.h11_max_incomplete_size = MAX_HEAD_BYTES
+    config.include_server_header = False
+    config.include_date_header = False
     config.errorlog = None
-    await hypercorn_trio.serve(
-        application,
-        config,
-        shutdown_trigger=shutdown.wait,
-        mode="asgi",
-        task_status=task_status,
-    )
+    return config
+
+
+async def _guarded(connection, stream):
+    """Run one connection; its failure must not end the others.
+
+    ``hypercorn`` raises out of a connection's task where a caller sent bytes that
+    are not HTTP and the application has no answer left to send.
+    """
+    try:
+        await connection
+    except Exception as error:
+        events.log(logger, logging.INFO, "connection_failed", detail=repr(error)[:300])
+        await trio.aclose_forcefully(stream)
 
 
 def starter(application, address, shutdown):
--- /dev/null
+++ b/teaselwall/logsinks.py
@@ -0,0 +1,106 @@
+"""Where log lines go: bounded, and never waiting for the reader."""
+
+import collections
+import os
+import time
+
+import msgspec
+import trio
+
+FLUSH_MS = 100.0
+
+
+class Sink:
+    """Writes lines to a file descriptor without blocking.
+
+    Lines over the rate, or that don't fit the buffer while the reader is slow, are
+    left out; a line with their number follows.
+
+    Parameters
+    ----------
+    descriptor : int
+    max_lines_per_s : int
+    max_buffered : int
+        Lines kept while the reader is slow.
+
+    Attributes
+    ----------
+    n_left_out : int
+        Lines left out in all.
+    """
+
+    __slots__ = (
+        "descriptor",
+        "max_lines_per_s",
+        "max_buffered",
+        "lines",
+        "second",
+        "n_in_second",
+        "n_left_out",
+        "n_reported",
+    )
+
+    def __init__(self, descriptor, max_lines_per_s, max_buffered):
+        self.descriptor = descriptor
+        self.max_lines_per_s = max_lines_per_s
+        self.max_buffered = max_buffered
+        self.lines = collections.deque()
+        self.second = 0
+        self.n_in_second = 0
+        self.n_left_out = 0
+        self.n_reported = 0
+        os.set_blocking(descriptor, False)
+
+    def write(self, text):
+        """Take a line; part of the file interface of ``logging``."""
+        second = int(time.monotonic())
+        if second != self.second:
+            self.second = second
+            self.n_in_second = 0
+            self._report()
+        self.n_in_second += 1
+        if self.n_in_second > self.max_lines_per_s:
+            self.n_left_out += 1
+            return
+        self._add(text)
+
+    def flush(self):
+        """Write what the reader takes now; part of the file interface."""
+        while self.lines:
+            data = self.lines[0]
+            try:
+                n_written = os.write(self.descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more, and there is no other place to say so.
+                self.lines.clear()
+                return
+            if n_written < len(data):
+                self.lines[0] = data[n_written:]
+                return
+            self.lines.popleft()
+
+    def close(self):
+        """Write what is left; part of the file interface."""
+        self.flush()
+
+    async def run(self):
+        """Write on for a slow reader until cancelled."""
+        while True:
+            await trio.sleep(FLUSH_MS / 1000)
+            self._report()
+            self.flush()
+
+    def _report(self):
+        n_new = self.n_left_out - self.n_reported
+        if n_new and len(self.lines) < self.max_buffered:
+            self.n_reported = self.n_left_out
+            fields = {"level": "warning", "event": "lines_left_out", "n_lines": n_new}
+            self.lines.append(msgspec.json.encode(fields) + b"\n")
+
+    def _add(self, text):
+        if len(self.lines) >= self.max_buffered:
+            self.n_left_out += 1
+            return
+        self.lines.append(text.encode())
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -105,6 +105,8 @@
     settings : generated.settings.Settings
     nonce : str, optional
         Hexadecimal; drawn at random where it is not given.
+    summary_interval_ms : float, optional
+        Time between two summaries of a data centre without change.
     """
 
     __slots__ = (
@@ -117,7 +119,7 @@
         "summary_interval_ms",
     )
 
-    def __init__(self, clock, settings, nonce=None):
+    def __init__(self, clock, settings, nonce=None, summary_interval_ms=None):
         self.clock = clock
         self.settings = settings
         row = messages.MemberRow(
@@ -132,7 +134,9 @@
         self.summaries = {}
         self.dead_after_ms = settings.membership.dead_after_ms
         interval_ms = settings.membership.exchange_interval_ms
-        self.summary_interval_ms = SUMMARY_INTERVALS * interval_ms
+        self.summary_interval_ms = (
+            summary_interval_ms or SUMMARY_INTERVALS * interval_ms
+        )
 
     def alive(self):
         """Return the members believed alive, draining ones included."""
@@ -319,7 +323,7 @@
         Hosts that have not met yet issue side by side; different steps keep their
         counters from being equal, so that one summary wins.
         """
-        return 1 + int(self.me.nonce[:2], 16)
+        return 1 + int(self.me.nonce[-2:], 16)
 
     def _is_due(self, known, members, n_members):
         if n_members != known.n_members:
--- a/teaselwall/peers.py
+++ b/teaselwall/peers.py
@@ -35,7 +35,7 @@
         self.transport = transport
         self.authorization = (b"authorization", f"Bearer {key}".encode())
 
-    async def call(self, address, path, message, timeout_ms):
+    async def call(self, address, path, message, timeout_ms, fresh=False):
         """Send a message to a peer.
 
         Parameters
@@ -46,6 +46,8 @@
         message : object
             JSON-encodable.
         timeout_ms : float
+        fresh : bool
+            Whether to open a connection for this call alone.
 
         Returns
         -------
@@ -54,7 +56,13 @@
             raised comes back as the same kind.
         """
         result = await self.transport.call(
-            "POST", address, path, message, timeout_ms, [self.authorization]
+            "POST",
+            address,
+            path,
+            message,
+            timeout_ms,
+            [self.authorization],
+            fresh,
         )
         return result.bind(_decoded)
 
--- /dev/null
+++ b/teaselwall/platform/__init__.py
@@ -0,0 +1,4 @@
+"""The users' platform: its names and messages, translated into the product's.
+
+Nothing outside this folder knows how the platform spells anything.
+"""
--- /dev/null
+++ b/teaselwall/platform/__main__.py
@@ -0,0 +1,20 @@
+"""Start of an entry host on the platform."""
+
+import os
+import sys
+
+from teaselwall import entrydaemon
+from teaselwall.platform import adapter
+
+SETTINGS_VARIABLE = "TEASELWALL_NODE_FILE"
+SETTINGS_PATH = "/etc/teaselwall/node.conf"
+
+
+def main():
+    """Run an entry host with the settings that the platform has put in place."""
+    path = os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH)
+    return entrydaemon.main(path, adapter.UsersPlatform)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/teaselwall/platform/documents.py
@@ -0,0 +1,185 @@
+"""The operators' configuration as the platform's store keeps it."""
+
+from typing import Literal
+
+import expression
+import msgspec
+
+from teaselwall import errors, routes
+
+BYTES_PER_MB = 1_000_000
+MS_PER_S = 1000.0
+KINDS = {
+    "safe": routes.Kind.IDEMPOTENT,
+    "unsafe": routes.Kind.ONCE,
+    "streaming": routes.Kind.STREAM,
+}
+
+
+class _Share(msgspec.Struct, rename="camel"):
+    service: str
+    weight: float
+
+
+class _Stage(msgspec.Struct, rename="camel"):
+    service: str
+    after: list[int] = []
+    # Approximate size of one result.
+    bytes: float = 0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: Literal["safe", "unsafe", "streaming"]
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    service: str = ""
+    split: list[_Share] = []
+    # Servers that one request may run on.
+    max_attempts: int = 1
+    stages: list[_Stage] = []
+    # Whether requests need no access key.
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0
+    allowed_regions: list[str] = []
+
+
+class _Pieces(msgspec.Struct, rename="camel"):
+    # Calls in progress, and calls that may wait, at one server.
+    slots: int
+    queue: int
+    # Pieces in one call.
+    batch: int
+    call_ms: float
+    item_ms: float
+    # Space for results at one server.
+    room_mb: float
+    handle_s: float
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    max_connections: int = 0
+    cold_start_s: float = 0
+    # Requests a second that one cold server bears.
+    cold_per_s: float = 0
+    engine: dict | None = None
+    pieces: _Pieces | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    allowed_regions: list[str] = []
+
+
+class _Config(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+class UnreadableConfiguration(errors.Error):
+    """A configuration that can't be decoded."""
+
+    title = "Unreadable configuration"
+    remedy = "Publish a corrected configuration; the last good one stays in force."
+
+
+def read(value):
+    """Decode a configuration.
+
+    Returns
+    -------
+    expression.Result
+        ``routes.RouteTable``.
+    """
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        return expression.Error(UnreadableConfiguration(f"{error}."))
+    return expression.Ok(_table(config))
+
+
+def _table(config):
+    organisations = {}
+    for tenant in config.tenants:
+        organisation = routes.Organisation(
+            tenant.name, tenant.priority, tuple(tenant.allowed_regions)
+        )
+        organisations.update(dict.fromkeys(tenant.api_keys, organisation))
+    limits = config.limits
+    return routes.RouteTable(
+        version=config.version,
+        routes=[_route(route) for route in config.routes],
+        pools=[_pool(service) for service in config.services],
+        organisations=organisations,
+        limits=routes.CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_ms=limits.header_timeout_ms,
+            idle_ms=limits.idle_timeout_ms,
+        ),
+        keyed=bool(config.tenants),
+    )
+
+
+def _route(route):
+    shares = tuple((share.service, share.weight) for share in route.split)
+    kind = KINDS[route.kind]
+    return routes.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        kind=kind,
+        shares=shares or ((route.service, 1.0),),
+        timeout_ms=route.timeout_ms,
+        target_ms=route.target_latency_ms or route.timeout_ms,
+        max_attempts=max(1, route.max_attempts),
+        priority=route.priority,
+        public=route.public,
+        resumable=route.resumable and kind is routes.Kind.STREAM,
+        gap_ms=route.gap_aim_ms,
+        stages=tuple(
+            routes.StageNeed(stage.service, tuple(stage.after), int(stage.bytes))
+            for stage in route.stages
+        ),
+        regions=tuple(route.allowed_regions),
+    )
+
+
+def _pool(service):
+    pieces = service.pieces
+    batches = None
+    if pieces is not None:
+        batches = routes.BatchLimits(
+            n_calls=max(1, pieces.slots),
+            n_queued=pieces.queue,
+            n_pieces=max(1, pieces.batch),
+            call_ms=pieces.call_ms,
+            piece_ms=pieces.item_ms,
+            room_bytes=int(pieces.room_mb * BYTES_PER_MB),
+            kept_ms=pieces.handle_s * MS_PER_S,
+        )
+    return routes.Pool(
+        name=service.name,
+        max_connections=service.max_connections,
+        cold_ms=service.cold_start_s * MS_PER_S,
+        cold_rate=service.cold_per_s,
+        batches=batches,
+        engine=service.engine is not None,
+    )
--- /dev/null
+++ b/teaselwall/platform/registrations.py
@@ -0,0 +1,58 @@
+"""Servers' entries in the platform's store."""
+
+from typing import Literal
+
+import expression
+import msgspec
+
+from teaselwall import errors, listings, settings
+
+
+class _Entry(msgspec.Struct, rename="camel"):
+    """An entry as it is written; what is not used here is passed over."""
+
+    service: str
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: int
+    # Start of the process in milliseconds of the server's own clock.
+    born: int = 0
+
+
+class UnreadableEntry(errors.Error):
+    """An entry that names no server to use."""
+
+    title = "Unreadable entry"
+    remedy = "Find out who writes this key in the platform's store."
+
+
+def read(key, value):
+    """Decode one entry.
+
+    Returns
+    -------
+    expression.Result
+        ``listings.Registration``.
+    """
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        return expression.Error(UnreadableEntry(f"Entry {key!r}: {error}."))
+    reason = settings.address_fault(entry.address)
+    if reason:
+        detail = f"Entry {key!r}: address {entry.address!r} {reason}."
+        return expression.Error(UnreadableEntry(detail))
+    return expression.Ok(
+        listings.Registration(
+            id=key,
+            started_ms=entry.born,
+            address=entry.address,
+            pool=entry.service,
+            data_centre=entry.zone,
+            leaving=entry.state == "draining",
+            cold_ms=entry.cold_remaining_ms,
+            sequence=entry.sequence,
+        )
+    )
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -155,6 +155,11 @@
     await send(send_message, error.status, body, PROBLEM_JSON, headers)
 
 
+def problem_body(error, request=""):
+    """Return an error's problem details as a JSON body."""
+    return msgspec.json.encode(problem(error, request))
+
+
 def event(name, message):
     """Return one server-sent event as bytes."""
     return b"event: %s\ndata: %s\n\n" % (name, msgspec.json.encode(message))
--- /dev/null
+++ b/teaselwall/stagequeues.py
@@ -0,0 +1,80 @@
+"""Pieces of one stage pool that can be made now, most urgent first."""
+
+import enum
+
+
+class Urgency(enum.IntEnum):
+    """Order of the classes of pieces; within one the least slack goes first."""
+
+    ON_TIME = 0
+    LATE = 1
+    LATE_NOT_BEGUN = 2
+
+
+class StageQueue:
+    """Pieces that wait for a server of one pool."""
+
+    __slots__ = ("pieces",)
+
+    def __init__(self):
+        self.pieces = []
+
+    def add(self, pieces):
+        """Add pieces."""
+        for piece in pieces:
+            piece.queued = True
+        self.pieces.extend(pieces)
+
+    def sort(self):
+        """Drop what needs no more work and bring the rest into order."""
+        kept = []
+        for piece in self.pieces:
+            if piece.job.ended() or piece.handle:
+                piece.queued = False
+            else:
+                kept.append(piece)
+        kept.sort(key=_order)
+        self.pieces = kept
+
+    def take(self, state, elsewhere):
+        """Take a batch for a server, after ``sort``.
+
+        Parameters
+        ----------
+        state : stageservers.StageServer
+        elsewhere : set of str
+            Data centres of other servers that are idle; pieces that are better
+            made there are left.
+
+        Returns
+        -------
+        list of stagejobs.Piece
+        """
+        taken = []
+        room = state.free_bytes()
+        near = state.server.data_centre
+        for piece in self.pieces:
+            if len(taken) >= state.batches.n_pieces:
+                break
+            if state.server in piece.running or piece.stage.n_bytes > room:
+                continue
+            wanted = piece.data_centre
+            if wanted != near and wanted in elsewhere:
+                continue
+            room -= piece.stage.n_bytes
+            taken.append(piece)
+        chosen = set(map(id, taken))
+        self.pieces = [piece for piece in self.pieces if id(piece) not in chosen]
+        for piece in taken:
+            piece.queued = False
+        return taken
+
+
+def _order(piece):
+    slack_ms = piece.slack_ms
+    if slack_ms >= 0:
+        return (Urgency.ON_TIME, 0, slack_ms)
+    job = piece.job
+    if job.begun:
+        return (Urgency.LATE, 0, job.deadline_ms)
+    return (Urgency.LATE_NOT_BEGUN, job.priority, job.deadline_ms)
--- /dev/null
+++ b/teaselwall/stagework.py
@@ -0,0 +1,427 @@
+"""Doing the stages of many requests in common batches."""
+
+import logging
+
+import expression
+import trio
+
+from teaselwall import errors, events, stagecalls, stagejobs, stagequeues, stageservers
+
+logger = logging.getLogger(__name__)
+
+TICK_MS = 25.0
+# Results that were given up are freed together, at most this much later.
+FREE_DELAY_MS = 8.0
+FREE_TIMEOUT_MS = 500.0
+# What a job still needs after its stages, at the least, to be of use.
+MIN_REST_MS = 100.0
+MAX_BACKOFF_MS = 2000.0
+REPEATED_TRIES = stagejobs.MAX_TRIES
+
+
+class StageWork:
+    """Runs the stages of requests on the servers of stage pools.
+
+    One process at a time should do this for a server, so that batches are full
+    and its space is counted in one place; where two do, calls are refused and
+    made again.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    fleet : fleet.Fleet
+    client : stagecalls.StageClient
+    pool_of : callable
+        ``pool_of(name)`` gives a ``routes.Pool`` or None.
+    metrics : metrics.Metrics
+    """
+
+    __slots__ = (
+        "clock",
+        "fleet",
+        "client",
+        "pool_of",
+        "metrics",
+        "jobs",
+        "queues",
+        "states",
+        "to_free",
+        "wake",
+        "free_wake",
+        "nursery",
+    )
+
+    def __init__(self, clock, fleet, client, pool_of, metrics):
+        self.clock = clock
+        self.fleet = fleet
+        self.client = client
+        self.pool_of = pool_of
+        self.metrics = metrics
+        self.jobs = {}
+        self.queues = {}
+        self.states = {}
+        self.to_free = {}
+        self.wake = trio.Event()
+        self.free_wake = trio.Event()
+        self.nursery = None
+
+    async def run(self):
+        """Do the work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._free)
+            while True:
+                await self.wake.wait()
+                self.wake = trio.Event()
+                for pool in list(self.queues):
+                    self._assign(pool)
+
+    async def submit(self, message):
+        """Do the stages of one request.
+
+        Asked again for a request that is in progress, wait for the same results.
+
+        Parameters
+        ----------
+        message : messages.StageJob
+
+        Returns
+        -------
+        expression.Result
+            ``stagejobs.Job`` with its results, which are kept until ``release``.
+        """
+        job = self.jobs.get(message.request)
+        if job is None:
+            job = stagejobs.Job(self.clock, message, self._expected_ms)
+            refused = self._refusal(job)
+            if refused is not None:
+                return expression.Error(refused)
+            self.jobs[job.request] = job
+            self._queue(job)
+        job.n_waiters += 1
+        try:
+            await job.finished.wait()
+        finally:
+            job.n_waiters -= 1
+            if not job.ended() and not job.n_waiters:
+                self._end(job, errors.Error("The caller has gone."))
+        if job.error is not None:
+            return expression.Error(job.error)
+        return expression.Ok(job)
+
+    def release(self, request):
+        """Give up what is kept of a request."""
+        job = self.jobs.pop(request, None)
+        if job is None:
+            return
+        job.fail(errors.Error("The request was released."))
+        for stage in job.stages:
+            for piece in stage.pieces:
+                if piece.handle and not stage.released:
+                    self._give_up(piece.handle, piece.server)
+
+    def load(self):
+        """Return the number of pieces that wait and that are being made."""
+        n_waiting = sum(len(queue.pieces) for queue in self.queues.values())
+        n_running = sum(state.n_calls for state in self.states.values())
+        return n_waiting, n_running
+
+    def _refusal(self, job):
+        """Return why a job can't be done in time, or None."""
+        wait_ms = 0.0
+        for stage in job.stages:
+            pool = self.pool_of(stage.pool)
+            if pool is None or pool.batches is None:
+                return errors.Unavailable(f"There is no stage pool {stage.pool}.")
+            wait_ms = max(wait_ms, self._wait_ms(pool))
+        needed_ms = max((stage.tail_ms for stage in job.stages), default=0.0)
+        left_ms = job.remaining_ms()
+        if wait_ms + needed_ms + MIN_REST_MS < left_ms:
+            return None
+        detail = (
+            f"The stages need about {wait_ms + needed_ms:.0f} ms, "
+            f"{left_ms:.0f} ms are left."
+        )
+        retry_ms = min(MAX_BACKOFF_MS, wait_ms)
+        return errors.Overloaded(detail, retry_after_ms=max(TICK_MS, retry_ms))
+
+    def _wait_ms(self, pool):
+        """Return the time that the queue of a pool takes to be worked off."""
+        queue = self.queues.get(pool.name)
+        n_waiting = len(queue.pieces) if queue else 0
+        n_servers = max(1, len(self.fleet.choices(pool.name)))
+        limits = pool.batches
+        per_call_ms = limits.expected_ms(limits.n_pieces)
+        n_calls = n_waiting / (limits.n_pieces * limits.n_calls * n_servers)
+        return n_calls * per_call_ms
+
+    def _expected_ms(self, pool, n_pieces):
+        """Return the time of a stage of one job: its own call, half full of others."""
+        limits = self.pool_of(pool).batches if self.pool_of(pool) else None
+        if limits is None or not n_pieces:
+            return 0.0
+        return limits.expected_ms(min(limits.n_pieces, n_pieces + limits.n_pieces // 2))
+
+    def _queue(self, job):
+        """Queue what can be made now of a job."""
+        for piece in job.wanted():
+            queue = self.queues.get(piece.stage.pool)
+            if queue is None:
+                queue = self.queues[piece.stage.pool] = stagequeues.StageQueue()
+            queue.add([piece])
+        self.wake.set()
+
+    async def _tick(self):
+        while True:
+            await self.clock.sleep_ms(TICK_MS)
+            for job in list(self.jobs.values()):
+                if job.remaining_ms() < (0 if job.ended() else MIN_REST_MS):
+                    self._expire(job)
+            if any(queue.pieces for queue in self.queues.values()):
+                self.wake.set()
+
+    def _expire(self, job):
+        if not job.ended():
+            detail = "The stages did not get their turn in time."
+            self._end(job, errors.Overloaded(detail))
+        else:
+            self.release(job.request)
+
+    def _end(self, job, error):
+        job.fail(error)
+        self.release(job.request)
+
+    def _assign(self, pool):
+        """Give the idle servers of a pool their next batches."""
+        queue = self.queues[pool]
+        queue.sort()
+        limits = self.pool_of(pool).batches if self.pool_of(pool) else None
+        if not queue.pieces or limits is None:
+            return
+        idle = [s for s in self._states_of(pool, limits) if s.idle()]
+        while idle and queue.pieces:
+            state = _best(idle, queue.pieces[0])
+            idle.remove(state)
+            if state.slow() and not self._acceptable(state, queue.pieces[0]):
+                continue
+            elsewhere = {s.server.data_centre for s in idle if not s.slow()}
+            batch = queue.take(state, elsewhere)
+            if batch and self.fleet.open(state.server):
+                self._start(state, batch)
+            else:
+                queue.add(batch)
+                queue.sort()
+
+    def _states_of(self, pool, limits):
+        states = []
+        for server in self.fleet.choices(pool):
+            state = self.states.get(server)
+            if state is None:
+                state = stageservers.StageServer(self.clock, server, limits)
+                self.states[server] = state
+            state.batches = limits
+            states.append(state)
+        self._forget_servers()
+        return states
+
+    def _forget_servers(self):
+        for server, state in list(self.states.items()):
+            if not state.n_calls and not self.fleet.uses(server):
+                del self.states[server]
+
+    def _acceptable(self, state, piece):
+        """Return whether a slow server finishes a piece in time."""
+        return piece.slack_ms > state.expected_ms(1) - state.batches.expected_ms(1)
+
+    def _start(self, state, batch):
+        state.begin(batch)
+        for piece in batch:
+            piece.running.add(state.server)
+            piece.n_tries += 1
+            piece.job.begun = True
+        self.metrics.count("stage_calls", pool=state.server.pool)
+        self.metrics.count("stage_pieces", len(batch), pool=state.server.pool)
+        self.nursery.start_soon(self._call, state, batch)
+
+    async def _call(self, state, batch):
+        started_ms = self.clock.now_ms()
+        items = [_item(piece) for piece in batch]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hedge, state, batch)
+            result = await self.client.run(
+                state.server, items, state.give_up_ms(len(batch))
+            )
+            nursery.cancel_scope.cancel()
+        elapsed_ms = self.clock.now_ms() - started_ms
+        state.end(batch)
+        for piece in batch:
+            piece.running.discard(state.server)
+        if result.is_ok():
+            state.note_time(elapsed_ms, len(batch))
+            for piece, made in zip(batch, result.ok, strict=True):
+                self._take(state, piece, made)
+        else:
+            self._note_lost(state, batch, result.error)
+        self._log_call(state, batch, result, elapsed_ms)
+        for job in {id(piece.job): piece.job for piece in batch}.values():
+            self._advance(job)
+        self.wake.set()
+
+    async def _hedge(self, state, batch):
+        """Queue pieces again whose call takes too long."""
+        await self.clock.sleep_ms(state.hedge_ms(len(batch)))
+        waiting = [p for p in batch if not p.handle and not p.job.ended()]
+        late = [p for p in waiting if p.n_tries < REPEATED_TRIES and not p.queued]
+        state.slowdown = max(state.slowdown, stageservers.HEDGE_FACTOR)
+        if late:
+            self._log("stage_hedged", state, n_pieces=len(late))
+            self.queues[state.server.pool].add(late)
+            self.wake.set()
+
+    def _take(self, state, piece, made):
+        """Take the outcome of one piece."""
+        if made.handle:
+            if piece.handle or piece.job.ended():
+                state.keep(made.handle, piece.stage.n_bytes)
+                self._give_up(made.handle, state.server)
+                return
+            piece.handle = made.handle
+            piece.server = state.server
+            state.keep(made.handle, piece.stage.n_bytes)
+            return
+        self.metrics.count(
+            "stage_refusals", pool=state.server.pool, reason=made.refusal.value
+        )
+        if made.refusal is stagecalls.Refusal.NO_ROOM:
+            state.pause()
+            piece.n_tries -= 1
+        elif made.refusal is stagecalls.Refusal.LATE:
+            detail = "The stages did not get their turn in time."
+            self._end(piece.job, errors.Overloaded(detail))
+        elif made.refusal is stagecalls.Refusal.INPUT_GONE:
+            piece.n_tries -= 1
+            self._remake(piece)
+
+    def _remake(self, piece):
+        job, stage = piece.job, piece.stage
+        if job.ended() or not stage.ready():
+            return
+        forgotten = job.remake(stage)
+        if not forgotten:
+            self._end(job, errors.Unavailable("Results of a stage were lost."))
+        for handle, source in forgotten:
+            self._give_up(handle, source.server)
+
+    def _note_lost(self, state, batch, error):
+        if error.outcome is errors.Outcome.NOT_RUN and not isinstance(
+            error, errors.ConnectFailed
+        ):
+            state.pause()
+            for piece in batch:
+                piece.n_tries -= 1
+        else:
+            state.note_lost()
+
+    def _advance(self, job):
+        """Queue what has become possible for a job, free what it is done with."""
+        if job.ended():
+            return
+        for stage in job.spent():
+            for piece in stage.pieces:
+                self._give_up(piece.handle, piece.server)
+        if job.done():
+            job.finished.set()
+            return
+        wanted = job.wanted()
+        if any(piece.n_tries >= REPEATED_TRIES for piece in wanted):
+            self._end(job, errors.Unavailable("A stage failed on every server."))
+            return
+        self._queue(job)
+
+    def _give_up(self, handle, server):
+        state = self.states.get(server)
+        if state is not None:
+            self.to_free.setdefault(server, []).append(handle)
+            self.free_wake.set()
+
+    async def _free(self):
+        while True:
+            await self.free_wake.wait()
+            await self.clock.sleep_ms(FREE_DELAY_MS)
+            self.free_wake = trio.Event()
+            for server, handles in self.to_free.items():
+                self.nursery.start_soon(self._free_at, server, handles)
+            self.to_free = {}
+
+    async def _free_at(self, server, handles):
+        result = await self.client.free(server.address, handles, FREE_TIMEOUT_MS)
+        state = self.states.get(server)
+        if result.is_error():
+            events.log(
+                logger,
+                logging.WARNING,
+                "results_not_freed",
+                server=server.address,
+                n_results=len(handles),
+                detail=str(result.error),
+            )
+            # The server drops them by itself once their time is over.
+            limits = state.batches if state is not None else None
+            await self.clock.sleep_ms(limits.kept_ms if limits else 0.0)
+        if state is not None:
+            for handle in handles:
+                state.drop(handle)
+            self.wake.set()
+
+    def _log_call(self, state, batch, result, elapsed_ms):
+        n_made = sum(bool(piece.handle) for piece in batch)
+        self.metrics.observe_ms("stage_call", elapsed_ms, pool=state.server.pool)
+        self._log(
+            "stage_call",
+            state,
+            requests=sorted({piece.job.request for piece in batch}),
+            n_pieces=len(batch),
+            n_made=n_made,
+            elapsed_ms=round(elapsed_ms),
+            expected_ms=round(state.batches.expected_ms(len(batch))),
+            n_waiting=len(self.queues[state.server.pool].pieces),
+            free_kb=round(state.free_bytes() / 1000),
+            error=str(result.error) if result.is_error() else "",
+        )
+
+    def _log(self, event, state, **fields):
+        events.log(
+            logger,
+            logging.INFO,
+            event,
+            server=state.server.address,
+            pool=state.server.pool,
+            **fields,
+        )
+
+
+def _best(idle, piece):
+    """Return the idle server that a piece had best go to."""
+    return min(
+        idle,
+        key=lambda state: (
+            state.slow(),
+            piece.stage.n_bytes > state.free_bytes(),
+            state.server.data_centre != piece.data_centre,
+            -state.free_bytes(),
+        ),
+    )
+
+
+def _item(piece):
+    inputs = piece.stage.inputs()
+    job = piece.job
+    return stagecalls.Item(
+        request=job.request,
+        stage=piece.stage.number,
+        piece=piece.index,
+        remaining_ms=job.remaining_ms(),
+        key="" if inputs else job.key,
+        inputs=inputs,
+    )
--- a/teaselwall/stops.py
+++ b/teaselwall/stops.py
@@ -25,6 +25,8 @@
 
     Attributes
     ----------
+    limit_ms : float
+        The stop ends by then, also with requests in flight.
     hand_overs : list of callable
         Awaited in turn once callers have gone: each releases one duty.
     n_cut : int
@@ -37,6 +39,7 @@
         "membership",
         "gossip",
         "n_in_flight",
+        "limit_ms",
         "hand_overs",
         "requested",
         "forced",
@@ -49,6 +52,7 @@
         self.membership = membership
         self.gossip = gossip
         self.n_in_flight = n_in_flight
+        self.limit_ms = settings.stop.limit_ms
         self.hand_overs = []
         self.requested = trio.Event()
         self.forced = trio.Event()
@@ -70,7 +74,7 @@
         await self.requested.wait()
         self.membership.me.draining = True
         events.log(logger, logging.INFO, "draining", n_in_flight=self.n_in_flight())
-        with self.clock.timeout_ms(self.settings.stop.limit_ms):
+        with self.clock.timeout_ms(self.limit_ms):
             await self._until_forced(self._drain)
         self.n_cut = self.n_in_flight()
         level = logging.WARNING if self.n_cut else logging.INFO
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -142,23 +142,63 @@
             ``Reply``, or ``errors.TransportError`` whose outcome is ``NOT_RUN``
             only where no byte of the request can have been taken.
         """
+        return await self._whole(
+            address,
+            path,
+            timeout_ms,
+            lambda progress: self.open(
+                method,
+                address,
+                path,
+                message,
+                timeout_ms,
+                headers,
+                progress=progress,
+                fresh=fresh,
+            ),
+        )
+
+    async def exchange(self, method, address, target, body, timeout_ms):
+        """Make one call with a raw body over a connection of its own.
+
+        Parameters
+        ----------
+        method : bytes
+        address : str
+        target : bytes
+            Path and query.
+        body : bytes
+        timeout_ms : float
+
+        Returns
+        -------
+        expression.Result
+            As ``call``.
+        """
+        headers = [
+            (b"host", address.encode()),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        return await self._whole(
+            address,
+            target.decode(),
+            timeout_ms,
+            lambda progress: self.forward(
+                method, address, target, headers, body, timeout_ms, progress=progress
+            ),
+        )
+
+    async def _whole(self, address, path, timeout_ms, opened):
+        """Read the whole reply of a call; failures become results."""
         progress = Progress()
         try:
             with trio.fail_after(max(0.0, timeout_ms) / 1000):
-                async with self.open(
-                    method,
-                    address,
-                    path,
-                    message,
-                    timeout_ms,
-                    headers,
-                    progress=progress,
-                    fresh=fresh,
-                ) as response:
+                async with opened(progress) as response:
                     body = await _read_body(response)
         except FAILURES as error:
             return expression.Error(failure(address, path, error, progress))
-        return expression.Ok(Reply(response.status, dict(response.headers), body))
+        headers = {name.lower(): value for name, value in response.headers}
+        return expression.Ok(Reply(response.status, headers, body))
 
     @contextlib.asynccontextmanager
     async def open(
@@ -191,18 +231,59 @@
             (b"content-type", b"application/json"),
             *headers,
         ]
+        async with self.forward(
+            method.encode(),
+            address,
+            path.encode(),
+            head,
+            body,
+            timeout_ms,
+            silence_ms=silence_ms,
+            progress=progress,
+            fresh=fresh,
+        ) as response:
+            yield response
+
+    @contextlib.asynccontextmanager
+    async def forward(
+        self,
+        method,
+        address,
+        target,
+        headers,
+        body,
+        timeout_ms,
+        silence_ms=None,
+        progress=None,
+        fresh=True,
+    ):
+        """Open a call with the very bytes given; httpcore's errors pass through.
+
+        Parameters
+        ----------
+        method : bytes
+        address : str
+            ``IP:port``.
+        target : bytes
+            Path and query as they go on the wire.
+        headers : sequence of (bytes, bytes)
+            All of them, with the body's framing.
+        body : bytes
+        timeout_ms, silence_ms, progress, fresh
+            See ``open``.
+        """
         timeouts = dict.fromkeys(("read", "write", "pool"), _s(timeout_ms))
         timeouts["connect"] = _s(min(timeout_ms, CONNECT_MS))
         extensions = {"timeout": timeouts}
         if progress is not None:
             extensions["trace"] = progress.note
         pool = self.fresh_pool if fresh else await self._pool_of(address)
+        host, _, port = address.rpartition(":")
+        url = httpcore.URL(
+            scheme=b"http", host=host.encode(), port=int(port), target=target
+        )
         async with pool.stream(
-            method,
-            f"http://{address}{path}",
-            headers=head,
-            content=body,
-            extensions=extensions,
+            method, url, headers=headers, content=body, extensions=extensions
         ) as response:
             if silence_ms is not None:
                 timeouts["read"] = _s(silence_ms)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -10,8 +10,8 @@
 
 import datamodel_code_generator as codegen
 
-SCHEMAS = ("settings", "service", "messages")
-STRICT = ("settings", "service")
+SCHEMAS = ("settings", "gateway", "service", "messages")
+STRICT = ("settings", "gateway", "service")
 OPTIONAL_SECTION = re.compile(r"(\w+) \| UnsetType = UNSET")
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
