--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -11,11 +11,11 @@
     coldstarts,
     control,
     coordination,
+    datagrams,
     enginechoices,
     events,
     fleet,
     forwards,
-    gossip,
     keyedlogs,
     listings,
     membership,
@@ -113,8 +113,7 @@
             settings.membership.summary_interval_ms,
         )
         self.membership.me.draining = True
-        self.gossip = gossip.Gossip(self.clock, self.membership, self.peers)
-        self.control.add(gossip.PATH, self.gossip.handle)
+        self.gossip = datagrams.DatagramGossip(self.clock, self.membership)
 
     def _add_store(self):
         settings = self.settings.store
--- a/teaselwall/forwards.py
+++ b/teaselwall/forwards.py
@@ -149,10 +149,10 @@
 
     async def _give_back(self, call, reply, error):
         """Pass a server's own failure on, or return the error."""
-        if isinstance(error, BadAnswer) and not reply.started:
-            if error.outcome is not errors.Outcome.NOT_RUN:
-                await reply.whole(error.reply.status, error.reply.headers, error.body)
-                return expression.Ok(None)
+        ran = error.outcome is not errors.Outcome.NOT_RUN
+        if isinstance(error, BadAnswer) and ran and not reply.started:
+            await reply.whole(error.reply.status, error.reply.headers, error.body)
+            return expression.Ok(None)
         return self._failed(call, error)
 
     def _failed(self, call, error):
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -221,13 +221,20 @@
         finally:
             release()
 
+    def _stages_ms(self, call):
+        """Return the time left until an answer has to begin."""
+        route = call.route
+        begin_ms = call.due_ms - route.target_ms + route.first_event_ms
+        left_ms = begin_ms - self.entry.clock.now_ms()
+        return min(call.deadline.remaining_ms(), left_ms)
+
     def _stage_job(self, call):
         counts = calls.piece_counts(call)
         now_ms = self.entry.clock.now_ms()
         return messages.StageJob(
             request=call.head.id,
             key=call.head.stage_key,
-            remaining_ms=call.deadline.remaining_ms(),
+            remaining_ms=self._stages_ms(call) - ENGINE_MS,
             due_ms=call.due_ms - ENGINE_MS - now_ms,
             priority=call.priority,
             data_centre=self.entry.placement.home_data_centre(call),
--- a/teaselwall/routes.py
+++ b/teaselwall/routes.py
@@ -6,6 +6,11 @@
 import random
 
 MAX_PRIORITY = 9
+# Callers leave a stream, also before its first event, after the longest of these
+# pauses (the users' figures).
+ABANDON_MS = 2000.0
+ABANDON_TARGETS = 4
+ABANDON_GAPS = 8
 
 
 class Kind(enum.Enum):
@@ -80,6 +85,16 @@
         """Whether a request may run more than once."""
         return self.kind is Kind.IDEMPOTENT or self.resumable
 
+    @property
+    def first_event_ms(self):
+        """Time after which a caller leaves a stream that has not begun."""
+        if self.kind is not Kind.STREAM:
+            return self.timeout_ms
+        longest_ms = max(
+            ABANDON_MS, ABANDON_TARGETS * self.target_ms, ABANDON_GAPS * self.gap_ms
+        )
+        return min(self.timeout_ms, longest_ms)
+
     def pool(self, draw=random.random):
         """Return the pool for one request, drawn by the weights."""
         if len(self.shares) == 1:
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -57,6 +57,13 @@
                     return piece.server.data_centre
         return self.job.data_centre
 
+    @property
+    def n_moved_bytes(self):
+        """Bytes that cross data centres if it is made elsewhere."""
+        if self.stage.sources:
+            return sum(s.n_bytes * len(s.pieces) for s in self.stage.sources)
+        return self.stage.n_bytes
+
 
 class Stage:
     """One stage of a job.
--- a/teaselwall/stagequeues.py
+++ b/teaselwall/stagequeues.py
@@ -36,15 +36,15 @@
         kept.sort(key=_order)
         self.pieces = kept
 
-    def take(self, state, elsewhere):
+    def take(self, state, nearby):
         """Take a batch for a server, after ``sort``.
 
         Parameters
         ----------
         state : stageservers.StageServer
-        elsewhere : set of str
-            Data centres of other servers that are idle; pieces that are better
-            made there are left.
+        nearby : callable
+            ``nearby(piece)`` returns whether the piece had better wait for a server
+            in its own data centre.
 
         Returns
         -------
@@ -52,14 +52,12 @@
         """
         taken = []
         room = state.free_bytes()
-        near = state.server.data_centre
         for piece in self.pieces:
             if len(taken) >= state.batches.n_pieces:
                 break
             if state.server in piece.running or piece.stage.n_bytes > room:
                 continue
-            wanted = piece.data_centre
-            if wanted != near and wanted in elsewhere:
+            if piece.data_centre != state.server.data_centre and nearby(piece):
                 continue
             room -= piece.stage.n_bytes
             taken.append(piece)
@@ -71,10 +69,11 @@
 
 
 def _order(piece):
-    slack_ms = piece.slack_ms
-    if slack_ms >= 0:
-        return (Urgency.ON_TIME, 0, slack_ms)
-    job = piece.job
+    """Return the sorting key; all but the urgency is constant for a piece."""
+    job, stage = piece.job, piece.stage
+    place = (job.submitted_ms, stage.number, piece.index)
+    if piece.slack_ms >= 0:
+        return (Urgency.ON_TIME, 0, job.due_ms - stage.tail_ms, *place)
     if job.begun:
-        return (Urgency.LATE, 0, job.deadline_ms)
-    return (Urgency.LATE_NOT_BEGUN, job.priority, job.deadline_ms)
+        return (Urgency.LATE, 0, job.deadline_ms, *place)
+    return (Urgency.LATE_NOT_BEGUN, job.priority, job.deadline_ms, *place)
--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -75,6 +75,11 @@
             return False
         return self.n_calls < self.batches.n_calls
 
+    def free_in_ms(self):
+        """Return the time until it is expected to be idle."""
+        until_ms = max(self.busy_until_ms, self.paused_until_ms)
+        return max(0.0, until_ms - self.clock.now_ms())
+
     def slow(self):
         """Return whether it is much slower than the configuration says."""
         return self.slowdown > SLOW_FACTOR
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -1,5 +1,6 @@
 """Doing the stages of many requests in common batches."""
 
+import functools
 import logging
 
 import expression
@@ -16,6 +17,10 @@
 # What a job still needs after its stages, at the least, to be of use.
 MIN_REST_MS = 100.0
 MAX_BACKOFF_MS = 2000.0
+# Results this large are worth a wait for a server that need not fetch them from
+# another data centre.
+MIN_MOVED_BYTES = 200_000
+NEARBY_SPARE_MS = 60.0
 REPEATED_TRIES = stagejobs.MAX_TRIES
 
 
@@ -199,14 +204,14 @@
         limits = self.pool_of(pool).batches if self.pool_of(pool) else None
         if not queue.pieces or limits is None:
             return
-        idle = [s for s in self._states_of(pool, limits) if s.idle()]
+        states = self._states_of(pool, limits)
+        idle = [state for state in states if state.idle()]
         while idle and queue.pieces:
             state = _best(idle, queue.pieces[0])
             idle.remove(state)
             if state.slow() and not self._acceptable(state, queue.pieces[0]):
                 continue
-            elsewhere = {s.server.data_centre for s in idle if not s.slow()}
-            batch = queue.take(state, elsewhere)
+            batch = queue.take(state, functools.partial(_waits_nearby, states))
             if batch and self.fleet.open(state.server):
                 self._start(state, batch)
             else:
@@ -401,6 +406,22 @@
         )
 
 
+def _waits_nearby(states, piece):
+    """Return whether a piece had better wait for a server in its data centre.
+
+    It waits where much would cross otherwise and it is still on time after the
+    wait.
+    """
+    if piece.n_moved_bytes < MIN_MOVED_BYTES:
+        return False
+    near = [s for s in states if s.server.data_centre == piece.data_centre]
+    near = [s for s in near if not s.slow() and piece.stage.n_bytes <= s.free_bytes()]
+    if not near:
+        return False
+    wait_ms = min(state.free_in_ms() for state in near)
+    return piece.slack_ms > wait_ms + NEARBY_SPARE_MS
+
+
 def _best(idle, piece):
     """Return the idle server that a piece had best go to."""
     return min(
--- /dev/null
+++ b/teaselwall/tests/test_routes.py
@@ -0,0 +1,86 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from teaselwall import routes
+
+
+def route(prefix, host="a.example", **fields):
+    given_fields = {
+        "name": prefix,
+        "host": host,
+        "prefix": prefix,
+        "kind": routes.Kind.IDEMPOTENT,
+        "shares": (("pool", 1.0),),
+        "timeout_ms": 2000.0,
+        "target_ms": 300.0,
+        "max_attempts": 2,
+        "priority": 3,
+        "public": False,
+        "resumable": False,
+        "gap_ms": 0.0,
+        "stages": (),
+        "regions": (),
+    }
+    return routes.Route(**(given_fields | fields))
+
+
+def table(*given_routes, organisations=None, version=1, pools=()):
+    return routes.RouteTable(
+        version,
+        given_routes,
+        pools,
+        organisations or {},
+        routes.CallerLimits(),
+        bool(organisations),
+    )
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    found = table(
+        route("/"), route("/a/"), route("/a/b/"), route("/a/bc/"), route("/a/", "b.c")
+    )
+    assert found.find("a.example", "/a/b/x").prefix == "/a/b/"
+    assert found.find("A.EXAMPLE", "/a/c").prefix == "/a/"
+    assert found.find("a.example", "/a").prefix == "/"
+    assert found.find("b.c", "/x") is None
+    assert found.find("c.d", "/a/") is None
+
+
+@given(
+    st.lists(st.text("ab/", max_size=4), max_size=8), st.text("ab/", max_size=8)
+)
+def test_find_agrees_with_a_search_through_all_routes(prefixes, path):
+    found = table(*(route(prefix) for prefix in prefixes)).find("a.example", path)
+    matching = [prefix for prefix in prefixes if path.startswith(prefix)]
+    assert (found.prefix if found else None) == max(matching, key=len, default=None)
+
+
+@pytest.mark.parametrize(("draw", "pool"), [(0.0, "x"), (0.89, "x"), (0.91, "y")])
+def test_a_split_follows_its_weights(draw, pool):
+    split = route("/", shares=(("x", 90), ("y", 10)))
+    assert split.pool(lambda: draw) == pool
+
+
+def test_an_organisations_priority_goes_before_the_routes():
+    found = table(route("/"))
+    first = routes.Organisation("o", 0, ())
+    plain = routes.Organisation("p", None, ())
+    assert found.priority(route("/"), first) == 0
+    assert found.priority(route("/"), plain) == 3
+    assert found.priority(route("/", priority=40), None) == routes.MAX_PRIORITY
+
+
+def test_a_stream_is_left_by_its_caller_after_the_longest_pause():
+    stream = route("/", kind=routes.Kind.STREAM, timeout_ms=9000, target_ms=400)
+    assert stream.first_event_ms == 2000
+    slow = route("/", kind=routes.Kind.STREAM, timeout_ms=9000, gap_ms=500)
+    assert slow.first_event_ms == 4000
+    assert route("/").first_event_ms == 2000
+
+
+def test_only_idempotent_and_resumable_requests_are_repeatable():
+    assert route("/").repeatable
+    assert not route("/", kind=routes.Kind.ONCE).repeatable
+    assert not route("/", kind=routes.Kind.STREAM).repeatable
+    assert route("/", kind=routes.Kind.STREAM, resumable=True).repeatable
--- /dev/null
+++ b/teaselwall/tests/test_sse.py
@@ -0,0 +1,33 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from teaselwall import sse
+
+STREAM = b"id: 1\ndata: a\n\nid: 2\nweight-versions: 4\ndata: b\n\nid:3\ndata: id: 9\n\n"
+
+
+@given(st.lists(st.integers(1, len(STREAM) - 1), max_size=6))
+def test_events_are_whole_however_the_bytes_arrive(cuts):
+    splitter = sse.EventSplitter()
+    edges = sorted({0, *cuts, len(STREAM)})
+    passed = b""
+    for start, end in zip(edges, edges[1:], strict=False):
+        whole = splitter.feed(STREAM[start:end])
+        assert not whole or whole.endswith(b"\n\n")
+        passed += whole
+    assert passed == STREAM
+    assert splitter.rest == b""
+    assert splitter.last_id == "3"
+
+
+def test_a_half_event_is_kept_back():
+    splitter = sse.EventSplitter("7")
+    assert splitter.feed(b"id: 8\nda") == b""
+    assert splitter.last_id == "7"
+    assert splitter.rest == b"id: 8\nda"
+
+
+def test_carriage_returns_end_events_too():
+    splitter = sse.EventSplitter()
+    assert splitter.feed(b"id: 4\r\ndata: x\r\n\r\nid") == b"id: 4\r\ndata: x\r\n\r\n"
+    assert splitter.last_id == "4"
--- /dev/null
+++ b/teaselwall/tests/test_stagework.py
@@ -0,0 +1,325 @@
+import collections
+
+import expression
+import pytest
+import trio
+
+from teaselwall import (
+    clock,
+    errors,
+    fleet,
+    metrics,
+    operations,
+    routes,
+    stagecalls,
+    stagework,
+)
+from teaselwall.generated import messages
+
+LIMITS = {
+    "encode": routes.BatchLimits(1, 2, 4, 200.0, 10.0, 10_000, 4000.0),
+    "rank": routes.BatchLimits(1, 2, 6, 200.0, 10.0, 10_000, 4000.0),
+}
+
+
+class FakeServers(stagecalls.StageClient):
+    """Stage servers that work in mock time.
+
+    Attributes
+    ----------
+    calls : list of (server address, list of items)
+    live : dict of str to set of str
+        Results at each server.
+    answers : dict of str to list
+        Scripted outcomes of the next calls by server.
+    slowdown : dict of str to float
+    """
+
+    def __init__(self):
+        self.calls = []
+        self.live = collections.defaultdict(set)
+        self.answers = collections.defaultdict(list)
+        self.slowdown = collections.defaultdict(lambda: 1.0)
+        self.n_made = 0
+        self.most_live = 0
+        self.busy = collections.Counter()
+
+    async def run(self, server, items, timeout_ms):
+        address = server.address
+        self.calls.append((address, items))
+        limits = LIMITS[server.pool]
+        self.busy[address] += 1
+        assert self.busy[address] <= limits.n_calls
+        assert len(items) <= limits.n_pieces
+        time_ms = limits.expected_ms(len(items)) * self.slowdown[address]
+        try:
+            with trio.move_on_after(timeout_ms / 1000) as scope:
+                await trio.sleep(time_ms / 1000)
+        finally:
+            self.busy[address] -= 1
+        if scope.cancelled_caught:
+            detail = "No answer."
+            return expression.Error(
+                errors.TransportError(detail, outcome=errors.Outcome.UNKNOWN)
+            )
+        if self.answers[address]:
+            return self.answers[address].pop(0)
+        return expression.Ok([self._make(address, item) for item in items])
+
+    def _make(self, address, item):
+        known = set().union(*self.live.values())
+        if any(handle not in known for handle in item.inputs):
+            return stagecalls.Made(refusal=stagecalls.Refusal.INPUT_GONE)
+        self.n_made += 1
+        handle = f"{address}/{self.n_made}"
+        self.live[address].add(handle)
+        self.most_live = max(self.most_live, len(self.live[address]))
+        return stagecalls.Made(handle=handle)
+
+    async def free(self, address, handles, timeout_ms):
+        await trio.sleep(0.001)
+        self.live[address] -= set(handles)
+        return expression.Ok(None)
+
+
+def entry(address, pool, data_centre="a"):
+    return messages.HostEntry(
+        address=address,
+        pool=pool,
+        data_centre=data_centre,
+        incarnation=address,
+        state="live",
+    )
+
+
+def job(request, *stages, due_ms=2000.0, remaining_ms=6000.0, data_centre="a"):
+    return messages.StageJob(
+        request=request,
+        key=f"key of {request}",
+        remaining_ms=remaining_ms,
+        due_ms=due_ms,
+        priority=0,
+        data_centre=data_centre,
+        stages=list(stages),
+    )
+
+
+def stage(pool, n_pieces, after=(), n_bytes=100):
+    return messages.StageJobStage(
+        pool=pool, after=list(after), n_pieces=n_pieces, n_bytes=n_bytes
+    )
+
+
+@pytest.fixture
+def servers():
+    return FakeServers()
+
+
+@pytest.fixture
+def pool():
+    time = clock.Clock()
+    return fleet.Fleet(time, None, operations.Operations(None, None, ""), 0, 0)
+
+
+def pool_of(name):
+    if name not in LIMITS:
+        return None
+    return routes.Pool(name, 100, 0.0, 0.0, LIMITS[name], False)
+
+
+@pytest.fixture
+async def work(servers, pool, autojump_clock, nursery):
+    pool.apply(
+        messages.HostList(
+            hosts=[entry("e1", "encode"), entry("e2", "encode"), entry("r1", "rank")]
+        )
+    )
+    made = stagework.StageWork(
+        clock.Clock(), pool, servers, pool_of, metrics.Metrics()
+    )
+    nursery.start_soon(made.run)
+    return made
+
+
+async def submit_all(work, jobs, pause_s=0.0):
+    results = {}
+
+    async def submit(message):
+        results[message.request] = await work.submit(message)
+
+    async with trio.open_nursery() as nursery:
+        for message in jobs:
+            nursery.start_soon(submit, message)
+            await trio.sleep(pause_s)
+    return results
+
+
+async def test_stages_follow_one_another_with_all_inputs(work, servers):
+    done = await work.submit(job("j", stage("encode", 2), stage("rank", 3, [0])))
+    encoded = [item for _, items in servers.calls[:-1] for item in items]
+    assert {(item.stage, item.piece, item.key) for item in encoded} == {
+        (0, 0, "key of j"),
+        (0, 1, "key of j"),
+    }
+    address, ranked = servers.calls[-1]
+    assert address == "r1"
+    assert [item.piece for item in ranked] == [0, 1, 2]
+    assert all(len(set(item.inputs)) == 2 for item in ranked)
+    assert all(item.key == "" for item in ranked)
+    assert [piece.handle for piece in done.ok.outputs()] == sorted(servers.live["r1"])
+
+
+async def test_a_stage_without_pieces_is_left_out(work):
+    done = await work.submit(
+        job("j", stage("encode", 0), stage("encode", 1), stage("rank", 1, [0, 1]))
+    )
+    assert [piece.stage.number for piece in done.ok.outputs()] == [2]
+
+
+async def test_results_are_freed_once_they_were_used(work, servers):
+    await work.submit(job("j", stage("encode", 2), stage("rank", 1, [0])))
+    await trio.sleep(0.1)
+    assert not servers.live["e1"] | servers.live["e2"]
+    assert servers.live["r1"]
+    work.release("j")
+    await trio.sleep(0.1)
+    assert not servers.live["r1"]
+    assert all(state.used_bytes == 0 for state in work.states.values())
+
+
+async def test_waiting_pieces_of_several_requests_share_a_call(work, servers):
+    jobs = [job(f"j{n}", stage("rank", 2)) for n in range(4)]
+    results = await submit_all(work, jobs, pause_s=0.01)
+    assert all(result.is_ok() for result in results.values())
+    sizes = [len(items) for _, items in servers.calls]
+    assert sizes == [2, 6]
+
+
+async def test_the_most_urgent_goes_first(work, servers):
+    jobs = [job("first", stage("rank", 6))]
+    jobs += [job(f"slow{n}", stage("rank", 3), due_ms=5000) for n in range(2)]
+    jobs += [job("urgent", stage("rank", 3), due_ms=1000)]
+    await submit_all(work, jobs, pause_s=0.001)
+    second = {item.request for item in servers.calls[1][1]}
+    assert "urgent" in second
+
+
+async def test_late_work_waits_for_what_can_be_on_time(work, servers):
+    jobs = [job("first", stage("rank", 6))]
+    jobs += [job("late", stage("rank", 6), due_ms=100)]
+    jobs += [job("on time", stage("rank", 6), due_ms=1500)]
+    await submit_all(work, jobs, pause_s=0.001)
+    order = [items[0].request for _, items in servers.calls]
+    assert order.index("on time") < order.index("late")
+
+
+async def test_no_more_is_made_than_a_server_has_room_for(work, servers):
+    jobs = [
+        job(f"j{n}", stage("rank", 1, n_bytes=4000), due_ms=9000, remaining_ms=9000)
+        for n in range(6)
+    ]
+
+    async def use(message):
+        assert (await work.submit(message)).is_ok()
+        await trio.sleep(0.3)
+        work.release(message.request)
+
+    async with trio.open_nursery() as nursery:
+        for message in jobs:
+            nursery.start_soon(use, message)
+    assert servers.most_live == 2
+
+
+async def test_no_room_means_wait(work, servers):
+    refused = stagecalls.Made(refusal=stagecalls.Refusal.NO_ROOM)
+    servers.answers["r1"] = [expression.Ok([refused])] * 6
+    done = await work.submit(job("j", stage("rank", 1)))
+    assert done.is_ok()
+    assert len(servers.calls) == 7
+
+
+async def test_a_lost_input_is_made_again(work, servers):
+    gone = stagecalls.Made(refusal=stagecalls.Refusal.INPUT_GONE)
+    servers.answers["r1"] = [expression.Ok([gone])]
+    done = await work.submit(job("j", stage("encode", 1), stage("rank", 1, [0])))
+    assert done.is_ok()
+    assert [items[0].stage for _, items in servers.calls] == [0, 1, 0, 1]
+
+
+async def test_a_lost_call_is_made_at_another_server(work, servers):
+    broken = errors.ConnectionBroken("reset", outcome=errors.Outcome.UNKNOWN)
+    for address in ("e1", "e2"):
+        servers.answers[address] = [expression.Error(broken)]
+    done = await work.submit(job("j", stage("encode", 1)))
+    assert done.is_ok()
+    assert len(servers.calls) == 3
+
+
+async def test_a_piece_that_fails_everywhere_fails_its_request(work, servers):
+    failed = stagecalls.Made(refusal=stagecalls.Refusal.FAILED)
+    for address in ("e1", "e2"):
+        servers.answers[address] = [expression.Ok([failed])] * 9
+    done = await work.submit(job("j", stage("encode", 1)))
+    assert isinstance(done.error, errors.Unavailable)
+    assert len(servers.calls) == 4
+
+
+async def test_a_call_that_hangs_is_made_again_elsewhere(work, servers):
+    servers.slowdown["e1"] = servers.slowdown["e2"] = 1000.0
+    started = trio.current_time()
+
+    async def recover():
+        await trio.sleep(0.1)
+        busy = servers.calls[0][0]
+        servers.slowdown["e2" if busy == "e1" else "e1"] = 1.0
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(recover)
+        done = await work.submit(job("j", stage("encode", 1)))
+    assert done.is_ok()
+    assert trio.current_time() - started < 1.0
+
+
+async def test_a_job_that_has_no_chance_is_refused_at_once(work, servers):
+    done = await work.submit(job("j", stage("encode", 1), remaining_ms=250))
+    assert isinstance(done.error, errors.Overloaded)
+    assert done.error.outcome is errors.Outcome.NOT_RUN
+    assert not servers.calls
+
+
+async def test_the_same_job_asked_again_is_done_once(work, servers):
+    message = job("j", stage("encode", 1))
+    results = []
+
+    async def ask():
+        results.append(await work.submit(message))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        nursery.start_soon(ask)
+    assert results[0].ok is results[1].ok
+    assert len(servers.calls) == 1
+
+
+async def test_a_caller_that_leaves_ends_its_job(work, servers):
+    with trio.move_on_after(0.25):
+        await work.submit(job("j", stage("encode", 1), stage("rank", 1, [0])))
+    await trio.sleep(1)
+    assert not work.jobs
+    assert len(servers.calls) == 2
+    assert not set().union(*servers.live.values())
+
+
+async def test_large_inputs_are_used_in_their_data_centre(
+    work, servers, pool, monkeypatch
+):
+    monkeypatch.setattr(stagework, "MIN_MOVED_BYTES", 500)
+    hosts = [entry("e3", "encode", "b"), entry("r1", "rank", "a")]
+    pool.apply(messages.HostList(hosts=[*hosts, entry("r2", "rank", "b")]))
+    jobs = [
+        job(f"j{n}", stage("encode", 1, n_bytes=1000), stage("rank", 2, [0]))
+        for n in range(3)
+    ]
+    await submit_all(work, jobs)
+    ranked_at = {address for address, items in servers.calls if items[0].stage == 1}
+    assert ranked_at == {"r2"}
