--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -13,7 +13,7 @@
 
 RUN_PATH = "/peer/stages/run"
 RELEASE_PATH = "/peer/stages/release"
-WATCH_MS = 50.0
+WATCH_MS = 120.0
 MAX_TRIES = 4
 RETRY_MS = 50.0
 RELEASE_TIMEOUT_MS = 500.0
@@ -138,21 +138,26 @@
         return result
 
     async def _call(self, holder, message):
-        """Ask a peer; once more over a new connection where it stays silent."""
-        timeout_ms = message.remaining_ms
-        patience_ms = max(0.0, message.due_ms) + ASK_AGAIN_MS
-        if patience_ms < timeout_ms:
-            result = await self._call_once(holder, message, patience_ms)
-            if not _timed_out(result):
-                return result
-            timeout_ms -= patience_ms
-        return await self._call_once(holder, message, timeout_ms)
-
-    async def _call_once(self, holder, message, timeout_ms):
-        result = await self.peers.call(
-            holder.address, RUN_PATH, message, timeout_ms, fresh=True
+        """Ask a peer, and once more beside it where it stays silent."""
+        results = []
+        async with trio.open_nursery() as nursery:
+
+            async def ask(delay_ms):
+                await self.clock.sleep_ms(delay_ms)
+                timeout_ms = message.remaining_ms - delay_ms
+                result = await self.peers.call(
+                    holder.address, RUN_PATH, message, timeout_ms, fresh=True
+                )
+                results.append(result)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(ask, 0.0)
+            patience_ms = max(0.0, message.due_ms) + ASK_AGAIN_MS
+            if patience_ms < message.remaining_ms:
+                nursery.start_soon(ask, patience_ms)
+        return results[0].map(
+            lambda reply: msgspec.convert(reply, messages.StageResults)
         )
-        return result.map(lambda reply: msgspec.convert(reply, messages.StageResults))
 
     async def _watch(self, holder, cancel_scope):
         while self.membership.knows(holder.nonce):
@@ -207,11 +212,3 @@
 
 def _is_transport(result):
     return result.is_error() and isinstance(result.error, errors.TransportError)
-
-
-def _timed_out(result):
-    return (
-        result.is_error()
-        and isinstance(result.error, errors.TransportError)
-        and not isinstance(result.error, errors.ConnectFailed | errors.ConnectionBroken)
-    )
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -33,7 +33,7 @@
 
 logger = logging.getLogger(__name__)
 
-UPKEEP_MS = 50.0
+UPKEEP_MS = 100.0
 ANNOUNCE_MS = 1000.0
 # Part of the time within which a removed key must be refused that may pass since
 # the newest proof of the keys; the rest covers reading a request.
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -24,8 +24,9 @@
 BODY_LIMIT_MS = 10_000.0
 # An answer of this host's own goes out this long before the time is over.
 EDGE_MS = 30.0
-# A configuration older than this may lack what a request names.
-STALE_MS = 1800.0
+# A configuration older than this may lack what a request names: two reads that the
+# store holds open, and their way.
+STALE_MS = 2500.0
 # What an engine needs after the stages until its first event: fetching the inputs
 # and reading a prompt of some thousand tokens.
 ENGINE_MS = 200.0
--- a/teaselwall/keyedlogs.py
+++ b/teaselwall/keyedlogs.py
@@ -177,7 +177,7 @@
             "store_regained",
             topic=self.topic,
             n_failed=self.n_failed,
-            age_ms=round(self.age_ms()),
+            age_ms=_shown(self.age_ms()),
         )
         self.n_failed = 0
         self.listener.regained()
--- a/teaselwall/stagequeues.py
+++ b/teaselwall/stagequeues.py
@@ -52,21 +52,55 @@
         """
         taken = []
         room = state.free_bytes()
-        for piece in self.pieces:
-            if len(taken) >= state.batches.n_pieces:
-                break
-            if state.server in piece.running or piece.stage.n_bytes > room:
+        for group in self._groups():
+            n_bytes = group[0].stage.n_bytes
+            n_places = state.batches.n_pieces - len(taken)
+            if len(group) > n_places and len(group) <= state.batches.n_pieces:
                 continue
-            if piece.data_centre != state.server.data_centre and nearby(piece):
+            group = group[:n_places]
+            if not group or n_bytes * len(group) > room:
                 continue
-            room -= piece.stage.n_bytes
-            taken.append(piece)
+            if any(state.server in piece.running for piece in group):
+                continue
+            if group[0].data_centre != state.server.data_centre and nearby(group[0]):
+                continue
+            room -= n_bytes * len(group)
+            taken.extend(group)
+        if taken:
+            self._fill(state, taken, room, nearby)
         chosen = set(map(id, taken))
         self.pieces = [piece for piece in self.pieces if id(piece) not in chosen]
         for piece in taken:
             piece.queued = False
         return taken
 
+    def _fill(self, state, taken, room, nearby):
+        """Fill a batch with parts of groups where space is not scarce."""
+        chosen = set(map(id, taken))
+        for piece in self.pieces:
+            if len(taken) >= state.batches.n_pieces:
+                return
+            # As much again has to fit while these results wait for the others.
+            if state.batches.n_pieces * piece.stage.n_bytes > room:
+                continue
+            if id(piece) in chosen or state.server in piece.running:
+                continue
+            if piece.data_centre != state.server.data_centre and nearby(piece):
+                continue
+            room -= piece.stage.n_bytes
+            taken.append(piece)
+
+    def _groups(self):
+        """Return the pieces by stage of a request, in order.
+
+        Results of a stage lie idle until all of them are there, so its pieces go
+        into one call where they fit.
+        """
+        groups = {}
+        for piece in self.pieces:
+            groups.setdefault(id(piece.stage), []).append(piece)
+        return groups.values()
+
 
 def _order(piece):
     """Return the sorting key; all but the urgency is constant for a piece."""
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -10,7 +10,7 @@
 
 logger = logging.getLogger(__name__)
 
-TICK_MS = 25.0
+TICK_MS = 40.0
 # Results that were given up are freed together, at most this much later.
 FREE_DELAY_MS = 8.0
 FREE_TIMEOUT_MS = 500.0
@@ -111,6 +111,7 @@
             job.n_waiters -= 1
             if not job.ended() and not job.n_waiters:
                 self._end(job, errors.Error("The caller has gone."))
+        self._log_job(job)
         if job.error is not None:
             return expression.Error(job.error)
         return expression.Ok(job)
@@ -395,6 +396,19 @@
             error=str(result.error) if result.is_error() else "",
         )
 
+    def _log_job(self, job):
+        events.log(
+            logger,
+            logging.INFO,
+            "stages_done",
+            request=job.request,
+            elapsed_ms=round(self.clock.now_ms() - job.submitted_ms),
+            spare_ms=round(job.due_ms - self.clock.now_ms()),
+            n_pieces=sum(len(stage.pieces) for stage in job.stages),
+            tail_ms=round(max((s.tail_ms for s in job.stages), default=0.0)),
+            error=str(job.error) if job.error is not None else "",
+        )
+
     def _log(self, event, state, **fields):
         events.log(
             logger,
--- a/teaselwall/tests/test_keyedlogs.py
+++ b/teaselwall/tests/test_keyedlogs.py
@@ -108,3 +108,12 @@
     for _ in range(4):
         await follower.step()
     assert heard.events[1:] == ["regained", ("a", None)]
+
+
+async def test_a_store_that_is_away_at_the_start_is_regained(
+    autojump_clock, follower, store, heard
+):
+    store.answers = [FAILED, page(2, a=b"1")]
+    for _ in range(2):
+        await follower.step()
+    assert heard.events == ["regained", ("replace", {"a": b"1"})]
--- a/teaselwall/tests/test_routes.py
+++ b/teaselwall/tests/test_routes.py
@@ -47,9 +47,7 @@
     assert found.find("c.d", "/a/") is None
 
 
-@given(
-    st.lists(st.text("ab/", max_size=4), max_size=8), st.text("ab/", max_size=8)
-)
+@given(st.lists(st.text("ab/", max_size=4), max_size=8), st.text("ab/", max_size=8))
 def test_find_agrees_with_a_search_through_all_routes(prefixes, path):
     found = table(*(route(prefix) for prefix in prefixes)).find("a.example", path)
     matching = [prefix for prefix in prefixes if path.startswith(prefix)]
--- a/teaselwall/tests/test_sse.py
+++ b/teaselwall/tests/test_sse.py
@@ -3,7 +3,9 @@
 
 from teaselwall import sse
 
-STREAM = b"id: 1\ndata: a\n\nid: 2\nweight-versions: 4\ndata: b\n\nid:3\ndata: id: 9\n\n"
+STREAM = (
+    b"id: 1\ndata: a\n\nid: 2\nweight-versions: 4\ndata: b\n\nid:3\ndata: id: 9\n\n"
+)
 
 
 @given(st.lists(st.integers(1, len(STREAM) - 1), max_size=6))
--- a/teaselwall/tests/test_stagework.py
+++ b/teaselwall/tests/test_stagework.py
@@ -134,9 +134,7 @@
             hosts=[entry("e1", "encode"), entry("e2", "encode"), entry("r1", "rank")]
         )
     )
-    made = stagework.StageWork(
-        clock.Clock(), pool, servers, pool_of, metrics.Metrics()
-    )
+    made = stagework.StageWork(clock.Clock(), pool, servers, pool_of, metrics.Metrics())
     nursery.start_soon(made.run)
     return made
 
