--- a/teaselwall/cli.py
+++ b/teaselwall/cli.py
@@ -12,7 +12,9 @@
 import teaselwall
 from teaselwall import (
     console,
+    entrydaemon,
     fleet_commands,
+    log_commands,
     service_commands,
     settings,
     view_commands,
@@ -37,6 +39,7 @@
     fleet_commands.ConfigurationRestart,
     view_commands.Status,
     view_commands.Trace,
+    log_commands.Explain,
 )
 
 
@@ -46,10 +49,12 @@
     name = "settings check"
     description = "Check a settings file without starting."
     arguments = [helpers.argument("file", "Settings file (TOML).")]
+    options = [console.flag("gateway", "It is of an entry host on a platform.")]
 
     def handle(self):
         """Check the file."""
-        result = settings.read(self.argument("file"))
+        read = entrydaemon.read if self.option("gateway") else settings.read
+        result = read(self.argument("file"))
         if result.is_error():
             self.line_error(str(result.error))
             return console.EXIT_USAGE
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -2,7 +2,7 @@
 
 import logging
 import secrets
-import time
+import time as system_time
 
 import trio
 
@@ -49,6 +49,8 @@
     settings : generated.gateway.GatewaySettings
     platform : platforms.Platform
         What differs between platforms.
+    time : clock.Clock, optional
+        The machine's clock with its suspensions if it is not given.
     """
 
     __slots__ = (
@@ -78,11 +80,11 @@
         "members_known",
     )
 
-    def __init__(self, settings, platform):
+    def __init__(self, settings, platform, time=None):
         self.settings = settings
         self.platform = platform
         self.protocol = platform.protocol
-        self.clock = clock.BootClock()
+        self.clock = time or clock.BootClock()
         self.transport = transport.Transport(self.clock)
         self.metrics = metrics.Metrics()
         self.tracer = traces.Tracer(settings.traces, settings.host.name)
@@ -256,4 +258,4 @@
 
 def new_nonce():
     """Return a nonce that sorts by the start of its process."""
-    return f"{int(time.time() * 1000):012x}{secrets.token_hex(3)}"
+    return f"{int(system_time.time() * 1000):012x}{secrets.token_hex(3)}"
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -82,7 +82,7 @@
     sink = logsinks.Sink(
         sys.stdout.fileno(), wanted.logs.max_lines_per_s, wanted.logs.max_buffered_lines
     )
-    events.configure(stream=sink)
+    events.configure(stream=sink, host=wanted.host.name)
     host = entry.Entry(wanted, platform_of(wanted))
     status = trio.run(run, host, sink, path)
     sink.flush()
@@ -118,7 +118,6 @@
             logger,
             logging.INFO,
             "started",
-            host=wanted.host.name,
             data_centre=wanted.host.data_centre,
             callers=wanted.listen.callers,
             nonce=host.membership.me.nonce,
--- a/teaselwall/events.py
+++ b/teaselwall/events.py
@@ -10,7 +10,17 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Format a record as one line of JSON."""
+    """Format a record as one line of JSON.
+
+    Parameters
+    ----------
+    host : str
+        Name of this entry host.
+    """
+
+    def __init__(self, host=""):
+        super().__init__()
+        self.host = host
 
     def format(self, record):
         """Return the record's line."""
@@ -18,6 +28,7 @@
             "time_ms": round(record.created * MS_PER_S),
             "level": record.levelname.lower(),
             "logger": record.name,
+            "host": self.host,
             "event": record.getMessage(),
         }
         fields.update(getattr(record, "fields", {}))
@@ -26,7 +37,7 @@
         return _encoder.encode(fields).decode()
 
 
-def configure(verbosity=absl_logging.INFO, stream=None):
+def configure(verbosity=absl_logging.INFO, stream=None, host=""):
     """Send every logger's lines through absl's handler as JSON.
 
     Parameters
@@ -34,11 +45,13 @@
     verbosity : int
     stream : file, optional
         Where they go; standard error if it is not given.
+    host : str
+        Name of this entry host, in every line.
     """
     absl_logging.use_absl_handler()
     if stream is not None:
         absl_logging.get_absl_handler().python_handler.stream = stream
-    absl_logging.get_absl_handler().setFormatter(JsonFormatter())
+    absl_logging.get_absl_handler().setFormatter(JsonFormatter(host))
     absl_logging.set_verbosity(verbosity)
     logging.getLogger("hypercorn.error").setLevel(logging.WARNING)
     logging.getLogger("httpcore").setLevel(logging.WARNING)
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -72,6 +72,8 @@
             await self._serve(head, receive, reply)
         except errors.Error as error:
             await self._refuse(head, reply, error)
+        except replies.AnswerBroken:
+            raise
         except Exception as error:
             events.log(
                 logger,
@@ -108,7 +110,7 @@
             "refusals", status=str(error.status), error=type(error).__name__
         )
         if reply.started:
-            raise replies.CallerGone("The answer could not be completed.")
+            raise replies.AnswerBroken("The answer could not be completed.")
         headers = self.entry.protocol.refusal_headers(error, head)
         body = responses.problem_body(error, head.id if head is not None else "")
         await reply.whole(error.status, headers, body)
--- a/teaselwall/replies.py
+++ b/teaselwall/replies.py
@@ -1,10 +1,8 @@
 """Sending an answer to a caller."""
 
-from teaselwall import errors
 
-
-class CallerGone(errors.Error):
-    """The caller can't be sent the rest of its answer."""
+class AnswerBroken(Exception):
+    """The answer has begun and can't be completed; the connection is closed."""
 
 
 class Reply:
--- /dev/null
+++ b/teaselwall/tests/platform_entry.py
@@ -0,0 +1,293 @@
+"""An entry host on the platform whose back ends and store are fakes."""
+
+import contextlib
+import json
+
+import expression
+import trio
+
+from teaselwall import clock, entry, keyedlogs, transport
+from teaselwall.generated import gateway as schema
+from teaselwall.platform import adapter
+
+ADDRESS = "10.0.0.1"
+SETTINGS = schema.GatewaySettings(
+    host=schema.HostSettings(name="h", data_centre="a", region="r"),
+    listen=schema.ListenSettings(
+        callers=f"{ADDRESS}:1",
+        readiness=f"{ADDRESS}:2",
+        directory=f"{ADDRESS}:3",
+        peers=f"{ADDRESS}:4",
+        metrics=f"{ADDRESS}:5",
+    ),
+    store=schema.StoreSettings(address="10.0.9.9:1"),
+    access=schema.AccessSettings(peer_key="p" * 16, operator_key="o" * 16),
+    bounds=schema.BoundSettings(
+        revocation_ms=5000,
+        retry_ratio=0.2,
+        retry_window_s=10,
+        retry_slack=52,
+        cold_factor=1.5,
+        answer_kept_s=5,
+    ),
+)
+
+
+def service(name, **fields):
+    return {"name": name, "maxConnections": 90} | fields
+
+
+def route(name, prefix, kind, **fields):
+    given = {
+        "name": name,
+        "host": "a.example",
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 300,
+        "service": "core",
+        "maxAttempts": 2,
+    }
+    return given | fields
+
+
+CONFIG = {
+    "version": 1,
+    "routes": [
+        route("safe", "/safe/", "safe"),
+        route("once", "/once/", "unsafe", maxAttempts=1),
+        route("open", "/open/", "safe", public=True),
+        route("stream", "/stream/", "streaming", service="llm", maxAttempts=1),
+        route("resumed", "/resumed/", "streaming", service="llm", resumable=True),
+        route(
+            "staged",
+            "/staged/",
+            "streaming",
+            service="llm",
+            maxAttempts=1,
+            stages=[{"service": "enc", "after": [], "bytes": 100}],
+        ),
+    ],
+    "services": [
+        service("core"),
+        service("llm", engine={}),
+        service(
+            "enc",
+            pieces={
+                "slots": 1,
+                "queue": 2,
+                "batch": 4,
+                "callMs": 20,
+                "itemMs": 1,
+                "roomMb": 1,
+                "handleS": 4,
+            },
+        ),
+    ],
+    "tenants": [{"name": "o", "apiKeys": ["k1"]}],
+}
+
+
+def registration(pool, zone="a", **fields):
+    return json.dumps(
+        {
+            "service": pool,
+            "address": "10.0.1.1:80",
+            "zone": zone,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        | fields
+    ).encode()
+
+
+class Script:
+    """What a back end does with one request.
+
+    Parameters
+    ----------
+    status : int
+    body : list of bytes
+        Parts; an exception among them is raised in its place.
+    headers : dict
+        ``None`` drops one of the usual headers.
+    error : Exception, optional
+        Raised in place of an answer; ``sent`` says whether bytes had been sent.
+    """
+
+    def __init__(self, status=200, body=(b"ok",), headers=None, error=None, sent=True):
+        self.status = status
+        self.body = body
+        self.headers = headers or {}
+        self.error = error
+        self.sent = sent
+
+
+class BackEnds:
+    """Transport to back ends that follow scripts.
+
+    Attributes
+    ----------
+    scripts : list of Script
+        For the coming requests; a plain success when there is none.
+    calls : list of (address, headers)
+    n_open : int
+        Requests in progress.
+    """
+
+    def __init__(self):
+        self.scripts = []
+        self.calls = []
+        self.n_open = 0
+
+    @contextlib.asynccontextmanager
+    async def forward(
+        self,
+        method,
+        address,
+        target,
+        headers,
+        body,
+        timeout_ms,
+        silence_ms=None,
+        progress=None,
+        fresh=True,
+    ):
+        given = dict(headers)
+        self.calls.append((address, given))
+        script = self.scripts.pop(0) if self.scripts else Script()
+        progress.sent = script.sent
+        self.n_open += 1
+        try:
+            await trio.sleep(0.01)
+            if script.error is not None:
+                raise script.error
+            yield Response(script, given)
+        finally:
+            self.n_open -= 1
+
+
+class Response:
+    def __init__(self, script, given):
+        self.status = script.status
+        self.body = script.body
+        usual = {"Request-Id": given[b"request-id"].decode(), "Server-Stamp": "s"}
+        merged = usual | script.headers
+        self.headers = [(k.encode(), v.encode()) for k, v in merged.items() if v]
+
+    async def aiter_stream(self):
+        for part in self.body:
+            await trio.sleep(0.001)
+            if isinstance(part, Exception):
+                raise part
+            if isinstance(part, float):
+                await trio.sleep(part)
+                continue
+            yield part
+
+
+class NoStore(keyedlogs.Store):
+    async def newest(self, topic):
+        return expression.Ok(keyedlogs.Page([], 0))
+
+    async def changes(self, topic, offset, wait_ms):
+        return expression.Ok(keyedlogs.Page([], offset))
+
+    async def put(self, topic, key, value):
+        return expression.Ok(None)
+
+
+class TestPlatform(adapter.UsersPlatform):
+    """The users' platform with a fake store and fake stage servers."""
+
+    __test__ = False
+    __slots__ = ("stages",)
+
+    def __init__(self, stages):
+        super().__init__(SETTINGS)
+        self.stages = stages
+
+    def store(self, transport):
+        return NoStore()
+
+    def stage_client(self, transport):
+        return self.stages
+
+
+def make(back_ends, stages, config=CONFIG, servers=None):
+    """Return an entry host that has read its configuration and its servers."""
+    host = entry.Entry(SETTINGS, TestPlatform(stages), clock.Clock())
+    host.forwarder.transport = back_ends
+    host.operations.replace({"config": json.dumps(config).encode()})
+    host.orders.proof_ms = host.clock.now_ms()
+    if servers is None:
+        servers = {
+            "c1": registration("core", address="10.0.1.1:80"),
+            "c2": registration("core", address="10.0.1.2:80"),
+            "l1": registration("llm", address="10.0.2.1:80"),
+            "l2": registration("llm", address="10.0.2.2:80"),
+            "e1": registration("enc", address="10.0.3.1:80"),
+        }
+    host.listing.replace(servers)
+    return host
+
+
+class Caller:
+    """One caller's connection to an ASGI application.
+
+    Attributes
+    ----------
+    status : int or None
+    parts : list of bytes
+    ended : bool
+    """
+
+    def __init__(self, path, method="POST", body=b"", key="k1", **headers):
+        given = {"Host": "a.example", "Request-Id": "r1", "Deadline-Ms": "4000"}
+        if key:
+            given["Authorization"] = f"Bearer {key}"
+        given |= {name.replace("_", "-"): value for name, value in headers.items()}
+        self.scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": b"",
+            "headers": [
+                (k.lower().encode(), v.encode()) for k, v in given.items() if v
+            ],
+        }
+        self.body = body
+        self.left = trio.Event()
+        self.status = None
+        self.headers = {}
+        self.parts = []
+        self.ended = False
+        self.asked = False
+
+    async def receive(self):
+        if not self.asked:
+            self.asked = True
+            return {"type": "http.request", "body": self.body, "more_body": False}
+        await self.left.wait()
+        return {"type": "http.disconnect"}
+
+    async def send(self, message):
+        if message["type"] == "http.response.start":
+            assert self.status is None
+            self.status = message["status"]
+            self.headers = dict(message["headers"])
+            return
+        assert not self.ended
+        self.parts.append(message["body"])
+        self.ended = not message.get("more_body", False)
+
+    async def ask(self, application):
+        await application(self.scope, self.receive, self.send)
+        return self
+
+
+BROKEN = transport.httpcore.ReadError("reset")
+REFUSED = transport.httpcore.ConnectError("refused")
--- /dev/null
+++ b/teaselwall/tests/test_platform_documents.py
@@ -0,0 +1,377 @@
+import base64
+import json
+import struct
+
+import expression
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from teaselwall import errors, keyedlogs, protocols, routes, stagecalls, transport
+from teaselwall.platform import documents, heads, names, registrations, store
+from teaselwall.platform import stagecalls as platform_stagecalls
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "pathPrefix": "/x/",
+            "kind": "streaming",
+            "timeoutMs": 6000,
+            "targetLatencyMs": 1900,
+            "priority": 1,
+            "split": [
+                {"service": "llm", "weight": 90},
+                {"service": "other", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "stages": [{"service": "enc", "after": [], "bytes": 8000}],
+            "resumable": True,
+            "gapAimMs": 500,
+            "somethingNew": {"a": 1},
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "pathPrefix": "/y/",
+            "kind": "unsafe",
+            "timeoutMs": 2000,
+            "service": "core",
+            "resumable": True,
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "maxConnections": 360,
+            "coldStartS": 3.0,
+            "coldPerS": 14.0,
+            "engine": {"slots": 64},
+        },
+        {
+            "name": "enc",
+            "pieces": {
+                "slots": 1,
+                "queue": 2,
+                "batch": 5,
+                "callMs": 200.0,
+                "itemMs": 33.6,
+                "roomMb": 11.25,
+                "handleS": 4.0,
+                "linkMbps": 10000,
+            },
+        },
+    ],
+    "tenants": [{"name": "o", "apiKeys": ["k1", "k2"], "priority": 0}],
+}
+
+
+def test_a_configuration_becomes_routes_pools_and_organisations():
+    table = documents.read(json.dumps(CONFIG).encode()).ok
+    stream = table.find("a.example", "/x/1")
+    assert (stream.kind, stream.resumable) == (routes.Kind.STREAM, True)
+    assert stream.shares == (("llm", 90.0), ("other", 10.0))
+    assert stream.stages == (routes.StageNeed("enc", (), 8000),)
+    once = table.find("a.example", "/y/")
+    assert once.kind is routes.Kind.ONCE
+    assert not once.repeatable
+    assert once.shares == (("core", 1.0),)
+    assert table.pools["llm"].engine
+    assert table.pools["llm"].cold_ms == 3000
+    assert table.pools["enc"].batches.room_bytes == 11_250_000
+    assert table.pools["enc"].batches.kept_ms == 4000
+    assert table.organisations["k2"].priority == 0
+    assert table.keyed
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff", b"[]", b'{"version": "x"}', json.dumps({}).encode()]
+)
+def test_an_unreadable_configuration_is_an_error_with_a_remedy(value):
+    error = documents.read(value).error
+    assert "last good one" in str(error)
+
+
+ENTRY = {
+    "service": "llm",
+    "address": "10.0.0.9:8080",
+    "zone": "z",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldRemainingMs": 120,
+    "sequence": 4,
+    "born": 17,
+    "models": [],
+}
+
+
+def test_an_entry_becomes_a_registration():
+    found = registrations.read("i-1", json.dumps(ENTRY).encode()).ok
+    assert found.incarnation == "i-1@17"
+    assert (found.pool, found.data_centre, found.leaving) == ("llm", "z", False)
+    assert found.cold_ms == 120
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"address": "nowhere"},
+        {"address": "10.0.0.9:0"},
+        {"service": 3},
+        {"sequence": "4"},
+        {"coldRemainingMs": None},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_server(change):
+    assert registrations.read("i-1", json.dumps(ENTRY | change).encode()).is_error()
+
+
+@given(st.binary(max_size=60))
+def test_no_bytes_of_an_entry_raise(value):
+    assert registrations.read("i-1", value).is_error()
+
+
+class Replies:
+    """Transport that answers calls with what a test has prepared."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def exchange(self, method, address, target, body, timeout_ms):
+        self.calls.append((method, target, body))
+        return expression.Ok(self.answers.pop(0))
+
+    async def call(self, method, address, path, message, timeout_ms, headers, fresh):
+        self.calls.append((path, message, headers))
+        return expression.Ok(self.answers.pop(0))
+
+
+def newest(items, end, more=False):
+    found = [
+        {"key": k, "value": base64.b64encode(v).decode(), "offset": n}
+        for n, (k, v) in enumerate(items.items())
+    ]
+    body = json.dumps({"items": found, "hasMore": more, "end": end}).encode()
+    return transport.Reply(200, {}, body)
+
+
+async def test_pages_are_read_on_from_the_end_of_the_first(autojump_clock):
+    replies = Replies(newest({"a": b"1"}, 5, more=True), newest({"b": b"2"}, 9))
+    found = (await store.HttpStore(replies, "10.0.0.1:1", 100).newest("t")).ok
+    assert [(r.key, r.value) for r in found.records] == [("a", b"1"), ("b", b"2")]
+    assert found.next_offset == 5
+    assert b"after=a" in replies.calls[1][1]
+
+
+def record(key, value):
+    content = bytes([len(key)]) + key + value
+    return struct.pack(">I", len(content)) + content
+
+
+async def test_records_are_decoded_with_dropped_keys(autojump_clock):
+    body = struct.pack(">QQ", 9, 0) + record(b"a", b"1") + record(b"bb", b"")
+    replies = Replies(transport.Reply(200, {}, body))
+    client = store.HttpStore(replies, "10.0.0.1:1", 100)
+    found = (await client.changes("t", 7, 0)).ok
+    assert [(r.key, r.value) for r in found.records] == [("a", b"1"), ("bb", None)]
+    assert found.next_offset == 9
+
+
+@pytest.mark.parametrize("cut", [0, 8, 17, 21])
+async def test_cut_records_are_an_error(autojump_clock, cut):
+    body = struct.pack(">QQ", 9, 0) + record(b"a", b"1")
+    replies = Replies(transport.Reply(200, {}, body[:cut]))
+    client = store.HttpStore(replies, "10.0.0.1:1", 100)
+    assert (await client.changes("t", 7, 0)).is_error()
+
+
+async def test_deleted_history_is_told_from_a_failure(autojump_clock):
+    client = store.HttpStore(
+        Replies(transport.Reply(410, {}, b"{}"), transport.Reply(503, {}, b"")),
+        "10.0.0.1:1",
+        100,
+    )
+    assert isinstance((await client.changes("t", 7, 0)).error, keyedlogs.HistoryLost)
+    error = (await client.changes("t", 7, 0)).error
+    assert not isinstance(error, keyedlogs.HistoryLost)
+
+
+async def test_a_written_record_has_its_length_and_key(autojump_clock):
+    replies = Replies(transport.Reply(200, {}, b"{}"))
+    await store.HttpStore(replies, "10.0.0.1:1", 100).put("t", "key", b"v")
+    assert replies.calls[0][2] == b"\x00\x00\x00\x05\x03keyv"
+
+
+def scope(headers, target=b"/x/1", method="POST", query=b""):
+    return {
+        "method": method,
+        "raw_path": target,
+        "query_string": query,
+        "headers": [(k.lower().encode(), v.encode()) for k, v in headers.items()],
+    }
+
+
+HEAD = {
+    "Host": "a.example:80",
+    "Request-Id": "r1",
+    "Deadline-Ms": "8000",
+    "Authorization": "Bearer k1",
+    "Prompt-Prefix": "5c1e:800,91bd:410",
+    "Pieces": "2,0,10",
+    "Piece-Key": "pk",
+    "Model": "m",
+    "Connection": "keep-alive, X-Hop",
+    "X-Hop": "1",
+    "Tenant": "forged",
+    "Expect-Instance": "forged",
+    "Hold": "forged",
+    "Kv-From": "forged",
+    "Inputs": "forged",
+    "Request-Priority": "0",
+}
+
+
+def read(**changes):
+    return heads.UsersProtocol().read_request(scope(HEAD | changes))
+
+
+def sent(head, **changes):
+    given_fields = {
+        "remaining_ms": 1234.5,
+        "incarnation": "i-1@17",
+        "organisation": "o",
+        "priority": 2,
+        "inputs": ("h1", "h2"),
+        "last_event": "",
+        "n_body_bytes": 3,
+        "streams": True,
+    }
+    attempt = protocols.Attempt(**(given_fields | changes))
+    return heads.UsersProtocol().request_headers(head, attempt)
+
+
+def test_a_request_head_is_decoded():
+    head = read()
+    assert (head.id, head.host, head.access_key) == ("r1", "a.example", "k1")
+    assert head.patience_ms == 8000
+    assert head.parts == (
+        protocols.PromptPart("5c1e", 800),
+        protocols.PromptPart("91bd", 410),
+    )
+    assert head.n_pieces == (2, 0, 10)
+    assert head.stage_key == "pk"
+
+
+def test_the_query_stays_as_it_came():
+    head = heads.UsersProtocol().read_request(scope(HEAD, query=b"a=%20&b"))
+    assert head.target == b"/x/1?a=%20&b"
+    assert head.path == "/x/1"
+
+
+def test_what_only_this_system_may_set_is_never_the_callers():
+    headers = dict(sent(read()))
+    assert headers[b"tenant"] == b"o"
+    assert headers[b"expect-instance"] == b"i-1"
+    assert headers[b"inputs"] == b"h1,h2"
+    assert headers[b"request-priority"] == b"2"
+    assert headers[b"deadline-ms"] == b"1234"
+    assert b"forged" not in headers.values()
+    for name in (b"authorization", b"hold", b"kv-from", b"connection", b"x-hop"):
+        assert name not in headers
+    assert headers[b"request-id"] == b"r1"
+    assert headers[b"model"] == b"m"
+
+
+def test_each_header_is_sent_once():
+    given_names = [name for name, _ in sent(read())]
+    assert len(given_names) == len(set(given_names))
+
+
+def test_a_request_without_a_body_has_no_length_with_get():
+    head = heads.UsersProtocol().read_request(scope(HEAD, method="GET"))
+    assert b"content-length" not in dict(sent(head, n_body_bytes=0))
+
+
+@pytest.mark.parametrize("value", ["soon", "nan", "inf"])
+def test_a_deadline_that_is_no_number_is_refused(value):
+    with pytest.raises(errors.InvalidRequest):
+        read(**{"Deadline-Ms": value})
+
+
+def reply(status=200, **headers):
+    given_headers = {"Request-Id": "r1", "Server-Stamp": "s", "Server-Load": "3,0,8"}
+    pairs = [
+        (k.encode(), v.encode()) for k, v in (given_headers | headers).items() if v
+    ]
+    return heads.UsersProtocol().read_reply(status, pairs, read())
+
+
+def test_a_reply_of_another_request_or_without_a_stamp_is_not_genuine():
+    assert reply().genuine
+    assert reply().load == (3, 0, 8)
+    assert not reply(**{"Request-Id": "r2"}).genuine
+    assert not reply(**{"Request-Id": ""}).genuine
+    assert not reply(**{"Server-Stamp": ""}).genuine
+    assert reply(500, **{"Server-Stamp": ""}).genuine
+
+
+def test_only_the_servers_word_says_that_a_request_was_not_run():
+    assert reply(503, **{"Not-Executed": "1"}).not_run
+    assert reply(421).not_run
+    assert not reply(503).not_run
+    assert not reply(503, **{"Not-Executed": "1", "Request-Id": "r2"}).not_run
+
+
+def test_the_time_to_come_back_may_be_a_fraction():
+    error = errors.Overloaded("full", retry_after_ms=250)
+    headers = dict(heads.UsersProtocol().refusal_headers(error, None))
+    assert headers[names.RETRY_AFTER] == b"0.250"
+
+
+class Server:
+    address = "10.0.0.2:80"
+    incarnation = "i-2@9"
+
+
+ITEMS = [
+    stagecalls.Item("r1", 0, 2, 900.7, "key", ()),
+    stagecalls.Item("r2", 2, 0, 0.2, "", ("h1",)),
+]
+
+
+async def test_a_stage_call_carries_key_or_inputs(autojump_clock):
+    body = msgspec.json.encode({"items": [{"handle": "h"}, {"reason": "room"}]})
+    replies = Replies(transport.Reply(200, {}, body))
+    client = platform_stagecalls.HttpStageClient(replies)
+    made = (await client.run(Server, ITEMS, 100)).ok
+    assert made[0].handle == "h"
+    assert made[1].refusal is stagecalls.Refusal.NO_ROOM
+    _, message, headers = replies.calls[0]
+    assert message["items"] == [
+        {"id": "r1", "stage": 0, "piece": 2, "leftMs": 900, "key": "key"},
+        {"id": "r2", "stage": 2, "piece": 0, "leftMs": 1, "inputs": ["h1"]},
+    ]
+    assert headers == [(b"expect-instance", b"i-2")]
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (transport.Reply(503, {b"not-executed": b"1"}, b""), errors.Outcome.NOT_RUN),
+        (transport.Reply(421, {}, b""), errors.Outcome.NOT_RUN),
+        (transport.Reply(500, {}, b""), errors.Outcome.UNKNOWN),
+        (transport.Reply(200, {}, b'{"items":[{"handle":"h"}]}'), "unknown"),
+        (transport.Reply(200, {}, b"\xff"), errors.Outcome.UNKNOWN),
+    ],
+)
+async def test_stage_calls_that_fail_say_what_is_known(autojump_clock, answer, outcome):
+    client = platform_stagecalls.HttpStageClient(Replies(answer))
+    error = (await client.run(Server, ITEMS, 100)).error
+    assert error.outcome in (outcome, errors.Outcome(outcome))
