Notice a lost coordinator within a second, refuse what can't be done in time

It is now asked directly while jobs wait for it; a refused or broken connection passes it over at once. Two halves of a cut fleet did not meet again without live seeds (test). At the start each view of a host not yet in a summary was answered, 2,272 lines 'member_met' in 2 s. Late jobs that have not begun are refused once twice the wait does not fit.

--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -33,15 +33,25 @@
     ----------
     clock : clock.Clock
     membership : membership.Membership
+    gossip : datagrams.DatagramGossip
     peers : peers.Peers
     work : stagework.StageWork
     """
 
-    __slots__ = ("clock", "membership", "peers", "work", "coordinator", "nursery")
+    __slots__ = (
+        "clock",
+        "membership",
+        "gossip",
+        "peers",
+        "work",
+        "coordinator",
+        "nursery",
+    )
 
-    def __init__(self, clock, membership, peers, work):
+    def __init__(self, clock, membership, gossip, peers, work):
         self.clock = clock
         self.membership = membership
+        self.gossip = gossip
         self.peers = peers
         self.work = work
         self.coordinator = ""
@@ -65,7 +75,11 @@
 
     def holder(self):
         """Return the coordinator as this host sees it."""
-        candidates = [m for m in self.membership.delegates() if not m.draining]
+        candidates = [
+            member
+            for member in self.membership.delegates()
+            if not member.draining and not self.gossip.silent(member.address)
+        ]
         holder = min(
             candidates or [self.membership.me], key=lambda member: member.nonce
         )
@@ -111,6 +125,7 @@
             result = await self._ask(holder, rest)
             if result.is_ok() or not isinstance(result.error, errors.TransportError):
                 break
+            self.gossip.note_lost(holder.address)
             events.log(
                 logger,
                 logging.WARNING,
@@ -160,7 +175,11 @@
         )
 
     async def _watch(self, holder, cancel_scope):
+        """Give the coordinator up once it is dead or leaves questions unanswered."""
         while self.membership.knows(holder.nonce):
+            await self.gossip.ask(holder.address)
+            if self.gossip.silent(holder.address):
+                break
             await self.clock.sleep_ms(WATCH_MS)
         cancel_scope.cancel()
 
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -19,6 +19,14 @@
 MAX_DATAGRAM = 60_000
 # Peers whose digest is remembered.
 MAX_DIGESTS = 1000
+# Rounds between two views for a host that is out of view, such as one that was cut
+# off: a second at the usual interval.
+REMIND_ROUNDS = 4
+# Between two questions to one peer.
+ASK_PAUSE_MS = 200.0
+# A peer that leaves questions unanswered for so long is held for lost: four of them
+# and the pause of a busy processor.
+SILENT_MS = 900.0
 
 
 class DatagramGossip(gossip.Gossip):
@@ -37,14 +45,21 @@
         None until ``run`` has begun.
     digests : dict of str to dict
         What each peer last said that it knows of the other data centres.
+    unanswered_ms : dict of str to float
+        When a peer was first asked since it was last heard.
+    greeted : dict of str to str
+        Process at each address that was sent a view when it was first heard.
     """
 
-    __slots__ = ("socket", "digests")
+    __slots__ = ("socket", "digests", "asked_ms", "unanswered_ms", "greeted")
 
     def __init__(self, clock, membership, seed=None):
         super().__init__(clock, membership, None, seed)
         self.socket = None
         self.digests = {}
+        self.asked_ms = {}
+        self.unanswered_ms = {}
+        self.greeted = {}
 
     async def run(self):
         """Exchange views until cancelled."""
@@ -54,11 +69,36 @@
                 nursery.start_soon(self._receive)
                 await super().run()
 
-    async def exchange(self, address, leaving=False):
+    async def ask(self, address):
+        """Send the own view to a peer that is to answer at once.
+
+        Returns
+        -------
+        float
+            For how long the peer has left such questions unanswered, in ms.
+        """
+        now_ms = self.clock.now_ms()
+        self.unanswered_ms.setdefault(address, now_ms)
+        if now_ms - self.asked_ms.get(address, float("-inf")) >= ASK_PAUSE_MS:
+            self.asked_ms[address] = now_ms
+            await self.exchange(address, asks=True)
+        return now_ms - self.unanswered_ms.get(address, now_ms)
+
+    def silent(self, address):
+        """Return whether a peer was asked and has not been heard since."""
+        since_ms = self.unanswered_ms.get(address)
+        return since_ms is not None and self.clock.now_ms() - since_ms > SILENT_MS
+
+    def note_lost(self, address):
+        """Take a peer for silent until it is heard again."""
+        self.unanswered_ms[address] = float("-inf")
+
+    async def exchange(self, address, leaving=False, asks=False):
         """Send the own view to a peer."""
         if self.socket is None:
             return
         message = self._message(self.digests.get(address, {}), leaving)
+        message.asks = asks
         data = msgspec.json.encode(message)
         self.n_bytes += len(data)
         try:
@@ -86,11 +126,12 @@
             events.log(logger, logging.WARNING, "view_unreadable", detail=str(error))
             return
         sender = exchange.sender
-        known = self.membership.find(sender.address)
-        is_new = known is None or known.nonce != sender.nonce
+        self.unanswered_ms.pop(sender.address, None)
         self._note_digest(sender.address, exchange.digest)
         self.membership.merge(exchange)
-        if is_new and sender.address != self.membership.me.address:
+        is_new = self.greeted.get(sender.address) != sender.nonce
+        if is_new:
+            self.greeted[sender.address] = sender.nonce
             events.log(
                 logger,
                 logging.INFO,
@@ -99,12 +140,13 @@
                 data_centre=sender.data_centre,
                 nonce=sender.nonce,
             )
-            if not exchange.leaving:
-                await self.exchange(sender.address)
+        if (is_new or exchange.asks) and not exchange.leaving:
+            await self.exchange(sender.address)
 
     def _note_digest(self, address, digest):
         if len(self.digests) >= MAX_DIGESTS and address not in self.digests:
             self.digests.clear()
+            self.greeted.clear()
         self.digests[address] = digest
 
     def _partners(self):
@@ -113,13 +155,19 @@
         far = [member.address for member in self.membership.remote()]
         partners = set(self.random.sample(near, min(N_PARTNERS, len(near))))
         partners.update(self.random.sample(far, min(N_PARTNERS, len(far))))
-        seeds = [
-            s for s in self.membership.settings.membership.seeds if s != me.address
-        ]
-        if seeds and (not partners or self.round % gossip.SEED_ROUNDS == 0):
-            partners.add(self.random.choice(seeds))
+        if not partners or self.round % REMIND_ROUNDS == 0:
+            partners.update(self._reminded({me.address, *near, *far}))
         return partners
 
+    def _reminded(self, known):
+        """Return a host out of view to be told of this one.
+
+        Two sides that were cut off from each other would not meet again otherwise.
+        """
+        seeds = self.membership.settings.membership.seeds
+        others = [address for address in {*seeds, *self.greeted} - known]
+        return [self.random.choice(sorted(others))] if others else []
+
     async def step(self):
         """Do one round of exchanges."""
         self.round += 1
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -171,7 +171,7 @@
             self.metrics,
         )
         self.coordination = coordination.Coordination(
-            self.clock, self.membership, self.peers, self.work
+            self.clock, self.membership, self.gossip, self.peers, self.work
         )
         self.coordination.register(self.control)
 
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -26,7 +26,7 @@
 EDGE_MS = 30.0
 # A configuration older than this may lack what a request names: two reads that the
 # store holds open, and their way.
-STALE_MS = 2500.0
+STALE_MS = 3200.0
 # What an engine needs after the stages until its first event: fetching the inputs
 # and reading a prompt of some thousand tokens.
 ENGINE_MS = 200.0
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -8,10 +8,13 @@
 
 import secrets
 
+import xxhash
+
 from teaselwall.generated import messages
 
 N_DELEGATES = 3
 NONCE_BYTES = 6
+N_STEPS = 256
 SUMMARY_INTERVALS = 5
 SUMMARY_DEAD_FACTOR = 3
 FORGET_FACTOR = 10
@@ -323,7 +326,7 @@
         Hosts that have not met yet issue side by side; different steps keep their
         counters from being equal, so that one summary wins.
         """
-        return 1 + int(self.me.nonce[-2:], 16)
+        return 1 + xxhash.xxh32_intdigest(self.me.nonce.encode()) % N_STEPS
 
     def _is_due(self, known, members, n_members):
         if n_members != known.n_members:
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -46,7 +46,7 @@
     @property
     def slack_ms(self):
         """Time to spare until the rest of the job has to begin to be on time."""
-        return self.job.due_ms - self.job.clock.now_ms() - self.stage.tail_ms
+        return self.stage.slack_ms()
 
     @property
     def data_centre(self):
@@ -78,6 +78,7 @@
     """
 
     __slots__ = (
+        "job",
         "number",
         "pool",
         "n_bytes",
@@ -89,6 +90,7 @@
     )
 
     def __init__(self, job, number, row):
+        self.job = job
         self.number = number
         self.pool = row.pool
         self.n_bytes = row.n_bytes
@@ -98,6 +100,10 @@
         self.tail_ms = 0.0
         self.released = False
 
+    def slack_ms(self):
+        """Return the time to spare until the stage has to begin to be on time."""
+        return self.job.due_ms - self.job.clock.now_ms() - self.tail_ms
+
     def done(self):
         """Return whether every piece has its result."""
         return all(piece.handle for piece in self.pieces)
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -17,6 +17,10 @@
 # What a job still needs after its stages, at the least, to be of use.
 MIN_REST_MS = 100.0
 MAX_BACKOFF_MS = 2000.0
+# A late job goes behind what can be on time: it is kept while so many times its
+# present wait and its own time fit into what is left.
+LATE_WAITS = 2.0
+LATE_TAILS = 1.5
 # Results this large are worth a wait for a server that need not fetch them from
 # another data centre.
 MIN_MOVED_BYTES = 200_000
@@ -184,9 +188,22 @@
             for job in list(self.jobs.values()):
                 if job.remaining_ms() < (0 if job.ended() else MIN_REST_MS):
                     self._expire(job)
+                elif not job.begun and not job.ended():
+                    self._refuse_hopeless(job)
             if any(queue.pieces for queue in self.queues.values()):
                 self.wake.set()
 
+    def _refuse_hopeless(self, job):
+        """Refuse a late job that has not begun and may well not end in time."""
+        if max(stage.slack_ms() for stage in job.stages) >= 0:
+            return
+        wait_ms = max(self._wait_ms(self.pool_of(s.pool)) for s in job.stages)
+        needed_ms = max(stage.tail_ms for stage in job.stages)
+        if LATE_WAITS * wait_ms + LATE_TAILS * needed_ms > job.remaining_ms():
+            detail = "The stages are too busy for the time that is left."
+            retry_ms = min(MAX_BACKOFF_MS, wait_ms)
+            self._end(job, errors.Overloaded(detail, retry_after_ms=retry_ms))
+
     def _expire(self, job):
         if not job.ended():
             detail = "The stages did not get their turn in time."
