--- /dev/null
+++ b/teaselwall/tests/test_entry.py
@@ -0,0 +1,133 @@
+import ast
+import pathlib
+
+import pytest
+import trio
+
+from teaselwall import entrydaemon, listeners
+
+PACKAGE = pathlib.Path(entrydaemon.__file__).parent
+NEEDLESS = {
+    "claims",
+    "owners",
+    "ownerships",
+    "partitions",
+    "eras",
+    "recorders",
+    "publications",
+    "spreading",
+    "confirmations",
+    "emergencies",
+    "permits",
+    "issuers",
+    "askers",
+    "sightings",
+    "duties",
+    "orderers",
+    "followers",
+    "snapshots",
+}
+
+
+def imported(module, seen):
+    if module in seen:
+        return
+    seen.add(module)
+    path = PACKAGE / f"{module}.py"
+    if not path.exists():
+        return
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module == "teaselwall":
+            for alias in node.names:
+                imported(alias.name, seen)
+
+
+def test_the_platform_path_needs_no_agreement_of_its_own():
+    seen = set()
+    for module in ("entry", "gateway", "guides"):
+        imported(module, seen)
+    assert not seen & NEEDLESS
+    assert "stagework" in seen
+
+
+async def echo(scope, receive, send):
+    if scope["type"] != "http":
+        return
+    await receive()
+    if scope["path"] == "/broken":
+        await send({"type": "http.response.start", "status": 200, "headers": []})
+        await send({"type": "http.response.body", "body": b"x", "more_body": True})
+        raise RuntimeError("no more")
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"ok"})
+
+
+@pytest.fixture
+async def address(nursery):
+    with trio.socket.socket() as probe:
+        await probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    shutdown = trio.Event()
+    await nursery.start(
+        listeners.starter(echo, f"127.0.0.1:{port}", shutdown),
+    )
+    return "127.0.0.1", port
+
+
+async def talk(address, data):
+    async with await trio.open_tcp_stream(*address) as stream:
+        await stream.send_all(data)
+        answer = b""
+        while part := await stream.receive_some(65536):
+            answer += part
+    return answer
+
+
+GOOD = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"\x00\x01\x02\r\n\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+        b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"GET / HTTP/1.1\r\nHost: a\r\n\r\n\x00garbage\r\n\r\n",
+    ],
+)
+async def test_bytes_that_are_not_http_end_only_their_connection(address, bad):
+    await talk(address, bad)
+    assert b"200" in await talk(address, GOOD)
+
+
+async def test_an_answer_that_breaks_off_does_not_look_complete(address):
+    request = b"GET /broken HTTP/1.1\r\nHost: a\r\n\r\n"
+    answer = await talk(address, request)
+    assert b"x" in answer
+    assert not answer.endswith(b"0\r\n\r\n")
+    assert b"200" in await talk(address, GOOD)
+
+
+BASE = (PACKAGE.parent / "deploy" / "node.toml.template").read_text()
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ('name = "h"\nname2 = 1', "host.name2"),
+        ("name = 3", "host.name"),
+    ],
+)
+def test_a_wrong_setting_ends_the_start_with_its_key(tmp_path, capsys, change, named):
+    path = tmp_path / "node.toml"
+    path.write_text(f'[host]\n{change}\ndata_centre = "a"\nregion = "r"\n')
+    assert entrydaemon.main(str(path), None) == 2
+    assert named in capsys.readouterr().err
+
+
+def test_an_unrendered_template_is_refused(tmp_path, capsys):
+    path = tmp_path / "node.toml"
+    path.write_text(BASE)
+    assert entrydaemon.main(str(path), None) == 2
+    message = capsys.readouterr().err
+    assert "teaselwalld:" in message
