--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -13,6 +13,8 @@
 
 RUN_PATH = "/peer/stages/run"
 RELEASE_PATH = "/peer/stages/release"
+# A call that only ran out of time says nothing of the coordinator.
+_BROKEN = (errors.ConnectRefused, errors.ConnectionBroken)
 WATCH_MS = 120.0
 MAX_TRIES = 4
 RETRY_MS = 50.0
@@ -125,7 +127,8 @@
             result = await self._ask(holder, rest)
             if result.is_ok() or not isinstance(result.error, errors.TransportError):
                 break
-            self.gossip.note_lost(holder.address)
+            if isinstance(result.error, _BROKEN):
+                self.gossip.note_lost(holder.address)
             events.log(
                 logger,
                 logging.WARNING,
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -15,7 +15,7 @@
 logger = logging.getLogger(__name__)
 
 # Peers told in each interval, of the own data centre and of the others.
-N_PARTNERS = 3
+N_PARTNERS = 2
 MAX_DATAGRAM = 60_000
 # Peers whose digest is remembered.
 MAX_DIGESTS = 1000
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -25,6 +25,7 @@
 # another data centre.
 MIN_MOVED_BYTES = 200_000
 NEARBY_SPARE_MS = 60.0
+FIRST_WAITS = True
 REPEATED_TRIES = stagejobs.MAX_TRIES
 
 
@@ -445,6 +446,8 @@
     """
     if piece.n_moved_bytes < MIN_MOVED_BYTES:
         return False
+    if not piece.stage.sources and not FIRST_WAITS:
+        return False
     near = [s for s in states if s.server.data_centre == piece.data_centre]
     near = [s for s in near if not s.slow() and piece.stage.n_bytes <= s.free_bytes()]
     if not near:
--- a/teaselwall/tests/test_coordination.py
+++ b/teaselwall/tests/test_coordination.py
@@ -70,6 +70,7 @@
         host = self.network.hosts[address]
         work = trio.Event()
         answer = []
+        until = trio.current_time() + timeout_ms / 1000
 
         async def run(task_status):
             task_status.started()
@@ -81,6 +82,10 @@
             await nursery.start(lambda task_status: run(task_status))
             while not work.is_set():
                 await trio.sleep(0.01)
+                if trio.current_time() > until:
+                    nursery.cancel_scope.cancel()
+                    # As where the time was over before the connection was open.
+                    return expression.Error(errors.ConnectFailed("too slow"))
                 if address in self.network.dead:
                     nursery.cancel_scope.cancel()
                 if address in self.network.cut:
@@ -201,6 +206,13 @@
     assert hosts[3].coordination.holder().address == "10.0.0.1:1"
 
 
+async def test_a_job_out_of_time_says_nothing_of_the_coordinator(hosts):
+    message = job("j", stage("encode", 1), remaining_ms=150.0)
+    result = await hosts[3].coordination.stages(message)
+    assert result.is_error()
+    assert hosts[3].coordination.holder().address == "10.0.0.1:1"
+
+
 async def test_a_host_that_does_not_serve_is_no_coordinator(hosts):
     hosts[0].membership.me.draining = True
     await trio.sleep(2)
