--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -75,6 +75,10 @@
     consumers : list of Stage
     tail_ms : float
         Expected time from its start to the end of the job's stages.
+    own_ms : float
+        Expected time of its own call.
+    started_ms : float or None
+        Begin of its first call.
     """
 
     __slots__ = (
@@ -86,6 +90,8 @@
         "sources",
         "consumers",
         "tail_ms",
+        "own_ms",
+        "started_ms",
         "released",
     )
 
@@ -98,12 +104,34 @@
         self.sources = []
         self.consumers = []
         self.tail_ms = 0.0
+        self.own_ms = 0.0
+        self.started_ms = None
         self.released = False
 
     def slack_ms(self):
         """Return the time to spare until the stage has to begin to be on time."""
         return self.job.due_ms - self.job.clock.now_ms() - self.tail_ms
 
+    def rest_ms(self):
+        """Return the expected time until the stages that follow it are done."""
+        if self.done():
+            return 0.0
+        if self.started_ms is None:
+            return self.tail_ms
+        elapsed_ms = self.job.clock.now_ms() - self.started_ms
+        return self.tail_ms - min(elapsed_ms, self.own_ms)
+
+    def early_ms(self):
+        """Return by how much its results would come too early for the others.
+
+        Only a stage that begins a request and whose results the engine reads can be
+        put off; its results would take up space until the others are there.
+        """
+        if self.sources or self.consumers:
+            return 0.0
+        others = (s.rest_ms() for s in self.job.stages if s is not self)
+        return max(others, default=0.0) - self.tail_ms
+
     def done(self):
         """Return whether every piece has its result."""
         return all(piece.handle for piece in self.pieces)
@@ -185,7 +213,8 @@
                     source.consumers.append(stage)
         for stage in reversed(built):
             after_ms = max((c.tail_ms for c in stage.consumers), default=0.0)
-            stage.tail_ms = expected_ms(stage.pool, len(stage.pieces)) + after_ms
+            stage.own_ms = expected_ms(stage.pool, len(stage.pieces))
+            stage.tail_ms = stage.own_ms + after_ms
         self.stages = [stage for stage in built if stage.pieces]
 
     def remaining_ms(self):
--- a/teaselwall/stagequeues.py
+++ b/teaselwall/stagequeues.py
@@ -36,15 +36,15 @@
         kept.sort(key=_order)
         self.pieces = kept
 
-    def take(self, state, nearby):
+    def take(self, state, waits):
         """Take a batch for a server, after ``sort``.
 
         Parameters
         ----------
         state : stageservers.StageServer
-        nearby : callable
-            ``nearby(piece)`` returns whether the piece had better wait for a server
-            in its own data centre.
+        waits : callable
+            ``waits(state, piece)`` returns whether the piece had better wait than
+            go to this server now.
 
         Returns
         -------
@@ -62,19 +62,19 @@
                 continue
             if any(state.server in piece.running for piece in group):
                 continue
-            if group[0].data_centre != state.server.data_centre and nearby(group[0]):
+            if waits(state, group[0]):
                 continue
             room -= n_bytes * len(group)
             taken.extend(group)
         if taken:
-            self._fill(state, taken, room, nearby)
+            self._fill(state, taken, room, waits)
         chosen = set(map(id, taken))
         self.pieces = [piece for piece in self.pieces if id(piece) not in chosen]
         for piece in taken:
             piece.queued = False
         return taken
 
-    def _fill(self, state, taken, room, nearby):
+    def _fill(self, state, taken, room, waits):
         """Fill a batch with parts of groups where space is not scarce."""
         chosen = set(map(id, taken))
         for piece in self.pieces:
@@ -85,7 +85,7 @@
                 continue
             if id(piece) in chosen or state.server in piece.running:
                 continue
-            if piece.data_centre != state.server.data_centre and nearby(piece):
+            if waits(state, piece):
                 continue
             room -= piece.stage.n_bytes
             taken.append(piece)
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -25,7 +25,9 @@
 # another data centre.
 MIN_MOVED_BYTES = 200_000
 NEARBY_SPARE_MS = 60.0
-FIRST_WAITS = True
+# Results that an engine reads are there this long before the request's other stages,
+# at the least: a call's usual wait for its turn.
+HOLD_MS = 150.0
 REPEATED_TRIES = stagejobs.MAX_TRIES
 
 
@@ -225,12 +227,14 @@
             return
         states = self._states_of(pool, limits)
         idle = [state for state in states if state.idle()]
+        hold_ms = HOLD_MS + self._wait_ms(self.pool_of(pool))
+        waits = functools.partial(_waits, states, hold_ms)
         while idle and queue.pieces:
             state = _best(idle, queue.pieces[0])
             idle.remove(state)
             if state.slow() and not self._acceptable(state, queue.pieces[0]):
                 continue
-            batch = queue.take(state, functools.partial(_waits_nearby, states))
+            batch = queue.take(state, waits)
             if batch and self.fleet.open(state.server):
                 self._start(state, batch)
             else:
@@ -264,6 +268,8 @@
             piece.running.add(state.server)
             piece.n_tries += 1
             piece.job.begun = True
+            if piece.stage.started_ms is None:
+                piece.stage.started_ms = self.clock.now_ms()
         self.metrics.count("stage_calls", pool=state.server.pool)
         self.metrics.count("stage_pieces", len(batch), pool=state.server.pool)
         self.nursery.start_soon(self._call, state, batch)
@@ -438,15 +444,18 @@
         )
 
 
-def _waits_nearby(states, piece):
-    """Return whether a piece had better wait for a server in its data centre.
+def _waits(states, hold_ms, state, piece):
+    """Return whether a piece had better wait than go to a server now.
 
-    It waits where much would cross otherwise and it is still on time after the
-    wait.
+    It waits while its result would only take up space until the other stages are
+    done, and for a server in its own data centre where much would cross otherwise
+    and it is still on time after the wait.
     """
-    if piece.n_moved_bytes < MIN_MOVED_BYTES:
+    if piece.stage.early_ms() > hold_ms:
+        return True
+    if piece.data_centre == state.server.data_centre:
         return False
-    if not piece.stage.sources and not FIRST_WAITS:
+    if piece.n_moved_bytes < MIN_MOVED_BYTES:
         return False
     near = [s for s in states if s.server.data_centre == piece.data_centre]
     near = [s for s in near if not s.slow() and piece.stage.n_bytes <= s.free_bytes()]
--- a/teaselwall/tools/bench_stages.py
+++ b/teaselwall/tools/bench_stages.py
@@ -52,7 +52,10 @@
     def factor(self, at_s):
         """Return the factor of the rate at a time."""
         return max(
-            [1.0, *(x for start, length, x in self.bursts if 0 <= at_s - start < length)]
+            [
+                1.0,
+                *(x for start, length, x in self.bursts if 0 <= at_s - start < length),
+            ]
         )
 
 
