--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -77,6 +77,8 @@
         Expected time from its start to the end of the job's stages.
     own_ms : float
         Expected time of its own call.
+    reach_ms : float
+        Expected time from the job's begin to the stage's.
     started_ms : float or None
         Begin of its first call.
     """
@@ -91,6 +93,7 @@
         "consumers",
         "tail_ms",
         "own_ms",
+        "reach_ms",
         "started_ms",
         "released",
     )
@@ -105,6 +108,7 @@
         self.consumers = []
         self.tail_ms = 0.0
         self.own_ms = 0.0
+        self.reach_ms = 0.0
         self.started_ms = None
         self.released = False
 
@@ -215,8 +219,16 @@
             after_ms = max((c.tail_ms for c in stage.consumers), default=0.0)
             stage.own_ms = expected_ms(stage.pool, len(stage.pieces))
             stage.tail_ms = stage.own_ms + after_ms
+        for stage in built:
+            ends = (source.reach_ms + source.own_ms for source in stage.sources)
+            stage.reach_ms = max(ends, default=0.0)
         self.stages = [stage for stage in built if stage.pieces]
 
+    def slack_ms(self):
+        """Return the time to spare for what is left of the job to be on time."""
+        rest_ms = max((stage.rest_ms() for stage in self.stages), default=0.0)
+        return self.due_ms - self.clock.now_ms() - rest_ms
+
     def remaining_ms(self):
         """Return the time left until the results are of no more use."""
         return self.deadline_ms - self.clock.now_ms()
--- a/teaselwall/stagequeues.py
+++ b/teaselwall/stagequeues.py
@@ -25,15 +25,20 @@
             piece.queued = True
         self.pieces.extend(pieces)
 
-    def sort(self):
-        """Drop what needs no more work and bring the rest into order."""
+    def sort(self, backlogs):
+        """Drop what needs no more work and bring the rest into order.
+
+        Parameters
+        ----------
+        backlogs : backlogs.Backlogs
+        """
         kept = []
         for piece in self.pieces:
             if piece.job.ended() or piece.handle:
                 piece.queued = False
             else:
                 kept.append(piece)
-        kept.sort(key=_order)
+        kept.sort(key=lambda piece: _order(piece, backlogs))
         self.pieces = kept
 
     def take(self, state, waits):
@@ -102,12 +107,12 @@
         return groups.values()
 
 
-def _order(piece):
+def _order(piece, backlogs):
     """Return the sorting key; all but the urgency is constant for a piece."""
     job, stage = piece.job, piece.stage
     place = (job.submitted_ms, stage.number, piece.index)
+    if not job.begun and backlogs.lateness_ms(job) > 0:
+        return (Urgency.LATE_NOT_BEGUN, job.priority, job.deadline_ms, *place)
     if piece.slack_ms >= 0:
         return (Urgency.ON_TIME, 0, job.due_ms - stage.tail_ms, *place)
-    if job.begun:
-        return (Urgency.LATE, 0, job.deadline_ms, *place)
-    return (Urgency.LATE_NOT_BEGUN, job.priority, job.deadline_ms, *place)
+    return (Urgency.LATE, 0, job.deadline_ms, *place)
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -6,7 +6,15 @@
 import expression
 import trio
 
-from teaselwall import errors, events, stagecalls, stagejobs, stagequeues, stageservers
+from teaselwall import (
+    backlogs,
+    errors,
+    events,
+    stagecalls,
+    stagejobs,
+    stagequeues,
+    stageservers,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -188,19 +196,31 @@
     async def _tick(self):
         while True:
             await self.clock.sleep_ms(TICK_MS)
+            ahead = self._backlogs()
             for job in list(self.jobs.values()):
                 if job.remaining_ms() < (0 if job.ended() else MIN_REST_MS):
                     self._expire(job)
                 elif not job.begun and not job.ended():
-                    self._refuse_hopeless(job)
+                    self._refuse_hopeless(job, ahead)
             if any(queue.pieces for queue in self.queues.values()):
                 self.wake.set()
 
-    def _refuse_hopeless(self, job):
+    def _backlogs(self):
+        return backlogs.Backlogs(
+            self.jobs.values(),
+            lambda pool: len(self.fleet.choices(pool)),
+            self._limits_of,
+        )
+
+    def _limits_of(self, name):
+        pool = self.pool_of(name)
+        return pool.batches if pool is not None else None
+
+    def _refuse_hopeless(self, job, ahead):
         """Refuse a late job that has not begun and may well not end in time."""
-        if max(stage.slack_ms() for stage in job.stages) >= 0:
+        if ahead.lateness_ms(job) <= 0:
             return
-        wait_ms = max(self._wait_ms(self.pool_of(s.pool)) for s in job.stages)
+        wait_ms = max(0.0, ahead.wait_ms(job))
         needed_ms = max(stage.tail_ms for stage in job.stages)
         if LATE_WAITS * wait_ms + LATE_TAILS * needed_ms > job.remaining_ms():
             detail = "The stages are too busy for the time that is left."
@@ -221,14 +241,15 @@
     def _assign(self, pool):
         """Give the idle servers of a pool their next batches."""
         queue = self.queues[pool]
-        queue.sort()
+        ahead = self._backlogs()
+        queue.sort(ahead)
         limits = self.pool_of(pool).batches if self.pool_of(pool) else None
         if not queue.pieces or limits is None:
             return
         states = self._states_of(pool, limits)
         idle = [state for state in states if state.idle()]
         hold_ms = HOLD_MS + self._wait_ms(self.pool_of(pool))
-        waits = functools.partial(_waits, states, hold_ms)
+        waits = functools.partial(_waits, states, hold_ms, ahead)
         while idle and queue.pieces:
             state = _best(idle, queue.pieces[0])
             idle.remove(state)
@@ -239,7 +260,7 @@
                 self._start(state, batch)
             else:
                 queue.add(batch)
-                queue.sort()
+                queue.sort(ahead)
 
     def _states_of(self, pool, limits):
         states = []
@@ -444,13 +465,17 @@
         )
 
 
-def _waits(states, hold_ms, state, piece):
+def _waits(states, hold_ms, ahead, state, piece):
     """Return whether a piece had better wait than go to a server now.
 
-    It waits while its result would only take up space until the other stages are
+    The first piece of a job that will be late waits until no pool on its way is busy.
+    A piece waits while its result would only take up space until the other stages are
     done, and for a server in its own data centre where much would cross otherwise
     and it is still on time after the wait.
     """
+    job = piece.job
+    if not job.begun and ahead.lateness_ms(job) > 0 and not ahead.spare(job):
+        return True
     if piece.stage.early_ms() > hold_ms:
         return True
     if piece.data_centre == state.server.data_centre:
