--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -49,11 +49,7 @@
 
     async def __call__(self, scope, receive, send):
         """Answer one connection event."""
-        if scope["type"] == "lifespan":
-            await responses.answer_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            await send(responses.WEBSOCKET_REFUSED)
+        if not await responses.is_request(scope, receive, send):
             return
         try:
             await self._route(scope, receive, send)
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -221,6 +221,7 @@
             self.listing.expire()
             for server in self.fleet.used():
                 self.fleet.ejections.probe(server)
+            self.placement.engines.forget(s.incarnation for s in self.fleet.used())
             await self.clock.sleep_ms(UPKEEP_MS)
 
     async def _meet_members(self):
--- a/teaselwall/forwards.py
+++ b/teaselwall/forwards.py
@@ -3,7 +3,6 @@
 import logging
 
 import expression
-import httpcore
 import trio
 
 from teaselwall import (
@@ -30,7 +29,6 @@
 # A stream that may go on elsewhere is left after this silence of its server.
 RESUME_SILENCE_MS = 1200.0
 RETRY_AFTER_MS = 300.0
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
 EDGE_MS = 15.0
 
 
@@ -265,13 +263,13 @@
             detail = f"{server.address} refused with status {head.status}."
             raise errors.ServerFailed(detail, outcome=errors.Outcome.NOT_RUN)
         if not head.good:
-            body = await _whole(response)
+            body = await transport.read_body(response)
             detail = f"{server.address} answered with status {head.status}."
             raise BadAnswer(head, body, detail, errors.Outcome.RAN)
         on_head()
         if calls.kind_streams(call.route):
             return await self._relay(server, reply, head, response, splitter)
-        body = await _whole(response)
+        body = await transport.read_body(response)
         await reply.whole(head.status, head.headers, body)
         return None
 
@@ -291,17 +289,6 @@
         return None
 
 
-async def _whole(response):
-    parts = []
-    n_bytes = 0
-    async for part in response.aiter_stream():
-        n_bytes += len(part)
-        if n_bytes > MAX_ANSWER_BYTES:
-            raise httpcore.LocalProtocolError("reply over the size limit")
-        parts.append(part)
-    return b"".join(parts)
-
-
 def _note_load(server, head):
     if head.load is None:
         return
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -58,11 +58,7 @@
 
     async def __call__(self, scope, receive, send):
         """Answer one connection event."""
-        if scope["type"] == "lifespan":
-            await responses.answer_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            await send(responses.WEBSOCKET_REFUSED)
+        if not await responses.is_request(scope, receive, send):
             return
         reply = replies.Reply(send, self.entry.stopping)
         head = None
@@ -139,9 +135,9 @@
 
     async def _read_body(self, receive):
         table = self.entry.operations.table
-        limits = table.limits if table is not None else routes.CallerLimits()
+        most = table.max_body_bytes if table is not None else routes.MAX_BODY_BYTES
         with self.entry.clock.timeout_ms(BODY_LIMIT_MS):
-            return await responses.read_body(receive, limits.max_body_bytes)
+            return await responses.read_body(receive, most)
         raise errors.BodyTooSlow("The body did not arrive in time.")
 
     def _match(self, head, body, started_ms):
--- a/teaselwall/guides.py
+++ b/teaselwall/guides.py
@@ -28,11 +28,7 @@
 
     async def __call__(self, scope, receive, send):
         """Answer one connection event."""
-        if scope["type"] == "lifespan":
-            await responses.answer_lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            await send(responses.WEBSOCKET_REFUSED)
+        if not await responses.is_request(scope, receive, send):
             return
         if scope["path"] == self.directory_path:
             await self._answer_directory(send)
--- a/teaselwall/platform/documents.py
+++ b/teaselwall/platform/documents.py
@@ -49,9 +49,8 @@
 
 
 class _Pieces(msgspec.Struct, rename="camel"):
-    # Calls in progress, and calls that may wait, at one server.
+    # Calls in progress at one server.
     slots: int
-    queue: int
     # Pieces in one call.
     batch: int
     call_ms: float
@@ -72,10 +71,7 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_body_bytes: int = routes.MAX_BODY_BYTES
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
@@ -122,18 +118,12 @@
             tenant.name, tenant.priority, tuple(tenant.allowed_regions)
         )
         organisations.update(dict.fromkeys(tenant.api_keys, organisation))
-    limits = config.limits
     return routes.RouteTable(
         version=config.version,
         routes=[_route(route) for route in config.routes],
         pools=[_pool(service) for service in config.services],
         organisations=organisations,
-        limits=routes.CallerLimits(
-            max_header_bytes=limits.max_header_bytes,
-            max_body_bytes=limits.max_body_bytes,
-            header_ms=limits.header_timeout_ms,
-            idle_ms=limits.idle_timeout_ms,
-        ),
+        max_body_bytes=config.limits.max_body_bytes,
         keyed=bool(config.tenants),
     )
 
@@ -168,7 +158,6 @@
     if pieces is not None:
         batches = routes.BatchLimits(
             n_calls=max(1, pieces.slots),
-            n_queued=pieces.queue,
             n_pieces=max(1, pieces.batch),
             call_ms=pieces.call_ms,
             piece_ms=pieces.item_ms,
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -63,7 +63,6 @@
             status=status,
             genuine=same_request and stamped,
             not_run=not_run and (same_request or names.REQUEST_ID not in given),
-            another_server=status == names.MISDIRECTED,
             inputs_gone=status == INPUTS_GONE,
             load=_load(_text(given, names.SERVER_LOAD)),
             headers=_passed_on(headers, ()),
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -97,8 +97,6 @@
         Whether the reply is the server's own to this request.
     not_run : bool
         Whether the server says that it did not run the request.
-    another_server : bool
-        Whether another server has the address by now.
     inputs_gone : bool
         Whether results of the stages are no longer there.
     load : tuple of int or None
@@ -110,7 +108,6 @@
     status: int
     genuine: bool
     not_run: bool
-    another_server: bool
     inputs_gone: bool
     load: tuple | None
     headers: tuple
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -165,6 +165,17 @@
     return b"event: %s\ndata: %s\n\n" % (name, msgspec.json.encode(message))
 
 
+async def is_request(scope, receive, send_message):
+    """Return whether an ASGI event is an HTTP request; answer any other."""
+    if scope["type"] == "http":
+        return True
+    if scope["type"] == "lifespan":
+        await answer_lifespan(receive, send_message)
+    else:
+        await send_message(WEBSOCKET_REFUSED)
+    return False
+
+
 async def answer_lifespan(receive, send_message):
     """Answer the server's lifespan events."""
     while True:
--- a/teaselwall/routes.py
+++ b/teaselwall/routes.py
@@ -6,6 +6,8 @@
 import random
 
 MAX_PRIORITY = 9
+# Before a configuration says otherwise.
+MAX_BODY_BYTES = 4 * 1024 * 1024
 # Callers leave a stream, also before its first event, after the longest of these
 # pauses (the users' figures).
 ABANDON_MS = 2000.0
@@ -115,8 +117,6 @@
     ----------
     n_calls : int
         Calls that it works on at once.
-    n_queued : int
-        Further calls that it lets wait.
     n_pieces : int
         Pieces in one call.
     call_ms : float
@@ -130,7 +130,6 @@
     """
 
     n_calls: int
-    n_queued: int
     n_pieces: int
     call_ms: float
     piece_ms: float
@@ -177,16 +176,6 @@
     regions: tuple
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class CallerLimits:
-    """What a caller may send and how long it may take or stay idle."""
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_ms: float = 3000.0
-    idle_ms: float = 15000.0
-
-
 class RouteTable:
     """One version of the configuration.
 
@@ -197,14 +186,22 @@
     pools : iterable of Pool
     organisations : dict of str to Organisation
         By access key.
-    limits : CallerLimits
+    max_body_bytes : int
+        Largest body that a caller may send.
     keyed : bool
         Whether requests need an access key, but for public routes.
     """
 
-    __slots__ = ("version", "by_host", "pools", "organisations", "limits", "keyed")
+    __slots__ = (
+        "version",
+        "by_host",
+        "pools",
+        "organisations",
+        "max_body_bytes",
+        "keyed",
+    )
 
-    def __init__(self, version, routes, pools, organisations, limits, keyed):
+    def __init__(self, version, routes, pools, organisations, max_body_bytes, keyed):
         self.version = version
         self.by_host = {}
         for route in routes:
@@ -213,7 +210,7 @@
             found.sort(key=lambda route: route.prefix)
         self.pools = {pool.name: pool for pool in pools}
         self.organisations = organisations
-        self.limits = limits
+        self.max_body_bytes = max_body_bytes
         self.keyed = keyed
 
     def find(self, host, path):
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -1,7 +1,6 @@
 """Doing the stages of many requests in common batches."""
 
 import functools
-import logging
 
 import expression
 import trio
@@ -9,19 +8,16 @@
 from teaselwall import (
     backlogs,
     errors,
-    events,
     stagecalls,
+    stagechoices,
+    stagefrees,
     stagejobs,
+    stagelogs,
     stagequeues,
     stageservers,
 )
 
-logger = logging.getLogger(__name__)
-
 TICK_MS = 40.0
-# Results that were given up are freed together, at most this much later.
-FREE_DELAY_MS = 8.0
-FREE_TIMEOUT_MS = 500.0
 # What a job still needs after its stages, at the least, to be of use.
 MIN_REST_MS = 100.0
 MAX_BACKOFF_MS = 2000.0
@@ -29,10 +25,6 @@
 # present wait and its own time fit into what is left.
 LATE_WAITS = 2.0
 LATE_TAILS = 1.5
-# Results this large are worth a wait for a server that need not fetch them from
-# another data centre.
-MIN_MOVED_BYTES = 200_000
-NEARBY_SPARE_MS = 60.0
 # Results that an engine reads are there this long before the request's other stages,
 # at the least: a call's usual wait for its turn.
 HOLD_MS = 150.0
@@ -65,9 +57,8 @@
         "jobs",
         "queues",
         "states",
-        "to_free",
+        "frees",
         "wake",
-        "free_wake",
         "nursery",
     )
 
@@ -80,9 +71,8 @@
         self.jobs = {}
         self.queues = {}
         self.states = {}
-        self.to_free = {}
         self.wake = trio.Event()
-        self.free_wake = trio.Event()
+        self.frees = stagefrees.Frees(clock, client, self.states, self._wake_up)
         self.nursery = None
 
     async def run(self):
@@ -90,7 +80,7 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(self._tick)
-            nursery.start_soon(self._free)
+            nursery.start_soon(self.frees.run)
             while True:
                 await self.wake.wait()
                 self.wake = trio.Event()
@@ -126,7 +116,7 @@
             job.n_waiters -= 1
             if not job.ended() and not job.n_waiters:
                 self._end(job, errors.Error("The caller has gone."))
-        self._log_job(job)
+        stagelogs.job(self.clock, job)
         if job.error is not None:
             return expression.Error(job.error)
         return expression.Ok(job)
@@ -140,7 +130,10 @@
         for stage in job.stages:
             for piece in stage.pieces:
                 if piece.handle and not stage.released:
-                    self._give_up(piece.handle, piece.server)
+                    self.frees.add(piece.handle, piece.server)
+
+    def _wake_up(self):
+        self.wake.set()
 
     def load(self):
         """Return the number of pieces that wait and that are being made."""
@@ -249,9 +242,9 @@
         states = self._states_of(pool, limits)
         idle = [state for state in states if state.idle()]
         hold_ms = HOLD_MS + self._wait_ms(self.pool_of(pool))
-        waits = functools.partial(_waits, states, hold_ms, ahead)
+        waits = functools.partial(stagechoices.waits, states, hold_ms, ahead)
         while idle and queue.pieces:
-            state = _best(idle, queue.pieces[0])
+            state = stagechoices.best(idle, queue.pieces[0])
             idle.remove(state)
             if state.slow() and not self._acceptable(state, queue.pieces[0]):
                 continue
@@ -314,7 +307,9 @@
                 self._take(state, piece, made)
         else:
             self._note_lost(state, batch, result.error)
-        self._log_call(state, batch, result, elapsed_ms)
+        self.metrics.observe_ms("stage_call", elapsed_ms, pool=state.server.pool)
+        n_waiting = len(self.queues[state.server.pool].pieces)
+        stagelogs.call(state, batch, result, elapsed_ms, n_waiting)
         for job in {id(piece.job): piece.job for piece in batch}.values():
             self._advance(job)
         self.wake.set()
@@ -326,7 +321,7 @@
         late = [p for p in waiting if p.n_tries < REPEATED_TRIES and not p.queued]
         state.slowdown = max(state.slowdown, stageservers.HEDGE_FACTOR)
         if late:
-            self._log("stage_hedged", state, n_pieces=len(late))
+            stagelogs.hedged(state, late)
             self.queues[state.server.pool].add(late)
             self.wake.set()
 
@@ -335,7 +330,7 @@
         if made.handle:
             if piece.handle or piece.job.ended():
                 state.keep(made.handle, piece.stage.n_bytes)
-                self._give_up(made.handle, state.server)
+                self.frees.add(made.handle, state.server)
                 return
             piece.handle = made.handle
             piece.server = state.server
@@ -362,7 +357,7 @@
         if not forgotten:
             self._end(job, errors.Unavailable("Results of a stage were lost."))
         for handle, source in forgotten:
-            self._give_up(handle, source.server)
+            self.frees.add(handle, source.server)
 
     def _note_lost(self, state, batch, error):
         if error.outcome is errors.Outcome.NOT_RUN and not isinstance(
@@ -380,7 +375,7 @@
             return
         for stage in job.spent():
             for piece in stage.pieces:
-                self._give_up(piece.handle, piece.server)
+                self.frees.add(piece.handle, piece.server)
         if job.done():
             job.finished.set()
             return
@@ -390,118 +385,6 @@
             return
         self._queue(job)
 
-    def _give_up(self, handle, server):
-        state = self.states.get(server)
-        if state is not None:
-            self.to_free.setdefault(server, []).append(handle)
-            self.free_wake.set()
-
-    async def _free(self):
-        while True:
-            await self.free_wake.wait()
-            await self.clock.sleep_ms(FREE_DELAY_MS)
-            self.free_wake = trio.Event()
-            for server, handles in self.to_free.items():
-                self.nursery.start_soon(self._free_at, server, handles)
-            self.to_free = {}
-
-    async def _free_at(self, server, handles):
-        result = await self.client.free(server.address, handles, FREE_TIMEOUT_MS)
-        state = self.states.get(server)
-        if result.is_error():
-            events.log(
-                logger,
-                logging.WARNING,
-                "results_not_freed",
-                server=server.address,
-                n_results=len(handles),
-                detail=str(result.error),
-            )
-            # The server drops them by itself once their time is over.
-            limits = state.batches if state is not None else None
-            await self.clock.sleep_ms(limits.kept_ms if limits else 0.0)
-        if state is not None:
-            for handle in handles:
-                state.drop(handle)
-            self.wake.set()
-
-    def _log_call(self, state, batch, result, elapsed_ms):
-        n_made = sum(bool(piece.handle) for piece in batch)
-        self.metrics.observe_ms("stage_call", elapsed_ms, pool=state.server.pool)
-        self._log(
-            "stage_call",
-            state,
-            requests=sorted({piece.job.request for piece in batch}),
-            n_pieces=len(batch),
-            n_made=n_made,
-            elapsed_ms=round(elapsed_ms),
-            expected_ms=round(state.batches.expected_ms(len(batch))),
-            n_waiting=len(self.queues[state.server.pool].pieces),
-            free_kb=round(state.free_bytes() / 1000),
-            error=str(result.error) if result.is_error() else "",
-        )
-
-    def _log_job(self, job):
-        events.log(
-            logger,
-            logging.INFO,
-            "stages_done",
-            request=job.request,
-            elapsed_ms=round(self.clock.now_ms() - job.submitted_ms),
-            spare_ms=round(job.due_ms - self.clock.now_ms()),
-            n_pieces=sum(len(stage.pieces) for stage in job.stages),
-            tail_ms=round(max((s.tail_ms for s in job.stages), default=0.0)),
-            error=str(job.error) if job.error is not None else "",
-        )
-
-    def _log(self, event, state, **fields):
-        events.log(
-            logger,
-            logging.INFO,
-            event,
-            server=state.server.address,
-            pool=state.server.pool,
-            **fields,
-        )
-
-
-def _waits(states, hold_ms, ahead, state, piece):
-    """Return whether a piece had better wait than go to a server now.
-
-    The first piece of a job that will be late waits until no pool on its way is busy.
-    A piece waits while its result would only take up space until the other stages are
-    done, and for a server in its own data centre where much would cross otherwise
-    and it is still on time after the wait.
-    """
-    job = piece.job
-    if not job.begun and ahead.lateness_ms(job) > 0 and not ahead.spare(job):
-        return True
-    if piece.stage.early_ms() > hold_ms:
-        return True
-    if piece.data_centre == state.server.data_centre:
-        return False
-    if piece.n_moved_bytes < MIN_MOVED_BYTES:
-        return False
-    near = [s for s in states if s.server.data_centre == piece.data_centre]
-    near = [s for s in near if not s.slow() and piece.stage.n_bytes <= s.free_bytes()]
-    if not near:
-        return False
-    wait_ms = min(state.free_in_ms() for state in near)
-    return piece.slack_ms > wait_ms + NEARBY_SPARE_MS
-
-
-def _best(idle, piece):
-    """Return the idle server that a piece had best go to."""
-    return min(
-        idle,
-        key=lambda state: (
-            state.slow(),
-            piece.stage.n_bytes > state.free_bytes(),
-            state.server.data_centre != piece.data_centre,
-            -state.free_bytes(),
-        ),
-    )
-
 
 def _item(piece):
     inputs = piece.stage.inputs()
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -27,7 +27,6 @@
         retry_ratio=0.2,
         retry_window_s=10,
         retry_slack=52,
-        cold_factor=1.5,
         answer_kept_s=5,
     ),
 )
--- a/teaselwall/tests/test_gateway.py
+++ b/teaselwall/tests/test_gateway.py
@@ -236,7 +236,7 @@
     gone = Script(409, headers={"Not-Executed": "1"})
     back_ends.scripts = [gone, Script(body=EVENTS)]
     caller = await ask(application, "/staged/1", Pieces="1", Piece_Key="pk")
-    assert caller.status == 200
+    assert caller.status == 200, caller.parts
     assert len(host.platform.stages.calls) == 2
 
 
--- a/teaselwall/tests/test_routes.py
+++ b/teaselwall/tests/test_routes.py
@@ -31,7 +31,7 @@
         given_routes,
         pools,
         organisations or {},
-        routes.CallerLimits(),
+        routes.MAX_BODY_BYTES,
         bool(organisations),
     )
 
--- a/teaselwall/tests/test_stagework.py
+++ b/teaselwall/tests/test_stagework.py
@@ -12,13 +12,14 @@
     operations,
     routes,
     stagecalls,
+    stagechoices,
     stagework,
 )
 from teaselwall.generated import messages
 
 LIMITS = {
-    "encode": routes.BatchLimits(1, 2, 4, 200.0, 10.0, 10_000, 4000.0),
-    "rank": routes.BatchLimits(1, 2, 6, 200.0, 10.0, 10_000, 4000.0),
+    "encode": routes.BatchLimits(1, 4, 200.0, 10.0, 10_000, 4000.0),
+    "rank": routes.BatchLimits(1, 6, 200.0, 10.0, 10_000, 4000.0),
 }
 
 
@@ -311,7 +312,7 @@
 async def test_large_inputs_are_used_in_their_data_centre(
     work, servers, pool, monkeypatch
 ):
-    monkeypatch.setattr(stagework, "MIN_MOVED_BYTES", 500)
+    monkeypatch.setattr(stagechoices, "MIN_MOVED_BYTES", 500)
     hosts = [entry("e3", "encode", "b"), entry("r1", "rank", "a")]
     pool.apply(messages.HostList(hosts=[*hosts, entry("r2", "rank", "b")]))
     jobs = [
--- a/teaselwall/tools/bench_stages.py
+++ b/teaselwall/tools/bench_stages.py
@@ -22,9 +22,9 @@
 DATA_CENTRES = ("a", "b", "c", "d")
 CROSSING_MS = 1.0
 POOLS = {
-    "encode": routes.BatchLimits(1, 2, 5, 200.0, 33.6, 11_250_000, 4000.0),
-    "retrieve": routes.BatchLimits(1, 2, 15, 200.0, 11.4, 2_000_000, 4000.0),
-    "rank": routes.BatchLimits(1, 2, 25, 200.0, 6.9, 337_500, 4000.0),
+    "encode": routes.BatchLimits(1, 5, 200.0, 33.6, 11_250_000, 4000.0),
+    "retrieve": routes.BatchLimits(1, 15, 200.0, 11.4, 2_000_000, 4000.0),
+    "rank": routes.BatchLimits(1, 25, 200.0, 6.9, 337_500, 4000.0),
 }
 
 
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -194,7 +194,7 @@
         try:
             with trio.fail_after(max(0.0, timeout_ms) / 1000):
                 async with opened(progress) as response:
-                    body = await _read_body(response)
+                    body = await read_body(response)
         except FAILURES as error:
             return expression.Error(failure(address, path, error, progress))
         headers = {name.lower(): value for name, value in response.headers}
@@ -318,7 +318,14 @@
     return max(MIN_TIMEOUT_S, duration_ms / 1000)
 
 
-async def _read_body(response):
+async def read_body(response):
+    """Return the whole body of a reply.
+
+    Raises
+    ------
+    httpcore.LocalProtocolError
+        Over ``MAX_REPLY_BYTES``.
+    """
     parts = []
     n_bytes = 0
     async for part in response.aiter_stream():
