A late release does not end the request's next job

A request whose results were gone had its stages done again under the same id; the word that gave up the first results could reach the coordinator after the second job and end it (found by reading; test).

--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -188,12 +188,12 @@
 
     def _release(self, holder, message):
         if holder is self.membership.me:
-            self.work.release(message.request)
+            self.work.release(message.request, message.run)
         elif self.nursery is not None:
-            self.nursery.start_soon(self._send_release, holder, message.request)
+            self.nursery.start_soon(self._send_release, holder, message)
 
-    async def _send_release(self, holder, request):
-        message = messages.StageRelease(requests=[request])
+    async def _send_release(self, holder, job):
+        message = messages.StageRelease(request=job.request, run=job.run)
         result = await self.peers.call(
             holder.address, RELEASE_PATH, message, RELEASE_TIMEOUT_MS
         )
@@ -202,7 +202,7 @@
                 logger,
                 logging.INFO,
                 "release_failed",
-                request=request,
+                request=job.request,
                 peer=holder.address,
                 detail=str(result.error),
             )
@@ -215,8 +215,7 @@
 
     async def _handle_release(self, message):
         release = control.read(message, messages.StageRelease)
-        for request in release.requests:
-            self.work.release(request)
+        self.work.release(release.request, release.run)
         return {}
 
 
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -196,8 +196,8 @@
         with trio.move_on_after(
             max(0.0, call.deadline.remaining_ms() - EDGE_MS) / 1000
         ):
-            for _ in range(MAX_STAGE_RUNS):
-                result = await self._run_once(call, reply)
+            for run in range(MAX_STAGE_RUNS):
+                result = await self._run_once(call, reply, run)
                 if not (result.is_error() and _inputs_gone(result.error)):
                     break
             return result
@@ -208,10 +208,10 @@
             )
         return expression.Error(errors.Unavailable(detail))
 
-    async def _run_once(self, call, reply):
+    async def _run_once(self, call, reply, run):
         if not any(calls.piece_counts(call)):
             return await self.entry.forwarder.run(call, reply, None, _nothing)
-        done = await self.entry.coordination.stages(self._stage_job(call))
+        done = await self.entry.coordination.stages(self._stage_job(call, run))
         if done.is_error():
             return expression.Error(call.failure(done.error))
         inputs, release = done.ok
@@ -227,11 +227,12 @@
         left_ms = begin_ms - self.entry.clock.now_ms()
         return min(call.deadline.remaining_ms(), left_ms)
 
-    def _stage_job(self, call):
+    def _stage_job(self, call, run):
         counts = calls.piece_counts(call)
         now_ms = self.entry.clock.now_ms()
         return messages.StageJob(
             request=call.head.id,
+            run=run,
             key=call.head.stage_key,
             remaining_ms=self._stages_ms(call) - ENGINE_MS,
             due_ms=call.due_ms - ENGINE_MS - now_ms,
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -161,6 +161,8 @@
 
     Attributes
     ----------
+    run : int
+        Counts the request's jobs: a late word on an earlier one does not concern it.
     due_ms : float
         When the results are wanted for an answer on time.
     deadline_ms : float
@@ -175,6 +177,7 @@
     __slots__ = (
         "clock",
         "request",
+        "run",
         "key",
         "priority",
         "data_centre",
@@ -193,6 +196,7 @@
         now_ms = clock.now_ms()
         self.clock = clock
         self.request = message.request
+        self.run = message.run
         self.key = message.key
         self.priority = message.priority
         self.data_centre = message.data_centre
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -101,13 +101,13 @@
         expression.Result
             ``stagejobs.Job`` with its results, which are kept until ``release``.
         """
-        job = self.jobs.get(message.request)
+        job = self.jobs.get((message.request, message.run))
         if job is None:
             job = stagejobs.Job(self.clock, message, self._expected_ms)
             refused = self._refusal(job)
             if refused is not None:
                 return expression.Error(refused)
-            self.jobs[job.request] = job
+            self.jobs[job.request, job.run] = job
             self._queue(job)
         job.n_waiters += 1
         try:
@@ -121,9 +121,9 @@
             return expression.Error(job.error)
         return expression.Ok(job)
 
-    def release(self, request):
-        """Give up what is kept of a request."""
-        job = self.jobs.pop(request, None)
+    def release(self, request, run=0):
+        """Give up what is kept of a request's job."""
+        job = self.jobs.pop((request, run), None)
         if job is None:
             return
         job.fail(errors.Error("The request was released."))
@@ -225,11 +225,11 @@
             detail = "The stages did not get their turn in time."
             self._end(job, errors.Overloaded(detail))
         else:
-            self.release(job.request)
+            self.release(job.request, job.run)
 
     def _end(self, job, error):
         job.fail(error)
-        self.release(job.request)
+        self.release(job.request, job.run)
 
     def _assign(self, pool):
         """Give the idle servers of a pool their next batches."""
--- a/teaselwall/tests/test_stagework.py
+++ b/teaselwall/tests/test_stagework.py
@@ -300,6 +300,23 @@
     assert len(servers.calls) == 1
 
 
+async def test_a_late_release_does_not_end_the_requests_next_job(work):
+    first = job("j", stage("encode", 1))
+    assert (await work.submit(first)).is_ok()
+    second = job("j", stage("encode", 1))
+    second.run = 1
+    results = []
+
+    async def ask():
+        results.append(await work.submit(second))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        await trio.sleep(0.05)
+        work.release("j", 0)
+    assert results[0].is_ok()
+
+
 async def test_a_caller_that_leaves_ends_its_job(work, servers):
     with trio.move_on_after(0.25):
         await work.submit(job("j", stage("encode", 1), stage("rank", 1, [0])))
