--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -117,6 +117,11 @@
     assert found.cold_ms == 120
 
 
+def test_a_draining_server_is_leaving():
+    value = json.dumps(ENTRY | {"state": "draining"}).encode()
+    assert registrations.read("i-1", value).ok.leaving
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/teaselwall/tools/bench.py
+++ b/teaselwall/tools/bench.py
@@ -23,6 +23,7 @@
     "duties",
     "configuration",
     "failures",
+    "stages",
 )
 RESULT = pathlib.Path("build/bench.json")
 
