--- a/teaselwall/coldstarts.py
+++ b/teaselwall/coldstarts.py
@@ -11,6 +11,7 @@
 MS_PER_S = 1000.0
 # Unannounced turns to cold reach the listing with the next heartbeat.
 LISTING_LAG_MS = 300.0
+# A smaller share than one request a second is left to fewer hosts.
 MIN_SHARE = 1.0
 
 
--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -15,9 +15,12 @@
 RELEASE_PATH = "/peer/stages/release"
 # A call that only ran out of time says nothing of the coordinator.
 _BROKEN = (errors.ConnectRefused, errors.ConnectionBroken)
+# Half the pause between two questions, so that each is asked in time.
 WATCH_MS = 120.0
+# A coordinator, two that follow it and one more may die in a row.
 MAX_TRIES = 4
 RETRY_MS = 50.0
+# Results that are not given up lapse by themselves some seconds later.
 RELEASE_TIMEOUT_MS = 500.0
 # Past the moment at which results were due, an open connection may have fallen
 # silent; the coordinator is asked for them again over a new one.
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -16,6 +16,7 @@
 
 # Peers told in each interval, of the own data centre and of the others.
 N_PARTNERS = 2
+# Below what UDP carries.
 MAX_DATAGRAM = 60_000
 # Peers whose digest is remembered.
 MAX_DIGESTS = 1000
--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -13,6 +13,7 @@
 TOKENS_PER_BYTE = 0.002
 # Prompt parts remembered for each engine.
 MAX_PARTS = 4000
+# Each failure in a row outweighs reading the longest usual prompt.
 FAILURE_TOKENS = 20000
 
 
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -33,11 +33,15 @@
 
 logger = logging.getLogger(__name__)
 
+# Readiness, lapsed registrations and ejections are looked at ten times a second, well
+# below the second between two readiness checks.
 UPKEEP_MS = 100.0
+# Between two tries to leave the own address in the store.
 ANNOUNCE_MS = 1000.0
 # Part of the time within which a removed key must be refused that may pass since
 # the newest proof of the keys; the rest covers reading a request.
 KEYS_PART = 0.94
+# A dead host stays in callers' hands for so long, in some for three times as long.
 ANSWER_KEPT_S = 1.0
 
 
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -27,6 +27,7 @@
 LISTENERS = ("callers", "readiness", "directory", "peers", "metrics")
 # The platform kills what has not ended when its grace is over.
 STOP_PART = 0.93
+# Four times the longest time for which callers keep an idle connection.
 IDLE_S = 60.0
 RELOADED = ("bounds", "limits", "regions")
 
--- a/teaselwall/forwards.py
+++ b/teaselwall/forwards.py
@@ -28,7 +28,9 @@
 REFUSED_PAUSE_MS = 10.0
 # A stream that may go on elsewhere is left after this silence of its server.
 RESUME_SILENCE_MS = 1200.0
+# A server that is full or cold has room again within some hundred milliseconds.
 RETRY_AFTER_MS = 300.0
+# Less time left than this is no use to a further attempt: a connection and its way.
 EDGE_MS = 15.0
 
 
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -20,7 +20,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Another host is listed within a second and most of what turns a caller away here
+# passes sooner.
 RETRY_AFTER_MS = 300.0
+# Twice the longest time that a route of these deployments allows for a body's way.
 BODY_LIMIT_MS = 10_000.0
 # An answer of this host's own goes out this long before the time is over.
 EDGE_MS = 30.0
@@ -30,6 +33,7 @@
 # What an engine needs after the stages until its first event: fetching the inputs
 # and reading a prompt of some thousand tokens.
 ENGINE_MS = 200.0
+# Lost results are made again once; a second loss leaves too little time.
 MAX_STAGE_RUNS = 2
 
 
--- a/teaselwall/guides.py
+++ b/teaselwall/guides.py
@@ -2,6 +2,7 @@
 
 from teaselwall import responses
 
+# Callers take so many from one answer.
 MAX_ADDRESSES = 64
 METRICS_PATH = "/metrics"
 
--- a/teaselwall/keyedlogs.py
+++ b/teaselwall/keyedlogs.py
@@ -11,7 +11,7 @@
 # A refused or lost read is made again at this pace; a store that is away sees
 # ten calls a second from each host.
 RETRY_MS = 100.0
-MAX_RETRY_MS = 800.0
+MAX_RETRY_MS = 800.0  # well within the 2 s that a configuration may take
 
 
 class HistoryLost(errors.Error):
--- a/teaselwall/logsinks.py
+++ b/teaselwall/logsinks.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+# A slow reader gets what waits ten times a second.
 FLUSH_MS = 100.0
 
 
--- a/teaselwall/stagechoices.py
+++ b/teaselwall/stagechoices.py
@@ -3,6 +3,7 @@
 # Results this large are worth a wait for a server that need not fetch them from
 # another data centre.
 MIN_MOVED_BYTES = 200_000
+# Left for the way of a call and for what the expected times miss.
 NEARBY_SPARE_MS = 60.0
 
 
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -2,6 +2,8 @@
 
 import trio
 
+# Calls for one piece, and losses of inputs in one job, before the request is refused:
+# every server of a small pool may be lost once.
 MAX_TRIES = 4
 MAX_REMAKES = 4
 
--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -9,6 +9,7 @@
 # After a call was lost, growing with each loss in a row.
 LOST_PAUSE_MS = 500.0
 MAX_LOST_PAUSE_MS = 4000.0
+# Three calls bring a moving average most of the way.
 SLOWDOWN_WEIGHT = 0.3
 # Slower by this factor than expected, a server gets only work that it can still
 # finish in time.
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -17,9 +17,11 @@
     stageservers,
 )
 
+# Time alone changes order and room; a tenth of the shortest call.
 TICK_MS = 40.0
 # What a job still needs after its stages, at the least, to be of use.
 MIN_REST_MS = 100.0
+# Callers keep to a time to come back up to a third of what they have left.
 MAX_BACKOFF_MS = 2000.0
 # A late job goes behind what can be on time: it is kept while so many times its
 # present wait and its own time fit into what is left.
@@ -28,7 +30,6 @@
 # Results that an engine reads are there this long before the request's other stages,
 # at the least: a call's usual wait for its turn.
 HOLD_MS = 150.0
-REPEATED_TRIES = stagejobs.MAX_TRIES
 
 
 class StageWork:
@@ -135,12 +136,6 @@
     def _wake_up(self):
         self.wake.set()
 
-    def load(self):
-        """Return the number of pieces that wait and that are being made."""
-        n_waiting = sum(len(queue.pieces) for queue in self.queues.values())
-        n_running = sum(state.n_calls for state in self.states.values())
-        return n_waiting, n_running
-
     def _refusal(self, job):
         """Return why a job can't be done in time, or None."""
         wait_ms = 0.0
@@ -318,7 +313,7 @@
         """Queue pieces again whose call takes too long."""
         await self.clock.sleep_ms(state.hedge_ms(len(batch)))
         waiting = [p for p in batch if not p.handle and not p.job.ended()]
-        late = [p for p in waiting if p.n_tries < REPEATED_TRIES and not p.queued]
+        late = [p for p in waiting if p.n_tries < stagejobs.MAX_TRIES and not p.queued]
         state.slowdown = max(state.slowdown, stageservers.HEDGE_FACTOR)
         if late:
             stagelogs.hedged(state, late)
@@ -380,7 +375,7 @@
             job.finished.set()
             return
         wanted = job.wanted()
-        if any(piece.n_tries >= REPEATED_TRIES for piece in wanted):
+        if any(piece.n_tries >= stagejobs.MAX_TRIES for piece in wanted):
             self._end(job, errors.Unavailable("A stage failed on every server."))
             return
         self._queue(job)
