--- a/teaselwall/tests/test_keyedlogs.py
+++ b/teaselwall/tests/test_keyedlogs.py
@@ -117,3 +117,13 @@
     for _ in range(2):
         await follower.step()
     assert heard.events == ["regained", ("replace", {"a": b"1"})]
+
+
+async def test_a_host_recovers_by_itself_once_the_store_is_back(
+    autojump_clock, nursery, follower, store, heard, time
+):
+    store.answers = [FAILED] * 20 + [page(3, a=b"1")] + [page(3)] * 1000
+    nursery.start_soon(follower.run)
+    await time.sleep_ms(20 * (keyedlogs.MAX_RETRY_MS + 20))
+    assert heard.events[:2] == ["regained", ("replace", {"a": b"1"})]
+    assert follower.age_ms() < 1000
