--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -23,7 +23,7 @@
 # Another host is listed within a second and most of what turns a caller away here
 # passes sooner.
 RETRY_AFTER_MS = 300.0
-# Twice the longest time that a route of these deployments allows for a body's way.
+# As for the own interface: long enough for the largest body at 4 Mbit/s.
 BODY_LIMIT_MS = 10_000.0
 # An answer of this host's own goes out this long before the time is over.
 EDGE_MS = 30.0
