Read the store once for a data centre, split stage work by data centre, count hosts of others for cold servers

Change: two hosts of a data centre read the store, others ask them; relayed pages carry age and idle time, every failure falls back to the store. Large pools are looked at by the same window on every host. Cold quotas go by data centre.

--- a/teaselwall/coldstarts.py
+++ b/teaselwall/coldstarts.py
@@ -84,13 +84,36 @@
 
     def _share(self, server, rate):
         """Return this host's requests a second."""
-        me = self.membership.me.address
-        hosts = {member.address for member in self.membership.alive()} | {me}
-        share = rate / max(len(hosts), self.membership.n_hosts())
+        sizes = self._sizes()
+        share = rate / sum(sizes.values())
         if share >= MIN_SHARE:
             return int(share)
-        ranked = sorted(hosts, key=lambda host: _rank(host, server), reverse=True)
-        return int(me in ranked[: int(rate)])
+        quota = self._quota(server, int(rate), sizes)
+        near = {member.address for member in self.membership.neighbours()}
+        ranked = sorted(near, key=lambda host: _rank(host, server), reverse=True)
+        return int(self.membership.me.address in ranked[:quota])
+
+    def _sizes(self):
+        """Return the number of entry hosts of each data centre."""
+        sizes = self.membership.sizes()
+        home = self.membership.me.data_centre
+        sizes[home] = max(len(self.membership.neighbours()), sizes[home])
+        return sizes
+
+    def _quota(self, server, n_requests, sizes):
+        """Return how many of some requests the hosts of this data centre may send.
+
+        Data centres get their parts by size, in an order that all hosts know; other
+        data centres' hosts are not known one by one.
+        """
+        home = self.membership.me.data_centre
+        n_before, n_hosts = 0, sum(sizes.values())
+        for name in sorted(sizes, key=lambda name: _rank(name, server)):
+            if name == home:
+                break
+            n_before += sizes[name]
+        first = n_requests * n_before // n_hosts
+        return n_requests * (n_before + sizes[home]) // n_hosts - first
 
     def _extend(self, address, until_ms):
         if until_ms > self.cold_until_ms.get(address, 0.0):
@@ -99,5 +122,5 @@
             self.cold_until_ms[address] = until_ms
 
 
-def _rank(host, server):
-    return xxhash.xxh3_64_intdigest(f"{host}/{server.incarnation}".encode())
+def _rank(name, server):
+    return xxhash.xxh3_64_intdigest(f"{name}/{server.incarnation}".encode())
--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -5,6 +5,7 @@
 import expression
 import msgspec
 import trio
+import xxhash
 
 from teaselwall import control, errors, events
 from teaselwall.generated import messages
@@ -25,14 +26,20 @@
 # Past the moment at which results were due, an open connection may have fallen
 # silent; the coordinator is asked for them again over a new one.
 ASK_AGAIN_MS = 700.0
+# News of a backlog is about a second old: from this difference on a growing part of
+# the requests goes elsewhere, never more than half, or all hosts would move at once.
+SPILL_FROM_MS = 150.0
+SPILL_RANGE_MS = 1000.0
+MAX_SPILLED = 0.5
 
 
 class Coordination:
     """Sends the stages of requests to the coordinator.
 
-    The coordinator is the entry host that has run longest among the delegates of
-    all data centres: it changes only when it stops or dies. Two hosts may hold
-    each other for it while news travels; that costs full batches, nothing else.
+    The coordinator of a group of data centres is the fastest entry host among
+    their delegates, of equal ones that which has run longest: it changes only when
+    it stops or dies. Two hosts may hold each other for it while news travels; that
+    costs full batches, nothing else.
 
     Parameters
     ----------
@@ -41,6 +48,13 @@
     gossip : datagrams.DatagramGossip
     peers : peers.Peers
     work : stagework.StageWork
+    cells : cells.Cells
+        Groups of data centres.
+
+    Attributes
+    ----------
+    coordinators : dict of frozenset of str to str
+        Nonce of the coordinator last seen for each group.
     """
 
     __slots__ = (
@@ -49,17 +63,19 @@
         "gossip",
         "peers",
         "work",
-        "coordinator",
+        "cells",
+        "coordinators",
         "nursery",
     )
 
-    def __init__(self, clock, membership, gossip, peers, work):
+    def __init__(self, clock, membership, gossip, peers, work, cells):
         self.clock = clock
         self.membership = membership
         self.gossip = gossip
         self.peers = peers
         self.work = work
-        self.coordinator = ""
+        self.cells = cells
+        self.coordinators = {}
         self.nursery = None
 
     def register(self, interface):
@@ -78,28 +94,54 @@
             self.nursery = nursery
             await trio.sleep_forever()
 
-    def holder(self):
-        """Return the coordinator as this host sees it."""
+    def holder(self, group=frozenset()):
+        """Return the coordinator of a group of data centres as this host sees it.
+
+        Parameters
+        ----------
+        group : frozenset of str
+            All data centres where it is empty, or where no host of it is known.
+        """
         candidates = [
             member
             for member in self.membership.delegates()
             if not member.draining and not self.gossip.silent(member.address)
         ]
+        near = [m for m in candidates if not group or m.data_centre in group]
         holder = min(
-            candidates or [self.membership.me], key=lambda member: member.nonce
+            near or candidates or [self.membership.me],
+            key=lambda member: (-member.n_cores, member.nonce),
         )
-        if holder.nonce != self.coordinator:
+        if holder.nonce != self.coordinators.get(group, ""):
             events.log(
                 logger,
                 logging.INFO,
                 "coordinator",
                 peer=holder.address,
                 nonce=holder.nonce,
+                group=sorted(group),
                 n_candidates=len(candidates),
             )
-            self.coordinator = holder.nonce
+            self.coordinators[group] = holder.nonce
         return holder
 
+    def holder_for(self, message):
+        """Return the coordinator that a request's stages go to.
+
+        It is that of the data centre of the request's engine, but for a part of the
+        requests where another one has much less work waiting.
+        """
+        groups = self.cells.groups()
+        home = self.cells.group_of(message.data_centre)
+        holder = self.holder(home)
+        if len(groups) == 1:
+            return holder
+        others = [self.holder(group) for group in groups if group != home]
+        idle = min(others, key=lambda member: (member.backlog_ms, member.nonce))
+        excess_ms = holder.backlog_ms - idle.backlog_ms - SPILL_FROM_MS
+        part = min(MAX_SPILLED, excess_ms / SPILL_RANGE_MS)
+        return idle if _draw(message.request) < part else holder
+
     async def stages(self, message):
         """Have the stages of a request done.
 
@@ -118,7 +160,7 @@
         for attempt in range(MAX_TRIES):
             if attempt:
                 await self.clock.sleep_ms(RETRY_MS)
-            holder = self.holder()
+            holder = self.holder_for(message)
             elapsed_ms = self.clock.now_ms() - started_ms
             rest = msgspec.structs.replace(
                 message,
@@ -234,5 +276,10 @@
     )
 
 
+def _draw(request):
+    """Return a number from 0 to 1, the same for a request on every host."""
+    return xxhash.xxh32_intdigest(request.encode()) / (1 << 32)
+
+
 def _is_transport(result):
     return result.is_error() and isinstance(result.error, errors.TransportError)
--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -97,5 +97,10 @@
     return parts[-2].id if len(parts) > 1 else parts[0].id
 
 
+def token_of(parts):
+    """Return a token by which every host looks at the same part of a large pool."""
+    return xxhash.xxh3_64_intdigest(session_of(parts).encode())
+
+
 def _rank(engine, session):
     return xxhash.xxh3_64_intdigest(f"{session}/{engine.address}".encode())
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -7,6 +7,7 @@
 import trio
 
 from teaselwall import (
+    cells,
     clock,
     coldstarts,
     control,
@@ -26,6 +27,7 @@
     placing,
     prefixes,
     retries,
+    sharedreads,
     stagework,
     traces,
     transport,
@@ -70,6 +72,7 @@
         "membership",
         "gossip",
         "store",
+        "reads",
         "operations",
         "orders",
         "fleet",
@@ -78,6 +81,7 @@
         "servers",
         "placement",
         "forwarder",
+        "cells",
         "work",
         "coordination",
         "stop",
@@ -118,27 +122,35 @@
             new_nonce(),
             settings.membership.summary_interval_ms,
         )
+        host = settings.host
         self.membership.me.draining = True
+        self.membership.me.n_cores = host.cpu_share * host.cpu_speed
         self.gossip = datagrams.DatagramGossip(self.clock, self.membership)
 
     def _add_store(self):
         settings = self.settings.store
         self.store = self.platform.store(self.transport)
+        self.reads = sharedreads.SharedReads(
+            self.clock, self.store, self.membership, self.peers
+        )
+        self.reads.register(self.control)
         self.operations = operations.Operations(
             self.platform.read_table,
             self.platform.data_centre_out,
             self.platform.table_key,
         )
         self.operations.on_return = self._note_return
-        self.orders = keyedlogs.Follower(
-            self.clock,
-            self.store,
-            self.platform.orders_topic,
-            self.operations,
-            settings.watch_ms,
-            0.0,
+        self.orders = self._follower(
+            self.platform.orders_topic, self.operations, settings.watch_ms, 0.0
         )
 
+    def _follower(self, topic, listener, wait_ms, pause_ms):
+        follower = keyedlogs.Follower(
+            self.clock, self.reads, topic, listener, wait_ms, pause_ms
+        )
+        self.reads.followers[topic] = follower
+        return follower
+
     def _add_servers(self):
         settings = self.settings
         self.fleet = fleet.Fleet(self.clock, None, self.operations, 0, 0)
@@ -149,9 +161,7 @@
         self.listing = listings.Listing(
             self.clock, self.fleet, self.platform.read_registration, self.cold_starts
         )
-        self.servers = keyedlogs.Follower(
-            self.clock,
-            self.store,
+        self.servers = self._follower(
             self.platform.servers_topic,
             self.listing,
             0.0,
@@ -167,15 +177,23 @@
         )
 
     def _add_stages(self):
+        self.cells = cells.Cells(self.clock, self.fleet, self.operations.stage_pools)
+        home = self.settings.host.data_centre
         self.work = stagework.StageWork(
             self.clock,
             self.fleet,
             self.platform.stage_client(self.transport),
             self.operations.pool,
             self.metrics,
+            lambda pool: self.cells.servers(pool, home),
         )
         self.coordination = coordination.Coordination(
-            self.clock, self.membership, self.gossip, self.peers, self.work
+            self.clock,
+            self.membership,
+            self.gossip,
+            self.peers,
+            self.work,
+            self.cells,
         )
         self.coordination.register(self.control)
 
@@ -222,6 +240,7 @@
         """Keep what depends on time alone up to date."""
         while True:
             self.membership.me.draining = not self.ready()
+            self.membership.me.backlog_ms = round(self.work.backlog_ms())
             self.listing.expire()
             for server in self.fleet.used():
                 self.fleet.ejections.probe(server)
--- a/teaselwall/listings.py
+++ b/teaselwall/listings.py
@@ -104,9 +104,9 @@
         self.grace_until_ms = float("-inf")
         self.loaded = False
 
-    def regained(self):
-        """Keep what is missing for a while: the store has just come back."""
-        self.grace_until_ms = self.clock.now_ms() + RETURN_MS
+    def regained(self, ago_ms):
+        """Keep what is missing for a while: the store has come back."""
+        self.grace_until_ms = self.clock.now_ms() - ago_ms + RETURN_MS
 
     def replace(self, records):
         """Take the whole topic."""
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -39,6 +39,10 @@
         Tells two processes at one address apart.
     n_requests : int
         Requests in flight as last heard.
+    n_cores : float
+        Processor speed in reference cores.
+    backlog_ms : int
+        Time that the stage work waiting there takes.
     """
 
     __slots__ = (
@@ -49,6 +53,8 @@
         "heartbeat",
         "draining",
         "n_requests",
+        "n_cores",
+        "backlog_ms",
         "seen_ms",
     )
 
@@ -60,6 +66,8 @@
         self.heartbeat = row.heartbeat
         self.draining = row.draining
         self.n_requests = row.n_requests
+        self.n_cores = row.n_cores
+        self.backlog_ms = row.backlog_ms
         self.seen_ms = seen_ms
 
     def row(self):
@@ -72,6 +80,8 @@
             heartbeat=self.heartbeat,
             draining=self.draining,
             n_requests=self.n_requests,
+            n_cores=self.n_cores,
+            backlog_ms=self.backlog_ms,
         )
 
 
@@ -145,6 +155,13 @@
         """Return the members believed alive, draining ones included."""
         return self.neighbours() + self.remote()
 
+    def sizes(self):
+        """Return the number of members that do not drain, by data centre."""
+        sizes = {name: summary.n_members for name, summary in self._live_summaries()}
+        near = self.neighbours()
+        sizes[self.me.data_centre] = sum(not member.draining for member in near)
+        return sizes
+
     def neighbours(self):
         """Return the live members of the own data centre, this host included."""
         return [member for member in self.local.values() if self._is_alive(member)]
@@ -152,18 +169,19 @@
     def remote(self):
         """Return the known live members of the other data centres."""
         return [
-            member for summary in self._live_summaries() for member in summary.members
+            member
+            for _, summary in self._live_summaries()
+            for member in summary.members
         ]
 
     def n_hosts(self):
         """Return the number of entry hosts of all data centres that do not drain."""
-        n_near = sum(not member.draining for member in self.neighbours())
-        return n_near + sum(s.n_members for s in self._live_summaries())
+        return sum(self.sizes().values())
 
     def _live_summaries(self):
         oldest_ms = self.clock.now_ms() - self._summary_dead_ms()
         return [
-            summary
+            (data_centre, summary)
             for data_centre, summary in self.summaries.items()
             if data_centre != self.me.data_centre and summary.seen_ms > oldest_ms
         ]
@@ -266,6 +284,7 @@
             known.heartbeat = row.heartbeat
             known.draining = row.draining
             known.n_requests = row.n_requests
+            known.backlog_ms = row.backlog_ms
             known.seen_ms = self.clock.now_ms()
 
     def _merge_sender(self, row, leaving):
@@ -347,7 +366,8 @@
 def delegates_of(members):
     """Return up to ``N_DELEGATES`` members, the same on every host.
 
-    Draining members are kept in the list, so that others learn of it.
+    The fastest come first, as duties cost processor time, then those that run
+    longest. Draining members are kept in the list, so that others learn of it.
     """
-    ordered = sorted(members, key=lambda member: member.nonce)
+    ordered = sorted(members, key=lambda member: (-member.n_cores, member.nonce))
     return ordered[:N_DELEGATES]
--- a/teaselwall/operations.py
+++ b/teaselwall/operations.py
@@ -59,7 +59,12 @@
         """Return a pool of the configuration in force, or None."""
         return self.table.pools.get(name) if self.table is not None else None
 
-    def regained(self):
+    def stage_pools(self):
+        """Return the names of the pools that run stages."""
+        pools = self.table.pools.values() if self.table is not None else ()
+        return [pool.name for pool in pools if pool.batches is not None]
+
+    def regained(self, ago_ms):
         """Do nothing; orders do not lapse while the store is away."""
 
     def replace(self, records):
--- a/teaselwall/placing.py
+++ b/teaselwall/placing.py
@@ -2,7 +2,7 @@
 
 import math
 
-from teaselwall import calls
+from teaselwall import calls, enginechoices
 
 
 class Placement:
@@ -33,7 +33,10 @@
 
     def choices(self, call):
         """Return the servers that may get a request."""
-        found = self.fleet.choices(call.pool.name)
+        token = None
+        if call.pool.engine:
+            token = enginechoices.token_of(call.head.parts)
+        found = self.fleet.choices(call.pool.name, token)
         regions = call.regions()
         if regions:
             found = [s for s in found if self.region_of.get(s.data_centre) in regions]
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -47,11 +47,15 @@
     pool_of : callable
         ``pool_of(name)`` gives a ``routes.Pool`` or None.
     metrics : metrics.Metrics
+    servers_of : callable, optional
+        ``servers_of(pool)`` gives the servers that may get work of this process; all
+        of the pool that may get new work where it is missing.
     """
 
     __slots__ = (
         "clock",
         "fleet",
+        "servers_of",
         "client",
         "pool_of",
         "metrics",
@@ -64,9 +68,10 @@
         "nursery",
     )
 
-    def __init__(self, clock, fleet, client, pool_of, metrics):
+    def __init__(self, clock, fleet, client, pool_of, metrics, servers_of=None):
         self.clock = clock
         self.fleet = fleet
+        self.servers_of = servers_of or fleet.choices
         self.client = client
         self.pool_of = pool_of
         self.metrics = metrics
@@ -159,11 +164,16 @@
         retry_ms = min(MAX_BACKOFF_MS, wait_ms)
         return errors.Overloaded(detail, retry_after_ms=max(TICK_MS, retry_ms))
 
+    def backlog_ms(self):
+        """Return the time that the longest queue takes to be worked off."""
+        pools = (self.pool_of(name) for name, q in self.queues.items() if q.pieces)
+        return max((self._wait_ms(pool) for pool in pools if pool), default=0.0)
+
     def _wait_ms(self, pool):
         """Return the time that the queue of a pool takes to be worked off."""
         queue = self.queues.get(pool.name)
         n_waiting = len(queue.pieces) if queue else 0
-        n_servers = max(1, len(self.fleet.choices(pool.name)))
+        n_servers = max(1, len(self.servers_of(pool.name)))
         limits = pool.batches
         per_call_ms = limits.expected_ms(limits.n_pieces)
         n_calls = n_waiting / (limits.n_pieces * limits.n_calls * n_servers)
@@ -203,7 +213,7 @@
     def _backlogs(self):
         return backlogs.Backlogs(
             self.jobs.values(),
-            lambda pool: len(self.fleet.choices(pool)),
+            lambda pool: len(self.servers_of(pool)),
             self._limits_of,
         )
 
@@ -260,7 +270,7 @@
 
     def _states_of(self, pool, limits):
         states = []
-        for server in self.fleet.choices(pool):
+        for server in self.servers_of(pool):
             state = self.states.get(server)
             if state is None:
                 state = stageservers.StageServer(self.clock, server, limits)
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -24,16 +24,30 @@
     ----------
     members : dict of str to membership.Member
         By address.
+    hidden : dict of str to int
+        Members of other data centres that are only counted.
     """
 
     def __init__(self, address, data_centre="a", nonce=""):
         self.me = member(address, data_centre, nonce)
         self.members = {address: self.me}
+        self.hidden = {}
 
     def alive(self):
         """Return the members in view."""
         return list(self.members.values())
 
+    def neighbours(self):
+        """Return the members of the own data centre."""
+        return [m for m in self.alive() if m.data_centre == self.me.data_centre]
+
+    def sizes(self):
+        """Return the number of members by data centre."""
+        sizes = dict(self.hidden)
+        for known in self.alive():
+            sizes[known.data_centre] = sizes.get(known.data_centre, 0) + 1
+        return sizes
+
     def delegates(self):
         """Return the members in view."""
         return self.alive()
--- a/teaselwall/tests/test_coordination.py
+++ b/teaselwall/tests/test_coordination.py
@@ -6,6 +6,7 @@
 import trio
 
 from teaselwall import (
+    cells,
     clock,
     coordination,
     datagrams,
@@ -133,7 +134,12 @@
         self.gossip.socket = Socket(network, address)
         self.work = Work(address)
         self.coordination = coordination.Coordination(
-            time, self.membership, self.gossip, Peers(network, address), self.work
+            time,
+            self.membership,
+            self.gossip,
+            Peers(network, address),
+            self.work,
+            cells.Cells(time, None, tuple),
         )
         network.hosts[address] = self
 
--- a/teaselwall/tests/test_keyedlogs.py
+++ b/teaselwall/tests/test_keyedlogs.py
@@ -37,7 +37,7 @@
     def apply(self, record):
         self.events.append((record.key, record.value))
 
-    def regained(self):
+    def regained(self, ago_ms):
         self.events.append("regained")
 
 
--- a/teaselwall/tests/test_listings.py
+++ b/teaselwall/tests/test_listings.py
@@ -81,7 +81,7 @@
     listing, pool, time
 ):
     listing.replace({"s": encoded("s"), "ss": encoded("ss")})
-    listing.regained()
+    listing.regained(0.0)
     listing.replace({})
     assert len(addresses(pool)) == 2
     listing.apply(Record("ss", encoded("ss", sequence=5)))
@@ -137,6 +137,35 @@
     assert 1 <= n_sent <= COLD_POOL.cold_rate
 
 
+@pytest.mark.parametrize("sizes", [(15, 15, 15, 15), (1, 2, 3, 4), (30, 1), (1, 1, 1)])
+def test_cold_servers_bear_hosts_that_know_few_of_each_other(
+    sizes, pool, listing, time
+):
+    listing.replace({"s": encoded("s")})
+    (server,) = pool.choices("llm")
+    centres = {f"dc{n}": size for n, size in enumerate(sizes)}
+    n_sent = 0
+    for centre, size in centres.items():
+        names = [f"{centre}-{n}:1" for n in range(size)]
+        for name in names:
+            view = fakes.View(name, centre)
+            view.members |= {
+                other: fakes.member(other, centre) for other in names if other != name
+            }
+            for other, n_others in centres.items():
+                if other == centre:
+                    continue
+                seen = [f"{other}-{n}:1" for n in range(min(3, n_others))]
+                view.members |= {s: fakes.member(s, other) for s in seen}
+                view.hidden[other] = n_others - len(seen)
+            cold = coldstarts.ColdStarts(time, view, lambda name: COLD_POOL)
+            cold.note(registration("s", cold_ms=2000))
+            while cold.has_room(server):
+                cold.note_sent(server)
+                n_sent += 1
+    assert 1 <= n_sent <= COLD_POOL.cold_rate
+
+
 def test_a_warm_server_gets_whatever_is_sent(cold_starts, listing, pool, time):
     listing.replace({"s": encoded("s", cold_ms=1000)})
     (server,) = pool.choices("llm")
--- /dev/null
+++ b/teaselwall/tests/test_sharedreads.py
@@ -0,0 +1,203 @@
+import expression
+import msgspec
+import pytest
+import trio
+
+from teaselwall import clock, control, errors, keyedlogs, sharedreads
+from teaselwall.generated import gateway as schema
+from teaselwall.tests import fakes
+from teaselwall.tests.test_keyedlogs import Heard
+
+N_HOSTS = 5
+
+
+class Store(keyedlogs.Store):
+    """Log of one topic that counts its callers' reads."""
+
+    def __init__(self):
+        self.records = []
+        self.n_reads = {}
+        self.turned_away = set()
+        self.silent = False
+
+    async def read(self, host, offset, wait_ms):
+        self.n_reads[host] = self.n_reads.get(host, 0) + 1
+        if host in self.turned_away:
+            return expression.Error(errors.Unavailable("turned away"))
+        with trio.move_on_after(wait_ms / 1000):
+            while len(self.records) <= offset:
+                await trio.sleep(0.01)
+        await trio.sleep(0.004)
+        return expression.Ok(keyedlogs.Page(self.records[offset:], len(self.records)))
+
+    async def newest(self, topic):
+        raise NotImplementedError
+
+    async def changes(self, topic, offset, wait_ms):
+        raise NotImplementedError
+
+    async def put(self, topic, key, value):
+        raise NotImplementedError
+
+
+class View(keyedlogs.Store):
+    """The store as one host reaches it."""
+
+    def __init__(self, store, host):
+        self.store = store
+        self.host = host
+
+    async def newest(self, topic):
+        return await self.store.read(self.host, 0, 0)
+
+    async def changes(self, topic, offset, wait_ms):
+        return await self.store.read(self.host, offset, wait_ms)
+
+    async def put(self, topic, key, value):
+        raise NotImplementedError
+
+
+class Peers:
+    """Calls between the hosts; a frozen one answers nothing."""
+
+    def __init__(self, hosts):
+        self.hosts = hosts
+        self.frozen = set()
+
+    async def call(self, address, path, message, timeout_ms, fresh=False):
+        if address in self.frozen:
+            await trio.sleep(timeout_ms / 1000)
+            return expression.Error(errors.TransportError("silent"))
+        try:
+            reply = await self.hosts[address].handlers[path](_sent(message))
+        except errors.Error as error:
+            return expression.Error(error)
+        return expression.Ok(_sent(reply))
+
+
+def _sent(message):
+    return msgspec.json.decode(msgspec.json.encode(message))
+
+
+class Host:
+    def __init__(self, number, store, peers):
+        self.address = f"h{number}"
+        view = fakes.View(self.address, nonce=self.address)
+        for other in range(N_HOSTS):
+            if other != number:
+                view.members[f"h{other}"] = fakes.member(
+                    f"h{other}", "a", nonce=f"h{other}"
+                )
+        self.heard = Heard()
+        self.reads = sharedreads.SharedReads(
+            clock.Clock(), View(store, self.address), view, peers
+        )
+        self.follower = keyedlogs.Follower(
+            clock.Clock(), self.reads, "t", self.heard, 800, 0
+        )
+        self.reads.followers["t"] = self.follower
+        access = schema.AccessSettings(peer_key="p" * 16, operator_key="o" * 16)
+        interface = control.Control(access)
+        self.reads.register(interface)
+        self.handlers = interface.handlers
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def peers():
+    return Peers({})
+
+
+@pytest.fixture
+async def hosts(autojump_clock, nursery, store, peers):
+    made = [Host(number, store, peers) for number in range(N_HOSTS)]
+    peers.hosts.update({host.address: host for host in made})
+    for host in made:
+        nursery.start_soon(host.follower.run)
+    await trio.sleep(3)
+    store.n_reads.clear()
+    return made
+
+
+def say(store, key, value):
+    store.records.append(keyedlogs.Record(key, value))
+
+
+async def test_few_hosts_read_and_all_learn_at_once(hosts, store):
+    await trio.sleep(5)
+    assert set(store.n_reads) == {"h0", "h1"}
+    say(store, "a", b"1")
+    await trio.sleep(0.05)
+    assert all(host.heard.events[-1] == ("a", b"1") for host in hosts)
+    say(store, "a", None)
+    await trio.sleep(0.05)
+    assert all(host.heard.events[-1] == ("a", None) for host in hosts)
+
+
+async def test_what_is_relayed_is_as_old_as_it_was_read(hosts, store):
+    store.turned_away = {host.address for host in hosts}
+    sent_s = trio.current_time()
+    await trio.sleep(2)
+    for host in hosts:
+        assert host.follower.age_ms() >= (trio.current_time() - sent_s) * 1000
+
+
+async def test_hosts_read_themselves_where_their_readers_can_not(hosts, store):
+    store.turned_away = {"h0", "h1"}
+    await trio.sleep(2)
+    say(store, "a", b"2")
+    await trio.sleep(1.8)
+    for host in hosts[2:]:
+        assert host.heard.events[-1] == ("a", b"2")
+        assert host.follower.age_ms() < 2000
+
+
+async def test_a_reader_that_hangs_costs_less_than_two_seconds(hosts, store, peers):
+    peers.frozen = {"h0", "h1"}
+    store.turned_away = {"h0", "h1"}
+    say(store, "a", b"3")
+    await trio.sleep(1.9)
+    assert all(host.heard.events[-1] == ("a", b"3") for host in hosts[2:])
+
+
+async def test_readers_that_are_back_are_asked_again(hosts, store):
+    store.turned_away = {"h0", "h1"}
+    await trio.sleep(4)
+    store.turned_away = set()
+    await trio.sleep(6)
+    store.n_reads.clear()
+    await trio.sleep(5)
+    assert set(store.n_reads) == {"h0", "h1"}
+
+
+async def test_others_hear_of_the_stores_return(hosts, store):
+    store.turned_away = {"h0", "h1"}
+    await trio.sleep(1)
+    store.turned_away = set()
+    await trio.sleep(6)
+    told = ["regained" in host.heard.events for host in hosts]
+    assert told[:2] == [True, True]
+    assert all(told)
+
+
+async def test_a_reader_whose_records_are_gone_is_passed_over(hosts, store):
+    for host in hosts[:2]:
+        host.follower.recent_from = 10**6
+    say(store, "a", b"4")
+    await trio.sleep(0.1)
+    assert all(host.heard.events[-1] == ("a", b"4") for host in hosts)
+
+
+def test_only_the_newest_change_of_a_key_is_relayed():
+    follower = keyedlogs.Follower(clock.Clock(), None, "t", None, 0, 0)
+    follower.offset, follower.recent_from = 9, 4
+    for next_offset, key, value in ((6, "a", b"1"), (8, "b", b"1"), (9, "a", None)):
+        follower.recent.append((next_offset, keyedlogs.Record(key, value)))
+    assert [(r.key, r.value) for r in follower.since(4)] == [("b", b"1"), ("a", None)]
+    assert [(r.key, r.value) for r in follower.since(8)] == [("a", None)]
+    assert follower.since(3) is None
+    assert follower.since(10) is None
