--- a/teaselwall/tools/platform_store.py
+++ b/teaselwall/tools/platform_store.py
@@ -106,6 +106,12 @@
         await responses.send(send, 200, head + content, BINARY)
 
 
+def record(key, value):
+    """Return one record as an append takes it; without a value it drops the key."""
+    content = bytes([len(key)]) + key.encode() + value
+    return LENGTH.pack(len(content)) + content
+
+
 def _append_all(topic, body):
     position = 0
     while position < len(body):
