--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,9 @@
 STAMP := $(VENV)/.installed
 SCHEMAS := settings service messages
 
-.PHONY: test demo bench capacity lint format generate check-generated clean
+SEEDS ?= 10
+
+.PHONY: test demo bench capacity soak lint format generate check-generated clean
 
 test: $(STAMP)
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest -q
@@ -19,6 +21,9 @@
 capacity: $(STAMP)
 	$(BIN)/python -m teaselwall.tools.capacity
 
+soak: $(STAMP)
+	$(BIN)/python -m teaselwall.tools.soak --seeds $(SEEDS)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
