Run 65 tests on the mock clock they asked for; operators' view of a gateway

On the mock clock one more fault showed: a reader that had read nothing for just the limit was asked again without a pause; it now refuses when there is nothing left to wait. Also: teaselwall gateway status.

--- a/teaselwall/cli.py
+++ b/teaselwall/cli.py
@@ -39,6 +39,7 @@
     fleet_commands.ConfigurationRestart,
     view_commands.Status,
     view_commands.Trace,
+    view_commands.GatewayStatus,
     log_commands.Explain,
 )
 
--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -119,7 +119,7 @@
                 "coordinator",
                 peer=holder.address,
                 nonce=holder.nonce,
-                group=sorted(group),
+                group=group_name(group),
                 n_candidates=len(candidates),
             )
             self.coordinators[group] = holder.nonce
@@ -264,6 +264,11 @@
         return {}
 
 
+def group_name(group):
+    """Return how a group of data centres is shown."""
+    return ",".join(sorted(group)) or "all"
+
+
 def _reply(job):
     outputs = job.outputs()
     sizes = {}
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -17,6 +17,7 @@
     events,
     fleet,
     forwards,
+    gatewayviews,
     keyedlogs,
     listings,
     membership,
@@ -45,6 +46,8 @@
 KEYS_PART = 0.94
 # A dead host stays in callers' hands for so long, in some for three times as long.
 ANSWER_KEPT_S = 1.0
+# Shown for what was never read.
+UNKNOWN_AGE_MS = 10**9
 
 
 class Entry:
@@ -113,6 +116,7 @@
             self.metrics,
             self.tracer,
         )
+        gatewayviews.GatewayViews(self).register(self.control)
 
     def _add_membership(self):
         settings = self.settings
@@ -203,8 +207,11 @@
 
     def configuration_age_ms(self):
         """Return the age of the configuration's newest proof in whole ms."""
-        age_ms = self.orders.age_ms()
-        return round(age_ms) if age_ms != float("inf") else 10**9
+        return _whole_ms(self.orders.age_ms())
+
+    def servers_age_ms(self):
+        """Return the age of the newest proof of the servers in whole ms."""
+        return _whole_ms(self.servers.age_ms())
 
     def keys_current(self):
         """Return whether a key that is known here can't have been taken away long."""
@@ -280,6 +287,10 @@
         self.cold_starts.note_returned([*returned, *listed])
 
 
+def _whole_ms(age_ms):
+    return round(age_ms) if age_ms != float("inf") else UNKNOWN_AGE_MS
+
+
 def new_nonce():
     """Return a nonce that sorts by the start of its process."""
     return f"{int(system_time.time() * 1000):012x}{secrets.token_hex(3)}"
--- /dev/null
+++ b/teaselwall/gatewayviews.py
@@ -0,0 +1,101 @@
+"""What an entry host on a platform believes, for operators."""
+
+from teaselwall import coordination
+from teaselwall.generated import messages
+
+PATH = "/operator/gateway"
+
+
+class GatewayViews:
+    """Answers operators with the present state of one entry host.
+
+    Parameters
+    ----------
+    entry : entry.Entry
+    """
+
+    __slots__ = ("entry",)
+
+    def __init__(self, entry):
+        self.entry = entry
+
+    def register(self, interface):
+        """Answer on the control interface.
+
+        Parameters
+        ----------
+        interface : control.Control
+        """
+        interface.add(PATH, self._handle)
+
+    async def _handle(self, message):
+        return self.view()
+
+    def view(self):
+        """Return the view as ``messages.GatewayView``."""
+        entry = self.entry
+        table = entry.operations.table
+        reader = entry.reads.reader()
+        return messages.GatewayView(
+            host=entry.settings.host.name,
+            ready=entry.ready(),
+            configuration=table.version if table is not None else -1,
+            configuration_age_ms=entry.configuration_age_ms(),
+            servers_age_ms=entry.servers_age_ms(),
+            reader=reader.address if reader is not None else "",
+            data_centres_out=sorted(entry.operations.data_centres_out),
+            n_in_flight=entry.membership.me.n_requests,
+            members=[self._member(member) for member in entry.membership.alive()],
+            coordinators={
+                coordination.group_name(group): entry.coordination.holder(group).address
+                for group in entry.cells.groups()
+            },
+            servers=[self._server(server) for server in self._servers()],
+            waiting_pieces={
+                pool: len(queue.pieces) for pool, queue in entry.work.queues.items()
+            },
+            retries=entry.forwarder.retries.counts(),
+        )
+
+    def _member(self, member):
+        age_ms = self.entry.clock.now_ms() - member.seen_ms
+        return messages.MemberView(
+            address=member.address,
+            data_centre=member.data_centre,
+            age_ms=round(age_ms),
+            draining=member.draining,
+            n_cores=member.n_cores,
+            n_requests=member.n_requests,
+            backlog_ms=member.backlog_ms,
+        )
+
+    def _servers(self):
+        pools = self.entry.fleet.by_pool
+        return [s for pool in sorted(pools) for s in pools[pool].values()]
+
+    def _server(self, server):
+        return messages.ServerView(
+            address=server.address,
+            pool=server.pool,
+            data_centre=server.data_centre,
+            incarnation=server.incarnation,
+            n_in_flight=server.in_flight,
+            load=round(server.load(), 1),
+            left_out=self._left_out(server),
+        )
+
+    def _left_out(self, server):
+        """Return why a server gets no new work from this host, or nothing."""
+        fleet = self.entry.fleet
+        if server.leaving:
+            return "leaving"
+        if server.data_centre in self.entry.operations.data_centres_out:
+            return "its data centre is out"
+        if server.ejected:
+            rest_ms = server.eject_until_ms - self.entry.clock.now_ms()
+            return f"failed {server.n_failures} times, back in {max(0, rest_ms):.0f} ms"
+        if server.trial and server.in_flight:
+            return "on trial with one call"
+        if not self.entry.cold_starts.has_room(server):
+            return "cold, this host's share is used"
+        return "" if fleet.open(server) else "replaced"
--- a/teaselwall/retries.py
+++ b/teaselwall/retries.py
@@ -45,6 +45,10 @@
         further.append(self.clock.now_ms())
         return True
 
+    def counts(self):
+        """Return the further attempts in the present window by pool."""
+        return {pool: len(self._current(self.further, pool)) for pool in self.further}
+
     def _current(self, table, pool):
         times = table.setdefault(pool, collections.deque())
         oldest_ms = self.clock.now_ms() - self.bounds.retry_window_s * MS_PER_S
--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -28,6 +28,8 @@
 # A reader's reads come back each 0.8 s; a longer pause shows that it can't read. It is
 # noticed well within the 2 s that a configuration may take.
 MAX_IDLE_MS = 1200.0
+# Less would have the host that asks ask again and again.
+MIN_WAIT_MS = 5.0
 # A reader that failed is asked again after this time.
 AVOID_MS = 2000.0
 
@@ -124,13 +126,7 @@
         if records is None:
             raise errors.Unavailable("The records from there on are not known here.")
         if not records:
-            rest_ms = MAX_IDLE_MS - (self.clock.now_ms() - follower.read_ms)
-            wait_ms = min(request.wait_ms, WAIT_MS, rest_ms)
-            with trio.move_on_after(max(0.0, wait_ms) / 1000):
-                await follower.read.wait()
-            records = follower.since(request.offset)
-            if records is None:
-                raise errors.Unavailable("The records have just been read anew.")
+            records = await self._next(follower, request)
         returned_ms = follower.returned_ms
         now_ms = self.clock.now_ms()
         return messages.StoreNews(
@@ -141,6 +137,21 @@
             returned_ms=now_ms - returned_ms if returned_ms is not None else -1,
         )
 
+    async def _next(self, follower, request):
+        """Wait for the follower's next read, while it can be expected."""
+        idle_ms = self.clock.now_ms() - follower.read_ms
+        wait_ms = min(request.wait_ms, WAIT_MS, MAX_IDLE_MS - idle_ms)
+        if wait_ms < MIN_WAIT_MS:
+            raise errors.Unavailable(
+                f"This host has read nothing for {idle_ms:.0f} ms."
+            )
+        with trio.move_on_after(wait_ms / 1000):
+            await follower.read.wait()
+        records = follower.since(request.offset)
+        if records is None:
+            raise errors.Unavailable("The records have just been read anew.")
+        return records
+
 
 def _encode(record):
     if record.value is None:
--- a/teaselwall/tests/conftest.py
+++ b/teaselwall/tests/conftest.py
@@ -1,5 +1,6 @@
 """Settings of every test: the same order of events in each run."""
 
+import inspect
 import pathlib
 import random
 
@@ -24,13 +25,27 @@
 
 
 def pytest_collection_modifyitems(items):
-    """Let the listed tests fail without failing the run."""
+    """Let the listed tests fail without failing the run; check their clocks."""
     listed = known_red()
     for item in items:
+        _check_clock(item)
         if any(item.nodeid.endswith(name) for name in listed):
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
+def _check_clock(item):
+    """Refuse a test that would run on the machine's clock by mistake.
+
+    ``pytest-trio`` takes the clock from the test's own arguments only.
+    """
+    if "autojump_clock" not in item.fixturenames:
+        return
+    is_async = inspect.iscoroutinefunction(item.function)
+    if is_async and "autojump_clock" not in item._fixtureinfo.argnames:
+        reason = f"{item.nodeid} needs autojump_clock as an argument of its own."
+        raise pytest.UsageError(reason)
+
+
 def pytest_terminal_summary(terminalreporter):
     """Print what was let pass."""
     for name in known_red():
--- a/teaselwall/tests/test_coordination.py
+++ b/teaselwall/tests/test_coordination.py
@@ -169,26 +169,30 @@
     return reply.handles[0] if isinstance(reply.handles, list) else reply
 
 
-async def test_all_hosts_hold_the_same_host_for_the_coordinator(hosts):
+async def test_all_hosts_hold_the_same_host_for_the_coordinator(autojump_clock, hosts):
     holders = {host.coordination.holder().address for host in hosts}
     assert holders == {"10.0.0.1:1"}
 
 
-async def test_greetings_end(hosts, network):
+async def test_greetings_end(autojump_clock, hosts, network):
     network.n_datagrams.clear()
     await trio.sleep(10)
     most = 10 / 0.25 * (2 * datagrams.N_PARTNERS + 1)
     assert max(network.n_datagrams.values()) <= most
 
 
-async def test_a_dead_coordinator_is_passed_over_at_once(hosts, network):
+async def test_a_dead_coordinator_is_passed_over_at_once(
+    autojump_clock, hosts, network
+):
     network.dead.add("10.0.0.1:1")
     started = trio.current_time()
     assert doer(await do(hosts[3])) == "10.0.0.2:1"
     assert trio.current_time() - started < 0.6
 
 
-async def test_a_coordinator_that_is_cut_off_is_given_up(hosts, network):
+async def test_a_coordinator_that_is_cut_off_is_given_up(
+    autojump_clock, hosts, network
+):
     results = []
 
     # A host of another data centre, which knows the coordinator by a summary only.
@@ -206,7 +210,9 @@
     assert hosts[2].coordination.holder().address == "10.0.0.2:1"
 
 
-async def test_a_coordinator_that_is_back_holds_the_duty_again(hosts, network):
+async def test_a_coordinator_that_is_back_holds_the_duty_again(
+    autojump_clock, hosts, network
+):
     network.cut.add("10.0.0.1:1")
     await do(hosts[3])
     network.cut.clear()
@@ -226,7 +232,7 @@
     return hosts
 
 
-async def test_one_lost_question_is_no_silence(quiet_hosts, network):
+async def test_one_lost_question_is_no_silence(autojump_clock, quiet_hosts, network):
     network.cut.add("10.0.0.1:1")
     await quiet_hosts[3].gossip.ask("10.0.0.1:1")
     network.cut.clear()
@@ -234,33 +240,35 @@
     assert quiet_hosts[3].coordination.holder().address == "10.0.0.1:1"
 
 
-async def test_who_was_lost_is_asked_until_it_is_back(quiet_hosts, network):
+async def test_who_was_lost_is_asked_until_it_is_back(
+    autojump_clock, quiet_hosts, network
+):
     quiet_hosts[3].gossip.note_lost("10.0.0.1:1")
     assert quiet_hosts[3].coordination.holder().address == "10.0.0.2:1"
     await trio.sleep(1)
     assert quiet_hosts[3].coordination.holder().address == "10.0.0.1:1"
 
 
-async def test_a_question_carries_no_view(hosts):
+async def test_a_question_carries_no_view(autojump_clock, hosts):
     question = hosts[3].gossip._question()
     assert not question.rows and not question.summaries
 
 
-async def test_a_job_out_of_time_says_nothing_of_the_coordinator(hosts):
+async def test_a_job_out_of_time_says_nothing_of_the_coordinator(autojump_clock, hosts):
     message = job("j", stage("encode", 1), remaining_ms=150.0)
     result = await hosts[3].coordination.stages(message)
     assert result.is_error()
     assert hosts[3].coordination.holder().address == "10.0.0.1:1"
 
 
-async def test_a_host_that_does_not_serve_is_no_coordinator(hosts):
+async def test_a_host_that_does_not_serve_is_no_coordinator(autojump_clock, hosts):
     hosts[0].membership.me.draining = True
     await trio.sleep(2)
     holders = {host.coordination.holder().address for host in hosts[1:]}
     assert holders == {"10.0.0.2:1"}
 
 
-async def test_an_unreadable_datagram_is_passed_over(hosts):
+async def test_an_unreadable_datagram_is_passed_over(autojump_clock, hosts):
     await hosts[0].gossip._take(b"\xff")
     await hosts[0].gossip._take(json.dumps({"sender": 3}).encode())
 
--- a/teaselwall/tests/test_gateway.py
+++ b/teaselwall/tests/test_gateway.py
@@ -36,7 +36,9 @@
     return await Caller(path, **fields).ask(application)
 
 
-async def test_an_answer_comes_back_as_the_server_gave_it(application, back_ends):
+async def test_an_answer_comes_back_as_the_server_gave_it(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(201, [b"a", b"b"], {"X-Own": "1"})]
     caller = await ask(application, "/once/1", body=b"body")
     assert (caller.status, b"".join(caller.parts)) == (201, b"ab")
@@ -48,27 +50,35 @@
     assert sent[b"expect-instance"] in (b"c1", b"c2")
 
 
-async def test_a_request_that_may_run_once_is_not_sent_again(application, back_ends):
+async def test_a_request_that_may_run_once_is_not_sent_again(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(error=BROKEN)]
     caller = await ask(application, "/once/1")
     assert caller.status == 502
     assert len(back_ends.calls) == 1
 
 
-async def test_it_is_sent_again_where_nothing_was_sent(application, back_ends):
+async def test_it_is_sent_again_where_nothing_was_sent(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(error=REFUSED, sent=False)]
     assert (await ask(application, "/once/1")).status == 200
     assert len(back_ends.calls) == 2
     assert back_ends.calls[0][0] != back_ends.calls[1][0]
 
 
-async def test_it_is_sent_again_where_the_server_did_not_run_it(application, back_ends):
+async def test_it_is_sent_again_where_the_server_did_not_run_it(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [NOT_RUN]
     assert (await ask(application, "/once/1")).status == 200
     assert len(back_ends.calls) == 2
 
 
-async def test_a_refusal_without_the_servers_word_is_no_promise(application, back_ends):
+async def test_a_refusal_without_the_servers_word_is_no_promise(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(503)]
     caller = await ask(application, "/once/1")
     assert len(back_ends.calls) == 1
@@ -76,7 +86,9 @@
     assert (caller.status == 503) == (b"Server-Stamp" in caller.headers)
 
 
-async def test_a_servers_own_failure_is_passed_on(application, back_ends):
+async def test_a_servers_own_failure_is_passed_on(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(500, [b"why"])]
     caller = await ask(application, "/once/1")
     assert (caller.status, caller.parts) == (500, [b"why"])
@@ -92,14 +104,18 @@
         Script(body=[b"half", BROKEN]),
     ],
 )
-async def test_an_idempotent_request_is_made_again(application, back_ends, bad):
+async def test_an_idempotent_request_is_made_again(
+    autojump_clock, application, back_ends, bad
+):
     back_ends.scripts = [bad]
     caller = await ask(application, "/safe/1", method="GET")
     assert (caller.status, caller.parts) == (200, [b"ok"])
     assert len(back_ends.calls) == 2
 
 
-async def test_no_request_runs_on_more_servers_than_allowed(application, back_ends):
+async def test_no_request_runs_on_more_servers_than_allowed(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(error=BROKEN)] * 9
     caller = await ask(application, "/safe/1", method="GET")
     assert caller.status == 502
@@ -107,7 +123,7 @@
 
 
 async def test_the_wrong_answer_of_an_unrepeatable_request_is_not_passed_on(
-    application, back_ends
+    autojump_clock, application, back_ends
 ):
     back_ends.scripts = [Script(headers={"Request-Id": "another"})]
     caller = await ask(application, "/once/1")
@@ -116,14 +132,16 @@
 
 
 @pytest.mark.parametrize("key", ["", "k2"])
-async def test_an_unknown_key_is_refused(application, back_ends, key):
+async def test_an_unknown_key_is_refused(autojump_clock, application, back_ends, key):
     assert (await ask(application, "/safe/1", key=key)).status == 401
     assert (await ask(application, "/open/1", key=key)).status == 200
     assert len(back_ends.calls) == 1
     assert b"tenant" not in back_ends.calls[0][1]
 
 
-async def test_no_key_counts_once_its_proof_is_too_old(application, host, back_ends):
+async def test_no_key_counts_once_its_proof_is_too_old(
+    autojump_clock, application, host, back_ends
+):
     await trio.sleep(4.8)
     caller = await ask(application, "/safe/1")
     assert caller.status == 503
@@ -135,19 +153,25 @@
     assert (await ask(application, "/safe/1")).status == 200
 
 
-async def test_what_an_old_configuration_does_not_know_may_exist(application, host):
+async def test_what_an_old_configuration_does_not_know_may_exist(
+    autojump_clock, application, host
+):
     assert (await ask(application, "/nowhere")).status == 404
     host.orders.proof_ms -= gateway.STALE_MS + 1
     assert (await ask(application, "/nowhere")).status == 503
     assert (await ask(application, "/safe/1", key="new")).status == 503
 
 
-async def test_without_a_configuration_nothing_is_refused_for_good(application, host):
+async def test_without_a_configuration_nothing_is_refused_for_good(
+    autojump_clock, application, host
+):
     host.operations.table = None
     assert (await ask(application, "/safe/1")).status == 503
 
 
-async def test_a_stream_is_passed_on_event_by_event(application, back_ends):
+async def test_a_stream_is_passed_on_event_by_event(
+    autojump_clock, application, back_ends
+):
     split = [EVENTS[0][:5], EVENTS[0][5:] + EVENTS[1][:3], EVENTS[1][3:] + EVENTS[2]]
     back_ends.scripts = [Script(body=split)]
     caller = await ask(application, "/stream/1")
@@ -158,7 +182,9 @@
     ]
 
 
-async def test_a_broken_stream_goes_on_at_another_server(application, back_ends):
+async def test_a_broken_stream_goes_on_at_another_server(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [
         Script(body=[EVENTS[0], EVENTS[1][:4], BROKEN]),
         Script(body=EVENTS[1:]),
@@ -170,7 +196,9 @@
     assert back_ends.calls[1][1][b"last-event-id"] == b"1"
 
 
-async def test_a_stream_that_may_not_go_on_is_cut(application, back_ends):
+async def test_a_stream_that_may_not_go_on_is_cut(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(body=[EVENTS[0], BROKEN])]
     caller = Caller("/stream/1")
     with pytest.raises(replies.AnswerBroken):
@@ -181,7 +209,7 @@
 
 
 async def test_a_stream_that_ends_within_an_event_is_not_complete(
-    application, back_ends
+    autojump_clock, application, back_ends
 ):
     back_ends.scripts = [Script(body=[EVENTS[0], EVENTS[1][:5]])]
     caller = Caller("/stream/1")
@@ -190,7 +218,9 @@
     assert not caller.ended
 
 
-async def test_the_call_ends_when_the_caller_leaves(application, back_ends):
+async def test_the_call_ends_when_the_caller_leaves(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(body=[EVENTS[0], 30.0])]
     caller = Caller("/stream/1")
     async with trio.open_nursery() as nursery:
@@ -202,7 +232,9 @@
         assert back_ends.n_open == 0
 
 
-async def test_a_request_ends_at_its_routes_time(application, back_ends):
+async def test_a_request_ends_at_its_routes_time(
+    autojump_clock, application, back_ends
+):
     back_ends.scripts = [Script(body=[30.0])]
     started = trio.current_time()
     caller = await ask(application, "/once/1")
@@ -211,7 +243,7 @@
 
 
 async def test_a_request_that_was_not_sent_in_time_is_said_not_to_have_run(
-    application, host, back_ends
+    autojump_clock, application, host, back_ends
 ):
     host.listing.replace({})
     caller = await ask(application, "/once/1")
@@ -221,7 +253,9 @@
     assert not back_ends.calls
 
 
-async def test_stages_come_before_the_engine(application, host, back_ends):
+async def test_stages_come_before_the_engine(
+    autojump_clock, application, host, back_ends
+):
     back_ends.scripts = [Script(body=EVENTS)]
     caller = await ask(application, "/staged/1", Pieces="2", Piece_Key="pk")
     assert caller.status == 200
@@ -232,7 +266,9 @@
     assert not host.platform.stages.live["10.0.3.1:80"]
 
 
-async def test_lost_results_are_made_again(application, host, back_ends):
+async def test_lost_results_are_made_again(
+    autojump_clock, application, host, back_ends
+):
     gone = Script(409, headers={"Not-Executed": "1"})
     back_ends.scripts = [gone, Script(body=EVENTS)]
     caller = await ask(application, "/staged/1", Pieces="1", Piece_Key="pk")
@@ -240,7 +276,9 @@
     assert len(host.platform.stages.calls) == 2
 
 
-async def test_results_are_given_up_when_the_engine_fails(application, host, back_ends):
+async def test_results_are_given_up_when_the_engine_fails(
+    autojump_clock, application, host, back_ends
+):
     back_ends.scripts = [Script(error=BROKEN)]
     caller = await ask(application, "/staged/1", Pieces="1", Piece_Key="pk")
     assert caller.status == 502
@@ -248,7 +286,9 @@
     assert not host.platform.stages.live["10.0.3.1:80"]
 
 
-async def test_an_evacuated_data_centre_gets_nothing(application, host, back_ends):
+async def test_an_evacuated_data_centre_gets_nothing(
+    autojump_clock, application, host, back_ends
+):
     host.operations.apply(Record("evacuate/a", b"{}"))
     assert (await ask(application, "/once/1")).status == 503
     assert not back_ends.calls
@@ -256,7 +296,9 @@
     assert (await ask(application, "/once/1")).status == 200
 
 
-async def test_an_older_configuration_never_comes_back(application, host):
+async def test_an_older_configuration_never_comes_back(
+    autojump_clock, application, host
+):
     newer = platform_entry.CONFIG | {"version": 9, "routes": []}
     host.operations.apply(Record("config", json.dumps(newer).encode()))
     host.operations.apply(Record("config", b"{"))
@@ -277,7 +319,9 @@
         self.requested = trio.Event()
 
 
-async def test_a_stopping_host_tells_its_callers_to_leave(application, host):
+async def test_a_stopping_host_tells_its_callers_to_leave(
+    autojump_clock, application, host
+):
     host.stop = Stop()
     assert b"connection" not in (await ask(application, "/once/1")).headers
     host.stop.requested.set()
@@ -285,7 +329,7 @@
     assert not host.ready()
 
 
-async def test_the_directory_leaves_out_who_does_not_serve(host):
+async def test_the_directory_leaves_out_who_does_not_serve(autojump_clock, host):
     guide = guides.Guide(host, "/d", "/r", host.platform.address_answer)
     host.membership.me.draining = not host.ready()
     caller = await Caller("/d", method="GET").ask(guide)
--- /dev/null
+++ b/teaselwall/tests/test_gatewayviews.py
@@ -0,0 +1,74 @@
+import msgspec
+import pytest
+
+from teaselwall import gatewayviews, view_commands
+from teaselwall.generated import messages
+from teaselwall.tests import platform_entry
+from teaselwall.tests.platform_entry import registration
+
+SERVERS = {
+    "c1": registration("core", address="10.0.1.1:80"),
+    "c2": registration("core", address="10.0.1.2:80", state="draining"),
+    "c3": registration("core", address="10.0.1.3:80", zone="b"),
+    "c4": registration("core", address="10.0.1.4:80"),
+    "e1": registration("enc", address="10.0.3.1:80"),
+}
+
+
+@pytest.fixture
+async def host(autojump_clock):
+    made = platform_entry.make(platform_entry.BackEnds(), None, servers=SERVERS)
+    made.operations.apply(
+        platform_entry.keyedlogs.Record("evacuate/b", b"{}"),
+    )
+    (failing,) = [s for s in made.fleet.used() if s.address == "10.0.1.4:80"]
+    failing.n_failures = 5
+    made.fleet.ejections.eject(failing)
+    return made
+
+
+@pytest.fixture
+async def view(host):
+    handler = host.control.handlers[gatewayviews.PATH]
+    reply = msgspec.json.encode(await handler({}))
+    return msgspec.json.decode(reply, type=messages.GatewayView)
+
+
+async def test_it_says_why_a_server_gets_nothing(autojump_clock, view):
+    reasons = {server.address: server.left_out for server in view.servers}
+    assert reasons["10.0.1.1:80"] == ""
+    assert reasons["10.0.1.2:80"] == "leaving"
+    assert reasons["10.0.1.3:80"] == "its data centre is out"
+    assert reasons["10.0.1.4:80"].startswith("failed 5 times")
+
+
+async def test_it_says_how_old_what_is_known_here_is(autojump_clock, view, host):
+    assert view.configuration == 1
+    assert view.configuration_age_ms == 0
+    assert view.data_centres_out == ["b"]
+    assert view.coordinators == {"all": host.membership.me.address}
+    assert [member.address for member in view.members] == ["10.0.0.1:4"]
+
+
+async def test_a_host_without_a_configuration_can_be_asked(autojump_clock):
+    host = platform_entry.make(platform_entry.BackEnds(), None, servers={})
+    host.operations.table = None
+    host.orders.proof_ms = float("-inf")
+    view = gatewayviews.GatewayViews(host).view()
+    assert not view.ready
+    assert view.configuration == -1
+
+
+async def test_the_command_prints_each_part(autojump_clock, view):
+    text = "\n".join(view_commands.gateway_lines(view))
+    for part in (
+        "h: ready",
+        "Configuration: version 1, 0 ms old",
+        "read by this host",
+        "Data centres out: b",
+        "10.0.0.1:4 a: not serving",
+        "all: 10.0.0.1:4",
+        "core 10.0.1.2:80 a c2@1: 0 of this host, load 0, leaving",
+        "core 10.0.1.1:80 a c1@1: 0 of this host, load 0, in use",
+    ):
+        assert part in text
--- a/teaselwall/tests/test_sharedreads.py
+++ b/teaselwall/tests/test_sharedreads.py
@@ -127,7 +127,7 @@
     store.records.append(keyedlogs.Record(key, value))
 
 
-async def test_few_hosts_read_and_all_learn_at_once(hosts, store):
+async def test_few_hosts_read_and_all_learn_at_once(autojump_clock, hosts, store):
     await trio.sleep(5)
     assert set(store.n_reads) == {"h0", "h1"}
     say(store, "a", b"1")
@@ -138,7 +138,7 @@
     assert all(host.heard.events[-1] == ("a", None) for host in hosts)
 
 
-async def test_what_is_relayed_is_as_old_as_it_was_read(hosts, store):
+async def test_what_is_relayed_is_as_old_as_it_was_read(autojump_clock, hosts, store):
     store.turned_away = {host.address for host in hosts}
     sent_s = trio.current_time()
     await trio.sleep(2)
@@ -146,7 +146,9 @@
         assert host.follower.age_ms() >= (trio.current_time() - sent_s) * 1000
 
 
-async def test_hosts_read_themselves_where_their_readers_can_not(hosts, store):
+async def test_hosts_read_themselves_where_their_readers_can_not(
+    autojump_clock, hosts, store
+):
     store.turned_away = {"h0", "h1"}
     await trio.sleep(2)
     say(store, "a", b"2")
@@ -156,7 +158,9 @@
         assert host.follower.age_ms() < 2000
 
 
-async def test_a_reader_that_hangs_costs_less_than_two_seconds(hosts, store, peers):
+async def test_a_reader_that_hangs_costs_less_than_two_seconds(
+    autojump_clock, hosts, store, peers
+):
     peers.frozen = {"h0", "h1"}
     store.turned_away = {"h0", "h1"}
     say(store, "a", b"3")
@@ -164,7 +168,7 @@
     assert all(host.heard.events[-1] == ("a", b"3") for host in hosts[2:])
 
 
-async def test_readers_that_are_back_are_asked_again(hosts, store):
+async def test_readers_that_are_back_are_asked_again(autojump_clock, hosts, store):
     store.turned_away = {"h0", "h1"}
     await trio.sleep(4)
     store.turned_away = set()
@@ -174,7 +178,7 @@
     assert set(store.n_reads) == {"h0", "h1"}
 
 
-async def test_others_hear_of_the_stores_return(hosts, store):
+async def test_others_hear_of_the_stores_return(autojump_clock, hosts, store):
     store.turned_away = {"h0", "h1"}
     await trio.sleep(1)
     store.turned_away = set()
@@ -184,7 +188,9 @@
     assert all(told)
 
 
-async def test_a_reader_whose_records_are_gone_is_passed_over(hosts, store):
+async def test_a_reader_whose_records_are_gone_is_passed_over(
+    autojump_clock, hosts, store
+):
     for host in hosts[:2]:
         host.follower.recent_from = 10**6
     say(store, "a", b"4")
--- a/teaselwall/tests/test_stagework.py
+++ b/teaselwall/tests/test_stagework.py
@@ -153,7 +153,7 @@
     return results
 
 
-async def test_stages_follow_one_another_with_all_inputs(work, servers):
+async def test_stages_follow_one_another_with_all_inputs(autojump_clock, work, servers):
     done = await work.submit(job("j", stage("encode", 2), stage("rank", 3, [0])))
     encoded = [item for _, items in servers.calls[:-1] for item in items]
     assert {(item.stage, item.piece, item.key) for item in encoded} == {
@@ -168,14 +168,14 @@
     assert [piece.handle for piece in done.ok.outputs()] == sorted(servers.live["r1"])
 
 
-async def test_a_stage_without_pieces_is_left_out(work):
+async def test_a_stage_without_pieces_is_left_out(autojump_clock, work):
     done = await work.submit(
         job("j", stage("encode", 0), stage("encode", 1), stage("rank", 1, [0, 1]))
     )
     assert [piece.stage.number for piece in done.ok.outputs()] == [2]
 
 
-async def test_results_are_freed_once_they_were_used(work, servers):
+async def test_results_are_freed_once_they_were_used(autojump_clock, work, servers):
     await work.submit(job("j", stage("encode", 2), stage("rank", 1, [0])))
     await trio.sleep(0.1)
     assert not servers.live["e1"] | servers.live["e2"]
@@ -186,7 +186,9 @@
     assert all(state.used_bytes == 0 for state in work.states.values())
 
 
-async def test_waiting_pieces_of_several_requests_share_a_call(work, servers):
+async def test_waiting_pieces_of_several_requests_share_a_call(
+    autojump_clock, work, servers
+):
     jobs = [job(f"j{n}", stage("rank", 2)) for n in range(4)]
     results = await submit_all(work, jobs, pause_s=0.01)
     assert all(result.is_ok() for result in results.values())
@@ -194,7 +196,7 @@
     assert sizes == [2, 6]
 
 
-async def test_the_most_urgent_goes_first(work, servers):
+async def test_the_most_urgent_goes_first(autojump_clock, work, servers):
     jobs = [job("first", stage("rank", 6))]
     jobs += [job(f"slow{n}", stage("rank", 3), due_ms=5000) for n in range(2)]
     jobs += [job("urgent", stage("rank", 3), due_ms=1000)]
@@ -203,7 +205,7 @@
     assert "urgent" in second
 
 
-async def test_late_work_waits_for_what_can_be_on_time(work, servers):
+async def test_late_work_waits_for_what_can_be_on_time(autojump_clock, work, servers):
     jobs = [job("first", stage("rank", 6))]
     jobs += [job("late", stage("rank", 6), due_ms=100)]
     jobs += [job("on time", stage("rank", 6), due_ms=1500)]
@@ -212,7 +214,9 @@
     assert order.index("on time") < order.index("late")
 
 
-async def test_no_more_is_made_than_a_server_has_room_for(work, servers):
+async def test_no_more_is_made_than_a_server_has_room_for(
+    autojump_clock, work, servers
+):
     jobs = [
         job(f"j{n}", stage("rank", 1, n_bytes=4000), due_ms=9000, remaining_ms=9000)
         for n in range(6)
@@ -229,7 +233,7 @@
     assert servers.most_live == 2
 
 
-async def test_no_room_means_wait(work, servers):
+async def test_no_room_means_wait(autojump_clock, work, servers):
     refused = stagecalls.Made(refusal=stagecalls.Refusal.NO_ROOM)
     servers.answers["r1"] = [expression.Ok([refused])] * 6
     done = await work.submit(job("j", stage("rank", 1)))
@@ -237,7 +241,7 @@
     assert len(servers.calls) == 7
 
 
-async def test_a_lost_input_is_made_again(work, servers):
+async def test_a_lost_input_is_made_again(autojump_clock, work, servers):
     gone = stagecalls.Made(refusal=stagecalls.Refusal.INPUT_GONE)
     servers.answers["r1"] = [expression.Ok([gone])]
     done = await work.submit(job("j", stage("encode", 1), stage("rank", 1, [0])))
@@ -245,7 +249,7 @@
     assert [items[0].stage for _, items in servers.calls] == [0, 1, 0, 1]
 
 
-async def test_a_lost_call_is_made_at_another_server(work, servers):
+async def test_a_lost_call_is_made_at_another_server(autojump_clock, work, servers):
     broken = errors.ConnectionBroken("reset", outcome=errors.Outcome.UNKNOWN)
     for address in ("e1", "e2"):
         servers.answers[address] = [expression.Error(broken)]
@@ -254,7 +258,9 @@
     assert len(servers.calls) == 3
 
 
-async def test_a_piece_that_fails_everywhere_fails_its_request(work, servers):
+async def test_a_piece_that_fails_everywhere_fails_its_request(
+    autojump_clock, work, servers
+):
     failed = stagecalls.Made(refusal=stagecalls.Refusal.FAILED)
     for address in ("e1", "e2"):
         servers.answers[address] = [expression.Ok([failed])] * 9
@@ -263,7 +269,7 @@
     assert len(servers.calls) == 4
 
 
-async def test_a_call_that_hangs_is_made_again_elsewhere(work, servers):
+async def test_a_call_that_hangs_is_made_again_elsewhere(autojump_clock, work, servers):
     servers.slowdown["e1"] = servers.slowdown["e2"] = 1000.0
     started = trio.current_time()
 
@@ -279,14 +285,16 @@
     assert trio.current_time() - started < 1.0
 
 
-async def test_a_job_that_has_no_chance_is_refused_at_once(work, servers):
+async def test_a_job_that_has_no_chance_is_refused_at_once(
+    autojump_clock, work, servers
+):
     done = await work.submit(job("j", stage("encode", 1), remaining_ms=250))
     assert isinstance(done.error, errors.Overloaded)
     assert done.error.outcome is errors.Outcome.NOT_RUN
     assert not servers.calls
 
 
-async def test_the_same_job_asked_again_is_done_once(work, servers):
+async def test_the_same_job_asked_again_is_done_once(autojump_clock, work, servers):
     message = job("j", stage("encode", 1))
     results = []
 
@@ -300,7 +308,7 @@
     assert len(servers.calls) == 1
 
 
-async def test_a_late_release_does_not_end_the_requests_next_job(work):
+async def test_a_late_release_does_not_end_the_requests_next_job(autojump_clock, work):
     first = job("j", stage("encode", 1))
     assert (await work.submit(first)).is_ok()
     second = job("j", stage("encode", 1))
@@ -318,7 +326,7 @@
     assert results[0].ok.outputs()[0].handle
 
 
-async def test_a_caller_that_leaves_ends_its_job(work, servers):
+async def test_a_caller_that_leaves_ends_its_job(autojump_clock, work, servers):
     with trio.move_on_after(0.25):
         await work.submit(job("j", stage("encode", 1), stage("rank", 1, [0])))
     await trio.sleep(1)
@@ -328,7 +336,7 @@
 
 
 async def test_large_inputs_are_used_in_their_data_centre(
-    work, servers, pool, monkeypatch
+    autojump_clock, work, servers, pool, monkeypatch
 ):
     monkeypatch.setattr(stagechoices, "MIN_MOVED_BYTES", 500)
     hosts = [entry("e3", "encode", "b"), entry("r1", "rank", "a")]
--- a/teaselwall/view_commands.py
+++ b/teaselwall/view_commands.py
@@ -5,7 +5,7 @@
 
 from cleo import helpers
 
-from teaselwall import console, errors, fleet_commands, operatorcalls
+from teaselwall import console, errors, fleet_commands, gatewayviews, operatorcalls
 from teaselwall.generated import messages
 
 WATCH_INTERVAL_S = 2
@@ -122,3 +122,50 @@
         f"{offset_ms:9.1f} ms {span['duration_ms']:9.1f} ms  "
         f"{'  ' * depth}{span['name']} [{span['host']}] {attributes}"
     )
+
+
+class GatewayStatus(console.EntryCommand):
+    """Show what one entry host on a platform believes."""
+
+    name = "gateway status"
+    description = "Show what an entry host on a platform believes at this moment."
+
+    def execute_call(self, client):
+        """Print the view of the first host that answers."""
+        result = client.call(gatewayviews.PATH, {})
+        if result.is_error():
+            return self.fail(result.error)
+        view = operatorcalls.as_struct(result.ok, messages.GatewayView)
+        self.print_reply(view, gateway_lines(view))
+        return console.EXIT_OK
+
+
+def gateway_lines(view):
+    """Yield the lines of a gateway's view."""
+    ready = "ready" if view.ready else "not ready"
+    yield f"{view.host}: {ready}, {view.n_in_flight} requests in flight"
+    yield (
+        f"Configuration: version {view.configuration}, "
+        f"{view.configuration_age_ms} ms old; servers {view.servers_age_ms} ms old; "
+        f"read by {view.reader or 'this host'}"
+    )
+    yield f"Data centres out: {', '.join(view.data_centres_out) or 'none'}"
+    yield "Entry hosts:"
+    for member in view.members:
+        state = "not serving" if member.draining else "serving"
+        yield (
+            f"  {member.address} {member.data_centre}: {state}, "
+            f"{member.n_requests} requests, {member.n_cores:g} cores, "
+            f"stage backlog {member.backlog_ms} ms, heard {member.age_ms} ms ago"
+        )
+    yield "Stage coordinators:"
+    yield from (f"  {g}: {address}" for g, address in view.coordinators.items())
+    yield from (f"  {n} pieces wait for {p}" for p, n in view.waiting_pieces.items())
+    yield "Backend servers:"
+    for server in view.servers:
+        yield (
+            f"  {server.pool} {server.address} {server.data_centre} "
+            f"{server.incarnation}: {server.n_in_flight} of this host, "
+            f"load {server.load:g}, {server.left_out or 'in use'}"
+        )
+    yield from (f"Retries of {pool}: {n}" for pool, n in view.retries.items())
