--- a/teaselwall/tests/test_soak.py
+++ b/teaselwall/tests/test_soak.py
@@ -1,5 +1,4 @@
 import contextlib
-import random
 
 import pytest
 import trio
@@ -160,8 +159,8 @@
 def test_a_seed_draws_the_same_faults():
     drawn = []
     for _ in range(2):
-        faults = soak_faults.Faults(None, None, random.Random(SEED))
-        drawn.append([faults.random.choice(faults.kinds).__name__ for _ in range(30)])
+        faults = soak_faults.Faults(None, None, SEED)
+        drawn.append([faults.order.choice(faults.kinds).__name__ for _ in range(30)])
     assert drawn[0] == drawn[1]
 
 
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -133,10 +133,9 @@
 
 async def play(seed, length_s, folder):
     """Play one seed; return the broken promises and a line of figures."""
-    source = random.Random(seed)
     fleet = soak_fleet.Fleet(folder)
-    callers = Callers(fleet, source)
-    faults = soak_faults.Faults(fleet, callers, source)
+    callers = Callers(fleet, random.Random(seed))
+    faults = soak_faults.Faults(fleet, callers, seed)
     try:
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
--- a/teaselwall/tools/soak_faults.py
+++ b/teaselwall/tools/soak_faults.py
@@ -1,6 +1,7 @@
 """Series of faults of the soak, drawn from a seed."""
 
 import collections
+import random
 import signal
 import time
 
@@ -25,7 +26,9 @@
     fleet : soak_fleet.Fleet
     callers : soak.Callers
         Told of keys that are taken away.
-    source : random.Random
+    seed : int
+        Decides the kinds and times of the faults; what each one picks and how long it
+        lasts also depends on which others are in progress.
 
     Attributes
     ----------
@@ -34,10 +37,11 @@
         Zone, begin and end of each order to send nothing there.
     """
 
-    def __init__(self, fleet, callers, source):
+    def __init__(self, fleet, callers, seed):
         self.fleet = fleet
         self.callers = callers
-        self.random = source
+        self.order = random.Random(seed)
+        self.random = random.Random(seed + 1)
         self.played = collections.Counter()
         self.evacuated = []
         self.busy = set()
@@ -63,8 +67,8 @@
         async with trio.open_nursery() as nursery:
             until_s = trio.current_time() + length_s
             while trio.current_time() < until_s:
-                await trio.sleep(self.random.uniform(0.3, 1.7) * GAP_S)
-                fault = self.random.choice(self.kinds)
+                await trio.sleep(self.order.uniform(0.3, 1.7) * GAP_S)
+                fault = self.order.choice(self.kinds)
                 self.played[fault.__name__.strip("_")] += 1
                 nursery.start_soon(fault)
 
