--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -247,7 +247,7 @@
         """Keep what depends on time alone up to date."""
         while True:
             self.membership.me.draining = not self.ready()
-            self.membership.me.backlog_ms = round(self.work.backlog_ms())
+            self.membership.me.backlog_ms = round(self.work.waits.longest_ms())
             self.listing.expire()
             for server in self.fleet.used():
                 self.fleet.ejections.probe(server)
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -15,6 +15,7 @@
     stagelogs,
     stagequeues,
     stageservers,
+    stagewaits,
 )
 
 # Time alone changes order and room; a tenth of the shortest call.
@@ -57,10 +58,10 @@
         "fleet",
         "servers_of",
         "client",
-        "pool_of",
         "metrics",
         "jobs",
         "queues",
+        "waits",
         "states",
         "frees",
         "wake",
@@ -73,10 +74,10 @@
         self.fleet = fleet
         self.servers_of = servers_of or fleet.choices
         self.client = client
-        self.pool_of = pool_of
         self.metrics = metrics
         self.jobs = {}
         self.queues = {}
+        self.waits = stagewaits.StageWaits(self.queues, pool_of, self.servers_of)
         self.states = {}
         self.wake = trio.Event()
         self.arrived = trio.Event()
@@ -112,7 +113,7 @@
         """
         job = self.jobs.get((message.request, message.run))
         if job is None:
-            job = stagejobs.Job(self.clock, message, self._expected_ms)
+            job = stagejobs.Job(self.clock, message, self.waits.expected_ms)
             refused = self._refusal(job)
             if refused is not None:
                 return expression.Error(refused)
@@ -149,10 +150,9 @@
         """Return why a job can't be done in time, or None."""
         wait_ms = 0.0
         for stage in job.stages:
-            pool = self.pool_of(stage.pool)
-            if pool is None or pool.batches is None:
+            if self.waits.limits_of(stage.pool) is None:
                 return errors.Unavailable(f"There is no stage pool {stage.pool}.")
-            wait_ms = max(wait_ms, self._wait_ms(pool))
+            wait_ms = max(wait_ms, self.waits.wait_ms(stage.pool))
         needed_ms = max((stage.tail_ms for stage in job.stages), default=0.0)
         left_ms = job.remaining_ms()
         if wait_ms + needed_ms + MIN_REST_MS < left_ms:
@@ -164,28 +164,6 @@
         retry_ms = min(MAX_BACKOFF_MS, wait_ms)
         return errors.Overloaded(detail, retry_after_ms=max(TICK_MS, retry_ms))
 
-    def backlog_ms(self):
-        """Return the time that the longest queue takes to be worked off."""
-        pools = (self.pool_of(name) for name, q in self.queues.items() if q.pieces)
-        return max((self._wait_ms(pool) for pool in pools if pool), default=0.0)
-
-    def _wait_ms(self, pool):
-        """Return the time that the queue of a pool takes to be worked off."""
-        queue = self.queues.get(pool.name)
-        n_waiting = len(queue.pieces) if queue else 0
-        n_servers = max(1, len(self.servers_of(pool.name)))
-        limits = pool.batches
-        per_call_ms = limits.expected_ms(limits.n_pieces)
-        n_calls = n_waiting / (limits.n_pieces * limits.n_calls * n_servers)
-        return n_calls * per_call_ms
-
-    def _expected_ms(self, pool, n_pieces):
-        """Return the time of a stage of one job: its own call, half full of others."""
-        limits = self.pool_of(pool).batches if self.pool_of(pool) else None
-        if limits is None or not n_pieces:
-            return 0.0
-        return limits.expected_ms(min(limits.n_pieces, n_pieces + limits.n_pieces // 2))
-
     def _queue(self, job):
         """Queue what can be made now of a job."""
         for piece in job.wanted():
@@ -214,13 +192,9 @@
         return backlogs.Backlogs(
             self.jobs.values(),
             lambda pool: len(self.servers_of(pool)),
-            self._limits_of,
+            self.waits.limits_of,
         )
 
-    def _limits_of(self, name):
-        pool = self.pool_of(name)
-        return pool.batches if pool is not None else None
-
     def _refuse_hopeless(self, job, ahead):
         """Refuse a late job that has not begun and may well not end in time."""
         if ahead.lateness_ms(job) <= 0:
@@ -246,7 +220,7 @@
     def _assign(self, pool, ahead):
         """Give the idle servers of a pool their next batches."""
         queue = self.queues[pool]
-        limits = self._limits_of(pool)
+        limits = self.waits.limits_of(pool)
         if not queue.pieces or limits is None:
             return
         states = self._states_of(pool, limits)
@@ -254,7 +228,7 @@
         if not idle:
             return
         queue.sort(ahead)
-        hold_ms = HOLD_MS + self._wait_ms(self.pool_of(pool))
+        hold_ms = HOLD_MS + self.waits.wait_ms(pool)
         waits = functools.partial(stagechoices.waits, states, hold_ms, ahead)
         while idle and queue.pieces:
             state = stagechoices.best(idle, queue.pieces[0])
--- a/teaselwall/tools/bench_stages.py
+++ b/teaselwall/tools/bench_stages.py
@@ -298,12 +298,12 @@
                 data_centre="a",
                 stages=_digest(made.draw),
             )
-            job = stagejobs.Job(made.time, message, made.work._expected_ms)
+            job = stagejobs.Job(made.time, message, made.work.waits.expected_ms)
             made.work.jobs[job.request, 0] = job
             made.work._queue(job)
         made.work.nursery = Unstarted()
         started_s = time.process_time()
-        made.work._assign("encode")
+        made.work._assign("encode", made.work._backlogs())
         return (time.process_time() - started_s) * 1000
 
     return trio.run(run)
