--- a/teaselwall/stagefrees.py
+++ b/teaselwall/stagefrees.py
@@ -28,6 +28,13 @@
         Shared with the stage work, which counts the space.
     on_freed : callable
         Told that there is more space.
+
+    Attributes
+    ----------
+    waiting : dict of servers.Server to list of str
+        Handles that are to be freed.
+    since_ms : dict of servers.Server to float
+        When the first of them was given up.
     """
 
     __slots__ = ("clock", "client", "states", "on_freed", "waiting", "since_ms", "wake")
@@ -57,6 +64,7 @@
                 self.wake = trio.Event()
                 await self.clock.sleep_ms(DELAY_MS)
                 for server in self._due():
+                    del self.since_ms[server]
                     nursery.start_soon(self._free_at, server, self.waiting.pop(server))
                 if self.waiting:
                     self.wake.set()
