--- a/teaselwall/tests/test_faults.py
+++ b/teaselwall/tests/test_faults.py
@@ -40,7 +40,8 @@
     assert n_dead <= 3, answers
     assert calls[-1].status == 422, answers
     assert calls[-1].outcome == "not_run", answers
-    assert (await ask(deployment, 0, "healthy")).whole
+    healthy = await ask(deployment, 0, "healthy")
+    assert healthy.whole, (healthy.elapsed_ms, healthy.status, healthy.answer)
 
 
 async def test_streams_go_on_where_open_connections_fall_silent(deployment):
