Give stand-ins ports that no outgoing connection can take

Its port had been chosen by binding port 0 and letting go, from the range of outgoing connections, and one took it before the stand-in was up. Change: ports come from 15,000 to 32,000, below that range, each once a process, free for TCP and UDP; the soak uses the same function. Other failures of real processes beside load may have had the same cause; their logs were not kept, so they stay listed.

--- a/teaselwall/tools/deployments.py
+++ b/teaselwall/tools/deployments.py
@@ -1,6 +1,7 @@
 """Starting a sample deployment with stand-ins on loopback."""
 
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -29,6 +30,13 @@
 TIMEOUT_MS = 3000
 START_TIMEOUT_MS = 20000
 POLL_MS = 50
+# Below the ports that the system gives to outgoing connections, from 32768 on: none of
+# these can take a port between its choice and its use.
+FIRST_PORT = 15_000
+LAST_PORT = 32_000
+
+_random = random.SystemRandom()
+_given_ports = set()
 
 
 class Backend:
@@ -349,7 +357,20 @@
 
 
 def free_address():
-    """Return an ``IP:port`` on loopback that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    """Return an ``IP:port`` on loopback that nothing else here uses or was given."""
+    while True:
+        port = _random.randint(FIRST_PORT, LAST_PORT)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
+            return f"{LOOPBACK}:{port}"
+
+
+def _is_free(port):
+    """Return whether a port is free for TCP and UDP."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                return False
+    return True
--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -4,7 +4,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 
@@ -12,7 +11,7 @@
 import tomli_w
 import trio
 
-from teaselwall.tools import platform_store, soak_checks, soak_proxy
+from teaselwall.tools import deployments, platform_store, soak_checks, soak_proxy
 
 LOOPBACK = "127.0.0.1"
 ZONES = ("z1", "z2")
@@ -280,12 +279,5 @@
 
 
 def _ports(n_ports):
-    """Return free ports; another program may still take one before its use."""
-    sockets = [socket.socket() for _ in range(n_ports)]
-    try:
-        for found in sockets:
-            found.bind((LOOPBACK, 0))
-        return [found.getsockname()[1] for found in sockets]
-    finally:
-        for found in sockets:
-            found.close()
+    found = [deployments.free_address() for _ in range(n_ports)]
+    return [int(address.rpartition(":")[2]) for address in found]
