--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -27,6 +27,8 @@
 # Retry-After of replies from a host that is full or has no configuration yet.
 RETRY_AFTER_MS = 1000
 MAX_SHOWN_CHARS = 100
+# A longer deadline is above that of any service document.
+MAX_DEADLINE_DIGITS = 18
 BODY_TIMEOUT_MS = 10_000
 SEND_TIMEOUT_MS = 10_000
 
@@ -335,10 +337,13 @@
     text = headers.get("deadline-ms")
     if text is None:
         return service_deadline_ms
-    if not text.isdecimal() or not int(text[:9]) > 0:
+    digits = text.lstrip("0")
+    if not text.isdecimal() or not digits:
         remedy = "Send Deadline-Ms as a whole number of milliseconds above 0."
         raise errors.InvalidRequest("Deadline-Ms is not valid.", remedy=remedy)
-    return min(int(text[:9]), service_deadline_ms)
+    if len(digits) > MAX_DEADLINE_DIGITS:
+        return service_deadline_ms
+    return min(int(digits), service_deadline_ms)
 
 
 def read_key(headers, document):
--- a/teaselwall/coldreports.py
+++ b/teaselwall/coldreports.py
@@ -1,10 +1,14 @@
 """Reports of servers that turned cold, shared by all entry hosts through the log."""
 
+import logging
+
 import msgspec
 
-from teaselwall import permits
+from teaselwall import events, permits
 from teaselwall.generated import messages
 
+logger = logging.getLogger(__name__)
+
 STREAM = "cold-servers"
 READ_LIMIT = 500
 READ_WAIT_MS = 10_000
@@ -52,10 +56,22 @@
             server.warmth.mark_cold()
         if server.warmth.cold_unreported:
             server.warmth.cold_unreported = False
-            if len(self.pending) < MAX_PENDING:
-                self.pending[permits.key_of(server)] = messages.Incarnation(
-                    address=server.address, incarnation=server.incarnation
-                )
+            self._add_pending(server)
+
+    def _add_pending(self, server):
+        if len(self.pending) >= MAX_PENDING:
+            events.log(
+                logger,
+                logging.WARNING,
+                "cold_report_dropped",
+                server=server.address,
+                id=server.incarnation,
+                n_pending=len(self.pending),
+            )
+            return
+        self.pending[permits.key_of(server)] = messages.Incarnation(
+            address=server.address, incarnation=server.incarnation
+        )
 
     async def write(self):
         """Append pending reports as one record; if that fails, they stay pending."""
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -123,10 +123,13 @@
     async def _send(self, address, message):
         if self.socket is None:
             return
-        data = msgspec.json.encode(message)
+        for data in encoded_parts(message):
+            await self._send_datagram(address, data)
+
+    async def _send_datagram(self, address, data):
         self.n_bytes += len(data)
         try:
-            await self.socket.sendto(data[:MAX_DATAGRAM_BYTES], _host_and_port(address))
+            await self.socket.sendto(data, _host_and_port(address))
         except OSError as error:
             events.log(
                 logger, logging.DEBUG, "view_not_sent", peer=address, detail=str(error)
@@ -238,6 +241,39 @@
         self.n_probes = 0
 
 
+def encoded_parts(message):
+    """Return an exchange as one or more encoded datagrams.
+
+    A view that exceeds ``MAX_DATAGRAM_BYTES`` is split by rows and summaries; each part
+    is a complete exchange.
+
+    Parameters
+    ----------
+    message : messages.Exchange
+
+    Returns
+    -------
+    list of bytes
+    """
+    data = msgspec.json.encode(message)
+    if len(data) <= MAX_DATAGRAM_BYTES:
+        return [data]
+    n_rows, n_summaries = len(message.rows) // 2, len(message.summaries) // 2
+    first = msgspec.structs.replace(
+        message,
+        rows=message.rows[:n_rows],
+        summaries=message.summaries[:n_summaries],
+    )
+    rest = msgspec.structs.replace(
+        message,
+        rows=message.rows[n_rows:],
+        summaries=message.summaries[n_summaries:],
+        released=[],
+        asks=False,
+    )
+    return encoded_parts(first) + encoded_parts(rest)
+
+
 def _ignore_release(release):
     """Ignore a release, as this process does no stage work."""
 
--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -121,7 +121,10 @@
 
     status = 403
     title = "Forbidden"
-    remedy = "Send the operator key as 'Authorization: Bearer KEY'."
+    remedy = (
+        "Send 'Authorization: Bearer KEY' with the peer key under /peer/ and the "
+        "operator key elsewhere."
+    )
 
 
 class Conflict(Error):
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -252,7 +252,9 @@
             return expression.Error(
                 errors.DeadlineExceeded(detail, outcome=errors.Outcome.UNKNOWN)
             )
-        return expression.Error(errors.Unavailable(detail))
+        return expression.Error(
+            errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
+        )
 
     async def _run_stages_and_forward(self, call, reply, run):
         if not any(calls.piece_counts(call)):
--- a/teaselwall/grants.py
+++ b/teaselwall/grants.py
@@ -154,6 +154,9 @@
             return messages.ClaimReply(state=self._log_away_state())
         if self._is_full():
             failed = await self._confirm_epoch()
+            if failed is None and self._has_key(entry):
+                # Another claim of the key was applied while the epoch was confirmed.
+                return None
             return failed or messages.ClaimReply(state="overloaded")
         pending = self.owner.enqueue(entry)
         is_granted = False
--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -218,7 +218,9 @@
             None if ``recent`` does not reach back to that offset, or the offset has
             not been read yet.
         """
-        if self.recent_from is None or not self.recent_from <= offset <= self.offset:
+        if self.offset is None or self.recent_from is None:
+            return None
+        if not self.recent_from <= offset <= self.offset:
             return None
         found = {}
         for next_offset, record in self.recent:
--- a/teaselwall/recorders.py
+++ b/teaselwall/recorders.py
@@ -1,10 +1,13 @@
 """Records the outcomes of claims, and retries while the log does not answer."""
 
 import collections
+import logging
 
 import trio
 
-from teaselwall import ownercalls
+from teaselwall import events, ownercalls
+
+logger = logging.getLogger(__name__)
 
 MAX_DEFERRED = 10000
 MAX_CONCURRENT = 64
@@ -25,8 +28,8 @@
     Attributes
     ----------
     deferred : collections.deque of messages.ClaimAsk
-        Outcomes still to be recorded. Beyond ``MAX_DEFERRED``, the first in the
-        queue is dropped, and its key is answered as unknown from then on.
+        Outcomes still to be recorded, oldest first. Beyond ``MAX_DEFERRED``, the
+        oldest is dropped, and its key is answered as unknown from then on.
     wake : trio.Event
         Set when an outcome is deferred.
     n_in_flight : int
@@ -69,9 +72,35 @@
 
     def record_later(self, message):
         """Record an outcome in the background."""
-        self.deferred.append(message)
+        self._defer(message)
         self.wake.set()
 
+    def _defer(self, message):
+        """Queue an outcome; if the queue is full, drop its oldest one."""
+        if len(self.deferred) == MAX_DEFERRED:
+            self._log_dropped(self.deferred[0])
+        self.deferred.append(message)
+
+    def _defer_again(self, remaining):
+        """Put outcomes that were not recorded back before newer ones.
+
+        The oldest of them are dropped if there is no room for all.
+        """
+        n_places = MAX_DEFERRED - len(self.deferred)
+        n_dropped = max(0, len(remaining) - n_places)
+        for message in remaining[:n_dropped]:
+            self._log_dropped(message)
+        self.deferred.extendleft(reversed(remaining[n_dropped:]))
+
+    def _log_dropped(self, message):
+        events.log(
+            logger,
+            logging.WARNING,
+            "outcome_dropped",
+            key=message.entry.key,
+            n_deferred=len(self.deferred),
+        )
+
     async def run(self):
         """Record deferred outcomes until cancelled."""
         while True:
@@ -82,21 +111,22 @@
             remaining = await self._record_all(messages)
             self.n_in_flight = 0
             if remaining:
-                self.deferred.extend(remaining)
+                self._defer_again(remaining)
                 self.wake.set()
                 await self.clock.sleep_ms(RETRY_MS)
 
     async def _record_all(self, messages):
-        remaining = []
+        """Try to record outcomes; return those that were not, in the same order."""
+        recorded = set()
         for start in range(0, len(messages), MAX_CONCURRENT):
             async with trio.open_nursery() as nursery:
                 for message in messages[start : start + MAX_CONCURRENT]:
-                    nursery.start_soon(self._record_one, message, remaining)
-        return remaining
+                    nursery.start_soon(self._record_one, message, recorded)
+        return [message for message in messages if id(message) not in recorded]
 
-    async def _record_one(self, message, remaining):
-        if await self._settle(message) not in FINAL_STATES:
-            remaining.append(message)
+    async def _record_one(self, message, recorded):
+        if await self._settle(message) in FINAL_STATES:
+            recorded.add(id(message))
 
     async def _settle(self, message):
         route = ownercalls.Route(self.calls, message.partition)
--- a/teaselwall/tests/test_application.py
+++ b/teaselwall/tests/test_application.py
@@ -277,3 +277,11 @@
     status, body = await send_request(app, **headers)
     assert status == 429
     assert msgspec.json.decode(body)["outcome"] == outcome
+
+
+@pytest.mark.parametrize(
+    ("text", "expected_ms"),
+    [("5000000000", 60_000), ("0000000001500", 1500), ("9" * 9000, 60_000)],
+)
+def test_deadline_of_any_length_is_read(text, expected_ms):
+    assert application.read_deadline({"deadline-ms": text}, 60_000) == expected_ms
--- a/teaselwall/tests/test_claims.py
+++ b/teaselwall/tests/test_claims.py
@@ -230,6 +230,25 @@
     assert (await run.send("1-key", "body", owner(run))).outcome == "ran"
 
 
+async def test_key_claimed_while_the_epoch_is_confirmed_is_not_called_overloaded(
+    autojump_clock, run, monkeypatch
+):
+    """``overloaded`` says that the key did not run, but another claim of it may."""
+    monkeypatch.setattr(grants, "MAX_TABLE_BYTES", 0)
+    granting = owner(run).ownerships.granters[0]
+    entry = messages.ClaimEntry(
+        kind="claim", key="1-key", claim="later", body_hash="other"
+    )
+    applied = messages.ClaimEntry(kind="ran", key="1-key", claim="c", body_hash="b")
+    partition = granting.owner.partition
+
+    async def confirm(granter):
+        partition.claims["1-key"] = applied
+
+    monkeypatch.setattr(grants.Granter, "_confirm_epoch", confirm)
+    assert await granting._write_claim(entry) is None
+
+
 async def test_recovery_needs_only_the_snapshot_and_later_records(
     autojump_clock, run, monkeypatch
 ):
--- a/teaselwall/tests/test_gateway.py
+++ b/teaselwall/tests/test_gateway.py
@@ -254,6 +254,16 @@
     assert not back_ends.calls
 
 
+async def test_request_that_meets_its_deadline_while_it_waits_gets_a_retry_time(
+    autojump_clock, application, host, back_ends
+):
+    host.server_registry.replace({})
+    caller = await send_request(application, "/once/1", Deadline_Ms="200")
+    assert caller.status == 503
+    assert b"retry-after" in {name.lower() for name in caller.headers}
+    assert not back_ends.calls
+
+
 async def test_engine_gets_stage_results_and_they_are_freed_later(
     autojump_clock, application, host, back_ends
 ):
--- a/teaselwall/tests/test_keyedtopics.py
+++ b/teaselwall/tests/test_keyedtopics.py
@@ -129,3 +129,13 @@
     await time.sleep_ms(20 * (keyedtopics.MAX_RETRY_MS + 20))
     assert listener.events[:2] == ["recovered", ("replace", {"a": b"1"})]
     assert follower.age_ms() < 1000
+
+
+async def test_no_changes_are_given_out_after_lost_history(
+    autojump_clock, follower, store
+):
+    """The offset is unknown then, though recent changes are still kept."""
+    store.results = [page(1), page(2, a=b"1"), LOST]
+    for _ in range(3):
+        await follower.step()
+    assert follower.changes_since(1) is None
--- a/teaselwall/tests/test_settings.py
+++ b/teaselwall/tests/test_settings.py
@@ -189,7 +189,8 @@
 
 
 def test_valid_files_pass(tmp_path):
-    assert settings.read(write_file(tmp_path, tomli_w.dumps(valid_settings()).encode()))
+    body = tomli_w.dumps(valid_settings()).encode()
+    assert settings.read(write_file(tmp_path, body)).is_ok()
     for sample in deployments.SAMPLES.glob("*/services/*.toml"):
         assert services.read(sample).is_ok()
 
--- a/teaselwall/tests/test_transport.py
+++ b/teaselwall/tests/test_transport.py
@@ -1,3 +1,5 @@
+import types
+
 import httpcore
 import pytest
 import trio
@@ -179,3 +181,20 @@
     for index in range(10):
         await calls._pool_of(f"10.0.0.{index}:1")
     assert list(calls.pools) == [f"10.0.0.{index}:1" for index in (7, 8, 9)]
+
+
+async def test_busy_least_recent_pool_does_not_let_the_number_pass_its_maximum(
+    autojump_clock, monkeypatch
+):
+    monkeypatch.setattr(transport, "MAX_POOLS", 2)
+    calls = transport.Transport(clock.Clock())
+    busy = types.SimpleNamespace(connections=[BusyConnection()])
+    calls.pools["10.0.0.0:1"] = busy
+    for index in range(1, 6):
+        await calls._pool_of(f"10.0.0.{index}:1")
+    assert list(calls.pools) == ["10.0.0.0:1", "10.0.0.5:1"]
+
+
+class BusyConnection:
+    def is_idle(self):
+        return False
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -114,16 +114,17 @@
         return pool
 
     async def _drop_least_recent(self):
-        """Close the least recently used pool if there are over ``MAX_POOLS``.
+        """Close the least recently used idle pool if there are over ``MAX_POOLS``.
 
-        A pool with a call in flight is left open.
+        Pools with a call in flight and the pool just added are left open.
         """
         if len(self.pools) <= MAX_POOLS:
             return
-        address, least_recent = next(iter(self.pools.items()))
-        if all(connection.is_idle() for connection in least_recent.connections):
-            del self.pools[address]
-            await least_recent.aclose()
+        for address, pool in list(self.pools.items())[:-1]:
+            if all(connection.is_idle() for connection in pool.connections):
+                del self.pools[address]
+                await pool.aclose()
+                return
 
     async def close(self):
         """Close every connection."""
--- a/teaselwall/warmth.py
+++ b/teaselwall/warmth.py
@@ -146,7 +146,7 @@
         step = (self.clock.now_ms() - self.ramp_start_ms) // RAMP_STEP_MS
         if step < 0:
             return 0
-        return MAX_RAMP_CALLS if step > MAX_RAMP_CALLS.bit_length() else 1 << int(step)
+        return 1 << min(int(step), MAX_RAMP_CALLS.bit_length() - 1)
 
     def has_capacity(self, in_flight):
         """Return whether a warm server may get one more call from this host."""
