Serve and call over h11 directly; keep progress of stages by change

The own interface keeps the libraries' servers and pools. prometheus and httpcore are no longer loaded at the start. Backlogs counted all pieces of all jobs at each decision; stages now keep the count.

--- a/teaselwall/backlogs.py
+++ b/teaselwall/backlogs.py
@@ -25,25 +25,27 @@
         By pool, for the jobs that can still be on time.
     all_ms : dict of str to float
         By pool, for all jobs that have started.
+    lateness_by_job : dict of stagejobs.Job to float
+        Results of ``lateness_ms``, as each piece of a job asks for them.
     """
 
-    __slots__ = ("on_time_ms", "all_ms")
+    __slots__ = ("on_time_ms", "all_ms", "lateness_by_job")
 
     def __init__(self, jobs, n_servers, limits_of):
         self.on_time_ms = {}
         self.all_ms = {}
+        self.lateness_by_job = {}
         costs = {}
         for job in jobs:
             if job.ended() or not job.started:
                 continue
             on_time = job.slack_ms() >= 0
             for stage in job.stages:
-                n_left = sum(map(_share_left, stage.pieces))
-                if not n_left:
+                if not stage.work_left:
                     continue
                 if stage.pool not in costs:
                     costs[stage.pool] = _piece_ms(stage.pool, n_servers, limits_of)
-                cost_ms = n_left * costs[stage.pool]
+                cost_ms = stage.work_left * costs[stage.pool]
                 _add(self.all_ms, stage.pool, cost_ms)
                 if on_time:
                     _add(self.on_time_ms, stage.pool, cost_ms)
@@ -53,10 +55,13 @@
 
         Of the started jobs, only those that can still be on time count as its backlog.
         """
-        return max(
-            self._expected_start_ms(self.on_time_ms, stage) - stage.slack_ms()
-            for stage in job.stages
-        )
+        lateness_ms = self.lateness_by_job.get(job)
+        if lateness_ms is None:
+            lateness_ms = self.lateness_by_job[job] = max(
+                self._expected_start_ms(self.on_time_ms, stage) - stage.slack_ms()
+                for stage in job.stages
+            )
+        return lateness_ms
 
     def wait_ms(self, job):
         """Return the longest expected wait of a job at a pool if it starts now.
@@ -83,13 +88,6 @@
         return max(stage.earliest_start_ms, backlog_ms.get(stage.pool, 0.0))
 
 
-def _share_left(piece):
-    """Return the share of a piece's work that is left: half while it is running."""
-    if piece.handle:
-        return 0.0
-    return 0.5 if piece.running else 1.0
-
-
 def _piece_ms(pool, n_servers, limits_of):
     """Return the time that each piece adds to the backlog of a pool."""
     limits = limits_of(pool)
--- a/teaselwall/engines.py
+++ b/teaselwall/engines.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from teaselwall import errors, servers, transport
+from teaselwall import errors, httpcalls, servers, transport
 from teaselwall.generated import messages
 
 # Longest wait for the end of a stream after its last token.
@@ -64,7 +64,7 @@
         """Open a stream; see ``ModelEngine.generate``."""
         address = server.address
         path = "/v1/generate"
-        progress = transport.CallProgress()
+        progress = httpcalls.CallProgress()
         try:
             async with self.transport.open(
                 "POST",
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -18,6 +18,7 @@
     fleet,
     forwarders,
     gatewayviews,
+    httpclient,
     keyedtopics,
     membership,
     metrics,
@@ -31,7 +32,6 @@
     sharedreads,
     stagework,
     traces,
-    transport,
 )
 
 logger = logging.getLogger(__name__)
@@ -114,7 +114,7 @@
         self.platform = platform
         self.protocol = platform.protocol
         self.clock = time or clock.BootClock()
-        self.transport = transport.Transport(self.clock)
+        self.transport = httpclient.Client(self.clock)
         self.metrics = metrics.Metrics()
         self.tracer = traces.Tracer(settings.traces, settings.host.name)
         self.control = control.Control(settings.access)
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -1,6 +1,7 @@
 """Runs an entry host on a platform as a process."""
 
 import functools
+import gc
 import logging
 import signal
 import sys
@@ -14,7 +15,7 @@
     entry,
     events,
     gateway,
-    listeners,
+    httpserver,
     logsinks,
     settings,
     stops,
@@ -29,6 +30,9 @@
 STOP_TIME_SHARE = 0.93
 # Idle timeout of callers' connections: four times as long as callers keep one idle.
 CONNECTION_IDLE_S = 60.0
+# New objects between two collections. A request makes some thousand objects, nearly all
+# of them without cycles.
+GC_THRESHOLD = 20_000
 # Sections of the settings that SIGHUP may change.
 RELOADABLE_SECTIONS = ("bounds", "limits", "regions")
 
@@ -88,8 +92,11 @@
     )
     events.configure(stream=sink, host=node_settings.host.name)
     host = entry.Entry(node_settings, make_platform(node_settings))
+    # What the start has loaded stays for good and needs no scans.
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
     status = trio.run(run, host, sink, path)
-    sink.flush()
+    sink.drain()
     return status
 
 
@@ -152,14 +159,8 @@
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         for address, application in applications.items():
-            nursery.start_soon(
-                listeners.serve,
-                application,
-                address,
-                shutdown,
-                trio.TASK_STATUS_IGNORED,
-                CONNECTION_IDLE_S,
-            )
+            server = httpserver.Server(application, address, CONNECTION_IDLE_S)
+            nursery.start_soon(server.run, shutdown)
         await stop.run()
         shutdown.set()
         if not stop.n_cut:
--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -227,7 +227,7 @@
 
     Parameters
     ----------
-    reply : transport.Reply
+    reply : httpcalls.Reply
     kind : type
         Struct class of the message.
     responder : str
@@ -257,7 +257,7 @@
 
     Parameters
     ----------
-    reply : transport.Reply
+    reply : httpcalls.Reply
     responder : str
         Name of the process that replied, for the error's detail.
 
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -10,10 +10,10 @@
     ejections,
     errors,
     events,
+    httpcalls,
     protocols,
     sse,
     traces,
-    transport,
 )
 from teaselwall.generated import messages
 
@@ -62,7 +62,7 @@
     Parameters
     ----------
     clock : clock.Clock
-    transport : transport.Transport
+    transport : httpcalls.HttpCalls
     protocol : protocols.Protocol
     server_choices : serverchoices.ServerChoices
     retries : retries.RetryWindow
@@ -186,7 +186,7 @@
         span = self.tracer.start(
             "attempt", call.span, server=server.address, request=call.head.id
         )
-        progress = transport.CallProgress()
+        progress = httpcalls.CallProgress()
         with server.track_call(self.clock) as server_attempt:
             error = await self._exchange(
                 call, server, reply, inputs, splitter, on_head, progress
@@ -249,8 +249,8 @@
                     return await self._read_response(
                         call, server, reply, response, splitter, on_head
                     )
-        except transport.TRANSPORT_EXCEPTIONS as error:
-            return transport.to_transport_error(server.address, "", error, progress)
+        except self.transport.failures as error:
+            return self.transport.to_error(server.address, "", error, progress)
         except errors.TransportError as error:
             return error
 
@@ -294,13 +294,13 @@
             detail = f"{server.address} refused the request with status {head.status}."
             raise errors.ServerFailed(detail, outcome=errors.Outcome.NOT_RUN)
         if not head.succeeded:
-            body = await transport.read_body(response)
+            body = await httpcalls.read_body(response)
             detail = f"{server.address} answered with status {head.status}."
             raise BadAnswer(head, body, detail, errors.Outcome.RAN)
         on_head()
         if calls.is_streaming(call.route):
             return await self._relay_stream(server, reply, head, response, splitter)
-        body = await transport.read_body(response)
+        body = await httpcalls.read_body(response)
         await reply.send_whole(head.status, head.headers, body)
         return None
 
@@ -308,7 +308,7 @@
         """Pass complete events on to the caller as they arrive."""
         splitter.partial = b""
         if not reply.started:
-            await reply.start(head.status, head.headers)
+            reply.start(head.status, head.headers)
         async for data in response.aiter_stream():
             complete = splitter.feed(data)
             if complete:
--- /dev/null
+++ b/teaselwall/httpserver.py
@@ -0,0 +1,370 @@
+"""HTTP/1.1 server on h11 for an ASGI application, one task for each connection.
+
+It serves the entry hosts of a platform, where it takes the place of ``listeners``: the
+processor time of a request is a small part of that under a general ASGI server.
+"""
+
+import errno
+import logging
+import socket
+import struct
+import urllib.parse
+
+import h11
+import trio
+
+from teaselwall import events, sockets
+
+logger = logging.getLogger(__name__)
+
+ACCEPT_BACKLOG = 1024
+MAX_HEAD_BYTES = 16 * 1024
+# Time from the first byte of a request's head to its last.
+HEAD_TIMEOUT_S = 15.0
+# Time for the next bytes of a body, and for a caller to take the bytes sent.
+BODY_TIMEOUT_S = 10.0
+SEND_TIMEOUT_S = 10.0
+# After an early reply, the rest of the request is read for this long, as closing with
+# unread bytes would reset the connection before the caller has the reply.
+LINGER_S = 1.0
+# Bytes of further requests that are read while one is in progress.
+MAX_PIPELINED_BYTES = 64 * 1024
+# Pause after an accept failed, such as for want of descriptors.
+ACCEPT_PAUSE_S = 0.05
+# Errors of accept that concern a single connection.
+ABORTED_ERRNOS = (errno.ECONNABORTED, errno.EPROTO, errno.EPERM)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class CallerStalled(Exception):
+    """The caller does not read the reply."""
+
+
+class Server:
+    """Listens on one address.
+
+    Parameters
+    ----------
+    application : callable
+        ASGI application.
+    address : str
+        ``IP:port``.
+    idle_s : float
+        Time after which an idle connection is closed, also before its first request.
+
+    Attributes
+    ----------
+    connections : set of Connection
+        Open connections.
+    closing : bool
+        Whether connections are closed once their request in progress has ended.
+    """
+
+    __slots__ = ("application", "address", "idle_s", "connections", "closing")
+
+    def __init__(self, application, address, idle_s):
+        self.application = application
+        self.address = address
+        self.idle_s = idle_s
+        self.connections = set()
+        self.closing = False
+
+    async def run(self, shutdown):
+        """Serve until ``shutdown`` is set and the requests in progress have ended.
+
+        Parameters
+        ----------
+        shutdown : trio.Event
+        """
+        with _listen(self.address) as listener:
+            async with trio.open_nursery() as nursery:
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(self._accept, listener, nursery)
+                    await shutdown.wait()
+                    accepting.cancel_scope.cancel()
+                self.closing = True
+                for connection in self.connections:
+                    connection.close_if_idle()
+
+    async def _accept(self, listener, nursery):
+        while True:
+            await trio.lowlevel.wait_readable(listener)
+            try:
+                sock, _ = listener.accept()
+            except (BlockingIOError, InterruptedError):
+                continue
+            except OSError as error:
+                events.log(logger, logging.WARNING, "accept_failed", detail=str(error))
+                if error.errno not in ABORTED_ERRNOS:
+                    await trio.sleep(ACCEPT_PAUSE_S)
+                continue
+            nursery.start_soon(self._handle, sock)
+
+    async def _handle(self, sock):
+        """Serve one connection; an exception ends this connection only."""
+        connection = None
+        try:
+            connection = Connection(self, sockets.Stream(sock))
+            self.connections.add(connection)
+            await connection.run()
+        except (OSError, CallerStalled, h11.ProtocolError) as error:
+            _log_failure(logging.DEBUG, error)
+        except Exception as error:
+            _log_failure(logging.INFO, error)
+        finally:
+            self.connections.discard(connection)
+            sock.close()
+
+
+class Connection:
+    """One caller's connection.
+
+    Parameters
+    ----------
+    server : Server
+    stream : sockets.Stream
+
+    Attributes
+    ----------
+    protocol : h11.Connection
+    idle_scope : trio.CancelScope or None
+        Set while the connection waits for a request.
+    caller_gone : bool
+        Whether the caller has closed its end.
+    method : bytes
+        Method of the request in progress.
+    head : h11.Response or None
+        Head of a reply that is sent with the first bytes of its body.
+    """
+
+    __slots__ = (
+        "server",
+        "stream",
+        "protocol",
+        "idle_scope",
+        "caller_gone",
+        "method",
+        "head",
+    )
+
+    def __init__(self, server, stream):
+        self.server = server
+        self.stream = stream
+        self.protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.idle_scope = None
+        self.caller_gone = False
+        self.method = b""
+        self.head = None
+
+    async def run(self):
+        """Serve the requests of the connection, one after the other."""
+        try:
+            is_open = True
+            while is_open and not self.server.closing:
+                is_open = await self._serve_one()
+        except BaseException:
+            if self.protocol.our_state is h11.SEND_BODY:
+                # A reply that is cut must not look complete, whatever its framing.
+                self._reset_on_close()
+            raise
+        finally:
+            self.stream.close()
+
+    def close_if_idle(self):
+        """Close the connection if it waits for a request."""
+        if self.idle_scope is not None:
+            self.idle_scope.cancel()
+
+    async def _serve_one(self):
+        """Serve the next request; return whether another may follow."""
+        try:
+            request = await self._next_request()
+        except h11.RemoteProtocolError as error:
+            await self._refuse_unreadable(error)
+            return False
+        if request is None:
+            return False
+        self.method = request.method
+        await self.server.application(_scope(request), self.receive, self.send)
+        if self.protocol.our_state not in (h11.DONE, h11.MUST_CLOSE):
+            raise h11.LocalProtocolError("the application sent no whole reply")
+        if not await self._read_rest() or self.caller_gone:
+            return False
+        self.protocol.start_next_cycle()
+        return True
+
+    async def _next_request(self):
+        """Return the next request's head, or None if the connection ended or idled."""
+        event = self.protocol.next_event()
+        if event is h11.NEED_DATA and not self.protocol.trailing_data[0]:
+            if not await self._wait_for_request():
+                return None
+            event = self.protocol.next_event()
+        if event is h11.NEED_DATA:
+            with trio.move_on_after(HEAD_TIMEOUT_S):
+                while event is h11.NEED_DATA:
+                    self.protocol.receive_data(await self.stream.receive())
+                    event = self.protocol.next_event()
+        return event if isinstance(event, h11.Request) else None
+
+    async def _wait_for_request(self):
+        data = b""
+        with trio.move_on_after(self.server.idle_s) as self.idle_scope:
+            data = await self.stream.receive()
+        self.idle_scope = None
+        if data:
+            self.protocol.receive_data(data)
+        return bool(data)
+
+    async def receive(self):
+        """Return the next part of the request's body, or the caller's leaving.
+
+        The ASGI ``receive`` of the request in progress.
+        """
+        if self.protocol.their_state is not h11.SEND_BODY:
+            await self._wait_until_gone()
+            return {"type": "http.disconnect"}
+        try:
+            event = await self._next_body_event()
+        except (OSError, h11.RemoteProtocolError, trio.TooSlowError) as error:
+            _log_failure(logging.DEBUG, error)
+            self.caller_gone = True
+            return {"type": "http.disconnect"}
+        if isinstance(event, h11.Data):
+            body = bytes(event.data)
+            return {"type": "http.request", "body": body, "more_body": True}
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def _next_body_event(self):
+        protocol = self.protocol
+        if protocol.they_are_waiting_for_100_continue:
+            await self._send_bytes(
+                protocol.send(h11.InformationalResponse(status_code=100, headers=[]))
+            )
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            with trio.fail_after(BODY_TIMEOUT_S):
+                while event is h11.NEED_DATA:
+                    protocol.receive_data(await self.stream.receive())
+                    event = protocol.next_event()
+        return event
+
+    async def _wait_until_gone(self):
+        """Return once the caller has closed its end."""
+        while not self.caller_gone:
+            if len(self.protocol.trailing_data[0]) > MAX_PIPELINED_BYTES:
+                await trio.sleep_forever()
+            try:
+                data = await self.stream.receive()
+            except OSError:
+                data = b""
+            if data:
+                self.protocol.receive_data(data)
+            else:
+                self.caller_gone = True
+
+    async def send(self, message):
+        """Send the head or a part of the body of the reply.
+
+        The ASGI ``send`` of the request in progress. The head is sent together with the
+        first part of the body. Nothing is sent once the caller has closed its end.
+
+        Raises
+        ------
+        CallerStalled
+        """
+        if message["type"] == "http.response.start":
+            headers = list(message["headers"])
+            if self.server.closing:
+                headers.append((b"connection", b"close"))
+            self.head = h11.Response(status_code=message["status"], headers=headers)
+            return
+        data = b""
+        if self.head is not None:
+            data = self.protocol.send(self.head)
+            self.head = None
+        body = message.get("body", b"")
+        if body and self.method != b"HEAD":
+            data += self.protocol.send(h11.Data(data=body))
+        if not message.get("more_body"):
+            data += self.protocol.send(h11.EndOfMessage())
+        await self._send_bytes(data)
+
+    async def _send_bytes(self, data):
+        """Send bytes; do nothing once the caller has closed its end."""
+        if self.caller_gone:
+            return
+        try:
+            with trio.move_on_after(SEND_TIMEOUT_S) as scope:
+                await self.stream.send(data)
+        except OSError as error:
+            _log_failure(logging.DEBUG, error)
+            self.caller_gone = True
+            return
+        if scope.cancelled_caught:
+            self.caller_gone = True
+            raise CallerStalled(f"The caller read nothing for {SEND_TIMEOUT_S:.0f} s.")
+
+    async def _read_rest(self):
+        """Read what is left of the request; return whether the connection is kept."""
+        protocol = self.protocol
+        if protocol.their_state is h11.SEND_BODY:
+            with trio.move_on_after(LINGER_S):
+                while (await self.receive())["type"] == "http.request":
+                    if protocol.their_state is not h11.SEND_BODY:
+                        break
+        if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
+            return True
+        self.stream.end_sending()
+        return False
+
+    async def _refuse_unreadable(self, error):
+        """Answer bytes that are not a request, if no reply has begun."""
+        _log_failure(logging.INFO, error)
+        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        head = h11.Response(status_code=error.error_status_hint, headers=headers)
+        data = self.protocol.send(head) + self.protocol.send(h11.EndOfMessage())
+        await self._send_bytes(data)
+        self.stream.end_sending()
+        with trio.move_on_after(LINGER_S):
+            while await self.stream.receive():
+                pass
+
+    def _reset_on_close(self):
+        if self.stream.sock.fileno() >= 0:
+            self.stream.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+
+
+def _listen(address):
+    """Return a listening socket."""
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host.strip("[]"), int(port)))
+    sock.setblocking(False)
+    sock.listen(ACCEPT_BACKLOG)
+    return sock
+
+
+def _scope(request):
+    """Return the ASGI scope of a request."""
+    path, _, query = request.target.partition(b"?")
+    return {
+        "type": "http",
+        "method": request.method.decode("ascii"),
+        "path": urllib.parse.unquote(path.decode("ascii")),
+        "raw_path": path,
+        "query_string": query,
+        "headers": list(request.headers),
+    }
+
+
+def _log_failure(level, error):
+    events.log(logger, level, "connection_failed", detail=repr(error)[:300])
--- a/teaselwall/logsinks.py
+++ b/teaselwall/logsinks.py
@@ -7,8 +7,8 @@
 import msgspec
 import trio
 
-# Interval at which lines that a slow reader has left in the buffer are written.
-FLUSH_INTERVAL_MS = 100.0
+# Lines of this time are written together; a process that is killed loses them.
+FLUSH_INTERVAL_MS = 20.0
 # Size of one write: the capacity of a pipe.
 MAX_CHUNK_BYTES = 65536
 
@@ -82,6 +82,9 @@
         self._buffer_line(text)
 
     def flush(self):
+        """Do nothing: ``logging`` calls it after each line, ``run`` writes several."""
+
+    def drain(self):
         """Write as much of the buffer as the reader accepts without blocking."""
         while self.lines:
             data = self._next_chunk()
@@ -116,18 +119,18 @@
             self.lines[0] = self.lines[0][n_bytes:]
 
     def close(self):
-        """Flush the buffer once; the descriptor stays open."""
-        self.flush()
+        """Drain the buffer once; the descriptor stays open."""
+        self.drain()
 
     async def run(self):
-        """Flush buffered lines at intervals until cancelled."""
+        """Write buffered lines at intervals until cancelled."""
         while True:
             if not self.lines and self.n_dropped == self.n_dropped_reported:
                 self.line_written = trio.Event()
                 await self.line_written.wait()
             await trio.sleep(FLUSH_INTERVAL_MS / 1000)
             self._add_dropped_report()
-            self.flush()
+            self.drain()
 
     def _add_dropped_report(self):
         n_new = self.n_dropped - self.n_dropped_reported
--- a/teaselwall/metrics.py
+++ b/teaselwall/metrics.py
@@ -1,8 +1,6 @@
 """Counters and latency histograms in the Prometheus text format."""
 
-import prometheus_client
 from hdrh import histogram
-from prometheus_client import metrics_core
 
 MIN_DURATION_US = 1
 MAX_DURATION_US = 3_600_000_000
@@ -28,13 +26,11 @@
         Durations in microseconds, by name and sorted label pairs.
     """
 
-    __slots__ = ("registry", "counters", "histograms")
+    __slots__ = ("counters", "histograms")
 
     def __init__(self):
-        self.registry = prometheus_client.CollectorRegistry()
         self.counters = {}
         self.histograms = {}
-        self.registry.register(self)
 
     def count(self, name, amount=1, **labels):
         """Increase a counter."""
@@ -65,39 +61,9 @@
 
     def text(self):
         """Return every metric in the text exposition format, as bytes."""
-        return prometheus_client.generate_latest(self.registry)
+        from teaselwall import exposition
 
-    def collect(self):
-        """Yield the metric families; the registry calls it as a collector."""
-        yield from self._counter_families()
-        yield from self._histogram_families()
-
-    def _counter_families(self):
-        families = {}
-        for (name, labels), value in self.counters.items():
-            family = families.get(name)
-            if family is None:
-                family = metrics_core.CounterMetricFamily(
-                    f"teaselwall_{name}", name.replace("_", " ")
-                )
-                families[name] = family
-            family.add_sample(f"teaselwall_{name}_total", dict(labels), value)
-        return families.values()
-
-    def _histogram_families(self):
-        families = {}
-        for (name, labels), series in self.histograms.items():
-            family = families.get(name)
-            if family is None:
-                family = metrics_core.GaugeMetricFamily(
-                    f"teaselwall_{name}_ms", f"{name.replace('_', ' ')} quantiles"
-                )
-                families[name] = family
-            for percent in QUANTILES_PERCENT:
-                value_ms = series.get_value_at_percentile(percent) / US_PER_MS
-                quantile = {"quantile": str(percent / 100)}
-                family.add_sample(family.name, dict(labels) | quantile, value_ms)
-        return families.values()
+        return exposition.text(self)
 
     def _series_key(self, series_by_key, name, labels):
         key = (name, tuple(sorted(labels.items())))
--- a/teaselwall/replies.py
+++ b/teaselwall/replies.py
@@ -17,8 +17,10 @@
 
     Attributes
     ----------
+    head : dict or None
+        Head of the reply that is sent with the first bytes of the body.
     started : bool
-        Whether the head has been sent.
+        Whether the head has been sent. Until then, another reply may be sent.
     ended : bool
         Whether the reply is complete.
     status : int
@@ -27,41 +29,51 @@
         Bytes of the body that were sent.
     """
 
-    __slots__ = ("send", "closing", "started", "ended", "status", "n_bytes")
+    __slots__ = ("send", "closing", "head", "started", "ended", "status", "n_bytes")
 
     def __init__(self, send, closing):
         self.send = send
         self.closing = closing
+        self.head = None
         self.started = False
         self.ended = False
         self.status = 0
         self.n_bytes = 0
 
-    async def start(self, status, headers):
-        """Send the status and headers."""
-        self.started = True
+    def start(self, status, headers):
+        """Set the status and headers, which are sent with the first bytes."""
         self.status = status
-        headers = list(headers)
+        self.head = {
+            "type": "http.response.start",
+            "status": status,
+            "headers": list(headers),
+        }
+
+    async def _send_head(self):
+        if self.started:
+            return
+        self.started = True
         if self.closing():
-            headers.append((b"connection", b"close"))
-        await self.send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
+            self.head["headers"].append((b"connection", b"close"))
+        await self.send(self.head)
 
     async def write(self, data):
         """Send a part of the body."""
+        await self._send_head()
         self.n_bytes += len(data)
         await self.send({"type": "http.response.body", "body": data, "more_body": True})
 
     async def end(self):
         """End the body."""
+        await self._send_head()
         self.ended = True
         await self.send({"type": "http.response.body", "body": b""})
 
     async def send_whole(self, status, headers, body):
         """Send a complete reply."""
         length = (b"content-length", str(len(body)).encode())
-        await self.start(status, [*headers, length])
+        self.start(status, [*headers, length])
+        await self._send_head()
         self.n_bytes += len(body)
         self.ended = True
         await self.send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/teaselwall/sockets.py
@@ -0,0 +1,116 @@
+"""TCP connections that wait for the event loop only when a call would block.
+
+A stream of ``trio`` yields to the event loop on every call, also when the data is
+already there. An entry host makes several such calls for each request.
+"""
+
+import errno
+import os
+import socket
+
+import trio
+
+# Largest number of bytes that one receive returns.
+RECEIVE_BYTES = 64 * 1024
+
+
+class Stream:
+    """One TCP connection.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        Connected; it is made non-blocking.
+    """
+
+    __slots__ = ("sock",)
+
+    def __init__(self, sock):
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = sock
+
+    async def receive(self):
+        """Return the next bytes, or no bytes once the other end has closed.
+
+        Raises
+        ------
+        OSError
+            The connection was reset.
+        """
+        while True:
+            data = self.receive_now()
+            if data is not None:
+                return data
+            await trio.lowlevel.wait_readable(self.sock)
+
+    def receive_now(self):
+        """Return bytes that have arrived, or None if there are none yet."""
+        try:
+            return self.sock.recv(RECEIVE_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return None
+
+    async def send(self, data):
+        """Send all bytes.
+
+        Raises
+        ------
+        OSError
+            The connection was reset.
+        """
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.sock.send(view) :]
+            except (BlockingIOError, InterruptedError):
+                await trio.lowlevel.wait_writable(self.sock)
+
+    def end_sending(self):
+        """Tell the other end that no more bytes follow."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            # The other end has closed or reset the connection already.
+            if error.errno not in (errno.ENOTCONN, errno.ECONNRESET, errno.EPIPE):
+                raise
+
+    def close(self):
+        """Close the connection."""
+        if self.sock.fileno() >= 0:
+            trio.lowlevel.notify_closing(self.sock)
+            self.sock.close()
+
+
+async def connect(address):
+    """Open a connection.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:port``; an IPv6 address is in brackets.
+
+    Returns
+    -------
+    Stream
+
+    Raises
+    ------
+    OSError
+        The connection was refused or the address can't be reached.
+    """
+    host, _, port = address.rpartition(":")
+    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        stream = Stream(sock)
+        status = sock.connect_ex((host.strip("[]"), int(port)))
+        if status == errno.EINPROGRESS:
+            await trio.lowlevel.wait_writable(sock)
+            status = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if status:
+            raise OSError(status, os.strerror(status))
+    except BaseException:
+        sock.close()
+        raise
+    return stream
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -47,6 +47,28 @@
         self.running = set()
         self.queued = False
 
+    def begin_attempt(self, server):
+        """Count a call of a server as in progress for the piece."""
+        self.running.add(server)
+        self.n_attempts += 1
+        self.stage.update_progress()
+
+    def end_attempt(self, server):
+        """Count a call of a server as ended."""
+        self.running.discard(server)
+        self.stage.update_progress()
+
+    def store_result(self, handle, server):
+        """Record the result and the server that holds it."""
+        self.handle = handle
+        self.server = server
+        self.stage.update_progress()
+
+    def drop_result(self):
+        """Forget the result, as it is lost or no longer usable."""
+        self.handle = ""
+        self.stage.update_progress()
+
     @property
     def slack_ms(self):
         """Time until its stage has to start for the job to be on time."""
@@ -90,6 +112,10 @@
         Start of its first call.
     freed : bool
         Whether its results were passed to the cleanup that frees them.
+    n_missing : int
+        Pieces without a result.
+    work_left : float
+        Pieces that are left to run; one that is running counts half.
     """
 
     __slots__ = (
@@ -105,6 +131,8 @@
         "earliest_start_ms",
         "started_ms",
         "freed",
+        "n_missing",
+        "work_left",
     )
 
     def __init__(self, job, number, row):
@@ -120,6 +148,14 @@
         self.earliest_start_ms = 0.0
         self.started_ms = None
         self.freed = False
+        self.n_missing = len(self.pieces)
+        self.work_left = float(self.n_missing)
+
+    def update_progress(self):
+        """Count the missing results and the work left after a change of a piece."""
+        missing = [piece for piece in self.pieces if not piece.handle]
+        self.n_missing = len(missing)
+        self.work_left = sum(0.5 if piece.running else 1.0 for piece in missing)
 
     def slack_ms(self):
         """Return the time until the stage has to start for the job to be on time."""
@@ -148,7 +184,7 @@
 
     def done(self):
         """Return whether every piece has a result."""
-        return all(piece.handle for piece in self.pieces)
+        return not self.n_missing
 
     def ready(self):
         """Return whether all its inputs are available."""
@@ -316,7 +352,7 @@
             for piece in source.pieces:
                 if piece.handle:
                     discarded.append((piece.handle, piece))
-                    piece.handle = ""
+                    piece.drop_result()
         return discarded
 
     def fail(self, error):
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -20,6 +20,8 @@
 
 # Queue order and free space change with time: recheck at a tenth of the shortest call.
 RECHECK_MS = 40.0
+# Changes of this time are decided on together; a call takes many times as long.
+DECISION_DELAY_MS = 3.0
 # Least time that a request still needs after its stages.
 MIN_MARGIN_MS = 100.0
 # Callers honour a retry-after time of up to a third of their remaining time.
@@ -106,6 +108,7 @@
             nursery.start_soon(self.cleanup.run)
             while True:
                 await self.work_changed.wait()
+                await self.clock.sleep_ms(DECISION_DELAY_MS)
                 self.work_changed = trio.Event()
                 backlog = self._backlogs()
                 for pool in list(self.queues):
@@ -279,8 +282,7 @@
     def _start(self, state, batch):
         state.begin_call(batch)
         for piece in batch:
-            piece.running.add(state.server)
-            piece.n_attempts += 1
+            piece.begin_attempt(state.server)
             piece.job.started = True
             if piece.stage.started_ms is None:
                 piece.stage.started_ms = self.clock.now_ms()
@@ -300,7 +302,7 @@
         elapsed_ms = self.clock.now_ms() - started_ms
         state.end_call(batch)
         for piece in batch:
-            piece.running.discard(state.server)
+            piece.end_attempt(state.server)
         if result.is_ok():
             state.record_time(elapsed_ms, len(batch))
             for piece, piece_result in zip(batch, result.ok, strict=True):
@@ -333,8 +335,7 @@
                 state.add_result(result.handle, piece.stage.n_bytes)
                 self.cleanup.add(result.handle, state.server)
                 return
-            piece.handle = result.handle
-            piece.server = state.server
+            piece.store_result(result.handle, state.server)
             state.add_result(result.handle, piece.stage.n_bytes)
             return
         self.metrics.count(
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -6,7 +6,7 @@
 import expression
 import trio
 
-from teaselwall import clock, entry, keyedtopics, transport
+from teaselwall import clock, entry, httpcalls, keyedtopics
 from teaselwall.generated import gateway as schema
 from teaselwall.platform import adapter
 
@@ -128,7 +128,7 @@
 
 
 class BackEnds:
-    """Fake transport to back ends that answer by scripts.
+    """Fake HTTP client of back ends that answer by scripts.
 
     Attributes
     ----------
@@ -140,6 +140,9 @@
         Requests in progress.
     """
 
+    failures = httpcalls.FAILURES
+    to_error = httpcalls.HttpCalls.to_error
+
     def __init__(self):
         self.scripts = []
         self.calls = []
@@ -300,5 +303,5 @@
         return self
 
 
-BROKEN = transport.httpcore.ReadError("reset")
-REFUSED = transport.httpcore.ConnectError("refused")
+BROKEN = httpcalls.Disconnected("reset")
+REFUSED = httpcalls.ConnectionRefused("refused")
--- a/teaselwall/tests/test_fleet.py
+++ b/teaselwall/tests/test_fleet.py
@@ -12,8 +12,8 @@
     errors,
     fleet,
     hostlist,
+    httpcalls,
     loads,
-    transport,
 )
 from teaselwall.generated import messages
 from teaselwall.tests import fakes
@@ -220,7 +220,7 @@
 
 class FakeTransport:
     async def call(self, method, address, path, message, timeout_ms):
-        return expression.Ok(transport.Reply(200, {}, b"{}"))
+        return expression.Ok(httpcalls.Reply(200, {}, b"{}"))
 
 
 async def test_undecodable_load_report_is_an_error():
--- a/teaselwall/tests/test_logs.py
+++ b/teaselwall/tests/test_logs.py
@@ -58,11 +58,11 @@
     text = "x" * 1000 + "\n"
     for _ in range(1000):
         sink.write(text)
-        sink.flush()
+        sink.drain()
     assert sink.n_dropped > 0
     assert len(sink.lines) <= 50
     written = os.read(reader, 10**7)
-    sink.flush()
+    sink.drain()
     assert written.startswith(text.encode())
 
 
@@ -75,7 +75,7 @@
         sink.write(f"{number}\n")
     now[0] = 101.0
     sink.write("later\n")
-    sink.flush()
+    sink.drain()
     lines = os.read(reader, 10**6).decode().splitlines()
     assert lines[:3] == ["0", "1", "2"]
     assert json.loads(lines[3])["n_lines"] == 7
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from teaselwall import errors, keyedtopics, protocols, routes, stagecalls, transport
+from teaselwall import errors, httpcalls, keyedtopics, protocols, routes, stagecalls
 from teaselwall.platform import documents, heads, names, registrations, store
 from teaselwall.platform import stagecalls as platform_stagecalls
 
@@ -164,7 +164,7 @@
         for n, (k, v) in enumerate(items.items())
     ]
     body = json.dumps({"items": found, "hasMore": more, "end": end}).encode()
-    return transport.Reply(200, {}, body)
+    return httpcalls.Reply(200, {}, body)
 
 
 async def test_changes_are_read_from_the_end_offset_of_the_first_page(autojump_clock):
@@ -184,7 +184,7 @@
 
 async def test_records_of_deleted_keys_have_no_value(autojump_clock):
     body = struct.pack(">QQ", 9, 0) + record(b"a", b"1") + record(b"bb", b"")
-    replies = ScriptedTransport(transport.Reply(200, {}, body))
+    replies = ScriptedTransport(httpcalls.Reply(200, {}, body))
     client = store.HttpStore(replies, "10.0.0.1:1", 100)
     found = (await client.changes("t", 7, 0)).ok
     assert [(r.key, r.value) for r in found.records] == [("a", b"1"), ("bb", None)]
@@ -194,7 +194,7 @@
 @pytest.mark.parametrize("cut", [0, 8, 17, 21])
 async def test_truncated_records_are_an_error(autojump_clock, cut):
     body = struct.pack(">QQ", 9, 0) + record(b"a", b"1")
-    replies = ScriptedTransport(transport.Reply(200, {}, body[:cut]))
+    replies = ScriptedTransport(httpcalls.Reply(200, {}, body[:cut]))
     client = store.HttpStore(replies, "10.0.0.1:1", 100)
     assert (await client.changes("t", 7, 0)).is_error()
 
@@ -202,7 +202,7 @@
 async def test_deleted_history_is_distinguished_from_a_failure(autojump_clock):
     client = store.HttpStore(
         ScriptedTransport(
-            transport.Reply(410, {}, b"{}"), transport.Reply(503, {}, b"")
+            httpcalls.Reply(410, {}, b"{}"), httpcalls.Reply(503, {}, b"")
         ),
         "10.0.0.1:1",
         100,
@@ -213,7 +213,7 @@
 
 
 async def test_a_written_record_starts_with_its_length_and_key(autojump_clock):
-    replies = ScriptedTransport(transport.Reply(200, {}, b"{}"))
+    replies = ScriptedTransport(httpcalls.Reply(200, {}, b"{}"))
     await store.HttpStore(replies, "10.0.0.1:1", 100).put("t", "key", b"v")
     assert replies.calls[0][2] == b"\x00\x00\x00\x05\x03keyv"
 
@@ -357,7 +357,7 @@
 
 async def test_a_stage_call_carries_key_or_inputs(autojump_clock):
     body = msgspec.json.encode({"items": [{"handle": "h"}, {"reason": "room"}]})
-    replies = ScriptedTransport(transport.Reply(200, {}, body))
+    replies = ScriptedTransport(httpcalls.Reply(200, {}, body))
     client = platform_stagecalls.HttpStageClient(replies)
     results = (await client.run(Server, ITEMS, 100)).ok
     assert results[0].handle == "h"
@@ -373,11 +373,11 @@
 @pytest.mark.parametrize(
     ("answer", "outcome"),
     [
-        (transport.Reply(503, {b"not-executed": b"1"}, b""), errors.Outcome.NOT_RUN),
-        (transport.Reply(421, {}, b""), errors.Outcome.NOT_RUN),
-        (transport.Reply(500, {}, b""), errors.Outcome.UNKNOWN),
-        (transport.Reply(200, {}, b'{"items":[{"handle":"h"}]}'), "unknown"),
-        (transport.Reply(200, {}, b"\xff"), errors.Outcome.UNKNOWN),
+        (httpcalls.Reply(503, {b"not-executed": b"1"}, b""), errors.Outcome.NOT_RUN),
+        (httpcalls.Reply(421, {}, b""), errors.Outcome.NOT_RUN),
+        (httpcalls.Reply(500, {}, b""), errors.Outcome.UNKNOWN),
+        (httpcalls.Reply(200, {}, b'{"items":[{"handle":"h"}]}'), "unknown"),
+        (httpcalls.Reply(200, {}, b"\xff"), errors.Outcome.UNKNOWN),
     ],
 )
 async def test_failed_stage_calls_report_the_known_outcome(
--- a/teaselwall/tests/test_transport.py
+++ b/teaselwall/tests/test_transport.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from teaselwall import clock, errors, pools, servers, transport
+from teaselwall import clock, errors, httpcalls, pools, servers, transport
 from teaselwall.generated import messages
 from teaselwall.tools import rigs
 
@@ -169,7 +169,7 @@
 
 @pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"offset": "x"}', b"\xff"])
 def test_replies_that_cannot_be_decoded_have_unknown_outcome(body):
-    reply = transport.Reply(200, {}, body)
+    reply = httpcalls.Reply(200, {}, body)
     result = errors.read_reply(reply, messages.LogAppended, "log service")
     assert result.error.outcome is errors.Outcome.UNKNOWN
     assert "log service" in str(result.error)
--- a/teaselwall/tools/rig_servers.py
+++ b/teaselwall/tools/rig_servers.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from teaselwall import clock, transport
+from teaselwall import clock, httpcalls, transport
 from teaselwall.generated import messages
 from teaselwall.tools import engine
 
@@ -195,7 +195,7 @@
         self, method, address, path, message, timeout_ms, headers=(), fresh=False
     ):
         """Make one call; see ``transport.Transport.call``."""
-        progress = transport.CallProgress()
+        progress = httpcalls.CallProgress()
         try:
             with trio.fail_after(max(0.0, timeout_ms) / clock.MS_PER_S):
                 reply = await self._answer(address, path, message, progress)
@@ -208,14 +208,14 @@
         server = self.servers[address]
         if path == "/v1/load" and not server.dead:
             body = msgspec.json.encode(server.report())
-            return transport.Reply(200, {}, body)
+            return httpcalls.Reply(200, {}, body)
         server.connect(progress)
         with server.tracking_call():
             await server.work(message)
         answer = messages.StageReply(
             request=message.request, attempt=message.attempt, output="done"
         )
-        return transport.Reply(server.status, {}, msgspec.json.encode(answer))
+        return httpcalls.Reply(server.status, {}, msgspec.json.encode(answer))
 
     @contextlib.asynccontextmanager
     async def open(
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -1,76 +1,37 @@
-"""HTTP client; the error of a failed call says whether the request may have run."""
+"""HTTP client with pools of connections of httpcore."""
 
 import collections
 import contextlib
+import functools
 
-import expression
 import httpcore
 import msgspec
-import trio
 
-from teaselwall import errors
+from teaselwall import httpcalls
 
 MAX_CONNECTIONS = 1000
 MAX_POOLS = 2000
-MAX_REPLY_BYTES = 8 * 1024 * 1024
 KEEP_ALIVE_S = 30.0
-CONNECT_TIMEOUT_MS = 300
-# Shortest timeout given to httpcore, even when no time is left.
-MIN_TIMEOUT_S = 0.001
 # Event of httpcore's trace extension just before the head of a request is written.
 REQUEST_STARTED_STEP = "http11.send_request_headers.started"
-CONNECTION_BROKEN_ERRORS = (httpcore.NetworkError, httpcore.RemoteProtocolError)
 TRANSPORT_EXCEPTIONS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
-    trio.TooSlowError,
+    *httpcalls.FAILURES,
+)
+# Kinds of failure for httpcore's exceptions; the first class that fits counts.
+FAILURE_KINDS = (
+    (httpcore.ConnectError, httpcalls.ConnectionRefused),
+    (httpcore.ConnectTimeout, httpcalls.ConnectTimeout),
+    (httpcore.NetworkError, httpcalls.Disconnected),
+    (httpcore.RemoteProtocolError, httpcalls.Disconnected),
+    (httpcore.ProtocolError, httpcalls.BadCall),
+    (httpcore.TimeoutException, httpcalls.ReplyTimeout),
 )
 
 
-class Reply:
-    """Complete reply to a call: status, headers by lower-case name, and body."""
-
-    __slots__ = ("status", "headers", "body")
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-    def decode(self, kind):
-        """Return the JSON body decoded into a struct class."""
-        return msgspec.json.decode(self.body, type=kind)
-
-
-class CallProgress:
-    """Tracks whether one call's request may have been sent.
-
-    ``record`` is the callback for httpcore's ``trace`` extension.
-
-    Attributes
-    ----------
-    sent : bool
-        Whether a byte of the request may have left this process.
-    """
-
-    __slots__ = ("sent",)
-
-    def __init__(self):
-        self.sent = False
-
-    async def record(self, step, info):
-        """Handle one trace event of httpcore."""
-        if step == REQUEST_STARTED_STEP:
-            self.sent = True
-
-    @property
-    def outcome(self):
-        """Outcome to report if the call fails now."""
-        return errors.Outcome.UNKNOWN if self.sent else errors.Outcome.NOT_RUN
-
-
-class Transport:
+class Transport(httpcalls.HttpCalls):
     """HTTP client with one pool of keep-alive connections for each address.
 
     Parameters
@@ -87,6 +48,8 @@
 
     __slots__ = ("clock", "pools", "fresh_pool")
 
+    failures = TRANSPORT_EXCEPTIONS
+
     def __init__(self, clock):
         self.clock = clock
         self.pools = collections.OrderedDict()
@@ -132,89 +95,6 @@
             await pool.aclose()
         await self.fresh_pool.aclose()
 
-    async def call(
-        self, method, address, path, message, timeout_ms, headers=(), fresh=False
-    ):
-        """Make one call with a JSON body and read the whole reply.
-
-        Parameters
-        ----------
-        method : str
-        address : str
-            ``IP:port``.
-        path : str
-        message : object
-            JSON-encodable, or None for no body.
-        timeout_ms : float
-        headers : sequence of (bytes, bytes)
-        fresh : bool
-            Whether to open a new connection for this call. A keep-alive connection
-            that the other end has already closed can leave the outcome unknown.
-
-        Returns
-        -------
-        expression.Result
-            ``Reply``, or ``errors.TransportError`` whose outcome is ``NOT_RUN``
-            only if no byte of the request can have reached the other end.
-        """
-        return await self._read_whole(
-            address,
-            path,
-            timeout_ms,
-            lambda progress: self.open(
-                method,
-                address,
-                path,
-                message,
-                timeout_ms,
-                headers,
-                progress=progress,
-                fresh=fresh,
-            ),
-        )
-
-    async def call_raw(self, method, address, target, body, timeout_ms):
-        """Make one call with a raw body over a new connection.
-
-        Parameters
-        ----------
-        method : bytes
-        address : str
-        target : bytes
-            Path and query.
-        body : bytes
-        timeout_ms : float
-
-        Returns
-        -------
-        expression.Result
-            See ``call``.
-        """
-        headers = [
-            (b"host", address.encode()),
-            (b"content-length", b"%d" % len(body)),
-        ]
-        return await self._read_whole(
-            address,
-            target.decode(),
-            timeout_ms,
-            lambda progress: self.forward(
-                method, address, target, headers, body, timeout_ms, progress=progress
-            ),
-        )
-
-    async def _read_whole(self, address, path, timeout_ms, open_call):
-        """Read the whole reply of a call; return a failure as an error result."""
-        progress = CallProgress()
-        try:
-            with trio.fail_after(max(0.0, timeout_ms) / 1000):
-                async with open_call(progress) as response:
-                    body = await read_body(response)
-        except TRANSPORT_EXCEPTIONS as error:
-            return expression.Error(to_transport_error(address, path, error, progress))
-        headers = {name.lower(): value for name, value in response.headers}
-        return expression.Ok(Reply(response.status, headers, body))
-
     @contextlib.asynccontextmanager
     async def open(
         self,
@@ -228,19 +108,7 @@
         progress=None,
         fresh=False,
     ):
-        """Open a call with a JSON body and yield a reply to be read in parts.
-
-        Exceptions of httpcore are not converted.
-
-        Parameters
-        ----------
-        method, address, path, message, timeout_ms, headers, fresh
-            See ``call``; ``timeout_ms`` limits each step up to the reply's head.
-        silence_ms : float, optional
-            Longest wait for each part of the body; ``timeout_ms`` by default.
-        progress : CallProgress, optional
-            Updated when the request starts to be sent.
-        """
+        """Open a call with a JSON body; see ``httpcalls.HttpCalls.open``."""
         body = b"" if message is None else msgspec.json.encode(message)
         head = [
             (b"host", address.encode()),
@@ -274,28 +142,16 @@
         progress=None,
         fresh=True,
     ):
-        """Open a call with a raw target, headers and body, and yield the reply.
-
-        Exceptions of httpcore are not converted.
-
-        Parameters
-        ----------
-        method : bytes
-        address : str
-            ``IP:port``.
-        target : bytes
-            Path and query as they are sent.
-        headers : sequence of (bytes, bytes)
-            All headers, including Host and the length of the body.
-        body : bytes
-        timeout_ms, silence_ms, progress, fresh
-            See ``open``.
-        """
-        timeouts = dict.fromkeys(("read", "write", "pool"), _to_timeout_s(timeout_ms))
-        timeouts["connect"] = _to_timeout_s(min(timeout_ms, CONNECT_TIMEOUT_MS))
+        """Open a call with a raw target; see ``httpcalls.HttpCalls.forward``."""
+        timeouts = dict.fromkeys(
+            ("read", "write", "pool"), httpcalls.to_timeout_s(timeout_ms)
+        )
+        timeouts["connect"] = httpcalls.to_timeout_s(
+            min(timeout_ms, httpcalls.CONNECT_TIMEOUT_MS)
+        )
         extensions = {"timeout": timeouts}
         if progress is not None:
-            extensions["trace"] = progress.record
+            extensions["trace"] = functools.partial(_record_step, progress)
         pool = self.fresh_pool if fresh else await self._pool_of(address)
         host, _, port = address.rpartition(":")
         url = httpcore.URL(
@@ -305,53 +161,36 @@
             method, url, headers=headers, content=body, extensions=extensions
         ) as response:
             if silence_ms is not None:
-                timeouts["read"] = _to_timeout_s(silence_ms)
+                timeouts["read"] = httpcalls.to_timeout_s(silence_ms)
             yield response
 
+    def to_error(self, address, path, error, progress):
+        """Return the typed error; see ``httpcalls.HttpCalls.to_error``."""
+        return to_transport_error(address, path, error, progress)
 
-def to_transport_error(address, path, error, progress):
-    """Return the typed error for an exception of a call.
 
-    Its kind and outcome depend on whether the request may have been sent.
+def to_transport_error(address, path, error, progress):
+    """Return the typed error for one of ``TRANSPORT_EXCEPTIONS``.
 
     Parameters
     ----------
     address, path : str
     error : Exception
-        One of ``TRANSPORT_EXCEPTIONS``.
-    progress : CallProgress
+    progress : httpcalls.CallProgress
 
     Returns
     -------
     errors.TransportError
     """
-    detail = f"The call to {address}{path} failed: {type(error).__name__} {error}."
-    if not progress.sent:
-        if isinstance(error, httpcore.ConnectError):
-            return errors.ConnectRefused(detail, outcome=progress.outcome)
-        return errors.ConnectFailed(detail, outcome=progress.outcome)
-    if isinstance(error, CONNECTION_BROKEN_ERRORS):
-        return errors.ConnectionBroken(detail, outcome=progress.outcome)
-    return errors.TransportError(detail, outcome=progress.outcome)
-
-
-def _to_timeout_s(duration_ms):
-    return max(MIN_TIMEOUT_S, duration_ms / 1000)
-
-
-async def read_body(response):
-    """Return the whole body of a reply.
-
-    Raises
-    ------
-    httpcore.LocalProtocolError
-        The body is over ``MAX_REPLY_BYTES``.
-    """
-    parts = []
-    n_bytes = 0
-    async for part in response.aiter_stream():
-        n_bytes += len(part)
-        if n_bytes > MAX_REPLY_BYTES:
-            raise httpcore.LocalProtocolError("reply body is over the size limit")
-        parts.append(part)
-    return b"".join(parts)
+    for raised, kind in FAILURE_KINDS:
+        if isinstance(error, raised):
+            name = type(error).__name__
+            error = kind(f"{name} {error}")
+            break
+    return httpcalls.to_transport_error(address, path, error, progress)
+
+
+async def _record_step(progress, step, info):
+    """Record in a ``CallProgress`` that the request starts to be sent."""
+    if step == REQUEST_STARTED_STEP:
+        progress.sent = True
