Notice a restored store, servers that leave and servers that want rest

Store-Era: a change of the era is noticed in any answer, also through another host's reads; the topic is read anew, and once more after the writers had 2 s to write again; until then nothing is removed, no proof of currency is renewed, and this host's address is written again. Older copies of the records of servers that have left bring none of them back. Server-Leaving: the incarnation gets no new work at once, on other hosts as fast as the membership spreads it. 503 with Retry-After: no call goes there until then; where all servers of a pool rest, the caller is told at once when to come back. Datagrams are sent and read without a turn of the event loop for each; probes of waiting hosts come each 250 ms.

--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -16,8 +16,8 @@
 # Errors after which the coordinator counts as lost. A timeout is not among them: the
 # call may have had too little time.
 _LOST_ERRORS = (errors.ConnectRefused, errors.ConnectionBroken)
-# About half the least interval between probes of a peer, so that no probe is late.
-LIVENESS_CHECK_MS = 120.0
+# About the least interval between probes of a peer.
+LIVENESS_CHECK_MS = 260.0
 # One attempt each at the coordinator, the next two hosts and one more host.
 MAX_ATTEMPTS = 4
 RETRY_DELAY_MS = 50.0
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -5,12 +5,13 @@
 often.
 """
 
+import contextlib
 import logging
 
 import msgspec
 import trio
 
-from teaselwall import events, gossip
+from teaselwall import events, gossip, sockets
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -26,7 +27,7 @@
 # was cut off: one second at the usual interval.
 OUTSIDE_VIEW_ROUNDS = 4
 # Shortest time between two probes of one peer.
-PROBE_INTERVAL_MS = 200.0
+PROBE_INTERVAL_MS = 250.0
 # A peer counts as silent after this many unanswered probes over this time: a single
 # datagram may be lost, and a process on a busy processor may pause.
 SILENCE_TIMEOUT_MS = 900.0
@@ -45,7 +46,7 @@
 
     Attributes
     ----------
-    socket : trio.socket.SocketType or None
+    socket : sockets.DatagramSocket or None
         None until ``run`` has begun.
     digests : dict of str to dict
         Newest digest of each peer by its address: the counter of each of its summaries.
@@ -53,13 +54,22 @@
         Probes of each peer since its last datagram, by its address.
     on_release : callable
         Called with each ``messages.StageRelease`` that a peer sends.
+    fleet : fleet.Fleet or None
+        Backend servers; hosts tell each other which of them have said that they leave.
     known_nonces : dict of str to str
         Nonce of the newest process heard from at each address. A process gets a view
         in reply to its first datagram. The addresses also serve to reach hosts
         outside the membership view.
     """
 
-    __slots__ = ("socket", "digests", "unanswered", "known_nonces", "on_release")
+    __slots__ = (
+        "socket",
+        "digests",
+        "unanswered",
+        "known_nonces",
+        "on_release",
+        "fleet",
+    )
 
     def __init__(self, clock, membership, seed=None):
         super().__init__(clock, membership, None, seed)
@@ -67,12 +77,15 @@
         self.digests = {}
         self.unanswered = {}
         self.on_release = _ignore_release
+        self.fleet = None
         self.known_nonces = {}
 
     async def run(self):
         """Exchange views until cancelled."""
-        with trio.socket.socket(type=trio.socket.SOCK_DGRAM) as self.socket:
-            await self.socket.bind(_host_and_port(self.membership.me.address))
+        self.socket = sockets.DatagramSocket(
+            *_host_and_port(self.membership.me.address)
+        )
+        with contextlib.closing(self.socket):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 await super().run()
@@ -118,7 +131,10 @@
 
     async def exchange(self, address, leaving=False):
         """Send this host's view to a peer."""
-        await self._send(address, self._message(self.digests.get(address, {}), leaving))
+        message = self._message(self.digests.get(address, {}), leaving)
+        if self.fleet is not None:
+            message.servers_leaving = self.fleet.newly_leaving()
+        await self._send(address, message)
 
     async def _send(self, address, message):
         if self.socket is None:
@@ -160,6 +176,8 @@
         self.membership.merge(exchange)
         for release in exchange.released:
             self.on_release(release)
+        if exchange.servers_leaving and self.fleet is not None:
+            self.fleet.record_leaving(exchange.servers_leaving)
         is_new = self.known_nonces.get(sender.address) != sender.nonce
         if is_new:
             self.known_nonces[sender.address] = sender.nonce
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -78,6 +78,8 @@
         None until the process runs its listeners.
     members_known : bool
         Whether this host has written its address to the store and read the others.
+    address_lost : trio.Event
+        Set when the store may have lost this host's address.
     """
 
     __slots__ = (
@@ -107,6 +109,7 @@
         "coordination",
         "stop",
         "members_known",
+        "address_lost",
     )
 
     def __init__(self, settings, platform, time=None):
@@ -121,6 +124,7 @@
         self.peers = peers.Peers(self.transport, settings.access.peer_key)
         self.stop = None
         self.members_known = False
+        self.address_lost = trio.Event()
         self._add_membership()
         self._add_store()
         self._add_servers()
@@ -165,6 +169,7 @@
         self.orders = self._follower(
             self.platform.orders_topic, self.operator_state, settings.watch_ms, 0.0
         )
+        self.orders.on_restore = self._announce_again
 
     def _follower(self, topic, listener, wait_ms, pause_ms):
         follower = keyedtopics.TopicFollower(
@@ -180,6 +185,7 @@
             self.clock, self.membership, self.operator_state.pool
         )
         self.fleet.filters.append(self.cold_starts.has_capacity)
+        self.gossip.fleet = self.fleet
         self.server_registry = serverregistry.ServerRegistry(
             self.clock, self.fleet, self.platform.decode_registration, self.cold_starts
         )
@@ -206,7 +212,7 @@
         self.stage_work = stagework.StageWork(
             self.clock,
             self.fleet,
-            self.platform.stage_client(self.transport),
+            self.platform.stage_client(self.transport, self.fleet.record_notice),
             self.operator_state.pool,
             self.metrics,
             lambda pool: self.data_centre_groups.servers(pool, home),
@@ -279,10 +285,14 @@
             await self.clock.sleep_ms(UPDATE_INTERVAL_MS)
 
     async def _join_members(self):
-        """Write this host's address to the store and contact the hosts listed there."""
+        """Write this host's address to the store and contact the hosts listed there.
+
+        This is done again each time the store was restored from an older copy.
+        """
         topic = self.platform.members_topic
         me = self.membership.me
-        while not self.members_known:
+        while True:
+            self.address_lost = trio.Event()
             written = await self.store.put(
                 topic, me.address, self.settings.host.name.encode()
             )
@@ -291,8 +301,13 @@
                 self.members_known = True
                 addresses = [r.key for r in found.ok.records if r.key != me.address]
                 await self._exchange_with(addresses)
-                return
-            await self.clock.sleep_ms(ANNOUNCE_RETRY_MS)
+                await self.address_lost.wait()
+            else:
+                await self.clock.sleep_ms(ANNOUNCE_RETRY_MS)
+
+    def _announce_again(self):
+        """Have this host's address written again, as the store was restored."""
+        self.address_lost.set()
 
     async def _exchange_with(self, addresses):
         events.log(logger, logging.INFO, "members_read", n_members=len(addresses))
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -9,6 +9,10 @@
 
 # Least time between two reviews of a pool's ejections during choices of servers.
 REVIEW_INTERVAL_MS = 20
+# Incarnations kept that have said that they leave; the oldest are dropped.
+MAX_LEAVING = 4096
+# Time for which other hosts are told of a server that leaves.
+LEAVING_TOLD_MS = 5000.0
 
 
 class Fleet:
@@ -47,6 +51,9 @@
         Servers that were in service when the subsets were chosen.
     list_received : bool
         Whether a host list has been received.
+    leaving : dict of str to float
+        Incarnations that have said that they leave, with the time on the clock at which
+        this host learned it; oldest first. The host list may still show them as live.
     """
 
     __slots__ = (
@@ -64,6 +71,7 @@
         "last_hosts",
         "last_in_service",
         "list_received",
+        "leaving",
     )
 
     def __init__(self, clock, host_list, state, interval_ms, timeout_ms, subsets=None):
@@ -81,6 +89,66 @@
         self.last_hosts = None
         self.last_in_service = set()
         self.list_received = False
+        self.leaving = {}
+
+    def record_notice(self, server, notice):
+        """Record what a server said about itself in a reply.
+
+        Parameters
+        ----------
+        server : servers.Server
+        notice : protocols.Notice
+        """
+        if notice.rest_ms:
+            until_ms = self.clock.now_ms() + notice.rest_ms
+            server.rest_until_ms = max(server.rest_until_ms, until_ms)
+            events.log(
+                logger,
+                logging.INFO,
+                "server_rests",
+                server=server.address,
+                id=server.incarnation,
+                rest_ms=round(notice.rest_ms),
+            )
+        if notice.leaving:
+            self.record_leaving([server.incarnation])
+
+    def record_leaving(self, incarnations):
+        """Send no new work to servers that have said that they leave.
+
+        Parameters
+        ----------
+        incarnations : iterable of str
+        """
+        new = [i for i in incarnations if i and i not in self.leaving]
+        if not new:
+            return
+        self.leaving.update(dict.fromkeys(new, self.clock.now_ms()))
+        while len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        for servers_by_address in self.by_pool.values():
+            for server in servers_by_address.values():
+                server.leaving = server.leaving or server.incarnation in self.leaving
+        events.log(logger, logging.INFO, "servers_leaving", ids=new)
+        self.choose()
+
+    def newly_leaving(self):
+        """Return the incarnations that other hosts should be told of."""
+        since_ms = self.clock.now_ms() - LEAVING_TOLD_MS
+        return [i for i, learned_ms in self.leaving.items() if learned_ms > since_ms]
+
+    def rest_ms(self, pool):
+        """Return the time until a server of a pool accepts calls from this host again.
+
+        Returns
+        -------
+        float
+            0 if any server of the pool in service wants no rest, or there is none.
+        """
+        now_ms = self.clock.now_ms()
+        known = self.by_pool.get(pool, {}).values()
+        rests = [s.rest_until_ms - now_ms for s in known if self.in_service(s)]
+        return max(0.0, min(rests, default=0.0))
 
     def choices(self, pool, prefix=None):
         """Return servers of a pool that may get new work.
@@ -133,6 +201,8 @@
         """
         if server.ejected or (server.on_probation and server.in_flight):
             return False
+        if server.rest_until_ms and server.rest_until_ms > self.clock.now_ms():
+            return False
         return self.in_service(server) and all(
             allows(server) for allows in self.filters
         )
@@ -221,9 +291,9 @@
         by_pool = {}
         for entry in listing.hosts:
             server = self.by_pool.get(entry.pool, {}).get(entry.address)
-            by_pool.setdefault(entry.pool, {})[entry.address] = _updated_server(
-                server, entry, self.clock
-            )
+            server = _updated_server(server, entry, self.clock)
+            server.leaving = server.leaving or server.incarnation in self.leaving
+            by_pool.setdefault(entry.pool, {})[entry.address] = server
         self.by_pool = by_pool
         self.list_received = True
         if (
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -138,12 +138,15 @@
             server = self.server_choices.choose(call, inputs)
             if server is not None:
                 return expression.Ok(server)
-            if self.clock.now_ms() >= until_ms:
+            rest_ms = self.server_choices.fleet.rest_ms(call.pool.name)
+            left_ms = until_ms - self.clock.now_ms()
+            if left_ms <= 0 or rest_ms > left_ms:
                 detail = (
                     f"No server of pool {call.pool.name} is available for the request."
                 )
+                retry_after_ms = max(RETRY_AFTER_MS, rest_ms)
                 return expression.Error(
-                    errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
+                    errors.Unavailable(detail, retry_after_ms=retry_after_ms)
                 )
             await self.clock.sleep_ms(SERVER_POLL_MS)
 
@@ -281,6 +284,8 @@
     async def _read_response(self, call, server, reply, response, splitter, on_head):
         head = self.protocol.read_reply(response.status, response.headers, call.head)
         _record_load(server, head)
+        if head.genuine or head.not_run:
+            self.server_choices.fleet.record_notice(server, head.notice)
         if not head.genuine and not head.not_run:
             detail = (
                 f"The reply from {server.address} lacks the server's stamp or belongs "
--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -165,8 +165,8 @@
             while is_open and not self.server.closing:
                 is_open = await self._serve_one()
         except BaseException:
-            if self.protocol.our_state is h11.SEND_BODY:
-                # A reply that is cut must not look complete, whatever its framing.
+            if self._ends_body_by_close():
+                # Otherwise the cut reply would look complete.
                 self._reset_on_close()
             raise
         finally:
@@ -296,14 +296,19 @@
         """Send bytes; do nothing once the caller has closed its end."""
         if self.caller_gone:
             return
+        is_sent = False
         try:
-            with trio.move_on_after(SEND_TIMEOUT_S) as scope:
-                await self.stream.send(data)
+            rest = self.stream.send_now(data)
+            is_sent = not rest
+            if rest:
+                with trio.move_on_after(SEND_TIMEOUT_S):
+                    await self.stream.send(rest)
+                    is_sent = True
         except OSError as error:
             _log_failure(logging.DEBUG, error)
             self.caller_gone = True
             return
-        if scope.cancelled_caught:
+        if not is_sent:
             self.caller_gone = True
             raise CallerStalled(f"The caller read nothing for {SEND_TIMEOUT_S:.0f} s.")
 
@@ -334,6 +339,11 @@
             while await self.stream.receive():
                 pass
 
+    def _ends_body_by_close(self):
+        """Return whether the end of the connection would end a reply in progress."""
+        is_sending = self.protocol.our_state is h11.SEND_BODY
+        return is_sending and self.protocol.their_http_version == b"1.0"
+
     def _reset_on_close(self):
         if self.stream.sock.fileno() >= 0:
             self.stream.sock.setsockopt(
--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -15,6 +15,9 @@
 # a second from each host.
 RETRY_MS = 100.0
 MAX_RETRY_MS = 800.0  # well within the 2 s in which a configuration must be applied
+# After the store was restored from an older copy, its writers write again what it lost.
+# This long after the change of its era, the topic is read once more.
+RESTORE_GRACE_MS = 2000.0
 # Changes kept for reads of other hosts: 20 s of the registrations of 60 servers.
 MAX_RECENT = 1000
 
@@ -54,6 +57,9 @@
     relayed : bool
         Whether another host relayed the page; such a host replies as soon as it has
         read, so no pause is needed before the next read.
+    era : int or None
+        Era of the store that the offset belongs to; it rises each time the store is
+        restored from an older copy. None if the store does not state it.
     """
 
     records: list
@@ -62,6 +68,7 @@
     idle_ms: float = 0.0
     recovered_ms: float | None = None
     relayed: bool = False
+    era: int | None = None
 
 
 class Store(abc.ABC):
@@ -76,7 +83,7 @@
         """
 
     @abc.abstractmethod
-    async def changes(self, topic, offset, wait_ms):
+    async def changes(self, topic, offset, wait_ms, era=None):
         """Return a result with the ``Page`` of records from an offset on.
 
         Parameters
@@ -85,6 +92,9 @@
         offset : int
         wait_ms : float
             Longest time to wait for a record if there is none yet.
+        era : int, optional
+            Era that the offset belongs to. The page may be of a later era; then the
+            offset means nothing.
 
         Returns
         -------
@@ -107,6 +117,7 @@
     topic : str
     listener : object
         ``replace(dict of str to bytes)`` is called with the whole topic,
+        ``restore(dict of str to bytes)`` with a topic whose newest records may be lost,
         ``apply(Record)`` with one change and ``record_recovery(elapsed_ms)`` when
         reads succeed again after an outage, with the time since then.
     wait_ms : float
@@ -133,6 +144,13 @@
         Offset from which on ``recent`` holds every change.
     read_done : trio.Event
         Set by the next successful read, then replaced by a new event.
+    era : int or None
+        Newest era of the store that was seen.
+    reread_ms : float or None
+        Time on the clock of the full read that ends the grace period after a change of
+        the era; None outside that period.
+    on_restore : callable
+        Called without arguments when the era has changed.
     """
 
     __slots__ = (
@@ -150,6 +168,9 @@
         "recent",
         "recent_from",
         "read_done",
+        "era",
+        "reread_ms",
+        "on_restore",
     )
 
     def __init__(self, clock, store, topic, listener, wait_ms, pause_ms):
@@ -167,6 +188,9 @@
         self.recent = collections.deque()
         self.recent_from = None
         self.read_done = trio.Event()
+        self.era = None
+        self.reread_ms = None
+        self.on_restore = _ignore_restore
 
     def age_ms(self):
         """Return the age of the records here, infinite before the first read."""
@@ -186,29 +210,72 @@
     async def step(self):
         """Read once; return the page, or None if the read failed."""
         sent_ms = self.clock.now_ms()
+        if self.reread_ms is not None and sent_ms >= self.reread_ms:
+            self.reread_ms = None
+            self.offset = None
         if self.offset is None:
             result = await self.store.newest(self.topic)
         else:
-            result = await self.store.changes(self.topic, self.offset, self.wait_ms)
+            result = await self.store.changes(
+                self.topic, self.offset, self.wait_ms, self.era
+            )
         if result.is_error():
             self._record_failure(result.error)
             return None
         page = result.ok
         is_full = self.offset is None
+        if not self._accept_era(page, is_full):
+            return None
         self.offset = page.next_offset
         self._detect_recovery(page)
         if is_full:
-            self.listener.replace({r.key: r.value for r in page.records})
+            records = {r.key: r.value for r in page.records}
+            if self.reread_ms is None:
+                self.listener.replace(records)
+            else:
+                self.listener.restore(records)
         else:
             for record in page.records:
                 self.listener.apply(record)
         self._add_recent(page, is_full)
-        self.current_as_of_ms = max(self.current_as_of_ms, sent_ms - page.age_ms)
+        if self.reread_ms is None:
+            # During the grace period, records that the store had accepted before may
+            # be missing.
+            self.current_as_of_ms = max(self.current_as_of_ms, sent_ms - page.age_ms)
         self.read_ms = max(self.read_ms, self.clock.now_ms() - page.idle_ms)
         self.read_done.set()
         self.read_done = trio.Event()
         return page
 
+    def _accept_era(self, page, is_full):
+        """Return whether a page may be used.
+
+        Offsets of different eras can't be compared. A page of an earlier era is a late
+        reply; one of a later era is used only if it holds the whole topic.
+        """
+        if page.era is None or page.era == self.era:
+            return True
+        if self.era is not None and page.era < self.era:
+            return False
+        is_first = self.era is None
+        old, self.era = self.era, page.era
+        if is_first:
+            return True
+        self.reread_ms = self.clock.now_ms() + RESTORE_GRACE_MS
+        events.log(
+            logger,
+            logging.WARNING,
+            "store_restored",
+            topic=self.topic,
+            era=page.era,
+            old_era=old,
+            age_ms=_rounded_age_ms(self.age_ms()),
+        )
+        self.on_restore()
+        if not is_full:
+            self.offset = None
+        return is_full
+
     def changes_since(self, offset):
         """Return the newest change of each key from an offset on.
 
@@ -280,5 +347,9 @@
         )
 
 
+def _ignore_restore():
+    """Do nothing when the store was restored."""
+
+
 def _rounded_age_ms(age_ms):
     return round(age_ms) if age_ms != float("inf") else None
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -183,10 +183,12 @@
 
     def neighbours(self):
         """Return the live members of this data centre, this host included."""
+        since_ms = self.clock.now_ms() - self.dead_after_ms
+        me = self.me
         return [
             member
             for member in self.members_by_nonce.values()
-            if self._is_alive(member)
+            if member is me or member.seen_ms > since_ms
         ]
 
     def remote_delegates(self):
--- a/teaselwall/operatorstate.py
+++ b/teaselwall/operatorstate.py
@@ -89,6 +89,22 @@
         for data_centre in taken_out - self.data_centres_out:
             self._take_out(data_centre)
 
+    def restore(self, records):
+        """Take over a topic whose newest records may be lost.
+
+        What is not in it stays in force: a newer configuration, and data centres that
+        were taken out.
+
+        Parameters
+        ----------
+        records : dict of str to bytes
+        """
+        if self.table_key in records:
+            self._apply_table(records[self.table_key])
+        for data_centre in map(self.decode_data_centre, records):
+            if data_centre:
+                self._take_out(data_centre)
+
     def apply(self, record):
         """Apply one changed record.
 
--- a/teaselwall/platform/adapter.py
+++ b/teaselwall/platform/adapter.py
@@ -41,9 +41,9 @@
             transport, store_settings.address, store_settings.timeout_ms
         )
 
-    def stage_client(self, transport):
+    def stage_client(self, transport, on_notice):
         """Return the client of stage servers."""
-        return stagecalls.HttpStageClient(transport)
+        return stagecalls.HttpStageClient(transport, on_notice)
 
     def decode_table(self, value):
         """Decode a configuration; see ``platforms.Platform.decode_table``."""
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -66,6 +66,7 @@
             inputs_gone=status == INPUTS_GONE_STATUS,
             load=_server_load(_header_text(by_name, names.SERVER_LOAD)),
             headers=_forwarded_headers(headers, ()),
+            notice=names.notice(status, by_name),
         )
 
     def refusal_headers(self, error, head):
--- a/teaselwall/platform/names.py
+++ b/teaselwall/platform/names.py
@@ -1,5 +1,7 @@
 """Header names of the platform's protocol, in lower case."""
 
+from teaselwall import protocols
+
 REQUEST_ID = b"request-id"
 DEADLINE_MS = b"deadline-ms"
 AUTHORIZATION = b"authorization"
@@ -15,8 +17,14 @@
 SERVER_LOAD = b"server-load"
 NOT_EXECUTED = b"not-executed"
 RETRY_AFTER = b"retry-after"
+SERVER_LEAVING = b"server-leaving"
+STORE_ERA = b"store-era"
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+# A server that asks for a longer rest is tried again after this time.
+MAX_REST_MS = 600_000.0
+MS_PER_S = 1000.0
 
 # Headers that apply to one connection only.
 HOP_BY_HOP = frozenset(
@@ -70,3 +78,33 @@
         By name in lower case.
     """
     return status == MISDIRECTED_STATUS or NOT_EXECUTED in headers
+
+
+def notice(status, headers):
+    """Return what a server says about itself in a reply, as ``protocols.Notice``.
+
+    Parameters
+    ----------
+    status : int
+    headers : dict of bytes to bytes
+        By name in lower case.
+    """
+    if status == MISDIRECTED_STATUS:
+        # Another server than the intended one answers at this address.
+        return protocols.NO_NOTICE
+    leaving = headers.get(SERVER_LEAVING, b"").strip() == b"1"
+    rest_ms = 0.0
+    if status == UNAVAILABLE_STATUS:
+        rest_ms = _rest_ms(headers.get(RETRY_AFTER, b""))
+    return protocols.Notice(leaving, rest_ms)
+
+
+def _rest_ms(text):
+    """Return a retry-after time in ms; 0 if it is missing, unreadable or negative."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    if not seconds > 0:
+        return 0.0
+    return min(MAX_REST_MS, seconds * MS_PER_S)
--- a/teaselwall/platform/stagecalls.py
+++ b/teaselwall/platform/stagecalls.py
@@ -28,13 +28,16 @@
 
     Parameters
     ----------
-    transport : transport.Transport
+    transport : httpcalls.HttpCalls
+    on_notice : callable
+        ``on_notice(server, notice)`` is called with what a server says about itself.
     """
 
-    __slots__ = ("transport",)
+    __slots__ = ("transport", "on_notice")
 
-    def __init__(self, transport):
+    def __init__(self, transport, on_notice):
         self.transport = transport
+        self.on_notice = on_notice
 
     async def run(self, server, items, timeout_ms):
         """Run a batch on a server; see ``stagecalls.StageClient.run``."""
@@ -48,15 +51,22 @@
             headers,
             fresh=True,
         )
+        self._pass_notice_on(server, result)
         return result.bind(lambda reply: _decode_reply(reply, len(items)))
 
-    async def free(self, address, handles, timeout_ms):
+    async def free(self, server, handles, timeout_ms):
         """Free stored results; see ``stagecalls.StageClient.free``."""
         result = await self.transport.call(
-            "POST", address, "/v1/stage-free", {"handles": handles}, timeout_ms
+            "POST", server.address, "/v1/stage-free", {"handles": handles}, timeout_ms
         )
+        self._pass_notice_on(server, result)
         return result.bind(lambda reply: errors.require_ok(reply, SERVER_KIND))
 
+    def _pass_notice_on(self, server, result):
+        if result.is_ok():
+            reply = result.ok
+            self.on_notice(server, names.notice(reply.status, reply.headers))
+
 
 def _encode_item(item):
     fields = {
--- a/teaselwall/platform/store.py
+++ b/teaselwall/platform/store.py
@@ -9,12 +9,16 @@
 import msgspec
 
 from teaselwall import errors, keyedtopics
+from teaselwall.platform import names
 
 COMPONENT = "store"
 HISTORY_GONE_STATUS = 410
 # Header before the records of a read: end offset of the log, first retained offset.
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
+# Times that the pages of one topic are read again because the era changed in between.
+MAX_PAGE_RESTARTS = 3
+MAX_ERA_DIGITS = 18
 
 
 class _Item(msgspec.Struct):
@@ -51,8 +55,17 @@
 
     async def newest(self, topic):
         """Read the newest record of each key; see ``keyedtopics.Store.newest``."""
+        for _ in range(MAX_PAGE_RESTARTS):
+            page = await self._newest_of_one_era(topic)
+            if page is not None:
+                return page
+        detail = f"The {COMPONENT} changed its era repeatedly during a read."
+        return expression.Error(errors.Unavailable(detail))
+
+    async def _newest_of_one_era(self, topic):
+        """Read all pages of a topic; return None if the era changes in between."""
         records = []
-        end = None
+        end, era = None, None
         after = ""
         while True:
             query = {"topic": topic, "part": 0}
@@ -63,21 +76,25 @@
             if page.is_error():
                 return page
             newest = page.ok
+            page_era = _era_of(result.ok)
             # Pages are not one snapshot: changes are read from the end offset of the
             # first page on.
-            end = newest.end if end is None else end
+            if end is None:
+                end, era = newest.end, page_era
+            elif page_era != era:
+                return None
             records += [_item_record(item) for item in newest.items]
             if not newest.has_more or not newest.items:
-                return expression.Ok(keyedtopics.Page(records, end))
+                return expression.Ok(keyedtopics.Page(records, end, era=era))
             after = newest.items[-1].key
 
-    async def changes(self, topic, offset, wait_ms):
+    async def changes(self, topic, offset, wait_ms, era=None):
         """Read records from an offset on; see ``keyedtopics.Store.changes``."""
         query = {"topic": topic, "part": 0, "from": offset}
         if wait_ms:
             query["waitMs"] = int(wait_ms)
         result = await self._get("/v1/log-read", query, self.timeout_ms + wait_ms)
-        return result.bind(lambda reply: _decode_records(reply.body, offset))
+        return result.bind(lambda reply: _decode_records(reply, offset))
 
     async def put(self, topic, key, value):
         """Write the newest value of a key; see ``keyedtopics.Store.put``."""
@@ -103,11 +120,17 @@
 
 def _check_status(reply):
     if reply.status == HISTORY_GONE_STATUS:
-        detail = "The store has deleted the records at the requested offset."
+        detail = "The store does not have the records at the requested offset."
         return expression.Error(keyedtopics.HistoryLost(detail))
     return errors.require_ok(reply, COMPONENT)
 
 
+def _era_of(reply):
+    """Return the store's era as its reply states it, or None."""
+    text = reply.headers.get(names.STORE_ERA, b"").strip()
+    return int(text) if text.isdigit() and len(text) <= MAX_ERA_DIGITS else None
+
+
 def _decode_newest(reply):
     return errors.read_reply(reply, _Newest, COMPONENT)
 
@@ -122,8 +145,9 @@
     return keyedtopics.Record(item.key, value)
 
 
-def _decode_records(body, offset):
+def _decode_records(reply, offset):
     """Decode the records of a read, which follow a header of two offsets."""
+    body = reply.body
     records = []
     position = READ_HEADER.size
     try:
@@ -140,7 +164,7 @@
         detail = f"The {COMPONENT} sent records that cannot be decoded: {error}."
         return expression.Error(errors.ServerFailed(detail))
     next_offset = offset + len(records)
-    return expression.Ok(keyedtopics.Page(records, next_offset))
+    return expression.Ok(keyedtopics.Page(records, next_offset, era=_era_of(reply)))
 
 
 def _decode_record(content):
--- a/teaselwall/platforms.py
+++ b/teaselwall/platforms.py
@@ -25,8 +25,15 @@
         """Return the ``keyedtopics.Store``."""
 
     @abc.abstractmethod
-    def stage_client(self, transport):
-        """Return the ``stagecalls.StageClient``."""
+    def stage_client(self, transport, on_notice):
+        """Return the ``stagecalls.StageClient``.
+
+        Parameters
+        ----------
+        transport : httpcalls.HttpCalls
+        on_notice : callable
+            ``on_notice(server, notice)`` takes a ``protocols.Notice``.
+        """
 
     @abc.abstractmethod
     def decode_table(self, value):
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -96,6 +96,25 @@
     streams: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Notice:
+    """What a server says about itself in a reply.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether the server is about to stop and wants no new calls.
+    rest_ms : float
+        Time for which the server wants no calls from this host.
+    """
+
+    leaving: bool = False
+    rest_ms: float = 0.0
+
+
+NO_NOTICE = Notice()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReplyHead:
     """Head of a back end's reply.
@@ -112,6 +131,7 @@
         Requests running, requests waiting, and requests that can run at once.
     headers : tuple of (bytes, bytes)
         Headers to pass on to the caller.
+    notice : Notice
     """
 
     status: int
@@ -120,6 +140,7 @@
     inputs_gone: bool
     load: tuple | None
     headers: tuple
+    notice: Notice = NO_NOTICE
 
     @property
     def succeeded(self):
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -11,6 +11,9 @@
 # Registrations can expire while the store is unreachable. Live servers have registered
 # again this long after it recovers (a figure that the users stated).
 REMOVAL_GRACE_MS = 2000.0
+# Dropped servers that are remembered.
+MAX_DROPPED = 4096
+NEVER_DROPPED = (-1, -1)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,6 +82,9 @@
         By id.
     newest_start_ms : dict of str to int
         Newest ``started_ms`` seen for each id, also of removed registrations.
+    dropped : dict of str to tuple of int
+        ``(started_ms, sequence)`` of the newest registration of each server that was
+        dropped; oldest first.
     missing : set of str
         Ids whose record was removed during the grace period after an outage of the
         store; their registrations stay in force until ``grace_until_ms``.
@@ -95,6 +101,7 @@
         "cold_starts",
         "registrations",
         "newest_start_ms",
+        "dropped",
         "missing",
         "grace_until_ms",
         "is_loaded",
@@ -107,6 +114,7 @@
         self.cold_starts = cold_starts
         self.registrations = {}
         self.newest_start_ms = {}
+        self.dropped = {}
         self.missing = set()
         self.grace_until_ms = float("-inf")
         self.is_loaded = False
@@ -135,6 +143,21 @@
             self._remove(key)
         self.publish()
 
+    def restore(self, records):
+        """Take over a topic whose newest records may be lost.
+
+        Servers that are not in it stay; the full read after the grace period removes
+        them if they have not registered again.
+
+        Parameters
+        ----------
+        records : dict of str to bytes
+        """
+        self.is_loaded = True
+        for key, value in records.items():
+            self._put(key, value)
+        self.publish()
+
     def apply(self, record):
         """Apply one changed record.
 
@@ -184,6 +207,9 @@
             )
             return False
         new, old = result.ok, self.registrations.get(key)
+        if (new.started_ms, new.sequence) <= self.dropped.get(key, NEVER_DROPPED):
+            # An older copy of the record of a server that has left.
+            return False
         if new.started_ms < self.newest_start_ms.get(key, new.started_ms):
             return False
         if old is not None and _is_older(new, old):
@@ -219,6 +245,10 @@
         dropped = self.registrations.pop(key, None)
         if dropped is None:
             return
+        self.dropped.pop(key, None)
+        self.dropped[key] = (dropped.started_ms, dropped.sequence)
+        while len(self.dropped) > MAX_DROPPED:
+            del self.dropped[next(iter(self.dropped))]
         events.log(
             logger,
             logging.INFO,
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -70,6 +70,8 @@
         Load polls that failed in a row.
     n_reports : int
         Load reports received by polls or with replies.
+    rest_until_ms : float
+        Time on the clock until which the server wants no calls from this host.
     warmth : warmth.Warmth
         What is known about whether the server is cold or warm.
     """
@@ -98,6 +100,7 @@
         "n_failures",
         "n_missed_polls",
         "n_reports",
+        "rest_until_ms",
         "warmth",
     )
 
@@ -125,6 +128,7 @@
         self.n_failures = 0
         self.n_missed_polls = 0
         self.n_reports = 0
+        self.rest_until_ms = 0.0
         self.warmth = warmth.Warmth(clock)
 
     def record_latency(self, latency_ms):
--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -31,6 +31,7 @@
 MAX_IDLE_MS = 1200.0
 # A shorter wait would make the requesting host poll in a tight loop.
 MIN_WAIT_MS = 5.0
+UNKNOWN_ERA = -1
 # Time for which a host avoids a reader whose reply failed.
 AVOID_MS = 2000.0
 
@@ -87,15 +88,15 @@
         """Write the newest value of a key; see ``keyedtopics.Store.put``."""
         return await self.store.put(topic, key, value)
 
-    async def changes(self, topic, offset, wait_ms):
+    async def changes(self, topic, offset, wait_ms, era=None):
         """Read records from an offset on; see ``keyedtopics.Store.changes``."""
         reader = self.reader()
         if reader is not None:
-            result = await self._read_through(reader, topic, offset)
+            result = await self._read_through(reader, topic, offset, era)
             if result.is_ok():
                 return result
             self._avoid(reader, topic, result.error)
-        return await self.store.changes(topic, offset, wait_ms)
+        return await self.store.changes(topic, offset, wait_ms, era)
 
     def reader(self):
         """Return the reader to use, or None if this host reads the store directly."""
@@ -113,12 +114,14 @@
             default=None,
         )
 
-    async def _read_through(self, reader, topic, offset):
-        message = messages.StoreRead(topic=topic, offset=offset, wait_ms=WAIT_MS)
+    async def _read_through(self, reader, topic, offset, era):
+        message = messages.StoreRead(
+            topic=topic, offset=offset, wait_ms=WAIT_MS, era=_era_number(era)
+        )
         result = await self.peers.call(
             reader.address, PATH, message, WAIT_MS + REPLY_MARGIN_MS
         )
-        return result.bind(lambda reply: _decode_page(reply, offset))
+        return result.bind(lambda reply: _decode_page(reply, offset, era))
 
     def _avoid(self, reader, topic, error):
         now_ms = self.clock.now_ms()
@@ -138,9 +141,9 @@
     async def _handle(self, message):
         request = control.read(message, messages.StoreRead)
         follower = self.followers.get(request.topic)
-        records = (
-            follower.changes_since(request.offset) if follower is not None else None
-        )
+        records = None
+        if follower is not None and _era_number(follower.era) == request.era:
+            records = follower.changes_since(request.offset)
         if records is None:
             raise errors.Unavailable(
                 "The records from this offset on are not kept on this host."
@@ -155,6 +158,7 @@
             age_ms=follower.age_ms(),
             idle_ms=now_ms - follower.read_ms,
             returned_ms=now_ms - recovered_ms if recovered_ms is not None else -1,
+            era=_era_number(follower.era),
         )
 
     async def _wait_for_records(self, follower, request):
@@ -174,7 +178,9 @@
             )
         with trio.move_on_after(wait_ms / 1000):
             await follower.read_done.wait()
-        records = follower.changes_since(request.offset)
+        records = None
+        if _era_number(follower.era) == request.era:
+            records = follower.changes_since(request.offset)
         if records is None:
             raise errors.Unavailable(
                 "The topic was read again in full; older changes are gone."
@@ -189,12 +195,20 @@
     return messages.StoreRecord(key=record.key, value=value)
 
 
-def _decode_page(reply, offset):
+def _era_number(era):
+    """Return an era as messages carry it: negative if it is unknown."""
+    return UNKNOWN_ERA if era is None else era
+
+
+def _decode_page(reply, offset, era):
     try:
         news = msgspec.convert(reply, messages.StoreNews)
     except msgspec.ValidationError as error:
         detail = f"The reader's reply cannot be decoded: {error}."
         return expression.Error(errors.ServerFailed(detail))
+    if news.era != _era_number(era):
+        detail = f"The reader's records are of era {news.era} of the store, not {era}."
+        return expression.Error(errors.Unavailable(detail))
     if news.idle_ms > MAX_IDLE_MS or news.next_offset < offset:
         detail = (
             "The reader is behind this host or has stopped reading: its last read of "
@@ -216,6 +230,7 @@
             idle_ms=news.idle_ms,
             recovered_ms=recovered_ms,
             relayed=True,
+            era=era,
         )
     )
 
--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -4,6 +4,7 @@
 already there. An entry host makes several such calls for each request.
 """
 
+import contextlib
 import errno
 import os
 import socket
@@ -59,12 +60,24 @@
         OSError
             The connection was reset.
         """
-        view = memoryview(data)
-        while view:
-            try:
-                view = view[self.sock.send(view) :]
-            except (BlockingIOError, InterruptedError):
-                await trio.lowlevel.wait_writable(self.sock)
+        rest = self.send_now(data)
+        while rest:
+            await trio.lowlevel.wait_writable(self.sock)
+            rest = self.send_now(rest)
+
+    def send_now(self, data):
+        """Send as many bytes as the socket has room for; return the others.
+
+        Raises
+        ------
+        OSError
+            The connection was reset.
+        """
+        try:
+            n_sent = self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return data
+        return memoryview(data)[n_sent:] if n_sent < len(data) else b""
 
     def end_sending(self):
         """Tell the other end that no more bytes follow."""
@@ -82,6 +95,52 @@
             self.sock.close()
 
 
+class DatagramSocket:
+    """UDP socket that waits only for datagrams to arrive.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+    """
+
+    __slots__ = ("sock",)
+
+    def __init__(self, host, port):
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind((host, port))
+
+    async def sendto(self, data, address):
+        """Send a datagram; one for which the socket has no room is dropped.
+
+        Raises
+        ------
+        OSError
+        """
+        with contextlib.suppress(BlockingIOError):
+            self.sock.sendto(data, address)
+
+    async def recvfrom(self, max_bytes):
+        """Return the next datagram and the address that it is from.
+
+        Raises
+        ------
+        OSError
+            Also for a datagram sent before that found no receiver.
+        """
+        while True:
+            try:
+                return self.sock.recvfrom(max_bytes)
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self.sock)
+
+    def close(self):
+        """Close the socket."""
+        trio.lowlevel.notify_closing(self.sock)
+        self.sock.close()
+
+
 async def connect(address):
     """Open a connection.
 
--- a/teaselwall/stagecalls.py
+++ b/teaselwall/stagecalls.py
@@ -83,12 +83,12 @@
         """
 
     @abc.abstractmethod
-    async def free(self, address, handles, timeout_ms):
+    async def free(self, server, handles, timeout_ms):
         """Have a server free results.
 
         Parameters
         ----------
-        address : str
+        server : servers.Server
         handles : list of str
         timeout_ms : float
 
--- a/teaselwall/stagecleanup.py
+++ b/teaselwall/stagecleanup.py
@@ -95,7 +95,9 @@
         return found
 
     async def _free_at(self, server, handles):
-        result = await self.client.free(server.address, handles, TIMEOUT_MS)
+        # The results lapse by themselves if the server wants no calls for long.
+        await self.clock.sleep_ms(server.rest_until_ms - self.clock.now_ms())
+        result = await self.client.free(server, handles, TIMEOUT_MS)
         state = self.states.get(server)
         if result.is_error():
             events.log(
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -169,7 +169,8 @@
         for stage in job.stages:
             if self.wait_estimates.limits_of(stage.pool) is None:
                 return errors.Unavailable(f"No stage pool {stage.pool} is configured.")
-            wait_ms = max(wait_ms, self.wait_estimates.wait_ms(stage.pool))
+            pool_wait_ms = self.wait_estimates.wait_ms(stage.pool)
+            wait_ms = max(wait_ms, pool_wait_ms, self.fleet.rest_ms(stage.pool))
         stages_ms = max((stage.tail_ms for stage in job.stages), default=0.0)
         left_ms = job.remaining_ms()
         if wait_ms + stages_ms + MIN_MARGIN_MS < left_ms:
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -201,7 +201,7 @@
     async def newest(self, topic):
         return expression.Ok(keyedtopics.Page([], 0))
 
-    async def changes(self, topic, offset, wait_ms):
+    async def changes(self, topic, offset, wait_ms, era=None):
         return expression.Ok(keyedtopics.Page([], offset))
 
     async def put(self, topic, key, value):
@@ -221,7 +221,7 @@
     def store(self, transport):
         return EmptyStore()
 
-    def stage_client(self, transport):
+    def stage_client(self, transport, on_notice):
         return self.stages
 
 
--- a/teaselwall/tests/test_keyedtopics.py
+++ b/teaselwall/tests/test_keyedtopics.py
@@ -15,7 +15,7 @@
     async def newest(self, topic):
         return await self._next(("newest", topic))
 
-    async def changes(self, topic, offset, wait_ms):
+    async def changes(self, topic, offset, wait_ms, era=None):
         return await self._next(("changes", offset))
 
     async def put(self, topic, key, value):
@@ -34,6 +34,9 @@
     def replace(self, records):
         self.events.append(("replace", dict(records)))
 
+    def restore(self, records):
+        self.events.append(("restore", dict(records)))
+
     def apply(self, record):
         self.events.append((record.key, record.value))
 
@@ -41,9 +44,9 @@
         self.events.append("recovered")
 
 
-def page(next_offset, **records):
+def page(next_offset, era=None, **records):
     found = [keyedtopics.Record(key, value) for key, value in records.items()]
-    return expression.Ok(keyedtopics.Page(found, next_offset))
+    return expression.Ok(keyedtopics.Page(found, next_offset, era=era))
 
 
 FAILED = expression.Error(errors.TransportError("unreachable"))
@@ -139,3 +142,72 @@
     for _ in range(3):
         await follower.step()
     assert follower.changes_since(1) is None
+
+
+async def test_a_restored_store_is_read_anew_and_once_more_after_a_grace_period(
+    autojump_clock, follower, store, listener, time
+):
+    """Offsets are given out again: changes of the new era must not be applied."""
+    store.results = [
+        page(9, era=1, a=b"7"),
+        page(10, era=2, a=b"other offset"),
+        page(4, era=2, a=b"5"),
+        page(5, era=2, b=b"1"),
+        page(6, era=2, a=b"7", b=b"1"),
+    ]
+    for _ in range(4):
+        await follower.step()
+    assert listener.events == [
+        ("replace", {"a": b"7"}),
+        ("restore", {"a": b"5"}),
+        ("b", b"1"),
+    ]
+    await time.sleep_ms(keyedtopics.RESTORE_GRACE_MS)
+    await follower.step()
+    assert listener.events[-1] == ("replace", {"a": b"7", "b": b"1"})
+    calls = [kind for kind, _ in store.calls]
+    assert calls == ["newest", "changes", "newest", "changes", "newest"]
+
+
+async def test_reads_prove_nothing_new_until_writers_have_written_again(
+    autojump_clock, follower, store, time
+):
+    """Otherwise a key that was removed just before the restore counts as checked."""
+    store.results = [page(9, era=1), page(4, era=2), page(4, era=2), page(4, era=2)]
+    await follower.step()
+    proven_ms = follower.current_as_of_ms
+    for _ in range(2):
+        await time.sleep_ms(100)
+        await follower.step()
+    assert follower.current_as_of_ms == proven_ms
+    await time.sleep_ms(keyedtopics.RESTORE_GRACE_MS)
+    await follower.step()
+    assert follower.age_ms() < 100
+
+
+async def test_a_late_reply_of_an_earlier_era_is_not_applied(
+    autojump_clock, follower, store, listener
+):
+    store.results = [page(9, era=3), page(12, era=2, a=b"old"), page(10, era=3)]
+    for _ in range(3):
+        await follower.step()
+    assert listener.events == [("replace", {})]
+    assert follower.offset == 10
+
+
+async def test_two_restores_in_a_row_are_each_read_anew(
+    autojump_clock, follower, store, listener
+):
+    store.results = [
+        page(9, era=1, a=b"1"),
+        page(3, era=2, a=b"2"),
+        page(5, era=3, a=b"3"),
+        page(5, era=3, a=b"4"),
+    ]
+    for _ in range(4):
+        await follower.step()
+    assert listener.events == [
+        ("replace", {"a": b"1"}),
+        ("restore", {"a": b"3"}),
+        ("a", b"4"),
+    ]
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -177,6 +177,40 @@
     assert b"after=a" in replies.calls[1][1]
 
 
+async def test_pages_of_different_eras_are_not_mixed(autojump_clock):
+    before = newest({"a": b"1"}, 5, more=True)
+    after = newest({"b": b"2"}, 3)
+    before.headers[b"store-era"] = b"1"
+    after.headers[b"store-era"] = b"2"
+    replies = ScriptedTransport(before, after, after)
+    found = (await store.HttpStore(replies, "10.0.0.1:1", 100).newest("t")).ok
+    assert [r.key for r in found.records] == ["b"]
+    assert (found.next_offset, found.era) == (3, 2)
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "rest_ms"),
+    [
+        (503, b"1.5", 1500.0),
+        (503, b"", 0.0),
+        (503, b"soon", 0.0),
+        (503, b"-3", 0.0),
+        (503, b"nan", 0.0),
+        (503, b"inf", names.MAX_REST_MS),
+        (503, b"1e300", names.MAX_REST_MS),
+        (500, b"2", 0.0),
+    ],
+)
+def test_a_server_states_how_long_it_wants_no_calls(status, text, rest_ms):
+    assert names.notice(status, {b"retry-after": text}).rest_ms == rest_ms
+
+
+def test_notices_of_another_server_at_the_address_do_not_count():
+    headers = {b"server-leaving": b"1"}
+    assert names.notice(500, headers).leaving
+    assert not names.notice(421, headers).leaving
+
+
 def record(key, value):
     content = bytes([len(key)]) + key + value
     return struct.pack(">I", len(content)) + content
@@ -355,10 +389,14 @@
 ]
 
 
+def ignore_notice(server, notice):
+    pass
+
+
 async def test_a_stage_call_carries_key_or_inputs(autojump_clock):
     body = msgspec.json.encode({"items": [{"handle": "h"}, {"reason": "room"}]})
     replies = ScriptedTransport(httpcalls.Reply(200, {}, body))
-    client = platform_stagecalls.HttpStageClient(replies)
+    client = platform_stagecalls.HttpStageClient(replies, ignore_notice)
     results = (await client.run(Server, ITEMS, 100)).ok
     assert results[0].handle == "h"
     assert results[1].refusal is stagecalls.Refusal.NO_ROOM
@@ -383,6 +421,8 @@
 async def test_failed_stage_calls_report_the_known_outcome(
     autojump_clock, answer, outcome
 ):
-    client = platform_stagecalls.HttpStageClient(ScriptedTransport(answer))
+    client = platform_stagecalls.HttpStageClient(
+        ScriptedTransport(answer), ignore_notice
+    )
     error = (await client.run(Server, ITEMS, 100)).error
     assert error.outcome in (outcome, errors.Outcome(outcome))
--- a/teaselwall/tests/test_serverregistry.py
+++ b/teaselwall/tests/test_serverregistry.py
@@ -2,7 +2,15 @@
 import msgspec
 import pytest
 
-from teaselwall import coldstarts, errors, fleet, operatorstate, routes, serverregistry
+from teaselwall import (
+    coldstarts,
+    errors,
+    fleet,
+    operatorstate,
+    protocols,
+    routes,
+    serverregistry,
+)
 from teaselwall.tests import fakes
 
 COLD_POOL = routes.Pool("llm", 100, 3000.0, 14.0, None, True)
@@ -180,3 +188,52 @@
     for _ in range(100):
         assert cold_starts.has_capacity(server)
         cold_starts.record_sent(server)
+
+
+def test_an_older_copy_of_a_record_does_not_bring_a_server_back(registry, server_fleet):
+    """A store restored from a copy shows servers that have left since as ready."""
+    registry.replace({"s": encoded("s", sequence=5)})
+    registry.apply(Record("s", encoded("s", sequence=6, leaving=True)))
+    registry.apply(Record("s", None))
+    registry.restore({"s": encoded("s", sequence=5)})
+    assert not addresses(server_fleet)
+    registry.apply(Record("s", encoded("s", sequence=7)))
+    assert addresses(server_fleet) == ["10.0.0.1:80"]
+
+
+def test_servers_missing_from_a_restored_store_stay_until_it_is_read_again(
+    registry, server_fleet
+):
+    registry.replace({"s": encoded("s"), "ss": encoded("ss")})
+    registry.restore({"s": encoded("s")})
+    assert len(addresses(server_fleet)) == 2
+    registry.replace({"s": encoded("s")})
+    assert addresses(server_fleet) == ["10.0.0.1:80"]
+
+
+def test_a_server_that_says_that_it_leaves_gets_no_calls_whatever_the_store_says(
+    registry, server_fleet
+):
+    registry.replace({"s": encoded("s"), "ss": encoded("ss")})
+    (server,) = [s for s in server_fleet.choices("llm") if s.address == "10.0.0.1:80"]
+    server_fleet.record_notice(server, protocols.Notice(leaving=True))
+    registry.apply(Record("s", encoded("s", sequence=2)))
+    assert addresses(server_fleet) == ["10.0.0.2:80"]
+    registry.replace({"s": encoded("s", sequence=3), "ss": encoded("ss")})
+    assert addresses(server_fleet) == ["10.0.0.2:80"]
+    registry.apply(Record("s", encoded("s", sequence=1, started_ms=9)))
+    assert len(addresses(server_fleet)) == 2
+
+
+def test_a_server_that_wants_rest_gets_no_calls_until_its_end(
+    registry, server_fleet, time
+):
+    registry.replace({"s": encoded("s")})
+    (server,) = server_fleet.choices("llm")
+    server_fleet.record_notice(server, protocols.Notice(rest_ms=700.0))
+    server_fleet.record_notice(server, protocols.Notice(rest_ms=100.0))
+    assert not addresses(server_fleet)
+    assert server_fleet.rest_ms("llm") == 700.0
+    time.at_ms += 701.0
+    assert addresses(server_fleet) == ["10.0.0.1:80"]
+    assert server_fleet.rest_ms("llm") == 0.0
--- a/teaselwall/tests/test_sharedreads.py
+++ b/teaselwall/tests/test_sharedreads.py
@@ -19,6 +19,12 @@
         self.n_reads = {}
         self.refused_hosts = set()
         self.silent = False
+        self.era = None
+
+    def restore(self, n_records):
+        """Come back from a copy that holds only the first records."""
+        del self.records[n_records:]
+        self.era = (self.era or 0) + 1
 
     async def read(self, host, offset, wait_ms):
         self.n_reads[host] = self.n_reads.get(host, 0) + 1
@@ -28,12 +34,14 @@
             while len(self.records) <= offset:
                 await trio.sleep(0.01)
         await trio.sleep(0.004)
-        return expression.Ok(keyedtopics.Page(self.records[offset:], len(self.records)))
+        return expression.Ok(
+            keyedtopics.Page(self.records[offset:], len(self.records), era=self.era)
+        )
 
     async def newest(self, topic):
         raise NotImplementedError
 
-    async def changes(self, topic, offset, wait_ms):
+    async def changes(self, topic, offset, wait_ms, era=None):
         raise NotImplementedError
 
     async def put(self, topic, key, value):
@@ -50,7 +58,7 @@
     async def newest(self, topic):
         return await self.store.read(self.host, 0, 0)
 
-    async def changes(self, topic, offset, wait_ms):
+    async def changes(self, topic, offset, wait_ms, era=None):
         return await self.store.read(self.host, offset, wait_ms)
 
     async def put(self, topic, key, value):
@@ -212,3 +220,24 @@
     assert [(r.key, r.value) for r in follower.changes_since(8)] == [("a", None)]
     assert follower.changes_since(3) is None
     assert follower.changes_since(10) is None
+
+
+async def test_hosts_that_read_through_others_notice_a_restored_store(
+    autojump_clock, nursery, hosts, store
+):
+    """The new history reaches the old offsets again before the hosts read it."""
+    store.era = 1
+    store.records = [keyedtopics.Record("a", b"%d" % n) for n in range(9)]
+    for host in hosts:
+        nursery.start_soon(host.follower.run)
+    await trio.sleep(3)
+    store.restore(4)
+    store.records += [keyedtopics.Record("a", b"new %d" % n) for n in range(8)]
+    await trio.sleep(3)
+    store.records.append(keyedtopics.Record("b", b"last"))
+    await trio.sleep(3)
+    for host in hosts:
+        values = dict(host.follower.listener.events[-1:])
+        assert host.follower.era == 2, host.address
+        assert host.follower.offset == len(store.records)
+        assert values in ({"b": b"last"}, {"replace": {"a": b"new 7", "b": b"last"}})
--- a/teaselwall/tests/test_stagework.py
+++ b/teaselwall/tests/test_stagework.py
@@ -87,10 +87,10 @@
         self.most_live = max(self.most_live, len(self.live[address]))
         return stagecalls.PieceResult(handle=handle)
 
-    async def free(self, address, handles, timeout_ms):
-        self.n_frees[address] += 1
+    async def free(self, server, handles, timeout_ms):
+        self.n_frees[server.address] += 1
         await trio.sleep(0.001)
-        self.live[address] -= set(handles)
+        self.live[server.address] -= set(handles)
         return expression.Ok(None)
 
 
--- a/teaselwall/tools/bench_stages.py
+++ b/teaselwall/tools/bench_stages.py
@@ -182,11 +182,11 @@
         self.locations[handle] = (server.data_centre, n_bytes)
         return stagecalls.PieceResult(handle=handle)
 
-    async def free(self, address, handles, timeout_ms):
+    async def free(self, server, handles, timeout_ms):
         """Free stored results; see ``stagecalls.StageClient.free``."""
         await self.clock.sleep_ms(FREE_MS)
         for handle in handles:
-            self.results[address].pop(handle, None)
+            self.results[server.address].pop(handle, None)
         return expression.Ok(None)
 
 
