--- a/teaselwall/tests/test_http.py
+++ b/teaselwall/tests/test_http.py
@@ -12,6 +12,7 @@
 from teaselwall import clock, errors, httpcalls, httpclient, httpserver
 
 REPLY = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+LATE_S = 0.05
 REQUEST = b"POST /echo HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nabc"
 
 
@@ -164,10 +165,13 @@
     Attributes
     ----------
     replies : list of bytes
+    late : bytes
+        Sent ``LATE_S`` after each reply.
     """
 
     def __init__(self, replies):
         self.replies = replies
+        self.late = b""
         self.n_connections = 0
 
     async def handle(self, stream):
@@ -176,6 +180,9 @@
             if not await stream.receive_some():
                 return
             await stream.send_all(self.replies.pop(0))
+            if self.late:
+                await trio.sleep(LATE_S)
+                await stream.send_all(self.late)
         await stream.send_eof()
         await stream.receive_some()
 
@@ -219,6 +226,18 @@
     assert back_end.n_connections == 2
 
 
+async def test_an_answer_that_comes_after_the_call_has_ended_discards_the_connection(
+    client, make_back_end
+):
+    back_end = await make_back_end(REPLY.replace(b"ok", b"1."), REPLY)
+    back_end.late = REPLY.replace(b"ok", b"1.")
+    assert (await call(client, back_end.address)).ok.body == b"1."
+    await trio.sleep(2 * LATE_S)
+    back_end.late = b""
+    assert (await call(client, back_end.address)).ok.body == b"ok"
+    assert back_end.n_connections == 2
+
+
 async def test_a_reply_cut_short_is_a_broken_connection(client, make_back_end):
     back_end = await make_back_end(REPLY[:-1])
     result = await call(client, back_end.address)
--- a/teaselwall/tools/soak_checks.py
+++ b/teaselwall/tools/soak_checks.py
@@ -1,5 +1,6 @@
 """Checks of the soak: what callers and back ends observed, against the promises."""
 
+import collections
 import dataclasses
 import json
 
@@ -163,7 +164,13 @@
     )
     if late_requests and n_served >= MIN_SERVED_SHARE * len(late_requests):
         return []
-    return [f"after the faults {n_served} of {len(late_requests)} requests were served"]
+    n_by_status = collections.Counter(
+        f"{request.kind} {request.status}" for request in late_requests
+    )
+    return [
+        f"after the faults {n_served} of {len(late_requests)} requests were served; "
+        f"by kind and status: {dict(n_by_status)}"
+    ]
 
 
 def is_complete(data):
