Count space that lost calls may take up; hand waiting jobs to a new coordinator

Now a lost call's results count until they lapse, a refusal for lack of room counts the server as full for 0.4 s, hosts that start together choose the coordinator among all they know, and a host that lost the role gives its waiting jobs back as not run. Each new test failed with its guard left out on a copy.

--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -21,6 +21,10 @@
 # One attempt each at the coordinator, the next two hosts and one more host.
 MAX_ATTEMPTS = 4
 RETRY_DELAY_MS = 50.0
+# How often a host with stage work checks that it is the coordinator, and for how long
+# another host must have been before jobs are handed over.
+HAND_OVER_CHECK_MS = 100.0
+ROLE_LOSS_MS = 250.0
 # Time after the results were due at which the coordinator is called for them again
 # over a new connection, because an open connection may stop answering.
 SECOND_CALL_DELAY_MS = 700.0
@@ -93,10 +97,30 @@
         self.gossip.on_release = lambda r: self.stage_work.release(r.request, r.run)
 
     async def run(self):
-        """Send releases until cancelled."""
+        """Send releases, and hand jobs over to a new coordinator, until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
-            await trio.sleep_forever()
+            while True:
+                await self.stage_work.job_submitted.wait()
+                await self._hand_over()
+                await self.clock.sleep_ms(HAND_OVER_CHECK_MS)
+
+    async def _hand_over(self):
+        """Give up the jobs that have not started if this host lost its role.
+
+        Two coordinators of one group collide at its servers. Jobs that were submitted
+        later come from hosts that don't know the other coordinator yet.
+        """
+        if self._is_coordinator():
+            return
+        lost_ms = self.clock.now_ms()
+        await self.clock.sleep_ms(ROLE_LOSS_MS)
+        if not self._is_coordinator():
+            self.stage_work.give_up_waiting(lost_ms)
+
+    def _is_coordinator(self):
+        group = self.data_centre_groups.group_of(self.membership.me.data_centre)
+        return self.coordinator(group) is self.membership.me
 
     def coordinator(self, group=frozenset()):
         """Return the coordinator of a group by the membership view of this host.
@@ -107,11 +131,13 @@
             Data centres; an empty set stands for all of them. Where no host of the
             group may coordinate, the hosts of all data centres are candidates.
         """
-        candidates = [
+        reachable = [
             member
             for member in self.membership.delegates()
-            if not member.draining and not self.gossip.is_silent(member.address)
+            if not self.gossip.is_silent(member.address)
         ]
+        # Hosts that start together are all not ready yet, and must agree as well.
+        candidates = [m for m in reachable if not m.draining] or reachable
         in_group = [m for m in candidates if not group or m.data_centre in group]
         coordinator = min(
             in_group or candidates or [self.membership.me],
--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -214,6 +214,14 @@
     """A server replied with an error status, or with a reply that is not valid."""
 
 
+class NotCoordinator(TransportError):
+    """An entry host no longer coordinates the stages; it has run none of them."""
+
+    status = 503
+    title = "Not the coordinator"
+    remedy = "Send the stages to the coordinator by the membership view."
+
+
 class NoEntryHost(Error):
     """No entry host replies to an operator's command."""
 
--- a/teaselwall/peers.py
+++ b/teaselwall/peers.py
@@ -12,6 +12,7 @@
         errors.Forbidden,
         errors.InvalidRequest,
         errors.KeyExpired,
+        errors.NotCoordinator,
         errors.NotFound,
         errors.Overloaded,
         errors.Unavailable,
--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -6,6 +6,9 @@
 USABLE_SPACE_SHARE = 0.95
 # Time without calls after a server had no space for a result or took no call.
 PAUSE_MS = 60.0
+# After a server had less space than counted here, its space counts as used for this
+# long: results of calls whose reply was lost, or of another coordinator, take it up.
+UNKNOWN_USE_MS = 400.0
 # Time without calls after a call was lost; doubles with each further loss in a row.
 LOST_CALL_PAUSE_MS = 500.0
 MAX_LOST_CALL_PAUSE_MS = 4000.0
@@ -42,6 +45,9 @@
         Space that these results take up.
     reserved_bytes : int
         Space for the results of calls in progress.
+    uncounted : list of (float, float)
+        Space that may be taken up by results without a known handle: time on the clock
+        until which it counts, and bytes.
     slowdown : float
         Moving average of the measured time of a call over its expected time.
     n_lost_in_row : int
@@ -60,6 +66,7 @@
         "results",
         "used_bytes",
         "reserved_bytes",
+        "uncounted",
         "slowdown",
         "n_lost_in_row",
         "paused_until_ms",
@@ -74,6 +81,7 @@
         self.results = {}
         self.used_bytes = 0
         self.reserved_bytes = 0
+        self.uncounted = []
         self.slowdown = 1.0
         self.n_lost_in_row = 0
         self.paused_until_ms = -math.inf
@@ -97,7 +105,26 @@
     def free_bytes(self):
         """Return the space that is left for further results."""
         usable_bytes = USABLE_SPACE_SHARE * self.batches.result_space_bytes
-        return usable_bytes - self.used_bytes - self.reserved_bytes
+        free_bytes = usable_bytes - self.used_bytes - self.reserved_bytes
+        return free_bytes - self._uncounted_bytes() if self.uncounted else free_bytes
+
+    def _uncounted_bytes(self):
+        now_ms = self.clock.now_ms()
+        self.uncounted = [entry for entry in self.uncounted if entry[0] > now_ms]
+        return sum(n_bytes for _, n_bytes in self.uncounted)
+
+    def record_no_space(self):
+        """Count all space as used for a time, as a result did not fit."""
+        free_bytes = self.free_bytes()
+        if free_bytes > 0:
+            until_ms = self.clock.now_ms() + UNKNOWN_USE_MS
+            self.uncounted.append((until_ms, free_bytes))
+
+    def record_lost_results(self, pieces):
+        """Count the space of results that a lost call may have left at the server."""
+        until_ms = self.clock.now_ms() + self.batches.result_kept_ms
+        n_bytes = sum(piece.stage.n_bytes for piece in pieces)
+        self.uncounted.append((until_ms, n_bytes))
 
     def free_share(self):
         """Return the share of the server's space that is left."""
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -8,6 +8,7 @@
 from teaselwall import (
     backlogs,
     errors,
+    stageadmission,
     stagecalls,
     stagechoices,
     stagecleanup,
@@ -22,14 +23,6 @@
 RECHECK_MS = 40.0
 # Changes of this time are decided on together; a call takes many times as long.
 DECISION_DELAY_MS = 3.0
-# Least time that a request still needs after its stages.
-MIN_MARGIN_MS = 100.0
-# Callers honour a retry-after time of up to a third of their remaining time.
-MAX_RETRY_AFTER_MS = 2000.0
-# A late job that has not started is refused if WAIT_FACTOR times its wait plus
-# TAIL_FACTOR times its stages' time exceeds its time left: on-time jobs overtake it.
-WAIT_FACTOR = 2.0
-TAIL_FACTOR = 1.5
 # A stage without sources and consumers waits until it is expected to end at most this
 # time plus its queue wait before the others: calls usually wait this long for a server.
 LEAD_MS = 150.0
@@ -74,6 +67,7 @@
         "jobs",
         "queues",
         "wait_estimates",
+        "admission",
         "states",
         "cleanup",
         "work_changed",
@@ -92,6 +86,7 @@
         self.wait_estimates = waitestimates.WaitEstimates(
             self.queues, pool_of, self.servers_of
         )
+        self.admission = stageadmission.StageAdmission(self.wait_estimates, fleet)
         self.states = {}
         self.work_changed = trio.Event()
         self.job_submitted = trio.Event()
@@ -131,7 +126,7 @@
         job = self.jobs.get((message.request, message.run))
         if job is None:
             job = stagejobs.Job(self.clock, message, self.wait_estimates.expected_ms)
-            refused = self._refusal_error(job)
+            refused = self.admission.refusal(job)
             if refused is not None:
                 return expression.Error(refused)
             self.jobs[job.request, job.run] = job
@@ -160,28 +155,24 @@
                 if piece.handle and not stage.freed:
                     self.cleanup.add(piece.handle, piece.server)
 
+    def give_up_waiting(self, before_ms):
+        """End the jobs that have not started, as another host coordinates them now.
+
+        Parameters
+        ----------
+        before_ms : float
+            Time on the clock; jobs submitted later stay.
+        """
+        for job in list(self.jobs.values()):
+            if not job.started and not job.ended() and job.submitted_ms < before_ms:
+                detail = "Another entry host coordinates the stages now."
+                self._end(
+                    job, errors.NotCoordinator(detail, outcome=errors.Outcome.NOT_RUN)
+                )
+
     def _on_freed(self):
         self.work_changed.set()
 
-    def _refusal_error(self, job):
-        """Return the error for a job that can't finish in time, or None."""
-        wait_ms = 0.0
-        for stage in job.stages:
-            if self.wait_estimates.limits_of(stage.pool) is None:
-                return errors.Unavailable(f"No stage pool {stage.pool} is configured.")
-            pool_wait_ms = self.wait_estimates.wait_ms(stage.pool)
-            wait_ms = max(wait_ms, pool_wait_ms, self.fleet.rest_ms(stage.pool))
-        stages_ms = max((stage.tail_ms for stage in job.stages), default=0.0)
-        left_ms = job.remaining_ms()
-        if wait_ms + stages_ms + MIN_MARGIN_MS < left_ms:
-            return None
-        detail = (
-            f"The stages need about {wait_ms + stages_ms:.0f} ms, "
-            f"but only {left_ms:.0f} ms are left for them."
-        )
-        retry_ms = min(MAX_RETRY_AFTER_MS, wait_ms)
-        return errors.Overloaded(detail, retry_after_ms=max(RECHECK_MS, retry_ms))
-
     def _queue_runnable(self, job):
         """Queue the pieces of a job that can run now."""
         for piece in job.runnable():
@@ -199,10 +190,14 @@
             await self.clock.sleep_ms(RECHECK_MS)
             backlog = self._backlogs()
             for job in list(self.jobs.values()):
-                if job.remaining_ms() < (0 if job.ended() else MIN_MARGIN_MS):
+                if job.remaining_ms() < (
+                    0 if job.ended() else stageadmission.MIN_MARGIN_MS
+                ):
                     self._expire(job)
                 elif not job.started and not job.ended():
-                    self._refuse_if_late(job, backlog)
+                    refused = self.admission.late_refusal(job, backlog)
+                    if refused is not None:
+                        self._end(job, refused)
             if any(queue.pieces for queue in self.queues.values()):
                 self.work_changed.set()
 
@@ -213,17 +208,6 @@
             self.wait_estimates.limits_of,
         )
 
-    def _refuse_if_late(self, job, backlog):
-        """Refuse a job that has not started and will probably miss its deadline."""
-        if backlog.lateness_ms(job) <= 0:
-            return
-        wait_ms = max(0.0, backlog.wait_ms(job))
-        stages_ms = max(stage.tail_ms for stage in job.stages)
-        if WAIT_FACTOR * wait_ms + TAIL_FACTOR * stages_ms > job.remaining_ms():
-            detail = "The stage pools have too long a backlog for the time left."
-            retry_ms = min(MAX_RETRY_AFTER_MS, wait_ms)
-            self._end(job, errors.Overloaded(detail, retry_after_ms=retry_ms))
-
     def _expire(self, job):
         if not job.ended():
             detail = "The stages did not finish within the time left for them."
@@ -344,6 +328,7 @@
         )
         if result.refusal is stagecalls.Refusal.NO_ROOM:
             state.pause()
+            state.record_no_space()
             piece.n_attempts -= 1
         elif result.refusal is stagecalls.Refusal.LATE:
             detail = "A stage server refused a piece because its time was over."
@@ -371,6 +356,8 @@
                 piece.n_attempts -= 1
         else:
             state.record_lost_call()
+            if error.outcome is not errors.Outcome.NOT_RUN:
+                state.record_lost_results(batch)
 
     def _advance(self, job):
         """Queue pieces of a job that can run now; free results it no longer needs."""
--- a/teaselwall/tests/test_coordination.py
+++ b/teaselwall/tests/test_coordination.py
@@ -108,6 +108,7 @@
         self.address = address
         self.n_submitted = 0
         self.released = []
+        self.job_submitted = trio.Event()
 
     def release(self, request, run):
         self.released.append((request, run))
@@ -298,6 +299,32 @@
     assert coordinators == {"10.0.0.2:1"}
 
 
+async def test_hosts_that_start_together_agree_on_the_coordinator(
+    autojump_clock, hosts
+):
+    """After all hosts were killed, none is ready yet when the first requests come."""
+    for host in hosts:
+        host.membership.me.draining = True
+    await trio.sleep(2)
+    coordinators = {host.coordination.coordinator().address for host in hosts}
+    assert coordinators == {"10.0.0.1:1"}
+
+
+async def test_jobs_handed_over_go_to_the_new_coordinator(autojump_clock, hosts):
+    old = hosts[0]
+
+    async def give_up(message):
+        old.membership.me.draining = True
+        await trio.sleep(2)
+        detail = "Another entry host coordinates the stages now."
+        return expression.Error(
+            errors.NotCoordinator(detail, outcome=errors.Outcome.NOT_RUN)
+        )
+
+    old.stage_work.submit = give_up
+    assert coordinator_of(await run_stages(hosts[3])) == "10.0.0.2:1"
+
+
 async def test_an_unreadable_datagram_is_ignored(autojump_clock, hosts):
     await hosts[0].gossip._process(b"\xff")
     await hosts[0].gossip._process(json.dumps({"sender": 3}).encode())
