Serve a whole topic to hosts whose changes a reader no longer keeps

A reader that no longer has the changes now gives the newest record of each key; one that is reading anew lets the others wait. Relayed reads are held 0.8 s in place of 0.5 s.

--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -60,6 +60,9 @@
     era : int or None
         Era of the store that the offset belongs to; it rises each time the store is
         restored from an older copy. None if the store does not state it.
+    whole : bool
+        Whether a page of changes holds the newest record of each key instead, as the
+        host that relayed it no longer has the changes.
     """
 
     records: list
@@ -69,6 +72,7 @@
     recovered_ms: float | None = None
     relayed: bool = False
     era: int | None = None
+    whole: bool = False
 
 
 class Store(abc.ABC):
@@ -142,6 +146,8 @@
         ``(next_offset, Record)`` of the newest changes, for reads of other hosts.
     recent_from : int or None
         Offset from which on ``recent`` holds every change.
+    newest : dict of str to bytes
+        Newest value of each key, for reads of other hosts.
     read_done : trio.Event
         Set by the next successful read, then replaced by a new event.
     era : int or None
@@ -167,6 +173,7 @@
         "recovered_ms",
         "recent",
         "recent_from",
+        "newest",
         "read_done",
         "era",
         "reread_ms",
@@ -187,6 +194,7 @@
         self.recovered_ms = None
         self.recent = collections.deque()
         self.recent_from = None
+        self.newest = {}
         self.read_done = trio.Event()
         self.era = None
         self.reread_ms = None
@@ -213,7 +221,8 @@
         if self.reread_ms is not None and sent_ms >= self.reread_ms:
             self.reread_ms = None
             self.offset = None
-        if self.offset is None:
+        asks_all = self.offset is None
+        if asks_all:
             result = await self.store.newest(self.topic)
         else:
             result = await self.store.changes(
@@ -223,20 +232,12 @@
             self._record_failure(result.error)
             return None
         page = result.ok
-        is_full = self.offset is None
+        is_full = asks_all or page.whole
         if not self._accept_era(page, is_full):
             return None
         self.offset = page.next_offset
         self._detect_recovery(page)
-        if is_full:
-            records = {r.key: r.value for r in page.records}
-            if self.reread_ms is None:
-                self.listener.replace(records)
-            else:
-                self.listener.restore(records)
-        else:
-            for record in page.records:
-                self.listener.apply(record)
+        self._pass_on(page.records, is_full)
         self._add_recent(page, is_full)
         if self.reread_ms is None:
             # During the grace period, records that the store had accepted before may
@@ -247,6 +248,22 @@
         self.read_done = trio.Event()
         return page
 
+    def _pass_on(self, records, is_full):
+        """Give the listener a whole topic or some changes."""
+        if not is_full:
+            for record in records:
+                self.listener.apply(record)
+                if record.value is None:
+                    self.newest.pop(record.key, None)
+                else:
+                    self.newest[record.key] = record.value
+            return
+        self.newest = {record.key: record.value for record in records}
+        if self.reread_ms is None:
+            self.listener.replace(dict(self.newest))
+        else:
+            self.listener.restore(dict(self.newest))
+
     def _accept_era(self, page, is_full):
         """Return whether a page may be used.
 
--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -23,7 +23,7 @@
 # Readers in each data centre: one may fail.
 N_READERS = 2
 # Time for which a reader holds a request open if it has no new records.
-WAIT_MS = 500.0
+WAIT_MS = 800.0
 # Added to the timeout of a request, for its handling on two busy hosts.
 REPLY_MARGIN_MS = 250.0
 # A reader completes a read every 0.8 s; a longer pause shows that it can't read. This
@@ -141,15 +141,18 @@
     async def _handle(self, message):
         request = control.read(message, messages.StoreRead)
         follower = self.followers.get(request.topic)
-        records = None
-        if follower is not None and _era_number(follower.era) == request.era:
-            records = follower.changes_since(request.offset)
-        if records is None:
-            raise errors.Unavailable(
-                "The records from this offset on are not kept on this host."
-            )
-        if not records:
-            records = await self._wait_for_records(follower, request)
+        if follower is None:
+            raise errors.Unavailable("This host does not read the topic.")
+        if follower.offset is None:
+            # It is being read anew.
+            await self._wait_for_read(follower, request)
+        records = _changes_since(follower, request)
+        if not records and records is not None:
+            await self._wait_for_read(follower, request)
+            records = _changes_since(follower, request)
+        is_whole = records is None
+        if is_whole:
+            records = _whole_topic(follower, request)
         recovered_ms = follower.recovered_ms
         now_ms = self.clock.now_ms()
         return messages.StoreNews(
@@ -159,16 +162,16 @@
             idle_ms=now_ms - follower.read_ms,
             returned_ms=now_ms - recovered_ms if recovered_ms is not None else -1,
             era=_era_number(follower.era),
+            whole=is_whole,
         )
 
-    async def _wait_for_records(self, follower, request):
-        """Wait for the follower's next read and return its records.
+    async def _wait_for_read(self, follower, request):
+        """Wait for the follower's next read.
 
         Raises
         ------
         errors.Unavailable
-            This host's reads of the store are overdue, or it has read the whole topic
-            again and no longer holds the changes from the offset on.
+            This host's reads of the store are overdue.
         """
         idle_ms = self.clock.now_ms() - follower.read_ms
         wait_ms = min(request.wait_ms, WAIT_MS, MAX_IDLE_MS - idle_ms)
@@ -178,14 +181,32 @@
             )
         with trio.move_on_after(wait_ms / 1000):
             await follower.read_done.wait()
-        records = None
-        if _era_number(follower.era) == request.era:
-            records = follower.changes_since(request.offset)
-        if records is None:
-            raise errors.Unavailable(
-                "The topic was read again in full; older changes are gone."
-            )
-        return records
+
+
+def _changes_since(follower, request):
+    """Return the changes that a request asks for, or None if they are not kept."""
+    if _era_number(follower.era) != request.era:
+        return None
+    if follower.offset == request.offset:
+        return []
+    return follower.changes_since(request.offset)
+
+
+def _whole_topic(follower, request):
+    """Return the newest record of each key for a host whose changes are not kept.
+
+    Raises
+    ------
+    errors.Unavailable
+        The host that asks may know newer records than this one.
+    """
+    if follower.offset is None:
+        raise errors.Unavailable("This host has not read the topic anew yet.")
+    era = _era_number(follower.era)
+    is_behind = era == request.era and follower.offset < request.offset
+    if era < request.era or is_behind:
+        raise errors.Unavailable("This host is behind the one that asks.")
+    return [keyedtopics.Record(key, value) for key, value in follower.newest.items()]
 
 
 def _encode(record):
@@ -206,10 +227,12 @@
     except msgspec.ValidationError as error:
         detail = f"The reader's reply cannot be decoded: {error}."
         return expression.Error(errors.ServerFailed(detail))
-    if news.era != _era_number(era):
+    is_same_era = news.era == _era_number(era)
+    if not is_same_era and not (news.whole and news.era > _era_number(era)):
         detail = f"The reader's records are of era {news.era} of the store, not {era}."
         return expression.Error(errors.Unavailable(detail))
-    if news.idle_ms > MAX_IDLE_MS or news.next_offset < offset:
+    is_behind = is_same_era and news.next_offset < offset
+    if news.idle_ms > MAX_IDLE_MS or is_behind:
         detail = (
             "The reader is behind this host or has stopped reading: its last read of "
             f"the store was {news.idle_ms:.0f} ms ago."
@@ -230,7 +253,8 @@
             idle_ms=news.idle_ms,
             recovered_ms=recovered_ms,
             relayed=True,
-            era=era,
+            era=None if news.era == UNKNOWN_ERA else news.era,
+            whole=news.whole,
         )
     )
 
