--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -143,13 +143,10 @@
         follower = self.followers.get(request.topic)
         if follower is None:
             raise errors.Unavailable("This host does not read the topic.")
-        if follower.offset is None:
-            # It is being read anew.
+        # An offset of None: the topic is being read anew.
+        if follower.offset is None or _changes_since(follower, request) == []:
             await self._wait_for_read(follower, request)
         records = _changes_since(follower, request)
-        if not records and records is not None:
-            await self._wait_for_read(follower, request)
-            records = _changes_since(follower, request)
         is_whole = records is None
         if is_whole:
             records = _whole_topic(follower, request)
