--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -147,6 +147,10 @@
         if follower.offset is None or _changes_since(follower, request) == []:
             await self._wait_for_read(follower, request)
         records = _changes_since(follower, request)
+        next_offset = follower.offset
+        if next_offset is None and _era_number(follower.era) == request.era:
+            # Nothing newer is known here; the next request waits for the new read.
+            records, next_offset = [], request.offset
         is_whole = records is None
         if is_whole:
             records = _whole_topic(follower, request)
@@ -154,7 +158,7 @@
         now_ms = self.clock.now_ms()
         return messages.StoreNews(
             records=[_encode(record) for record in records],
-            next_offset=follower.offset,
+            next_offset=next_offset,
             age_ms=follower.age_ms(),
             idle_ms=now_ms - follower.read_ms,
             returned_ms=now_ms - recovered_ms if recovered_ms is not None else -1,
