--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -27,7 +27,7 @@
 # Retry-After of replies from a host that is full or has no configuration yet.
 RETRY_AFTER_MS = 1000
 MAX_SHOWN_CHARS = 100
-# A longer deadline is above that of any service document.
+# So many digits are above the deadline of any service document.
 MAX_DEADLINE_DIGITS = 18
 BODY_TIMEOUT_MS = 10_000
 SEND_TIMEOUT_MS = 10_000
@@ -341,9 +341,7 @@
     if not text.isdecimal() or not digits:
         remedy = "Send Deadline-Ms as a whole number of milliseconds above 0."
         raise errors.InvalidRequest("Deadline-Ms is not valid.", remedy=remedy)
-    if len(digits) > MAX_DEADLINE_DIGITS:
-        return service_deadline_ms
-    return min(int(digits), service_deadline_ms)
+    return min(int(digits[:MAX_DEADLINE_DIGITS]), service_deadline_ms)
 
 
 def read_key(headers, document):
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -184,12 +184,8 @@
     def neighbours(self):
         """Return the live members of this data centre, this host included."""
         since_ms = self.clock.now_ms() - self.dead_after_ms
-        me = self.me
-        return [
-            member
-            for member in self.members_by_nonce.values()
-            if member is me or member.seen_ms > since_ms
-        ]
+        members = self.members_by_nonce.values()
+        return [m for m in members if m is self.me or m.seen_ms > since_ms]
 
     def remote_delegates(self):
         """Return the known live members of the other data centres."""
@@ -292,11 +288,6 @@
         for summary in self.summaries.values():
             summary.seen_ms = now_ms
 
-    def _is_alive(self, member):
-        if member is self.me:
-            return True
-        return self.clock.now_ms() - member.seen_ms < self.dead_after_ms
-
     def _summary_dead_ms(self):
         return SUMMARY_DEAD_FACTOR * self.summary_interval_ms + self.dead_after_ms
 
--- a/teaselwall/peers.py
+++ b/teaselwall/peers.py
@@ -25,7 +25,7 @@
 
     Parameters
     ----------
-    transport : transport.Transport
+    transport : httpcalls.HttpCalls
     key : str
         Peer key, the same on all entry hosts.
 
--- a/teaselwall/platform/store.py
+++ b/teaselwall/platform/store.py
@@ -40,7 +40,7 @@
 
     Parameters
     ----------
-    transport : transport.Transport
+    transport : httpcalls.HttpCalls
     address : str
     timeout_ms : float
         Timeout of one call, in addition to the time that the store is asked to wait.
--- a/teaselwall/tests/test_gateway.py
+++ b/teaselwall/tests/test_gateway.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from teaselwall import directories, entrydaemon, gateway, replies
+from teaselwall import directories, entrydaemon, forwarders, gateway, replies
 from teaselwall.tests import fakes, platform_entry, test_stagework
 from teaselwall.tests.platform_entry import BROKEN, REFUSED, Caller, Script
 
@@ -375,3 +375,29 @@
     path = tmp_path / "node.toml"
     path.write_text('[host]\nname = "h"\n')
     assert "data_centre" in str(entrydaemon.read(path).error)
+
+
+async def test_a_slow_but_sound_stream_is_passed_on_whole(
+    autojump_clock, application, back_ends
+):
+    """Pauses below what callers bear cut no stream, resumable or not."""
+    for path in ("/stream/1", "/resumed/1"):
+        pause_s = forwarders.RESUMABLE_IDLE_TIMEOUT_MS / 1000 - 0.2
+        back_ends.scripts = [Script(body=[EVENTS[0], pause_s, *EVENTS[1:]])]
+        caller = await send_request(application, path)
+        assert (caller.status, caller.ended) == (200, True)
+        assert b"".join(caller.parts) == b"".join(EVENTS)
+        assert len(back_ends.calls) == 1
+        back_ends.calls.clear()
+
+
+async def test_a_stalled_stream_that_sends_a_byte_now_and_then_ends(
+    autojump_clock, application, back_ends
+):
+    trickle = [part for _ in range(60) for part in (0.5, b":")]
+    back_ends.scripts = [Script(body=[EVENTS[0], *trickle])]
+    started_s = trio.current_time()
+    with pytest.raises(replies.AnswerBroken):
+        await send_request(application, "/stream/1")
+    assert trio.current_time() - started_s <= 2.0
+    assert back_ends.n_open == 0
