--- a/teaselwall/tests/test_entry.py
+++ b/teaselwall/tests/test_entry.py
@@ -45,6 +45,15 @@
                 collect_imports(alias.name, seen)
 
 
+def test_entry_hosts_load_no_general_http_libraries():
+    """Loading them is a notable part of a start; they are not installed there."""
+    seen = set()
+    for module in ("entrydaemon", "platform/adapter"):
+        collect_imports(module, seen)
+    assert "httpserver" in seen
+    assert not seen & {"transport", "listeners"}
+
+
 def test_gateway_imports_no_agreement_modules():
     seen = set()
     for module in ("entry", "gateway", "directories"):
