Log when a reply's head and last bytes came, and why a request is not retried

The incident of answers that ended early had three possible causes that the logs could not tell apart: a silence, stage results that are gone, a change of the configuration. An 'attempt' line now has the time to the head, the silence at its end and the bytes; 'not_retried' names the reason.

The fixtures of the gateway's tests move to conftest and the fake stage servers to a module of their own, for a second test file. The fake back ends now end a call past its limits of silence as the real client does; they had ignored these limits, so no test could see them.

--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -11,6 +11,7 @@
     errors,
     events,
     httpcalls,
+    progress,
     protocols,
     sse,
     traces,
@@ -113,12 +114,15 @@
         while True:
             choice = await self._wait_for_server(call, inputs)
             if choice.is_error():
+                self._log_end(call, reply, choice.error, "no_server")
                 return self._error_result(call, choice.error)
             server = choice.ok
             error = await self._attempt(call, server, reply, inputs, splitter, on_head)
             if error is None:
                 return expression.Ok(None)
-            if isinstance(error, InputsGone) or not self._may_retry(call, error):
+            reason = self._reason_to_end(call, error)
+            if reason:
+                self._log_end(call, reply, error, reason)
                 return await self._finish_failed(call, reply, error)
             if error.outcome is errors.Outcome.NOT_RUN:
                 await self.clock.sleep_ms(REFUSAL_PAUSE_MS)
@@ -150,14 +154,34 @@
                 )
             await self.clock.sleep_ms(SERVER_POLL_MS)
 
-    def _may_retry(self, call, error):
-        if call.n_sent >= MAX_SENDS or call.deadline.remaining_ms() < MIN_ATTEMPT_MS:
-            return False
+    def _reason_to_end(self, call, error):
+        """Return why a failed request is not sent again; empty if it is."""
+        if isinstance(error, InputsGone):
+            return "inputs_gone"
+        if call.n_sent >= MAX_SENDS:
+            return "sends"
+        if call.deadline.remaining_ms() < MIN_ATTEMPT_MS:
+            return "deadline"
         if not call.may_run_again():
-            return False
+            return "attempts"
         if isinstance(error, BadAnswer) and error.reply.status < 500:
-            return False
-        return self._take_retry_budget(call)
+            return "answered"
+        return "" if self._take_retry_budget(call) else "retry_budget"
+
+    def _log_end(self, call, reply, error, reason):
+        events.log(
+            logger,
+            logging.INFO,
+            "not_retried",
+            request=call.head.id,
+            reason=reason,
+            error=type(error).__name__,
+            outcome=error.outcome.value,
+            started=reply.started,
+            n_sent=call.n_sent,
+            n_ran=call.n_ran,
+            remaining_ms=round(call.deadline.remaining_ms()),
+        )
 
     def _take_retry_budget(self, call):
         if self.retries.try_take(call.pool.name):
@@ -184,15 +208,14 @@
         call.n_sent += 1
         call.tried.add(server.address)
         self.server_choices.record_sent(call, server)
-        started_ms = self.clock.now_ms()
         remaining_ms = call.deadline.remaining_ms()
         span = self.tracer.start(
             "attempt", call.span, server=server.address, request=call.head.id
         )
-        progress = httpcalls.CallProgress()
+        received = progress.AttemptProgress(self.clock)
         with server.track_call(self.clock) as server_attempt:
             error = await self._exchange(
-                call, server, reply, inputs, splitter, on_head, progress
+                call, server, reply, inputs, splitter, on_head, received
             )
             if error is not None:
                 server_attempt.fail(error)
@@ -210,10 +233,10 @@
             id=server.incarnation,
             attempt=call.n_sent,
             remaining_ms=round(remaining_ms),
-            elapsed_ms=round(self.clock.now_ms() - started_ms),
             load=round(server.load(), 1),
             outcome=error.outcome.value if error is not None else "ok",
             error=str(error) if error is not None else "",
+            **received.log_fields(),
         )
         return error
 
@@ -224,7 +247,7 @@
             # A refusal or an error reply shows that the server is reachable.
             server.n_failures = max(0, server.n_failures - 1)
 
-    async def _exchange(self, call, server, reply, inputs, splitter, on_head, progress):
+    async def _exchange(self, call, server, reply, inputs, splitter, on_head, received):
         remaining_ms = call.deadline.remaining_ms()
         head_timeout_ms = self._head_timeout_ms(call, remaining_ms)
         attempt = protocols.Attempt(
@@ -247,13 +270,14 @@
                     call.body,
                     head_timeout_ms,
                     silence_ms=self._idle_timeout_ms(call, remaining_ms),
-                    progress=progress,
+                    progress=received,
                 ) as response:
+                    received.record_head()
                     return await self._read_response(
-                        call, server, reply, response, splitter, on_head
+                        call, server, reply, response, splitter, on_head, received
                     )
         except self.transport.failures as error:
-            return self.transport.to_error(server.address, "", error, progress)
+            return self.transport.to_error(server.address, "", error, received)
         except errors.TransportError as error:
             return error
 
@@ -281,7 +305,9 @@
             min(remaining_ms, RESUMABLE_IDLE_TIMEOUT_MS) if may_retry else remaining_ms
         )
 
-    async def _read_response(self, call, server, reply, response, splitter, on_head):
+    async def _read_response(
+        self, call, server, reply, response, splitter, on_head, received
+    ):
         head = self.protocol.read_reply(response.status, response.headers, call.head)
         _record_load(server, head)
         if head.genuine or head.not_run:
@@ -304,17 +330,20 @@
             raise BadAnswer(head, body, detail, errors.Outcome.RAN)
         on_head()
         if calls.is_streaming(call.route):
-            return await self._relay_stream(server, reply, head, response, splitter)
+            return await self._relay_stream(
+                server, reply, head, response, splitter, received
+            )
         body = await httpcalls.read_body(response)
         await reply.send_whole(head.status, head.headers, body)
         return None
 
-    async def _relay_stream(self, server, reply, head, response, splitter):
+    async def _relay_stream(self, server, reply, head, response, splitter, received):
         """Pass complete events on to the caller as they arrive."""
         splitter.partial = b""
         if not reply.started:
             reply.start(head.status, head.headers)
         async for data in response.aiter_stream():
+            received.record_bytes(len(data))
             complete = splitter.feed(data)
             if complete:
                 await reply.write(complete)
--- a/teaselwall/tests/conftest.py
+++ b/teaselwall/tests/conftest.py
@@ -8,6 +8,9 @@
 import pytest
 from trio._core import _run
 
+from teaselwall import gateway
+from teaselwall.tests import fake_stages, platform_entry
+
 hypothesis.settings.register_profile("fixed", derandomize=True, deadline=None)
 hypothesis.settings.load_profile("fixed")
 
@@ -58,3 +61,27 @@
     """Make the order in which trio runs tasks the same in every run of a test."""
     monkeypatch.setattr(_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
     monkeypatch.setattr(_run, "_r", random.Random(0))
+
+
+@pytest.fixture
+def back_ends():
+    """Return fake back ends without scripts, so that all requests succeed."""
+    return platform_entry.BackEnds()
+
+
+@pytest.fixture
+async def host(autojump_clock, nursery, back_ends, monkeypatch):
+    """Return an entry host on the platform that runs stages on fake servers."""
+    servers = fake_stages.FakeServers()
+    entry_host = platform_entry.make_entry_host(back_ends, servers)
+    limits = entry_host.operator_state.pool("enc").batches
+    monkeypatch.setitem(fake_stages.LIMITS, "enc", limits)
+    nursery.start_soon(entry_host.stage_work.run)
+    nursery.start_soon(entry_host.coordination.run)
+    return entry_host
+
+
+@pytest.fixture
+def application(host):
+    """Return the gateway of ``host`` as an ASGI application."""
+    return gateway.Gateway(host)
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -66,6 +66,17 @@
             maxAttempts=1,
             stages=[{"service": "enc", "after": [], "bytes": 100}],
         ),
+        route(
+            "continued",
+            "/continued/",
+            "streaming",
+            service="llm",
+            resumable=True,
+            timeoutMs=6000,
+            targetLatencyMs=1000,
+            gapAimMs=500,
+            stages=[{"service": "enc", "after": [], "bytes": 100}],
+        ),
     ],
     "services": [
         service("core"),
@@ -117,14 +128,25 @@
         Raised instead of a reply.
     sent : bool
         Whether bytes of the request had been sent by then.
+    head_s : float
+        Time until the head of the reply, in seconds.
     """
 
-    def __init__(self, status=200, body=(b"ok",), headers=None, error=None, sent=True):
+    def __init__(
+        self,
+        status=200,
+        body=(b"ok",),
+        headers=None,
+        error=None,
+        sent=True,
+        head_s=0.0,
+    ):
         self.status = status
         self.body = body
         self.headers = headers or {}
         self.error = error
         self.sent = sent
+        self.head_s = head_s
 
 
 class BackEnds:
@@ -170,13 +192,23 @@
             await trio.sleep(0.01)
             if script.error is not None:
                 raise script.error
-            yield Response(script, given)
+            await _pause(script.head_s, timeout_ms)
+            yield Response(script, given, silence_ms or timeout_ms)
         finally:
             self.n_open -= 1
 
 
+async def _pause(pause_s, limit_ms):
+    """Send nothing for a while; raise as the real client does past its limit."""
+    if pause_s * 1000 > limit_ms:
+        await trio.sleep(limit_ms / 1000)
+        raise httpcalls.ReplyTimeout("nothing received")
+    await trio.sleep(pause_s)
+
+
 class Response:
-    def __init__(self, script, given):
+    def __init__(self, script, given, silence_ms):
+        self.silence_ms = silence_ms
         self.status = script.status
         self.body = script.body
         default_headers = {
@@ -192,7 +224,7 @@
             if isinstance(part, Exception):
                 raise part
             if isinstance(part, float):
-                await trio.sleep(part)
+                await _pause(part, self.silence_ms)
                 continue
             yield part
 
--- a/teaselwall/tests/test_gateway.py
+++ b/teaselwall/tests/test_gateway.py
@@ -4,34 +4,13 @@
 import trio
 
 from teaselwall import directories, entrydaemon, forwarders, gateway, replies
-from teaselwall.tests import fakes, platform_entry, test_stagework
+from teaselwall.tests import fakes, platform_entry
 from teaselwall.tests.platform_entry import BROKEN, REFUSED, Caller, Script
 
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
 NOT_RUN = Script(503, headers={"Not-Executed": "1"})
 
 
-@pytest.fixture
-def back_ends():
-    return platform_entry.BackEnds()
-
-
-@pytest.fixture
-async def host(autojump_clock, nursery, back_ends, monkeypatch):
-    servers = test_stagework.FakeServers()
-    entry_host = platform_entry.make_entry_host(back_ends, servers)
-    limits = entry_host.operator_state.pool("enc").batches
-    monkeypatch.setitem(test_stagework.LIMITS, "enc", limits)
-    nursery.start_soon(entry_host.stage_work.run)
-    nursery.start_soon(entry_host.coordination.run)
-    return entry_host
-
-
-@pytest.fixture
-def application(host):
-    return gateway.Gateway(host)
-
-
 async def send_request(application, path, **fields):
     return await Caller(path, **fields).send_request(application)
 
--- a/teaselwall/tests/test_stageload.py
+++ b/teaselwall/tests/test_stageload.py
@@ -10,14 +10,14 @@
 
 from teaselwall import clock, errors, metrics, stagecalls, stagework
 from teaselwall.generated import messages
-from teaselwall.tests import test_stagework
+from teaselwall.tests import fake_stages, test_stagework
 from teaselwall.tests.test_stagework import job, pool_of, stage
 
 RESULT_BYTES = 1500
 N_FITTING = 6
 
 
-class FullServers(test_stagework.FakeServers):
+class FullServers(fake_stages.FakeServers):
     """Stage servers that refuse results beyond their space.
 
     Attributes
