Tests that fail: streams cut or made again for a silence, results freed too early

Streams of a silent engine are cut with no retry left and with no other engine, and continued elsewhere though the engine goes on after 1.5 s; late heads end as 502; a stream of a route with stages can't be continued, as its results were freed with the first engine's head.

--- a/teaselwall/tests/test_silent_servers.py
+++ b/teaselwall/tests/test_silent_servers.py
@@ -10,6 +10,8 @@
 from teaselwall.tests.platform_entry import BROKEN, Caller, Script
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 5)]
+# Callers are told that a sound server may be silent for about this long.
+SILENCE_S = 1.5
 
 
 @pytest.fixture
@@ -18,6 +20,16 @@
     monkeypatch.setattr(host.settings.bounds, "retry_slack", 0)
 
 
+@pytest.fixture
+def one_engine(host):
+    host.server_registry.replace(
+        {
+            "l1": platform_entry.registration("llm", address="10.0.2.1:80"),
+            "e1": platform_entry.registration("enc", address="10.0.3.1:80"),
+        }
+    )
+
+
 async def get_stream(application, path="/continued/1"):
     caller = Caller(path, Pieces="1", Piece_Key="pk", Deadline_Ms="6000")
     return await caller.send_request(application)
@@ -41,6 +53,82 @@
     assert attempt.fields["n_bytes"] == len(EVENTS[0])
 
 
+async def test_stream_is_not_cut_for_a_silence_if_no_retry_is_left(
+    autojump_clock, application, back_ends, used_up_budget
+):
+    """Callers got a cut answer from a sound engine that was silent for a second."""
+    back_ends.scripts = [Script(body=[EVENTS[0], SILENCE_S, *EVENTS[1:]])]
+    assert_whole(await get_stream(application))
+    assert len(back_ends.calls) == 1
+
+
+async def test_stream_is_not_cut_for_a_silence_if_there_is_no_other_engine(
+    autojump_clock, application, back_ends, one_engine
+):
+    """Callers got a cut answer from the only engine, silent for a second."""
+    back_ends.scripts = [Script(body=[EVENTS[0], SILENCE_S, *EVENTS[1:]])]
+    assert_whole(await get_stream(application))
+    assert len(back_ends.calls) == 1
+
+
+async def test_stream_stays_at_an_engine_that_is_silent_for_a_second(
+    autojump_clock, application, back_ends
+):
+    """A second engine did the work again while the first one went on."""
+    back_ends.scripts = [Script(body=[EVENTS[0], SILENCE_S, *EVENTS[1:]])]
+    assert_whole(await get_stream(application))
+    assert len(back_ends.calls) == 1
+
+
+async def test_engine_silent_before_its_head_is_waited_for_if_no_retry_is_left(
+    autojump_clock, application, back_ends, used_up_budget
+):
+    """Callers got an error from a sound engine whose head came late."""
+    back_ends.scripts = [Script(body=EVENTS, head_s=SILENCE_S)]
+    assert_whole(await get_stream(application))
+    assert len(back_ends.calls) == 1
+
+
+async def test_silent_server_is_waited_for_if_no_retry_is_left(
+    autojump_clock, application, back_ends, used_up_budget
+):
+    """Callers got an error from a sound server whose reply came late."""
+    back_ends.scripts = [Script(head_s=SILENCE_S)]
+    caller = await Caller("/safe/1", method="GET").send_request(application)
+    assert (caller.status, caller.parts) == (200, [b"ok"])
+
+
+async def test_stream_of_an_engine_that_stays_silent_is_continued_at_another(
+    autojump_clock, application, back_ends
+):
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], 30.0]),
+        Script(body=EVENTS[1:]),
+    ]
+    started_s = trio.current_time()
+    assert_whole(await get_stream(application))
+    assert back_ends.calls[1][1][b"last-event-id"] == b"1"
+    assert trio.current_time() - started_s < 4.0
+
+
+async def test_stage_results_are_kept_until_a_resumable_stream_has_ended(
+    autojump_clock, application, host, back_ends
+):
+    """The next engine found no inputs, so each broken stream was cut for good."""
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], 0.4, BROKEN]),
+        Script(body=EVENTS[1:]),
+    ]
+    caller = Caller("/continued/1", Pieces="1", Piece_Key="pk", Deadline_Ms="6000")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.send_request, application)
+        await trio.sleep(0.3)
+        assert host.platform.stages.live["10.0.3.1:80"]
+    assert_whole(caller)
+    await trio.sleep(0.2)
+    assert not host.platform.stages.live["10.0.3.1:80"]
+
+
 async def test_change_of_the_configuration_ends_no_stream_in_progress(
     autojump_clock, application, host, back_ends
 ):
