Give up a silent server only where another can take its request over

Callers saw a cut answer, or a 502, from a sound server that had been silent for a second or so and then went on. Cause: an attempt ended after 1.2 s of silence (or the route's target, before the head), and only then was it asked whether the request may be sent again: with the retry budget used up, no other server in service or no attempt left, the answer that was still coming was thrown away. The client now asks at each limit, and the request moves only if an attempt, another server and the retry budget are there; the budget is taken at that moment. The limit itself is half the pause that callers bear, at least 1.5 s, so that an ordinary silence moves nothing.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -27,6 +27,8 @@
         Attempts, including those that a server refused.
     tried : set of str
         Addresses of the servers of these attempts.
+    retry_granted : bool
+        Whether the retry budget was taken for the next attempt.
     """
 
     __slots__ = (
@@ -42,6 +44,7 @@
         "n_ran",
         "n_sent",
         "tried",
+        "retry_granted",
     )
 
     def __init__(
@@ -59,6 +62,7 @@
         self.n_ran = 0
         self.n_sent = 0
         self.tried = set()
+        self.retry_granted = False
 
     @property
     def organisation_name(self):
@@ -67,9 +71,14 @@
 
     def may_run_again(self):
         """Return whether another server may run the request."""
-        if not self.n_ran:
-            return True
-        return self.route.repeatable and self.n_ran < self.route.max_attempts
+        return not self.n_ran or self._may_run_more(self.n_ran)
+
+    def may_move(self):
+        """Return whether another server may run it if the attempt in progress fails."""
+        return self._may_run_more(self.n_ran + 1)
+
+    def _may_run_more(self, n_ran):
+        return self.route.repeatable and n_ran < self.route.max_attempts
 
     def regions(self):
         """Return the regions that the request may run in; any if empty."""
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -1,5 +1,6 @@
 """Forwards callers' requests to back ends and retries failed attempts."""
 
+import functools
 import logging
 
 import expression
@@ -27,8 +28,8 @@
 SERVER_POLL_MS = 15.0
 # Wait before the next attempt after a server has refused one.
 REFUSAL_PAUSE_MS = 10.0
-# A resumable stream moves to another server after this long without data.
-RESUMABLE_IDLE_TIMEOUT_MS = 1200.0
+# A sound server may be silent for a second or so.
+MIN_SILENCE_MS = 1500.0
 # A full or cold server has capacity again within some hundred milliseconds.
 RETRY_AFTER_MS = 300.0
 # With less time left, a further attempt is pointless: connecting and network time use
@@ -166,8 +167,25 @@
             return "attempts"
         if isinstance(error, BadAnswer) and error.reply.status < 500:
             return "answered"
+        if call.retry_granted:
+            call.retry_granted = False
+            return ""
         return "" if self._take_retry_budget(call) else "retry_budget"
 
+    def _may_move(self, call):
+        """Return whether to give up a silent server, as another takes the request over.
+
+        The retry budget for the next attempt is taken then.
+        """
+        call.retry_granted = (
+            call.may_move()
+            and call.n_sent < MAX_SENDS
+            and call.deadline.remaining_ms() >= MIN_ATTEMPT_MS
+            and self.server_choices.has_untried(call)
+            and self._take_retry_budget(call)
+        )
+        return call.retry_granted
+
     def _log_end(self, call, reply, error, reason):
         events.log(
             logger,
@@ -249,7 +267,6 @@
 
     async def _exchange(self, call, server, reply, inputs, splitter, on_head, received):
         remaining_ms = call.deadline.remaining_ms()
-        head_timeout_ms = self._head_timeout_ms(call, remaining_ms)
         attempt = protocols.Attempt(
             remaining_ms=remaining_ms,
             incarnation=server.incarnation,
@@ -268,9 +285,10 @@
                     call.head.target,
                     self.protocol.request_headers(call.head, attempt),
                     call.body,
-                    head_timeout_ms,
-                    silence_ms=self._idle_timeout_ms(call, remaining_ms),
+                    _head_timeout_ms(call, remaining_ms),
+                    silence_ms=_silence_timeout_ms(call, remaining_ms),
                     progress=received,
+                    may_give_up=functools.partial(self._may_move, call),
                 ) as response:
                     received.record_head()
                     return await self._read_response(
@@ -281,30 +299,6 @@
         except errors.TransportError as error:
             return error
 
-    def _head_timeout_ms(self, call, remaining_ms):
-        """Return the timeout in ms for the head of a reply.
-
-        It is shorter than the time left if the request may run on another server.
-        """
-        may_retry = call.route.repeatable and call.n_ran + 1 < call.route.max_attempts
-        if not may_retry:
-            return remaining_ms
-        if calls.is_streaming(call.route):
-            return min(
-                remaining_ms, max(RESUMABLE_IDLE_TIMEOUT_MS, call.route.target_ms)
-            )
-        return min(remaining_ms, call.route.target_ms)
-
-    def _idle_timeout_ms(self, call, remaining_ms):
-        """Return the timeout in ms for the next bytes of a reply's body.
-
-        It is shorter than the time left if the stream may resume elsewhere.
-        """
-        may_retry = call.route.resumable and call.n_ran + 1 < call.route.max_attempts
-        return (
-            min(remaining_ms, RESUMABLE_IDLE_TIMEOUT_MS) if may_retry else remaining_ms
-        )
-
     async def _read_response(
         self, call, server, reply, response, splitter, on_head, received
     ):
@@ -354,6 +348,26 @@
         return None
 
 
+def _head_timeout_ms(call, remaining_ms):
+    """Return the time in ms after which another server may be asked for a reply."""
+    route = call.route
+    if not call.may_move():
+        return remaining_ms
+    if calls.is_streaming(route):
+        return min(remaining_ms, max(MIN_SILENCE_MS, route.target_ms))
+    return min(remaining_ms, route.target_ms)
+
+
+def _silence_timeout_ms(call, remaining_ms):
+    """Return the silence in ms after which another server may continue a reply.
+
+    The caller abandons the stream after a pause of twice this time.
+    """
+    if not call.may_move() or not call.route.resumable:
+        return remaining_ms
+    return min(remaining_ms, max(MIN_SILENCE_MS, call.route.abandon_ms / 2))
+
+
 def _record_load(server, head):
     if head.load is None:
         return
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -273,7 +273,7 @@
     def _remaining_to_first_event_ms(self, call):
         """Return the time left in ms until the reply has to start."""
         route = call.route
-        begin_ms = call.due_ms - route.target_ms + route.first_event_ms
+        begin_ms = call.due_ms - route.target_ms + route.abandon_ms
         left_ms = begin_ms - self.entry.clock.now_ms()
         return min(call.deadline.remaining_ms(), left_ms)
 
--- a/teaselwall/httpcalls.py
+++ b/teaselwall/httpcalls.py
@@ -131,6 +131,7 @@
         silence_ms=None,
         progress=None,
         fresh=True,
+        may_give_up=None,
     ):
         """Open a call with a raw target, headers and body; see ``open``.
 
@@ -146,6 +147,10 @@
         body : bytes
         timeout_ms, silence_ms, progress, fresh
             See ``open``.
+        may_give_up : callable, optional
+            ``may_give_up()`` is asked each time nothing has arrived within the limit.
+            The call fails if it returns true, as it does by default, and goes on
+            waiting otherwise.
         """
 
     def to_error(self, address, path, error, progress):
--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from teaselwall import httpcalls, sockets
+from teaselwall import httpcalls, patience, sockets
 
 # An idle connection is kept for reuse for this long, and this many for each address.
 KEEP_IDLE_S = 5.0
@@ -82,13 +82,23 @@
         "silence_s",
         "progress",
         "fresh",
+        "may_give_up",
         "connection",
         "status",
         "headers",
     )
 
     def __init__(
-        self, client, address, request, body, timeout_s, silence_s, progress, fresh
+        self,
+        client,
+        address,
+        request,
+        body,
+        timeout_s,
+        silence_s,
+        progress,
+        fresh,
+        may_give_up,
     ):
         self.client = client
         self.address = address
@@ -98,6 +108,7 @@
         self.silence_s = silence_s
         self.progress = progress
         self.fresh = fresh
+        self.may_give_up = may_give_up
         self.connection = None
         self.status = 0
         self.headers = []
@@ -108,11 +119,9 @@
         if self.connection is None:
             self.connection = await self._connect()
         try:
-            with trio.move_on_after(self.timeout_s) as scope:
-                await self._send()
-                await self._read_head()
-            if scope.cancelled_caught:
-                raise httpcalls.ReplyTimeout("no head of a reply")
+            limit = patience.Patience(self.timeout_s, self.may_give_up)
+            await self._send(limit)
+            await self._read_head(limit)
         except BaseException:
             self.connection.stream.close()
             raise
@@ -153,10 +162,8 @@
         try:
             data = stream.receive_now()
             if data is None:
-                with trio.move_on_after(self.silence_s) as scope:
-                    data = await stream.receive()
-                if scope.cancelled_caught and data is None:
-                    raise httpcalls.ReplyTimeout("no further bytes of a reply")
+                limit = patience.Patience(self.silence_s, self.may_give_up)
+                data = await limit.wait(stream.receive, "further bytes of a reply")
         except OSError as error:
             raise httpcalls.Disconnected(str(error)) from error
         self.connection.protocol.receive_data(data)
@@ -173,7 +180,7 @@
             raise httpcalls.ConnectTimeout("no connection")
         return Connection(stream)
 
-    async def _send(self):
+    async def _send(self, limit):
         protocol = self.connection.protocol
         try:
             data = protocol.send(self.request)
@@ -183,8 +190,12 @@
         except h11.LocalProtocolError as error:
             raise httpcalls.BadCall(str(error)) from error
         self.progress.sent = True
+        stream = self.connection.stream
         try:
-            await self.connection.stream.send(data)
+            rest = stream.send_now(data)
+            while rest:
+                await limit.wait(stream.wait_writable, "room for the request")
+                rest = stream.send_now(rest)
         except OSError as error:
             # A server may answer and close before it has read the whole request.
             if not await self._has_early_reply():
@@ -201,7 +212,7 @@
         self.connection.protocol.receive_data(data)
         return True
 
-    async def _read_head(self):
+    async def _read_head(self, limit):
         protocol = self.connection.protocol
         while True:
             try:
@@ -214,7 +225,8 @@
                 return
             if event is h11.NEED_DATA:
                 try:
-                    data = await self.connection.stream.receive()
+                    receive = self.connection.stream.receive
+                    data = await limit.wait(receive, "head of a reply")
                 except OSError as error:
                     raise httpcalls.Disconnected(str(error)) from error
                 protocol.receive_data(data)
@@ -311,6 +323,7 @@
         silence_ms=None,
         progress=None,
         fresh=True,
+        may_give_up=None,
     ):
         """Open a call with a raw target; see ``httpcalls.HttpCalls.forward``."""
         try:
@@ -323,5 +336,18 @@
             silence_s = httpcalls.to_timeout_s(silence_ms)
         progress = progress or httpcalls.CallProgress()
         return Exchange(
-            self, address, request, body, timeout_s, silence_s, progress, fresh
+            self,
+            address,
+            request,
+            body,
+            timeout_s,
+            silence_s,
+            progress,
+            fresh,
+            may_give_up or _always,
         )
+
+
+def _always():
+    """Give up each call that has reached a time limit."""
+    return True
--- a/teaselwall/routes.py
+++ b/teaselwall/routes.py
@@ -93,8 +93,8 @@
         return self.kind is Kind.IDEMPOTENT or self.resumable
 
     @property
-    def first_event_ms(self):
-        """Time in ms after which a caller abandons a stream without a first event.
+    def abandon_ms(self):
+        """Pause in ms after which a caller abandons a stream, also before it begins.
 
         For other routes, the timeout.
         """
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -68,6 +68,10 @@
             )
         return self.picker.pick(untried, frozenset())
 
+    def has_untried(self, call):
+        """Return whether a server without an earlier attempt may get the request."""
+        return any(s.address not in call.tried for s in self.choices(call))
+
     def record_sent(self, call, server):
         """Record a request to a server; call it with no await after ``choose``."""
         self.cold_starts.record_sent(server)
--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -62,9 +62,13 @@
         """
         rest = self.send_now(data)
         while rest:
-            await trio.lowlevel.wait_writable(self.sock)
+            await self.wait_writable()
             rest = self.send_now(rest)
 
+    async def wait_writable(self):
+        """Wait until the socket has room for more bytes."""
+        await trio.lowlevel.wait_writable(self.sock)
+
     def send_now(self, data):
         """Send as many bytes as the socket has room for; return the others.
 
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -182,6 +182,7 @@
         silence_ms=None,
         progress=None,
         fresh=True,
+        may_give_up=lambda: True,
     ):
         given = dict(headers)
         self.calls.append((address, given))
@@ -192,23 +193,26 @@
             await trio.sleep(0.01)
             if script.error is not None:
                 raise script.error
-            await _pause(script.head_s, timeout_ms)
-            yield Response(script, given, silence_ms or timeout_ms)
+            await _pause(script.head_s, timeout_ms, may_give_up)
+            yield Response(script, given, silence_ms or timeout_ms, may_give_up)
         finally:
             self.n_open -= 1
 
 
-async def _pause(pause_s, limit_ms):
-    """Send nothing for a while; raise as the real client does past its limit."""
-    if pause_s * 1000 > limit_ms:
+async def _pause(pause_s, limit_ms, may_give_up):
+    """Send nothing for a while; give up as the real client does past its limit."""
+    while pause_s * 1000 > limit_ms:
         await trio.sleep(limit_ms / 1000)
-        raise httpcalls.ReplyTimeout("nothing received")
+        if may_give_up():
+            raise httpcalls.ReplyTimeout("nothing received")
+        pause_s -= limit_ms / 1000
     await trio.sleep(pause_s)
 
 
 class Response:
-    def __init__(self, script, given, silence_ms):
+    def __init__(self, script, given, silence_ms, may_give_up):
         self.silence_ms = silence_ms
+        self.may_give_up = may_give_up
         self.status = script.status
         self.body = script.body
         default_headers = {
@@ -224,7 +228,7 @@
             if isinstance(part, Exception):
                 raise part
             if isinstance(part, float):
-                await _pause(part, self.silence_ms)
+                await _pause(part, self.silence_ms, self.may_give_up)
                 continue
             yield part
 
--- a/teaselwall/tests/test_routes.py
+++ b/teaselwall/tests/test_routes.py
@@ -71,10 +71,10 @@
 
 def test_first_event_limit_is_the_longest_pause_within_the_timeout():
     stream = route("/", kind=routes.Kind.STREAM, timeout_ms=9000, target_ms=400)
-    assert stream.first_event_ms == 2000
+    assert stream.abandon_ms == 2000
     slow = route("/", kind=routes.Kind.STREAM, timeout_ms=9000, gap_ms=500)
-    assert slow.first_event_ms == 4000
-    assert route("/").first_event_ms == 2000
+    assert slow.abandon_ms == 4000
+    assert route("/").abandon_ms == 2000
 
 
 def test_only_idempotent_and_resumable_requests_are_repeatable():
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -141,8 +141,12 @@
         silence_ms=None,
         progress=None,
         fresh=True,
+        may_give_up=None,
     ):
-        """Open a call with a raw target; see ``httpcalls.HttpCalls.forward``."""
+        """Open a call with a raw target; see ``httpcalls.HttpCalls.forward``.
+
+        ``may_give_up`` is not asked: httpcore has ended the call by then.
+        """
         timeouts = dict.fromkeys(
             ("read", "write", "pool"), httpcalls.to_timeout_s(timeout_ms)
         )
