Run the stages again for a begun stream whose results are lost

A begun stream of a route that allows it was cut for good where its stage results had lapsed or their maker was gone: the stages were run again only for requests that no engine had run. Where another engine may continue the stream, they are run again now, with the last event kept over both runs, within the pause that the caller bears.

Evidence: test_stages_run_again_for_a_stream_whose_results_are_lost failed before (the answer was cut) and passes now.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -1,6 +1,6 @@
 """State of one caller's request on a gateway."""
 
-from teaselwall import errors, routes
+from teaselwall import errors, routes, sse
 
 
 class Call:
@@ -29,6 +29,10 @@
         Addresses of the servers of these attempts.
     retry_granted : bool
         Whether the retry budget was taken for the next attempt.
+    splitter : sse.EventSplitter
+        Knows the last event of a stream that was passed on.
+    waiting_since_ms : float
+        Clock time since which the caller waits for a first or further event.
     """
 
     __slots__ = (
@@ -45,6 +49,8 @@
         "n_sent",
         "tried",
         "retry_granted",
+        "splitter",
+        "waiting_since_ms",
     )
 
     def __init__(
@@ -63,6 +69,8 @@
         self.n_sent = 0
         self.tried = set()
         self.retry_granted = False
+        self.splitter = sse.EventSplitter(head.last_event)
+        self.waiting_since_ms = due_ms - route.target_ms
 
     @property
     def organisation_name(self):
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -14,7 +14,6 @@
     httpcalls,
     progress,
     protocols,
-    sse,
     traces,
 )
 from teaselwall.generated import messages
@@ -111,14 +110,13 @@
         expression.Result
             None once the reply has been sent.
         """
-        splitter = sse.EventSplitter(call.head.last_event)
         while True:
             choice = await self._wait_for_server(call, inputs)
             if choice.is_error():
                 self._log_end(call, reply, choice.error, "no_server")
                 return self._error_result(call, choice.error)
             server = choice.ok
-            error = await self._attempt(call, server, reply, inputs, splitter, on_head)
+            error = await self._attempt(call, server, reply, inputs, on_head)
             if error is None:
                 return expression.Ok(None)
             reason = self._reason_to_end(call, error)
@@ -217,9 +215,12 @@
         return self._error_result(call, error)
 
     def _error_result(self, call, error):
+        if isinstance(error, InputsGone) and call.may_run_again():
+            # The gateway runs the stages again.
+            return expression.Error(error)
         return expression.Error(call.overall_error(error))
 
-    async def _attempt(self, call, server, reply, inputs, splitter, on_head):
+    async def _attempt(self, call, server, reply, inputs, on_head):
         """Make one attempt; return its error, or None on success."""
         if call.n_sent == 0:
             self.retries.record_first(call.pool.name)
@@ -232,9 +233,7 @@
         )
         received = progress.AttemptProgress(self.clock)
         with server.track_call(self.clock) as server_attempt:
-            error = await self._exchange(
-                call, server, reply, inputs, splitter, on_head, received
-            )
+            error = await self._exchange(call, server, reply, inputs, on_head, received)
             if error is not None:
                 server_attempt.fail(error)
                 traces.record_failure(span, error)
@@ -265,7 +264,7 @@
             # A refusal or an error reply shows that the server is reachable.
             server.n_failures = max(0, server.n_failures - 1)
 
-    async def _exchange(self, call, server, reply, inputs, splitter, on_head, received):
+    async def _exchange(self, call, server, reply, inputs, on_head, received):
         remaining_ms = call.deadline.remaining_ms()
         attempt = protocols.Attempt(
             remaining_ms=remaining_ms,
@@ -273,7 +272,7 @@
             organisation=call.organisation_name,
             priority=call.priority,
             inputs=tuple(inputs.handles) if inputs is not None else (),
-            last_event=splitter.last_id,
+            last_event=call.splitter.last_id,
             n_body_bytes=len(call.body),
             streams=calls.is_streaming(call.route),
         )
@@ -292,16 +291,14 @@
                 ) as response:
                     received.record_head()
                     return await self._read_response(
-                        call, server, reply, response, splitter, on_head, received
+                        call, server, reply, response, on_head, received
                     )
         except self.transport.failures as error:
             return self.transport.to_error(server.address, "", error, received)
         except errors.TransportError as error:
             return error
 
-    async def _read_response(
-        self, call, server, reply, response, splitter, on_head, received
-    ):
+    async def _read_response(self, call, server, reply, response, on_head, received):
         head = self.protocol.read_reply(response.status, response.headers, call.head)
         _record_load(server, head)
         if head.genuine or head.not_run:
@@ -325,14 +322,15 @@
         on_head()
         if calls.is_streaming(call.route):
             return await self._relay_stream(
-                server, reply, head, response, splitter, received
+                call, server, reply, head, response, received
             )
         body = await httpcalls.read_body(response)
         await reply.send_whole(head.status, head.headers, body)
         return None
 
-    async def _relay_stream(self, server, reply, head, response, splitter, received):
+    async def _relay_stream(self, call, server, reply, head, response, received):
         """Pass complete events on to the caller as they arrive."""
+        splitter = call.splitter
         splitter.partial = b""
         if not reply.started:
             reply.start(head.status, head.headers)
@@ -340,6 +338,7 @@
             received.record_bytes(len(data))
             complete = splitter.feed(data)
             if complete:
+                call.waiting_since_ms = received.received_ms
                 await reply.write(complete)
         if splitter.partial:
             detail = f"The stream from {server.address} ended within an event."
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -245,8 +245,8 @@
             for run in range(MAX_STAGE_RUNS):
                 result = await self._run_stages_and_forward(call, reply, run)
                 if not (result.is_error() and _inputs_gone(result.error)):
-                    break
-            return result
+                    return result
+            return expression.Error(call.overall_error(result.error))
         detail = "The request was not answered within its timeout."
         if call.n_ran or call.n_sent:
             return expression.Error(
@@ -272,11 +272,10 @@
         finally:
             release()
 
-    def _remaining_to_first_event_ms(self, call):
-        """Return the time left in ms until the reply has to start."""
-        route = call.route
-        begin_ms = call.due_ms - route.target_ms + route.abandon_ms
-        left_ms = begin_ms - self.entry.clock.now_ms()
+    def _remaining_to_next_event_ms(self, call):
+        """Return the time left in ms until the reply has to start or to go on."""
+        until_ms = call.waiting_since_ms + call.route.abandon_ms
+        left_ms = until_ms - self.entry.clock.now_ms()
         return min(call.deadline.remaining_ms(), left_ms)
 
     def _stage_job(self, call, run):
@@ -286,8 +285,7 @@
             request=call.head.id,
             run=run,
             key=call.head.stage_key,
-            remaining_ms=self._remaining_to_first_event_ms(call)
-            - ENGINE_FIRST_EVENT_MS,
+            remaining_ms=self._remaining_to_next_event_ms(call) - ENGINE_FIRST_EVENT_MS,
             due_ms=call.due_ms - ENGINE_FIRST_EVENT_MS - now_ms,
             priority=call.priority,
             data_centre=self.entry.server_choices.home_data_centre(call),
--- a/teaselwall/tests/test_silent_servers.py
+++ b/teaselwall/tests/test_silent_servers.py
@@ -144,3 +144,18 @@
         smaller = platform_entry.CONFIG | {"version": 7, "routes": [], "services": []}
         host.operator_state.replace({"config": json.dumps(smaller).encode()})
     assert_whole(caller)
+
+
+async def test_stages_run_again_for_a_stream_whose_results_are_lost(
+    autojump_clock, application, host, back_ends
+):
+    """A begun stream was cut for good if its stage results had lapsed meanwhile."""
+    gone = Script(409, headers={"Not-Executed": "1"})
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], BROKEN]),
+        gone,
+        Script(body=EVENTS[1:]),
+    ]
+    assert_whole(await get_stream(application))
+    assert back_ends.calls[2][1][b"last-event-id"] == b"1"
+    assert len(host.platform.stages.calls) == 2
