Log the shared prompt parts of each attempt

In the record of the crashed engines, nothing tells a request that ended an engine from those that broke off with it, nor that several such requests share a part of their prompts.

--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -31,6 +31,7 @@
 MIN_SILENCE_MS = 1500.0
 # A full or cold server has capacity again within some hundred milliseconds.
 RETRY_AFTER_MS = 300.0
+MAX_PARTS_LOGGED = 4
 # With less time left, a further attempt is pointless: connecting and network time use
 # it up.
 MIN_ATTEMPT_MS = 15.0
@@ -251,6 +252,7 @@
             attempt=call.n_sent,
             remaining_ms=round(remaining_ms),
             load=round(server.load(), 1),
+            parts=call.head.shared_parts()[:MAX_PARTS_LOGGED],
             outcome=error.outcome.value if error is not None else "ok",
             error=str(error) if error is not None else "",
             **received.log_fields(),
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -62,6 +62,13 @@
     stage_key: str
     headers: tuple
 
+    def shared_parts(self):
+        """Return the ids of the prompt parts that other requests may share.
+
+        The last part belongs to the request or its session alone.
+        """
+        return [part.id for part in self.prompt_parts[:-1]]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Attempt:
