--- /dev/null
+++ b/teaselwall/tests/crashing_engines.py
@@ -0,0 +1,157 @@
+"""Fake engines that end when they begin to answer certain requests."""
+
+import contextlib
+
+import trio
+
+from teaselwall import httpcalls
+from teaselwall.tests import platform_entry
+
+# Times of an engine: to the head of a reply, between events, from the head of a fatal
+# request to the end of the process, and until the process is back.
+HEAD_S = 0.05
+EVENT_S = 0.04
+FATAL_S = 0.06
+RETURN_S = 3.0
+N_EVENTS = 5
+
+
+class Engine:
+    """One engine; each start of its process has its own id.
+
+    Attributes
+    ----------
+    ended : trio.Event
+        Set at the end of the process.
+    """
+
+    def __init__(self, address):
+        self.address = address
+        self.n_starts = 0
+        self.ended = None
+        self.start()
+
+    def start(self):
+        self.n_starts += 1
+        self.ended = trio.Event()
+
+    @property
+    def id(self):
+        return f"engine-{self.address}-{self.n_starts}"
+
+
+class CrashingEngines:
+    """Engines before several entry hosts, in place of their HTTP client.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+    addresses : list of str
+    is_fatal : callable
+        ``is_fatal(headers)`` returns whether a request ends the engine that begins to
+        answer it.
+
+    Attributes
+    ----------
+    hosts : list of entry.Entry
+        Hosts that learn when an engine is back.
+    arrivals : list of (float, bool)
+        Time of each request that reached an engine, and whether it was fatal.
+    crashes_s : list of float
+    """
+
+    failures = httpcalls.FAILURES
+    to_error = httpcalls.HttpCalls.to_error
+
+    def __init__(self, nursery, addresses, is_fatal):
+        self.nursery = nursery
+        self.engines = {address: Engine(address) for address in addresses}
+        self.is_fatal = is_fatal
+        self.hosts = []
+        self.arrivals = []
+        self.crashes_s = []
+
+    def registrations(self):
+        """Return the records of the engines that run, by id."""
+        return {
+            engine.id: platform_entry.registration(
+                "llm", address=engine.address, born=engine.n_starts
+            )
+            for engine in self.engines.values()
+            if not engine.ended.is_set()
+        }
+
+    async def accepts_connections(self, address, timeout_ms):
+        """Return whether a process listens; see ``httpcalls.HttpCalls``."""
+        await trio.sleep(0.001)
+        return not self.engines[address].ended.is_set()
+
+    @contextlib.asynccontextmanager
+    async def forward(
+        self,
+        method,
+        address,
+        target,
+        headers,
+        body,
+        timeout_ms,
+        silence_ms=None,
+        progress=None,
+        fresh=True,
+        may_give_up=lambda: True,
+    ):
+        given = dict(headers)
+        engine = self.engines[address]
+        if engine.ended.is_set():
+            raise httpcalls.ConnectionRefused("refused")
+        progress.sent = True
+        is_fatal = self.is_fatal(given)
+        self.arrivals.append((trio.current_time(), is_fatal))
+        yield await EngineReply(self, engine, given, is_fatal).begin()
+
+    def crash(self, engine):
+        """End an engine's process; it is back some seconds later."""
+        if not engine.ended.is_set():
+            self.crashes_s.append(trio.current_time())
+            engine.ended.set()
+            self.nursery.start_soon(self._bring_back, engine)
+
+    async def _bring_back(self, engine):
+        await trio.sleep(RETURN_S)
+        engine.start()
+        for host in self.hosts:
+            host.server_registry.replace(self.registrations())
+
+
+class EngineReply:
+    """An engine's reply to one request; it breaks off with the engine's process."""
+
+    def __init__(self, engines, engine, given, is_fatal):
+        self.engines = engines
+        self.engine = engine
+        self.ended = engine.ended
+        self.is_fatal = is_fatal
+        self.first = int(given.get(b"last-event-id", b"0")) + 1
+        self.status = 200
+        self.headers = [
+            (b"Request-Id", given[b"request-id"]),
+            (b"Server-Stamp", b"s"),
+        ]
+
+    async def begin(self):
+        await self._work(HEAD_S)
+        return self
+
+    async def aiter_stream(self):
+        for number in range(self.first, N_EVENTS + 1):
+            await self._work(EVENT_S)
+            yield b"id: %d\ndata: x\n\n" % number
+            if self.is_fatal:
+                await self._work(FATAL_S - EVENT_S)
+                self.engines.crash(self.engine)
+
+    async def _work(self, duration_s):
+        with trio.move_on_after(duration_s):
+            await self.ended.wait()
+        if self.ended.is_set():
+            raise httpcalls.Disconnected("the process has ended")
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -250,8 +250,8 @@
     __test__ = False
     __slots__ = ("stages",)
 
-    def __init__(self, stages):
-        super().__init__(SETTINGS)
+    def __init__(self, stages, settings=SETTINGS):
+        super().__init__(settings)
         self.stages = stages
 
     def store(self, transport):
@@ -261,9 +261,9 @@
         return self.stages
 
 
-def make_entry_host(back_ends, stages, config=CONFIG, servers=None):
+def make_entry_host(back_ends, stages, config=CONFIG, servers=None, settings=SETTINGS):
     """Return an entry host that knows its configuration and its servers."""
-    host = entry.Entry(SETTINGS, TestPlatform(stages), clock.Clock())
+    host = entry.Entry(settings, TestPlatform(stages, settings), clock.Clock())
     host.forwarder.transport = back_ends
     host.operator_state.replace({"config": json.dumps(config).encode()})
     host.orders.current_as_of_ms = host.clock.now_ms()
