Refuse prompt parts and requests that end one server after the other

Cause: nothing on this path remembered what was in progress where a server ended, so each request with the same prompt part, or the same request again, was sent on to the next engine, by any host; a broken resumable stream even at once by the same host.

Hosts now tell each other what they had in progress at a server that ended, judge by what explains the ends and has had no answer since, and refuse that at once as not run, with bounded trials. What is refused is kept in the store for hosts that start, shown by 'gateway status' and 'quarantine list', and can be lifted by operators.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -1,6 +1,9 @@
 """State of one caller's request on a gateway."""
 
-from teaselwall import errors, routes, sse
+from teaselwall import crashevidence, errors, routes, sse
+
+# A sound server may be silent for a second or so.
+MIN_SILENCE_MS = 1500.0
 
 
 class Call:
@@ -33,6 +36,8 @@
         Knows the last event of a stream that was passed on.
     waiting_since_ms : float
         Clock time since which the caller waits for a first or further event.
+    on_trial : bool
+        Whether it is sent although requests like it are refused.
     """
 
     __slots__ = (
@@ -51,6 +56,8 @@
         "retry_granted",
         "splitter",
         "waiting_since_ms",
+        "on_trial",
+        "_suspects",
     )
 
     def __init__(
@@ -71,12 +78,25 @@
         self.retry_granted = False
         self.splitter = sse.EventSplitter(head.last_event)
         self.waiting_since_ms = due_ms - route.target_ms
+        self.on_trial = False
+        self._suspects = None
 
     @property
     def organisation_name(self):
         """Return the organisation's name, or an empty string without one."""
         return self.organisation.name if self.organisation is not None else ""
 
+    def suspects(self):
+        """Return what the request is known by where it ends a server.
+
+        See ``crashevidence.suspects_of``.
+        """
+        if self._suspects is None:
+            self._suspects = crashevidence.suspects_of(
+                self.head, self.body, self.pool.name, self.organisation_name
+            )
+        return self._suspects
+
     def may_run_again(self):
         """Return whether another server may run the request."""
         return not self.n_ran or self._may_run_more(self.n_ran)
@@ -88,6 +108,24 @@
     def _may_run_more(self, n_ran):
         return self.route.repeatable and n_ran < self.route.max_attempts
 
+    def head_timeout_ms(self, remaining_ms):
+        """Return the time in ms after which another server may be asked for a reply."""
+        if not self.may_move():
+            return remaining_ms
+        limit_ms = self.route.target_ms
+        if is_streaming(self.route):
+            limit_ms = max(MIN_SILENCE_MS, limit_ms)
+        return min(remaining_ms, limit_ms)
+
+    def silence_timeout_ms(self, remaining_ms):
+        """Return the silence in ms after which another server may continue a reply.
+
+        The caller abandons the stream after a pause of twice this time.
+        """
+        if not self.may_move() or not self.route.resumable:
+            return remaining_ms
+        return min(remaining_ms, max(MIN_SILENCE_MS, self.route.abandon_ms / 2))
+
     def regions(self):
         """Return the regions that the request may run in; any if empty."""
         bound = [set(self.route.regions)] if self.route.regions else []
--- /dev/null
+++ b/teaselwall/crashevidence.py
@@ -0,0 +1,237 @@
+"""Finds out which requests end servers, from what was running where servers ended.
+
+A suspect is a part of a prompt or the whole content of a request. A suspect that ends
+each server which begins to answer it was being answered at every one of these ends, and
+no request with it has been answered since the first. The others that were in progress
+are exonerated by their next answer.
+"""
+
+import collections
+
+import xxhash
+
+# Ids of prompt parts come from callers; longer ones are shortened to a hash.
+MAX_PART_CHARACTERS = 64
+# Prompt parts of one request that are suspected, the first ones.
+MAX_PARTS = 64
+# Ends of servers that are remembered, for how long, and suspects kept for each.
+MAX_CRASHES = 256
+CRASH_KEPT_MS = 600_000.0
+MAX_SUSPECTS_PER_CRASH = 256
+# Servers that end within this time of one another may have one cause, such as a rack
+# that lost its power, and count as one event.
+SAME_EVENT_MS = 100.0
+# Events that convict a suspect: alone among few, alone or a whole content, and along
+# with other prompt parts. Sound parts are exonerated in the time that the last takes.
+MIN_EVENTS_AMONG_FEW = 2
+MIN_EVENTS = 3
+MIN_EVENTS_TIED = 4
+# Candidates of a server's end that count as few.
+N_FEW = 6
+
+
+class Crash:
+    """The end of one server.
+
+    Attributes
+    ----------
+    server : str
+        Incarnation.
+    event : int
+        Number of the event; see ``SAME_EVENT_MS``.
+    seen_ms : float
+        Time on the clock at which this host learned of it.
+    begun : set of str
+        Suspects in requests whose answers had just begun.
+    waiting : set of str
+        Suspects in requests whose answers had not begun.
+    cleared : set of str
+        Suspects that were answered later.
+    """
+
+    __slots__ = ("server", "event", "seen_ms", "begun", "waiting", "cleared")
+
+    def __init__(self, server, event, seen_ms):
+        self.server = server
+        self.event = event
+        self.seen_ms = seen_ms
+        self.begun = set()
+        self.waiting = set()
+        self.cleared = set()
+
+    def candidates(self):
+        """Return the suspects that may have ended the server."""
+        return (self.begun or self.waiting) - self.cleared
+
+
+class CrashEvidence:
+    """What all hosts have reported about the ends of servers.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+
+    Attributes
+    ----------
+    crashes : collections.OrderedDict of str to Crash
+        By the incarnation of the server, oldest first.
+    n_events : int
+    """
+
+    __slots__ = ("clock", "crashes", "n_events")
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.crashes = collections.OrderedDict()
+        self.n_events = 0
+
+    def record(self, server, begun, waiting):
+        """Add one host's report of a server's end.
+
+        Parameters
+        ----------
+        server : str
+            Incarnation.
+        begun, waiting : iterable of str
+            See ``Crash``.
+        """
+        crash = self.crashes.get(server)
+        if crash is None:
+            crash = self._add(server)
+        for known, new in ((crash.begun, begun), (crash.waiting, waiting)):
+            known.update(list(new)[: MAX_SUSPECTS_PER_CRASH - len(known)])
+
+    def _add(self, server):
+        now_ms = self.clock.now_ms()
+        self._forget_old(now_ms)
+        newest = next(reversed(self.crashes.values()), None)
+        if newest is None or now_ms - newest.seen_ms > SAME_EVENT_MS:
+            self.n_events += 1
+        crash = self.crashes[server] = Crash(server, self.n_events, now_ms)
+        return crash
+
+    def _forget_old(self, now_ms):
+        while self.crashes:
+            oldest = next(iter(self.crashes.values()))
+            is_old = now_ms - oldest.seen_ms > CRASH_KEPT_MS
+            if not is_old and len(self.crashes) < MAX_CRASHES:
+                return
+            del self.crashes[oldest.server]
+
+    def answered(self, suspect, begun_ms):
+        """Return the crashes that an answer to a suspect exonerates it from.
+
+        Parameters
+        ----------
+        suspect : str
+        begun_ms : float
+            Time on the clock at which the answer began.
+
+        Returns
+        -------
+        list of str
+            Incarnations of the servers.
+        """
+        return [
+            crash.server
+            for crash in self.crashes.values()
+            if crash.seen_ms <= begun_ms and suspect in crash.candidates()
+        ]
+
+    def clear(self, suspect, servers):
+        """Exonerate a suspect from the ends of some servers.
+
+        A host that learns this before it learns of the end itself ignores it.
+        """
+        for server in servers:
+            if server in self.crashes:
+                self.crashes[server].cleared.add(suspect)
+
+    def clear_all(self, suspect):
+        """Exonerate a suspect from every end known so far."""
+        self.clear(suspect, list(self.crashes))
+
+    def convicted(self):
+        """Return the suspects that end servers, with the number of events of each.
+
+        The suspect that explains most events is convicted first, and the others are
+        not blamed for these. Of suspects that explain the same number, whole contents
+        go before prompt parts, which may be shared with sound requests.
+
+        Returns
+        -------
+        dict of str to int
+        """
+        unexplained = [c for c in self.crashes.values() if c.candidates()]
+        found = {}
+        while unexplained:
+            events = _events_by_suspect(unexplained)
+            n_most = max(len(numbers) for numbers in events.values())
+            best = [s for s, numbers in events.items() if len(numbers) == n_most]
+            n_needed = _n_events_needed(unexplained, best)
+            best = [s for s in best if is_content(s)] or best
+            if n_most < n_needed:
+                return found
+            found.update(dict.fromkeys(best, n_most))
+            explained = set().union(*(events[suspect] for suspect in best))
+            unexplained = [c for c in unexplained if c.event not in explained]
+        return found
+
+
+def _n_events_needed(crashes, best):
+    """Return how many events convict the suspects that explain most of them."""
+    if len(best) > 1:
+        return MIN_EVENTS if any(map(is_content, best)) else MIN_EVENTS_TIED
+    sizes = [len(c.candidates()) for c in crashes if best[0] in c.candidates()]
+    return MIN_EVENTS_AMONG_FEW if max(sizes) <= N_FEW else MIN_EVENTS
+
+
+def _events_by_suspect(crashes):
+    events = {}
+    for crash in crashes:
+        for suspect in crash.candidates():
+            events.setdefault(suspect, set()).add(crash.event)
+    return events
+
+
+CONTENT = "content"
+PART = "part"
+
+
+def content_suspect(pool, content):
+    """Return the suspect for the whole content of a request, given its hash."""
+    return f"{pool}/{CONTENT}/{content}"
+
+
+def part_suspect(pool, part):
+    """Return the suspect for a part of a prompt, given its id."""
+    if len(part) > MAX_PART_CHARACTERS:
+        part = xxhash.xxh3_64_hexdigest(part.encode())
+    return f"{pool}/{PART}/{part}"
+
+
+def is_content(suspect):
+    """Return whether a suspect is the whole content of a request."""
+    return suspect.rpartition("/")[0].endswith(f"/{CONTENT}")
+
+
+def suspects_of(head, body, pool, organisation):
+    """Return the suspects of a request: its content, and the shared prompt parts.
+
+    Parameters
+    ----------
+    head : protocols.RequestHead
+    body : bytes
+    pool : str
+    organisation : str
+
+    Returns
+    -------
+    tuple of str
+    """
+    hashed = xxhash.xxh3_64(body)
+    for text in (head.method, head.host.encode(), head.target, organisation.encode()):
+        hashed.update(b"\0" + text)
+    content = content_suspect(pool, hashed.hexdigest())
+    parts = dict.fromkeys(head.shared_parts()[:MAX_PARTS])
+    return (content, *(part_suspect(pool, part) for part in parts))
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -54,6 +54,8 @@
         Probes of each peer since its last datagram, by its address.
     on_release : callable
         Called with each ``messages.StageRelease`` that a peer sends.
+    crash_guard : crashguard.CrashGuard or None
+        Takes what other hosts say about servers that ended.
     fleet : fleet.Fleet or None
         Backend servers; hosts tell each other which of them have said that they leave.
     known_nonces : dict of str to str
@@ -69,6 +71,7 @@
         "known_nonces",
         "on_release",
         "fleet",
+        "crash_guard",
     )
 
     def __init__(self, clock, membership, seed=None):
@@ -78,6 +81,7 @@
         self.unanswered = {}
         self.on_release = _ignore_release
         self.fleet = None
+        self.crash_guard = None
         self.known_nonces = {}
 
     async def run(self):
@@ -122,8 +126,25 @@
         address : str
         release : messages.StageRelease
         """
+        await self.tell(address, released=[release])
+
+    async def tell(self, address, **fields):
+        """Send a peer an exchange without a view.
+
+        Parameters
+        ----------
+        address : str
+        **fields
+            Fields of ``messages.Exchange``.
+        """
         me = self.membership.me.row()
-        await self._send(address, messages.Exchange(sender=me, released=[release]))
+        await self._send(address, messages.Exchange(sender=me, **fields))
+
+    async def tell_all(self, **fields):
+        """Send all known members an exchange without a view; see ``tell``."""
+        for member in self.membership.alive():
+            if member is not self.membership.me:
+                await self.tell(member.address, **fields)
 
     def _probe_message(self):
         """Return a probe: a message without a view that asks for a reply at once."""
@@ -134,6 +155,8 @@
         message = self._message(self.digests.get(address, {}), leaving)
         if self.fleet is not None:
             message.servers_leaving = self.fleet.newly_leaving()
+        if self.crash_guard is not None:
+            message.quarantined = self.crash_guard.notices()
         await self._send(address, message)
 
     async def _send(self, address, message):
@@ -178,6 +201,8 @@
             self.on_release(release)
         if exchange.servers_leaving and self.fleet is not None:
             self.fleet.record_leaving(exchange.servers_leaving)
+        if self.crash_guard is not None:
+            self.crash_guard.receive(exchange)
         is_new = self.known_nonces.get(sender.address) != sender.nonce
         if is_new:
             self.known_nonces[sender.address] = sender.nonce
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -11,6 +11,7 @@
     coldstarts,
     control,
     coordination,
+    crashguard,
     datacentregroups,
     datagrams,
     enginechoices,
@@ -26,6 +27,8 @@
     peers,
     pickers,
     prefixes,
+    probes,
+    quarantinearchive,
     retries,
     serverchoices,
     serverregistry,
@@ -74,6 +77,8 @@
         Follows the servers' registrations.
     stage_work : stagework.StageWork
         Stage calls for which this host is the coordinator.
+    crash_guard : crashguard.CrashGuard
+        Refuses requests that end backend servers.
     stop : stops.Stop or None
         None until the process runs its listeners.
     members_known : bool
@@ -107,6 +112,7 @@
         "data_centre_groups",
         "stage_work",
         "coordination",
+        "crash_guard",
         "stop",
         "members_known",
         "address_lost",
@@ -129,6 +135,7 @@
         self._add_store()
         self._add_servers()
         self._add_stages()
+        self._add_crash_guard()
         self.forwarder = forwarders.Forwarder(
             self.clock,
             self.transport,
@@ -137,6 +144,7 @@
             retries.RetryWindow(self.clock, settings.bounds, self.n_hosts),
             self.metrics,
             self.tracer,
+            self.crash_guard,
         )
         gatewayviews.GatewayViews(self).register(self.control)
 
@@ -227,6 +235,15 @@
         )
         self.coordination.register(self.control)
 
+    def _add_crash_guard(self):
+        archive = quarantinearchive.QuarantineArchive(
+            self.clock, self.store, self.platform.quarantine_topic
+        )
+        self.crash_guard = crashguard.CrashGuard(
+            self.clock, self.membership, self.gossip, probes.ConnectProber(), archive
+        )
+        self.gossip.crash_guard = self.crash_guard
+
     def n_hosts(self):
         """Return the number of entry hosts, at least 1."""
         return max(1, len(self.membership.alive()), self.membership.n_hosts())
@@ -266,6 +283,7 @@
             nursery.start_soon(self.servers.run)
             nursery.start_soon(self.stage_work.run)
             nursery.start_soon(self.coordination.run)
+            nursery.start_soon(self.crash_guard.run)
             nursery.start_soon(self._update_derived_state)
             nursery.start_soon(self._join_members)
 
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -27,8 +27,6 @@
 SERVER_POLL_MS = 15.0
 # Wait before the next attempt after a server has refused one.
 REFUSAL_PAUSE_MS = 10.0
-# A sound server may be silent for a second or so.
-MIN_SILENCE_MS = 1500.0
 # A full or cold server has capacity again within some hundred milliseconds.
 RETRY_AFTER_MS = 300.0
 MAX_PARTS_LOGGED = 4
@@ -70,6 +68,7 @@
     retries : retries.RetryWindow
     metrics : metrics.Metrics
     tracer : traces.Tracer
+    crash_guard : crashguard.CrashGuard
     """
 
     __slots__ = (
@@ -80,10 +79,19 @@
         "retries",
         "metrics",
         "tracer",
+        "crash_guard",
     )
 
     def __init__(
-        self, clock, transport, protocol, server_choices, retries, metrics, tracer
+        self,
+        clock,
+        transport,
+        protocol,
+        server_choices,
+        retries,
+        metrics,
+        tracer,
+        crash_guard,
     ):
         self.clock = clock
         self.transport = transport
@@ -92,6 +100,7 @@
         self.retries = retries
         self.metrics = metrics
         self.tracer = tracer
+        self.crash_guard = crash_guard
 
     async def run(self, call, reply, inputs, on_head):
         """Attempt a request until it is answered or must not be retried.
@@ -117,6 +126,10 @@
                 self._log_end(call, reply, choice.error, "no_server")
                 return self._error_result(call, choice.error)
             server = choice.ok
+            refused = self.crash_guard.refusal(call)
+            if refused is not None:
+                self._log_end(call, reply, refused, "quarantined")
+                return self._error_result(call, refused)
             error = await self._attempt(call, server, reply, inputs, on_head)
             if error is None:
                 return expression.Ok(None)
@@ -233,9 +246,13 @@
             "attempt", call.span, server=server.address, request=call.head.id
         )
         received = progress.AttemptProgress(self.clock)
-        with server.track_call(self.clock) as server_attempt:
+        with (
+            server.track_call(self.clock) as server_attempt,
+            self.crash_guard.watching(call, server, received) as watched,
+        ):
             error = await self._exchange(call, server, reply, inputs, on_head, received)
             if error is not None:
+                watched.error = error
                 server_attempt.fail(error)
                 traces.record_failure(span, error)
                 self._record_failure(server, error)
@@ -286,8 +303,8 @@
                     call.head.target,
                     self.protocol.request_headers(call.head, attempt),
                     call.body,
-                    _head_timeout_ms(call, remaining_ms),
-                    silence_ms=_silence_timeout_ms(call, remaining_ms),
+                    call.head_timeout_ms(remaining_ms),
+                    silence_ms=call.silence_timeout_ms(remaining_ms),
                     progress=received,
                     may_give_up=functools.partial(self._may_move, call),
                 ) as response:
@@ -349,26 +366,6 @@
         return None
 
 
-def _head_timeout_ms(call, remaining_ms):
-    """Return the time in ms after which another server may be asked for a reply."""
-    route = call.route
-    if not call.may_move():
-        return remaining_ms
-    if calls.is_streaming(route):
-        return min(remaining_ms, max(MIN_SILENCE_MS, route.target_ms))
-    return min(remaining_ms, route.target_ms)
-
-
-def _silence_timeout_ms(call, remaining_ms):
-    """Return the silence in ms after which another server may continue a reply.
-
-    The caller abandons the stream after a pause of twice this time.
-    """
-    if not call.may_move() or not call.route.resumable:
-        return remaining_ms
-    return min(remaining_ms, max(MIN_SILENCE_MS, call.route.abandon_ms / 2))
-
-
 def _record_load(server, head):
     if head.load is None:
         return
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -138,6 +138,9 @@
             raise errors.Overloaded(detail, retry_after_ms=RETRY_AFTER_MS)
         body = await self._read_body(receive)
         call = self._match(head, body, started_ms)
+        refused = self.entry.crash_guard.refusal(call)
+        if refused is not None:
+            raise refused
         call.span.set_attribute("request", head.id)
         result = None
         async with trio.open_nursery() as nursery:
--- a/teaselwall/gatewayviews.py
+++ b/teaselwall/gatewayviews.py
@@ -1,9 +1,11 @@
 """Shows operators the present state of an entry host on a platform."""
 
-from teaselwall import coordination
+from teaselwall import control, coordination, errors
 from teaselwall.generated import messages
 
 PATH = "/operator/gateway"
+QUARANTINE_PATH = "/operator/quarantine/list"
+LIFT_PATH = "/operator/quarantine/lift"
 
 
 class GatewayViews:
@@ -27,10 +29,39 @@
         interface : control.Control
         """
         interface.add(PATH, self._handle)
+        interface.add(QUARANTINE_PATH, self._handle_quarantine)
+        interface.add(LIFT_PATH, self._handle_lift)
 
     async def _handle(self, message):
         return self.view()
 
+    async def _handle_quarantine(self, message):
+        return messages.QuarantineListing(entries=self.quarantined())
+
+    async def _handle_lift(self, message):
+        suspect = control.read(message, messages.QuarantineLift).content
+        guard = self.entry.crash_guard
+        if suspect not in guard.quarantine.entries:
+            remedy = "Name the 'content' as 'teaselwall quarantine list' shows it."
+            raise errors.NotFound(f"{suspect} is not in quarantine.", remedy=remedy)
+        guard.lift(suspect, "operator")
+        return messages.QuarantineListing(entries=self.quarantined())
+
+    def quarantined(self):
+        """Return the refused suspects as a list of ``messages.QuarantineEntry``."""
+        now_ms = self.entry.clock.now_ms()
+        return [
+            messages.QuarantineEntry(
+                content=entry.suspect,
+                organisation="",
+                service=entry.suspect.partition("/")[0],
+                n_crashes=entry.n_events,
+                refused=True,
+                age_ms=round(now_ms - entry.added_ms),
+            )
+            for entry in self.entry.crash_guard.quarantine.entries.values()
+        ]
+
     def view(self):
         """Return the view as ``messages.GatewayView``."""
         entry = self.entry
@@ -44,6 +75,7 @@
             servers_age_ms=entry.servers_age_ms(),
             reader=reader.address if reader is not None else "",
             data_centres_out=sorted(entry.operator_state.data_centres_out),
+            quarantined=self.quarantined(),
             n_in_flight=entry.membership.me.n_requests,
             members=[self._member(member) for member in entry.membership.alive()],
             coordinators={
--- a/teaselwall/platform/adapter.py
+++ b/teaselwall/platform/adapter.py
@@ -26,6 +26,7 @@
     orders_topic = "keyed.op"
     servers_topic = "keyed.servers"
     members_topic = "keyed.teaselwall.members"
+    quarantine_topic = "keyed.teaselwall.quarantine"
     table_key = "config"
     directory_path = "/v1/resolve"
     readiness_path = "/v1/readiness"
--- a/teaselwall/platforms.py
+++ b/teaselwall/platforms.py
@@ -9,9 +9,9 @@
     Attributes
     ----------
     protocol : protocols.Protocol
-    orders_topic, servers_topic, members_topic : str
+    orders_topic, servers_topic, members_topic, quarantine_topic : str
         Topics of the store with the operators' orders, the registrations of backend
-        servers and the addresses of entry hosts.
+        servers, the addresses of entry hosts and the suspects that they refuse.
     table_key : str
         Key of the configuration in the orders topic.
     directory_path, readiness_path : str
--- a/teaselwall/probes.py
+++ b/teaselwall/probes.py
@@ -3,13 +3,16 @@
 import abc
 
 import msgspec
+import trio
 
-from teaselwall import errors
+from teaselwall import errors, sockets
 from teaselwall.generated import messages
 
 PROBE_TIMEOUT_MS = 200
 N_PROBES = 4
 PROBE_PAUSE_MS = 20
+CONNECT_TIMEOUT_MS = 300
+MS_PER_S = 1000
 
 
 class Prober(abc.ABC):
@@ -43,6 +46,26 @@
         return ""
 
 
+class ConnectProber(Prober):
+    """Opens a connection, for servers whose reports cost a place or a price."""
+
+    __slots__ = ()
+
+    async def find_crash(self, server):
+        """Return the server's incarnation if its address refuses connections."""
+        stream = None
+        with trio.move_on_after(CONNECT_TIMEOUT_MS / MS_PER_S):
+            try:
+                stream = await sockets.connect(server.address)
+            except OSError:
+                # Refused or unreachable: no process listens there.
+                return server.incarnation
+        if stream is None:
+            return server.incarnation
+        stream.close()
+        return ""
+
+
 class HttpProber(Prober):
     """Fetches the load report over a new connection.
 
--- a/teaselwall/tests/crashing_engines.py
+++ b/teaselwall/tests/crashing_engines.py
@@ -81,10 +81,11 @@
             if not engine.ended.is_set()
         }
 
-    async def accepts_connections(self, address, timeout_ms):
-        """Return whether a process listens; see ``httpcalls.HttpCalls``."""
+    async def find_crash(self, server):
+        """Return the server's incarnation if its process has ended."""
         await trio.sleep(0.001)
-        return not self.engines[address].ended.is_set()
+        engine = self.engines[server.address]
+        return server.incarnation if engine.ended.is_set() else ""
 
     @contextlib.asynccontextmanager
     async def forward(
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -6,7 +6,7 @@
 import expression
 import trio
 
-from teaselwall import clock, entry, httpcalls, keyedtopics
+from teaselwall import clock, entry, gateway, httpcalls, keyedtopics, replies
 from teaselwall.generated import gateway as schema
 from teaselwall.platform import adapter
 
@@ -279,6 +279,20 @@
     return host
 
 
+def gateway_of(host):
+    """Return the gateway of an entry host as an ASGI application."""
+    return gateway.Gateway(host)
+
+
+@contextlib.contextmanager
+def cut_answers_allowed():
+    """Let an answer end early, as its caller would see it."""
+    try:
+        yield
+    except* replies.AnswerBroken:
+        pass
+
+
 class Caller:
     """A caller that sends one request to an ASGI application.
 
--- /dev/null
+++ b/teaselwall/tests/test_crashevidence.py
@@ -0,0 +1,158 @@
+"""Which suspects are blamed for the ends of servers; no network, stepped clock."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from teaselwall import crashevidence
+from teaselwall.tests import fakes
+
+BAD = crashevidence.part_suspect("llm", "bad")
+CONTENT = crashevidence.content_suspect("llm", "c0ffee")
+
+
+def part(name):
+    return crashevidence.part_suspect("llm", name)
+
+
+@pytest.fixture
+def clock():
+    return fakes.SteppedClock()
+
+
+@pytest.fixture
+def evidence(clock):
+    return crashevidence.CrashEvidence(clock)
+
+
+def crash(evidence, *begun, waiting=(), after_ms=1000.0):
+    """Record the end of a further server."""
+    evidence.clock.at_ms += after_ms
+    server = f"s{evidence.clock.at_ms}"
+    evidence.record(server, begun, waiting)
+    return server
+
+
+def test_one_end_blames_nothing(evidence):
+    crash(evidence, BAD)
+    assert not evidence.convicted()
+
+
+def test_part_that_explains_two_ends_among_few_is_blamed(evidence):
+    crash(evidence, BAD, part("a"))
+    crash(evidence, BAD, part("b"))
+    assert evidence.convicted() == {BAD: 2}
+
+
+def test_part_among_many_is_blamed_after_the_third_end(evidence):
+    """Of many requests in progress, two are at two ends by chance."""
+    for number in range(3):
+        assert not evidence.convicted()
+        crash(evidence, BAD, *(part(f"{number}-{n}") for n in range(20)))
+    assert evidence.convicted() == {BAD: 3}
+
+
+def test_part_with_an_answer_in_between_is_not_blamed(evidence):
+    """A part that most requests share is in progress wherever a server ends."""
+    for _ in range(9):
+        crash(evidence, part("popular"), *map(part, "abcdefgh"))
+        evidence.clock.at_ms += 10
+        servers = evidence.answered(part("popular"), evidence.clock.at_ms)
+        evidence.clear(part("popular"), servers)
+    assert part("popular") not in evidence.convicted()
+
+
+def test_answer_that_began_before_an_end_exonerates_from_it_nothing(evidence):
+    crash(evidence, BAD)
+    assert not evidence.answered(BAD, evidence.clock.at_ms - 1)
+
+
+def test_servers_that_end_at_once_count_as_one_event(evidence):
+    """A rack that lost its power ended what all its servers shared, not the part."""
+    for _ in range(5):
+        crash(evidence, BAD, part("a"), after_ms=20.0)
+    assert not evidence.convicted()
+
+
+def test_what_is_explained_by_one_suspect_is_not_blamed_on_another(evidence):
+    for number in range(4):
+        others = [part("unlucky")] if number < 3 else []
+        crash(evidence, BAD, *others)
+    assert evidence.convicted() == {BAD: 4}
+
+
+def test_parts_that_always_come_together_are_blamed_later(evidence):
+    """Sound parts are exonerated meanwhile by other requests."""
+    for _ in range(3):
+        crash(evidence, BAD, part("companion"))
+    assert not evidence.convicted()
+    crash(evidence, BAD, part("companion"))
+    assert set(evidence.convicted()) == {BAD, part("companion")}
+
+
+def test_whole_content_is_blamed_before_the_parts_that_it_shares(evidence):
+    """A request that comes again must not have sound requests refused."""
+    for _ in range(3):
+        crash(evidence, CONTENT, part("shared"))
+    assert evidence.convicted() == {CONTENT: 3}
+
+
+def test_part_is_blamed_once_it_explains_more_than_one_content(evidence):
+    for _ in range(3):
+        crash(evidence, CONTENT, BAD)
+    crash(evidence, crashevidence.content_suspect("llm", "other"), BAD)
+    assert evidence.convicted() == {BAD: 4}
+
+
+def test_requests_without_an_answer_yet_are_blamed_only_without_others(evidence):
+    for _ in range(4):
+        crash(evidence, BAD, waiting=[part("queued"), CONTENT])
+    assert evidence.convicted() == {BAD: 4}
+
+
+def test_request_to_a_plain_service_is_blamed_without_any_answer(evidence):
+    for number in range(3):
+        crash(evidence, waiting=[CONTENT, *(part(f"{number}{n}") for n in range(9))])
+    assert evidence.convicted() == {CONTENT: 3}
+
+
+def test_two_bad_parts_are_both_blamed(evidence):
+    for number in range(8):
+        crash(evidence, BAD if number % 2 else part("worse"), part(str(number)))
+    assert set(evidence.convicted()) == {BAD, part("worse")}
+
+
+def test_memory_is_bounded(evidence):
+    for _ in range(2 * crashevidence.MAX_CRASHES):
+        crash(evidence, *(part(str(random.random())) for _ in range(300)))
+    assert len(evidence.crashes) == crashevidence.MAX_CRASHES
+    kept = [len(c.begun) for c in evidence.crashes.values()]
+    assert max(kept) <= crashevidence.MAX_SUSPECTS_PER_CRASH
+    evidence.clock.at_ms += crashevidence.CRASH_KEPT_MS
+    crash(evidence, BAD)
+    assert len(evidence.crashes) == 1
+
+
+def test_long_part_ids_are_shortened():
+    """Ids come from callers and become keys of the store's records."""
+    assert len(crashevidence.part_suspect("llm", "a" * 10_000)) < 100
+
+
+@hypothesis.given(st.integers(0, 1 << 32))
+def test_random_ends_amid_answers_blame_only_what_ends_servers(seed):
+    """Sound parts that many requests share have answers between the ends."""
+    source = random.Random(seed)
+    evidence = crashevidence.CrashEvidence(fakes.SteppedClock())
+    sound = [part(f"s{n}") for n in range(8)]
+    for number in range(12):
+        begun = source.sample(sound, 3)
+        if number % 2:
+            begun.append(BAD)
+        crash(evidence, *begun, after_ms=source.uniform(150.0, 2000.0))
+        evidence.clock.at_ms += 50.0
+        for suspect in sound:
+            servers = evidence.answered(suspect, evidence.clock.at_ms)
+            evidence.clear(suspect, servers)
+    assert set(evidence.convicted()) == {BAD}
--- /dev/null
+++ b/teaselwall/tests/test_crashguard.py
@@ -0,0 +1,247 @@
+"""The guard against requests that end servers: probes, trials, what hosts share."""
+
+import socket
+
+import expression
+import pytest
+import trio
+
+from teaselwall import clock as clocks
+from teaselwall import (
+    crashquarantine,
+    errors,
+    gatewayviews,
+    keyedtopics,
+    probes,
+    quarantinearchive,
+    servers,
+)
+from teaselwall.generated import messages
+from teaselwall.tests import (
+    crashing_engines,
+    fake_stages,
+    platform_entry,
+    test_crashing_parts,
+)
+
+BAD = "llm/part/bad"
+BAD_PROMPT = "a0:900,bad:200,1:50"
+
+
+class MemoryStore(keyedtopics.Store):
+    """A store that keeps one topic, and may be away.
+
+    Attributes
+    ----------
+    values : dict of str to bytes
+    is_away : bool
+    """
+
+    def __init__(self):
+        self.values = {}
+        self.is_away = False
+
+    async def newest(self, topic):
+        if self.is_away:
+            return expression.Error(errors.Unavailable("away"))
+        records = [keyedtopics.Record(key, value) for key, value in self.values.items()]
+        return expression.Ok(keyedtopics.Page(records, 0))
+
+    async def changes(self, topic, offset, wait_ms, era=None):
+        raise NotImplementedError
+
+    async def put(self, topic, key, value):
+        if self.is_away:
+            return expression.Error(errors.Unavailable("away"))
+        self.values[key] = value
+        if not value:
+            del self.values[key]
+        return expression.Ok(None)
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def engines(autojump_clock, nursery):
+    return crashing_engines.CrashingEngines(
+        nursery, ["10.0.2.1:80", "10.0.2.2:80"], test_crashing_parts.is_fatal
+    )
+
+
+@pytest.fixture
+async def guarded_host(autojump_clock, nursery, engines, store):
+    made = platform_entry.make_entry_host(
+        engines, fake_stages.FakeServers(), servers=engines.registrations()
+    )
+    made.crash_guard.prober = engines
+    made.crash_guard.archive.store = store
+    nursery.start_soon(made.crash_guard.run)
+    engines.hosts = [made]
+    await trio.testing.wait_all_tasks_blocked()
+    return made
+
+
+@pytest.fixture
+def guarded_application(guarded_host):
+    return platform_entry.gateway_of(guarded_host)
+
+
+async def send(application, parts=BAD_PROMPT, body=b"x"):
+    caller = platform_entry.Caller("/stream/1", Prompt_Prefix=parts, body=body)
+    with platform_entry.cut_answers_allowed():
+        await caller.send_request(application)
+    return caller
+
+
+async def test_refused_request_gets_503_and_a_time_to_come_back(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    guarded_host.crash_guard.restore([BAD])
+    caller = await send(guarded_application)
+    assert caller.status == 503
+    assert 0 < float(caller.headers[b"retry-after"]) <= 60
+    assert not engines.arrivals
+    assert (await send(guarded_application, "a0:900,s1:20,2:5")).status == 200
+
+
+async def test_refused_part_is_tried_once_in_a_while_and_no_more_in_the_end(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    """More than a few trials would end servers for as long as requests come."""
+    guarded_host.crash_guard.restore([BAD])
+    for number in range(2000):
+        guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
+        await send(guarded_application, body=b"%d" % number)
+        await trio.sleep(1.0)
+    times_s = [at_s for at_s, _ in engines.arrivals]
+    assert len(times_s) == crashquarantine.MAX_TRIALS
+    pauses_s = [b - a for a, b in zip(times_s, times_s[1:], strict=False)]
+    assert all(b > 1.9 * a for a, b in zip(pauses_s, pauses_s[1:], strict=False))
+
+
+async def test_part_that_ends_servers_no_longer_is_lifted_by_its_trial(
+    autojump_clock, guarded_host, guarded_application, engines, store
+):
+    guarded_host.crash_guard.restore([BAD])
+    store.values[BAD] = quarantinearchive.REFUSED
+    engines.is_fatal = lambda headers: False
+    await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
+    guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
+    assert (await send(guarded_application)).status == 200
+    assert (await send(guarded_application)).status == 200
+    await trio.sleep(0.1)
+    assert not store.values
+
+
+async def test_trial_whose_caller_left_is_made_again(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    """A trial without a result must not keep a sound part refused for good."""
+    guarded_host.crash_guard.restore([BAD])
+    quarantine = guarded_host.crash_guard.quarantine
+    entries = quarantine.find([BAD])
+    await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
+    assert quarantine.try_begin_trial(entries)
+    assert not quarantine.try_begin_trial(entries)
+    await trio.sleep(crashquarantine.TRIAL_MS / 1000)
+    assert quarantine.try_begin_trial(entries)
+
+
+async def test_broken_answer_of_a_server_that_runs_is_no_evidence(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    """Servers that break off single answers must not have sound parts refused."""
+    engine = engines.engines["10.0.2.1:80"]
+    engines.crash = lambda engine: None
+    for _ in range(9):
+        await send(guarded_application)
+    assert not engine.ended.is_set()
+    assert not guarded_host.crash_guard.evidence.crashes
+
+
+async def test_host_that_starts_refuses_what_was_refused_before(
+    autojump_clock, nursery, store, engines
+):
+    """After all hosts had restarted, the same part ended servers again."""
+    store.values[BAD] = quarantinearchive.REFUSED
+    store.is_away = True
+    made = platform_entry.make_entry_host(
+        engines, fake_stages.FakeServers(), servers=engines.registrations()
+    )
+    made.crash_guard.archive.store = store
+    nursery.start_soon(made.crash_guard.run)
+    await trio.sleep(5.0)
+    store.is_away = False
+    await trio.sleep(2 * quarantinearchive.RETRY_MS / 1000)
+    made.orders.current_as_of_ms = made.clock.now_ms()
+    assert (await send(platform_entry.gateway_of(made))).status == 503
+    assert not engines.arrivals
+
+
+async def test_refused_part_is_written_to_the_store(
+    autojump_clock, guarded_host, guarded_application, engines, store
+):
+    store.is_away = True
+    for number in range(20):
+        parts = f"a{number}:900,bad:200,{number}:50"
+        await send(guarded_application, parts, b"%d" % number)
+        await trio.sleep(0.5)
+    store.is_away = False
+    await trio.sleep(2 * quarantinearchive.RETRY_MS / 1000)
+    assert set(store.values) == {BAD}
+
+
+async def test_hosts_learn_of_refused_parts_and_lifts_from_exchanges(
+    autojump_clock, guarded_host
+):
+    guard = guarded_host.crash_guard
+    sender = guarded_host.membership.me.row()
+    notice = messages.QuarantineNotice(suspect=BAD, n_events=3)
+    guard.receive(messages.Exchange(sender=sender, quarantined=[notice]))
+    assert guard.notices() == [notice]
+    guard.receive(messages.Exchange(sender=sender, lifted=[BAD]))
+    assert not guard.notices()
+    # A host that has missed the lift still tells of the part.
+    guard.receive(messages.Exchange(sender=sender, quarantined=[notice]))
+    assert not guard.notices()
+    await trio.sleep(crashquarantine.LIFTED_KEPT_MS / 1000)
+    guard.receive(messages.Exchange(sender=sender, quarantined=[notice]))
+    assert guard.notices() == [notice]
+
+
+async def test_operators_list_and_lift_refused_parts(autojump_clock, guarded_host):
+    guarded_host.crash_guard.restore([BAD])
+    handlers = guarded_host.control.handlers
+    listing = await handlers[gatewayviews.QUARANTINE_PATH]({})
+    assert [entry.content for entry in listing.entries] == [BAD]
+    with pytest.raises(errors.NotFound, match="quarantine list"):
+        await handlers[gatewayviews.LIFT_PATH]({"content": "llm/part/other"})
+    listing = await handlers[gatewayviews.LIFT_PATH]({"content": BAD})
+    assert not listing.entries
+
+
+async def test_unused_entries_are_dropped(autojump_clock, guarded_host):
+    guarded_host.crash_guard.restore([BAD])
+    await trio.sleep(crashquarantine.UNUSED_MS / 1000 + 1)
+    assert not guarded_host.crash_guard.quarantine.entries
+
+
+async def test_probe_tells_a_process_that_runs_from_one_that_ended():
+    """Over real sockets; a refused connection shows that no process listens."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+    entry = messages.HostEntry(
+        address=f"127.0.0.1:{port}",
+        pool="llm",
+        data_centre="a",
+        incarnation="l1@1",
+        state="live",
+    )
+    server = servers.Server(entry, clocks.Clock())
+    prober = probes.ConnectProber()
+    assert await prober.find_crash(server) == ""
+    listener.close()
+    assert await prober.find_crash(server) == "l1@1"
--- a/teaselwall/tests/test_crashing_parts.py
+++ b/teaselwall/tests/test_crashing_parts.py
@@ -11,7 +11,6 @@
 import pytest
 import trio
 
-from teaselwall import gateway, replies
 from teaselwall.tests import crashing_engines, fake_stages, platform_entry
 
 N_HOSTS = 3
@@ -44,6 +43,12 @@
     return b"bad:" in parts or parts.endswith(FATAL_LAST_PART.encode())
 
 
+async def exchange_views(host):
+    while True:
+        await host.gossip.step()
+        await trio.sleep(0.25)
+
+
 def settings_of(index):
     address = f"10.0.0.{index + 1}"
     settings = platform_entry.SETTINGS
@@ -76,9 +81,12 @@
     network = Network(made)
     for host in made:
         host.gossip.socket = network
+        host.crash_guard.prober = engines
+        nursery.start_soon(host.crash_guard.run)
     for host in made:
         for other in made:
             await host.gossip.exchange(other.membership.me.address)
+        nursery.start_soon(exchange_views, host)
     engines.hosts = made
     return made
 
@@ -94,7 +102,7 @@
 
     def __init__(self, nursery, hosts, seed=7):
         self.nursery = nursery
-        self.applications = [gateway.Gateway(host) for host in hosts]
+        self.applications = [platform_entry.gateway_of(host) for host in hosts]
         self.hosts = hosts
         self.random = random.Random(seed)
         self.n_requests = 0
@@ -129,10 +137,8 @@
             Request_Id=f"r{self.n_requests}",
             Prompt_Prefix=parts,
         )
-        try:
+        with platform_entry.cut_answers_allowed():
             await caller.send_request(self.random.choice(self.applications))
-        except* replies.AnswerBroken:
-            pass
         if not is_fatal:
             self.n_sent += 1
             self.n_whole += caller.status == 200 and caller.ended
--- a/teaselwall/view_commands.py
+++ b/teaselwall/view_commands.py
@@ -194,3 +194,8 @@
             f"load {server.load:g}, {server.left_out or 'in use'}"
         )
     yield from (f"Retries of {pool}: {n}" for pool, n in view.retries.items())
+    yield from (
+        f"Refused, as servers ended: {entry.content} ({entry.n_crashes} ends, "
+        f"for {entry.age_ms / 1000:.0f} s)"
+        for entry in view.quarantined
+    )
