Leave a silent server only where a refusal by the next one could be borne

A silent server was given up for another one that was listed and not tried yet; if that one refused (full, leaving, gone), a second retry was needed, and without it a begun stream was cut and a safe request ended as 502, though the first server would have gone on. Two retries must be left now when a request moves; both are set aside, and what is not used is given back.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -30,8 +30,8 @@
         Attempts, including those that a server refused.
     tried : set of str
         Addresses of the servers of these attempts.
-    retry_granted : bool
-        Whether the retry budget was taken for the next attempt.
+    n_retries_granted : int
+        Retries that were taken from the budget and not yet made.
     splitter : sse.EventSplitter
         Knows the last event of a stream that was passed on.
     waiting_since_ms : float
@@ -53,7 +53,7 @@
         "n_ran",
         "n_sent",
         "tried",
-        "retry_granted",
+        "n_retries_granted",
         "splitter",
         "waiting_since_ms",
         "on_trial",
@@ -75,7 +75,7 @@
         self.n_ran = 0
         self.n_sent = 0
         self.tried = set()
-        self.retry_granted = False
+        self.n_retries_granted = 0
         self.splitter = sse.EventSplitter(head.last_event)
         self.waiting_since_ms = due_ms - route.target_ms
         self.on_trial = False
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -22,6 +22,8 @@
 
 # Attempts per request, including those that a server refused.
 MAX_SENDS = 6
+# Retries that have to be left when a request leaves a silent server for another one.
+N_MOVE_RETRIES = 2
 # How long a request waits for an available server, and how often it checks.
 SERVER_WAIT_MS = 600.0
 SERVER_POLL_MS = 15.0
@@ -120,6 +122,12 @@
         expression.Result
             None once the reply has been sent.
         """
+        try:
+            return await self._run_attempts(call, reply, inputs, on_head)
+        finally:
+            self._return_retries(call)
+
+    async def _run_attempts(self, call, reply, inputs, on_head):
         while True:
             choice = await self._wait_for_server(call, inputs)
             if choice.is_error():
@@ -179,24 +187,36 @@
             return "attempts"
         if isinstance(error, BadAnswer) and error.reply.status < 500:
             return "answered"
-        if call.retry_granted:
-            call.retry_granted = False
-            return ""
-        return "" if self._take_retry_budget(call) else "retry_budget"
+        if call.n_retries_granted:
+            call.n_retries_granted -= 1
+        elif not self._take_retry_budget(call):
+            return "retry_budget"
+        self.metrics.count("retries", pool=call.pool.name)
+        return ""
 
     def _may_move(self, call):
         """Return whether to give up a silent server, as another takes the request over.
 
-        The retry budget for the next attempt is taken then.
+        The next server may refuse the request, so a second retry is set aside.
         """
-        call.retry_granted = (
+        if not (
             call.may_move()
             and call.n_sent < MAX_SENDS
             and call.deadline.remaining_ms() >= MIN_ATTEMPT_MS
             and self.server_choices.has_untried(call)
-            and self._take_retry_budget(call)
-        )
-        return call.retry_granted
+        ):
+            return False
+        while call.n_retries_granted < N_MOVE_RETRIES:
+            if not self._take_retry_budget(call):
+                self._return_retries(call)
+                return False
+            call.n_retries_granted += 1
+        return True
+
+    def _return_retries(self, call):
+        for _ in range(call.n_retries_granted):
+            self.retries.give_back(call.pool.name)
+        call.n_retries_granted = 0
 
     def _log_end(self, call, reply, error, reason):
         events.log(
@@ -215,7 +235,6 @@
 
     def _take_retry_budget(self, call):
         if self.retries.try_take(call.pool.name):
-            self.metrics.count("retries", pool=call.pool.name)
             return True
         self.metrics.count("retries_over_budget", pool=call.pool.name)
         return False
--- a/teaselwall/retries.py
+++ b/teaselwall/retries.py
@@ -51,6 +51,12 @@
         retry_times.append(self.clock.now_ms())
         return True
 
+    def give_back(self, pool):
+        """Forget the newest retry that was taken, as it was not made."""
+        retry_times = self._times_in_window(self.retry_times, pool)
+        if retry_times:
+            retry_times.pop()
+
     def counts(self):
         """Return the number of retries in the present window by pool."""
         return {
