--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -30,6 +30,7 @@
     probes,
     quarantinearchive,
     retries,
+    serverattempts,
     serverchoices,
     serverregistry,
     sharedreads,
@@ -136,16 +137,7 @@
         self._add_servers()
         self._add_stages()
         self._add_crash_guard()
-        self.forwarder = forwarders.Forwarder(
-            self.clock,
-            self.transport,
-            self.protocol,
-            self.server_choices,
-            retries.RetryWindow(self.clock, settings.bounds, self.n_hosts),
-            self.metrics,
-            self.tracer,
-            self.crash_guard,
-        )
+        self._add_forwarder()
         gatewayviews.GatewayViews(self).register(self.control)
 
     def _add_membership(self):
@@ -244,6 +236,24 @@
         )
         self.gossip.crash_guard = self.crash_guard
 
+    def _add_forwarder(self):
+        attempts = serverattempts.ServerAttempts(
+            self.clock,
+            self.transport,
+            self.protocol,
+            self.server_choices,
+            self.tracer,
+            self.crash_guard,
+        )
+        self.forwarder = forwarders.Forwarder(
+            self.clock,
+            attempts,
+            self.server_choices,
+            retries.RetryWindow(self.clock, self.settings.bounds, self.n_hosts),
+            self.metrics,
+            self.crash_guard,
+        )
+
     def n_hosts(self):
         """Return the number of entry hosts, at least 1."""
         return max(1, len(self.membership.alive()), self.membership.n_hosts())
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -10,10 +10,10 @@
     clock,
     errors,
     events,
-    forwarders,
     replies,
     responses,
     routes,
+    serverattempts,
     traces,
 )
 from teaselwall.generated import messages
@@ -343,7 +343,7 @@
 
 
 def _inputs_gone(error):
-    return isinstance(error, forwarders.InputsGone)
+    return isinstance(error, serverattempts.InputsGone)
 
 
 def _release_nothing():
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -264,7 +264,7 @@
 def make_entry_host(back_ends, stages, config=CONFIG, servers=None, settings=SETTINGS):
     """Return an entry host that knows its configuration and its servers."""
     host = entry.Entry(settings, TestPlatform(stages, settings), clock.Clock())
-    host.forwarder.transport = back_ends
+    host.forwarder.attempts.transport = back_ends
     host.operator_state.replace({"config": json.dumps(config).encode()})
     host.orders.current_as_of_ms = host.clock.now_ms()
     if servers is None:
--- a/teaselwall/tests/test_continued_streams.py
+++ b/teaselwall/tests/test_continued_streams.py
@@ -1,6 +1,5 @@
 """Streams that go on at another engine, within what their callers bear."""
 
-
 import pytest
 
 from teaselwall.tests.platform_entry import REFUSED, Caller, Script
