Count the due time of stages run again from the stream's last event

Where stages ran again for a begun stream, their due time was still that of the first event, long past, so the coordinator put the job last or refused it, and the stream was cut. Evidence: the new test saw a due time of -648 ms before, a positive one now.

--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -284,12 +284,13 @@
     def _stage_job(self, call, run):
         counts = calls.piece_counts(call)
         now_ms = self.entry.clock.now_ms()
+        due_ms = call.waiting_since_ms + call.route.target_ms
         return messages.StageJob(
             request=call.head.id,
             run=run,
             key=call.head.stage_key,
             remaining_ms=self._remaining_to_next_event_ms(call) - ENGINE_FIRST_EVENT_MS,
-            due_ms=call.due_ms - ENGINE_FIRST_EVENT_MS - now_ms,
+            due_ms=due_ms - ENGINE_FIRST_EVENT_MS - now_ms,
             priority=call.priority,
             data_centre=self.entry.server_choices.home_data_centre(call),
             stages=[
--- a/teaselwall/tests/test_continued_streams.py
+++ b/teaselwall/tests/test_continued_streams.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from teaselwall.tests.platform_entry import REFUSED, Caller, Script
+from teaselwall import coordination
+from teaselwall.tests.platform_entry import BROKEN, REFUSED, Caller, Script
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 5)]
 NOT_RUN = Script(503, headers={"Not-Executed": "1"})
@@ -51,3 +52,24 @@
     back_ends.scripts = [Script(body=[EVENTS[0], 30.0]), Script(body=EVENTS[1:])]
     assert_whole(await stream_caller().send_request(application))
     assert host.forwarder.retries.counts()["llm"] == 3
+
+
+async def test_due_time_of_stages_run_again_counts_from_the_last_event(
+    autojump_clock, application, back_ends, monkeypatch
+):
+    """Stages run again for a begun stream counted as late and were put last."""
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], 1.4, EVENTS[1], BROKEN]),
+        GONE,
+        Script(body=EVENTS[2:]),
+    ]
+    due = []
+    run_stages = coordination.Coordination.run_stages
+
+    async def record(self, message):
+        due.append(message.due_ms)
+        return await run_stages(self, message)
+
+    monkeypatch.setattr(coordination.Coordination, "run_stages", record)
+    assert_whole(await stream_caller().send_request(application))
+    assert due[1] > 0
