Set the limits of silence by what the caller still bears

The limit before a head began after the stages, the caller's patience before them: a hung engine was left when its caller had gone. And idempotent requests had no least silence at all: a server silent for a second lost them all, ran them twice and was ejected, and their moves used up the retries of begun streams. Both limits are now the silence that a sound server may have, at most three quarters of the caller's patience that is left.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -4,6 +4,8 @@
 
 # A sound server may be silent for a second or so.
 MIN_SILENCE_MS = 1500.0
+# Share of the caller's patience that may pass before another server is asked.
+MOVE_SHARE = 0.75
 
 
 class Call:
@@ -108,23 +110,26 @@
     def _may_run_more(self, n_ran):
         return self.route.repeatable and n_ran < self.route.max_attempts
 
+    def patience_ms(self):
+        """Return for how long the caller still waits for the next event or answer."""
+        until_ms = self.waiting_since_ms + self.route.abandon_ms
+        left_ms = until_ms - self.deadline.clock.now_ms()
+        return max(0.0, min(self.deadline.remaining_ms(), left_ms))
+
     def head_timeout_ms(self, remaining_ms):
         """Return the time in ms after which another server may be asked for a reply."""
         if not self.may_move():
             return remaining_ms
-        limit_ms = self.route.target_ms
-        if is_streaming(self.route):
-            limit_ms = max(MIN_SILENCE_MS, limit_ms)
-        return min(remaining_ms, limit_ms)
+        limit_ms = max(MIN_SILENCE_MS, self.route.target_ms)
+        return min(limit_ms, MOVE_SHARE * self.patience_ms())
 
     def silence_timeout_ms(self, remaining_ms):
-        """Return the silence in ms after which another server may continue a reply.
-
-        The caller abandons the stream after a pause of twice this time.
-        """
+        """Return the silence in ms after which another server may continue a reply."""
         if not self.may_move() or not self.route.resumable:
             return remaining_ms
-        return min(remaining_ms, max(MIN_SILENCE_MS, self.route.abandon_ms / 2))
+        abandon_ms = self.route.abandon_ms
+        limit_ms = max(MIN_SILENCE_MS, abandon_ms / 2)
+        return min(remaining_ms, limit_ms, MOVE_SHARE * abandon_ms)
 
     def regions(self):
         """Return the regions that the request may run in; any if empty."""
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -275,12 +275,6 @@
         finally:
             release()
 
-    def _remaining_to_next_event_ms(self, call):
-        """Return the time left in ms until the reply has to start or to go on."""
-        until_ms = call.waiting_since_ms + call.route.abandon_ms
-        left_ms = until_ms - self.entry.clock.now_ms()
-        return min(call.deadline.remaining_ms(), left_ms)
-
     def _stage_job(self, call, run):
         counts = calls.piece_counts(call)
         now_ms = self.entry.clock.now_ms()
@@ -289,7 +283,7 @@
             request=call.head.id,
             run=run,
             key=call.head.stage_key,
-            remaining_ms=self._remaining_to_next_event_ms(call) - ENGINE_FIRST_EVENT_MS,
+            remaining_ms=call.patience_ms() - ENGINE_FIRST_EVENT_MS,
             due_ms=due_ms - ENGINE_FIRST_EVENT_MS - now_ms,
             priority=call.priority,
             data_centre=self.entry.server_choices.home_data_centre(call),
--- a/teaselwall/tests/test_continued_streams.py
+++ b/teaselwall/tests/test_continued_streams.py
@@ -1,8 +1,12 @@
 """Streams that go on at another engine, within what their callers bear."""
 
+import json
+
 import pytest
+import trio
 
 from teaselwall import coordination
+from teaselwall.tests import platform_entry
 from teaselwall.tests.platform_entry import BROKEN, REFUSED, Caller, Script
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 5)]
@@ -73,3 +77,59 @@
     monkeypatch.setattr(coordination.Coordination, "run_stages", record)
     assert_whole(await stream_caller().send_request(application))
     assert due[1] > 0
+
+
+@pytest.fixture
+def slow_stages(host, monkeypatch):
+    """Return a host whose stages take half a second, with a quick route."""
+    config = json.loads(json.dumps(platform_entry.CONFIG)) | {"version": 2}
+    quick = platform_entry.route(
+        "quick",
+        "/quick/",
+        "streaming",
+        service="llm",
+        resumable=True,
+        timeoutMs=6000,
+        stages=[{"service": "enc", "after": [], "bytes": 100}],
+    )
+    config["routes"].append(quick)
+    host.operator_state.replace({"config": json.dumps(config).encode()})
+    host.platform.stages.slowdown["10.0.3.1:80"] = 24.0
+
+
+async def test_hung_engine_is_left_before_the_caller_leaves(
+    autojump_clock, application, back_ends, slow_stages
+):
+    """The limit of the head began after the stages, the caller's patience before."""
+    back_ends.scripts = [Script(head_s=30.0), Script(body=EVENTS)]
+    caller = Caller("/quick/1", Pieces="1", Piece_Key="pk", Deadline_Ms="6000")
+    started_s = trio.current_time()
+    await caller.send_request(application)
+    assert_whole(caller)
+    # Callers of this route leave after 2 s.
+    assert trio.current_time() - started_s < 2.0
+
+
+async def test_idempotent_request_stays_at_a_server_that_is_silent_for_a_second(
+    autojump_clock, application, back_ends
+):
+    """One silence moved all of them, ran them twice and used the retries up."""
+    back_ends.scripts = [Script(head_s=1.0)]
+    caller = await Caller("/safe/1", method="GET").send_request(application)
+    assert caller.status == 200
+    assert len(back_ends.calls) == 1
+
+
+async def test_sound_server_is_not_ejected_for_one_silence(
+    autojump_clock, application, host, back_ends
+):
+    back_ends.scripts = [Script(head_s=1.0) for _ in range(10)]
+    callers = [
+        Caller("/safe/1", method="GET", Request_Id=f"r{number}") for number in range(10)
+    ]
+    async with trio.open_nursery() as nursery:
+        for caller in callers:
+            nursery.start_soon(caller.send_request, application)
+    assert [caller.status for caller in callers] == [200] * 10
+    host.fleet.choices("core")
+    assert not any(s.n_ejections for s in host.fleet.servers_in_use())
