Ask again soon whether a silent server may be left

A call that could not be moved at its limit was asked again only after the whole limit: a retry that became possible 0.2 s later was used at 4.05 s, when the caller had gone. It is asked every 0.1 s now, and questions that are refused no longer count as retries over the budget.

--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -163,7 +163,7 @@
         ):
             return False
         while call.n_retries_granted < N_MOVE_RETRIES:
-            if not self._take_retry_budget(call):
+            if not self.retries.try_take(call.pool.name):
                 self._return_retries(call)
                 return False
             call.n_retries_granted += 1
--- a/teaselwall/httpcalls.py
+++ b/teaselwall/httpcalls.py
@@ -148,9 +148,9 @@
         timeout_ms, silence_ms, progress, fresh
             See ``open``.
         may_give_up : callable, optional
-            ``may_give_up()`` is asked each time nothing has arrived within the limit.
-            The call fails if it returns true, as it does by default, and goes on
-            waiting otherwise.
+            ``may_give_up()`` is asked if nothing has arrived within the limit. The
+            call fails if it returns true, as it does by default; otherwise it goes on
+            waiting and asks again from time to time.
         """
 
     def to_error(self, address, path, error, progress):
--- a/teaselwall/patience.py
+++ b/teaselwall/patience.py
@@ -4,6 +4,9 @@
 
 from teaselwall import httpcalls
 
+# Time after which a call that goes on waiting may be given up after all.
+RECHECK_S = 0.1
+
 
 class Patience:
     """Time limit of one part of a call, after which the call may go on waiting.
@@ -45,4 +48,4 @@
                 return await step()
             if self.may_give_up():
                 raise httpcalls.ReplyTimeout(f"no {expected}")
-            self.until_s = trio.current_time() + self.limit_s
+            self.until_s = trio.current_time() + min(self.limit_s, RECHECK_S)
--- a/teaselwall/tests/platform_entry.py
+++ b/teaselwall/tests/platform_entry.py
@@ -6,7 +6,7 @@
 import expression
 import trio
 
-from teaselwall import clock, entry, gateway, httpcalls, keyedtopics, replies
+from teaselwall import clock, entry, gateway, httpcalls, keyedtopics, patience, replies
 from teaselwall.generated import gateway as schema
 from teaselwall.platform import adapter
 
@@ -206,6 +206,7 @@
         if may_give_up():
             raise httpcalls.ReplyTimeout("nothing received")
         pause_s -= limit_ms / 1000
+        limit_ms = min(limit_ms, patience.RECHECK_S * 1000)
     await trio.sleep(pause_s)
 
 
--- a/teaselwall/tests/test_continued_streams.py
+++ b/teaselwall/tests/test_continued_streams.py
@@ -110,6 +110,23 @@
     assert trio.current_time() - started_s < 2.0
 
 
+async def test_stream_is_moved_soon_after_a_retry_becomes_possible(
+    autojump_clock, application, host, back_ends, monkeypatch
+):
+    """Whether to move was asked once in 2 s; a retry that came later was of no use."""
+    monkeypatch.setattr(host.settings.bounds, "retry_ratio", 0.0)
+    monkeypatch.setattr(host.settings.bounds, "retry_slack", 0)
+    back_ends.scripts = [Script(body=[EVENTS[0], 30.0]), Script(body=EVENTS[1:])]
+    caller = stream_caller()
+    started_s = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.send_request, application)
+        await trio.sleep(2.2)
+        host.settings.bounds.retry_slack = 50
+    assert_whole(caller)
+    assert trio.current_time() - started_s < 3.0
+
+
 async def test_idempotent_request_stays_at_a_server_that_is_silent_for_a_second(
     autojump_clock, application, back_ends
 ):
