Have a begun stream wait for a server as long as its caller does

A begun stream whose engine broke was cut after 0.6 s without an available engine, such as while the data centre was out for a second; its caller would have waited 4 s. Evidence: the new test failed with a cut answer before.

--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -80,7 +80,7 @@
 
     async def _run_attempts(self, call, reply, inputs, on_head):
         while True:
-            choice = await self._wait_for_server(call, inputs)
+            choice = await self._wait_for_server(call, inputs, reply.started)
             if choice.is_error():
                 self._log_end(call, reply, choice.error, "no_server")
                 return self._error_result(call, choice.error)
@@ -104,16 +104,20 @@
             if error.outcome is errors.Outcome.NOT_RUN:
                 await self.clock.sleep_ms(REFUSAL_PAUSE_MS)
 
-    async def _wait_for_server(self, call, inputs):
+    async def _wait_for_server(self, call, inputs, has_begun):
         """Wait for an available server.
 
+        A stream that has begun waits as long as its caller does.
+
         Returns
         -------
         expression.Result
             The ``servers.Server``, or ``errors.Unavailable`` if none became
             available in time.
         """
-        limit_ms = min(SERVER_WAIT_MS, call.deadline.remaining_ms() - MIN_ATTEMPT_MS)
+        limit_ms = call.patience_ms() - MIN_ATTEMPT_MS
+        if not has_begun:
+            limit_ms = min(SERVER_WAIT_MS, limit_ms)
         until_ms = self.clock.now_ms() + limit_ms
         while True:
             server = self.server_choices.choose(call, inputs)
--- a/teaselwall/tests/test_continued_streams.py
+++ b/teaselwall/tests/test_continued_streams.py
@@ -127,6 +127,31 @@
     assert trio.current_time() - started_s < 3.0
 
 
+async def test_begun_stream_waits_for_an_engine_as_long_as_its_caller(
+    autojump_clock, application, host, back_ends
+):
+    """A begun stream was cut after 0.6 s without an engine; callers bear 4 s."""
+    host.server_registry.replace(
+        {
+            "l1": platform_entry.registration("llm", address="10.0.2.1:80"),
+            "e1": platform_entry.registration("enc", address="10.0.3.1:80"),
+        }
+    )
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], 0.1, BROKEN]),
+        Script(body=EVENTS[1:]),
+    ]
+    configuration = {"config": json.dumps(platform_entry.CONFIG).encode()}
+    caller = stream_caller()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.send_request, application)
+        await trio.sleep(0.1)
+        host.operator_state.replace(configuration | {"evacuate/a": b""})
+        await trio.sleep(1.0)
+        host.operator_state.replace(configuration)
+    assert_whole(caller)
+
+
 async def test_idempotent_request_stays_at_a_server_that_is_silent_for_a_second(
     autojump_clock, application, back_ends
 ):
