Cut no begun stream before its deadline and no whole answer that is being sent

The 30 ms kept free for an error reply were also taken from streams that had begun, which no error reply can follow: their last events were thrown away. And a whole answer was cut at the deadline while a slow caller was still reading it. The margin ends with the head of the reply, and a reply that is ready has no deadline of its own (a caller that reads nothing is still left after 10 s).

--- a/teaselwall/replies.py
+++ b/teaselwall/replies.py
@@ -1,5 +1,7 @@
 """Sends a reply to a caller over ASGI."""
 
+import math
+
 
 class AnswerBroken(Exception):
     """A reply has started and can't be completed; the connection is closed."""
@@ -27,9 +29,21 @@
         Status that was sent; 0 before the head.
     n_bytes : int
         Bytes of the body that were sent.
+    limits : list of (trio.CancelScope, float)
+        Scopes that end the work on the reply, each with the time in s by which it ends
+        earlier so that an error reply can still be sent.
     """
 
-    __slots__ = ("send", "closing", "head", "started", "ended", "status", "n_bytes")
+    __slots__ = (
+        "send",
+        "closing",
+        "head",
+        "started",
+        "ended",
+        "status",
+        "n_bytes",
+        "limits",
+    )
 
     def __init__(self, send, closing):
         self.send = send
@@ -39,6 +53,11 @@
         self.ended = False
         self.status = 0
         self.n_bytes = 0
+        self.limits = []
+
+    def add_limit(self, scope, margin_s=0.0):
+        """Add a scope that must not cut off a reply that is ready; see ``limits``."""
+        self.limits.append((scope, margin_s))
 
     def start(self, status, headers):
         """Set the status and headers, which are sent with the first bytes."""
@@ -53,6 +72,9 @@
         if self.started:
             return
         self.started = True
+        for scope, margin_s in self.limits:
+            # No error reply can be sent any more.
+            scope.deadline += margin_s
         if self.closing():
             self.head["headers"].append((b"connection", b"close"))
         await self.send(self.head)
@@ -66,14 +88,20 @@
     async def end(self):
         """End the body."""
         await self._send_head()
-        self.ended = True
+        self._finish()
         await self.send({"type": "http.response.body", "body": b""})
 
     async def send_whole(self, status, headers, body):
         """Send a complete reply."""
         length = (b"content-length", str(len(body)).encode())
         self.start(status, [*headers, length])
+        self._finish()
         await self._send_head()
         self.n_bytes += len(body)
-        self.ended = True
         await self.send({"type": "http.response.body", "body": body})
+
+    def _finish(self):
+        """Have the rest of the reply sent however long its caller takes."""
+        self.ended = True
+        for scope, _ in self.limits:
+            scope.deadline = math.inf
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -152,7 +152,8 @@
             streams=calls.is_streaming(call.route),
         )
         try:
-            with trio.fail_after(max(0.0, remaining_ms) / 1000):
+            with trio.fail_after(max(0.0, remaining_ms) / 1000) as limit:
+                reply.add_limit(limit)
                 async with self.transport.forward(
                     call.head.method,
                     server.address,
