Draw on the retry budget for requests whose stages ran again

A request that an engine refused for lost inputs reached an engine once more after its stages had run again, without a retry being taken: 3 arrivals, 1 retry counted.

--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -73,6 +73,11 @@
         expression.Result
             None once the reply has been sent.
         """
+        if call.n_sent and not self._take_retry_budget(call):
+            detail = "The stages were run again, but no retry is left."
+            error = errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
+            self._log_end(call, reply, error, "retry_budget")
+            return self._error_result(call, error)
         try:
             return await self._run_attempts(call, reply, inputs, on_head)
         finally:
--- a/teaselwall/tests/test_deadlines.py
+++ b/teaselwall/tests/test_deadlines.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from teaselwall.tests.platform_entry import Caller, Script
+from teaselwall.tests.platform_entry import BROKEN, Caller, Script
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 5)]
 NOT_RUN = Script(503, headers={"Not-Executed": "1"})
@@ -59,3 +59,18 @@
     assert caller.status == 503
     assert float(caller.headers[b"retry-after"]) > 0
     assert json.loads(caller.parts[0])["outcome"] == "not_run"
+
+
+async def test_each_further_arrival_draws_on_the_retry_budget(
+    autojump_clock, application, host, back_ends
+):
+    """Requests whose stages ran again reached a server once more for nothing."""
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], BROKEN]),
+        GONE,
+        Script(body=EVENTS[1:]),
+    ]
+    caller = Caller("/continued/1", Pieces="1", Piece_Key="pk", Deadline_Ms="6000")
+    await caller.send_request(application)
+    assert caller.ended
+    assert host.forwarder.retries.counts()["llm"] == len(back_ends.calls) - 1
