Keep stage results for the retry of an idempotent request with stages

The same cause as for resumable streams, found by the review: on an idempotent route with stages the results were freed with the head of the first reply, and a second server had no inputs. Evidence: the new test found no results at the stage server before.

--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -268,8 +268,8 @@
         if stage_result.is_error():
             return expression.Error(call.overall_error(stage_result.error))
         inputs, release = stage_result.ok
-        # Another engine that continues the stream fetches the same results.
-        on_head = _release_nothing if call.route.resumable else release
+        # Another server that takes the request over fetches the same results.
+        on_head = _release_nothing if call.route.repeatable else release
         try:
             return await self.entry.forwarder.run(call, reply, inputs, on_head)
         finally:
--- a/teaselwall/tests/test_deadlines.py
+++ b/teaselwall/tests/test_deadlines.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from teaselwall.tests import platform_entry
 from teaselwall.tests.platform_entry import BROKEN, Caller, Script
 
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 5)]
@@ -74,3 +75,21 @@
     await caller.send_request(application)
     assert caller.ended
     assert host.forwarder.retries.counts()["llm"] == len(back_ends.calls) - 1
+
+
+async def test_stage_results_are_kept_for_the_retry_of_an_idempotent_request(
+    autojump_clock, application, host, back_ends
+):
+    """Results were freed with the head, and the second server had no inputs."""
+    config = json.loads(json.dumps(platform_entry.CONFIG)) | {"version": 2}
+    staged = platform_entry.route("staged-safe", "/staged-safe/", "safe", service="llm")
+    staged["stages"] = [{"service": "enc", "after": [], "bytes": 100}]
+    config["routes"].append(staged)
+    host.operator_state.replace({"config": json.dumps(config).encode()})
+    back_ends.scripts = [Script(body=[b"a", 0.5, BROKEN]), Script()]
+    caller = Caller("/staged-safe/1", Pieces="1", Piece_Key="pk")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.send_request, application)
+        await trio.sleep(0.4)
+        assert host.platform.stages.live["10.0.3.1:80"]
+    assert caller.status == 200
