Keep some retries for streams that have begun

Retries are counted by pool, so a route that a change of the configuration moves to another pool begins with an empty window, and idempotent requests could use up what is left: broken streams were cut for want of a retry. A part of each host's share is now for begun streams alone; the bound over all hosts is the same. Evidence: the new test got a cut answer before.

--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -73,7 +73,7 @@
         expression.Result
             None once the reply has been sent.
         """
-        if call.n_sent and not self._take_retry_budget(call):
+        if call.n_sent and not self._take_retry_budget(call, reply.started):
             detail = "The stages were run again, but no retry is left."
             error = errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
             self._log_end(call, reply, error, "retry_budget")
@@ -96,13 +96,13 @@
                 return self._error_result(call, refused)
             if call.n_sent == 0:
                 self.retries.record_first(call.pool.name)
-            may_move = functools.partial(self._may_move, call)
+            may_move = functools.partial(self._may_move, call, reply)
             error = await self.attempts.make(
                 call, server, reply, inputs, on_head, may_move
             )
             if error is None:
                 return expression.Ok(None)
-            reason = self._reason_to_end(call, error)
+            reason = self._reason_to_end(call, error, reply.started)
             if reason:
                 self._log_end(call, reply, error, reason)
                 return await self._finish_failed(call, reply, error)
@@ -140,7 +140,7 @@
                 )
             await self.clock.sleep_ms(SERVER_POLL_MS)
 
-    def _reason_to_end(self, call, error):
+    def _reason_to_end(self, call, error, has_begun):
         """Return why a failed request is not sent again; empty if it is."""
         if isinstance(error, serverattempts.InputsGone):
             return "inputs_gone"
@@ -154,12 +154,12 @@
             return "answered"
         if call.n_retries_granted:
             call.n_retries_granted -= 1
-        elif not self._take_retry_budget(call):
+        elif not self._take_retry_budget(call, has_begun):
             return "retry_budget"
         self.metrics.count("retries", pool=call.pool.name)
         return ""
 
-    def _may_move(self, call):
+    def _may_move(self, call, reply):
         """Return whether to give up a silent server, as another takes the request over.
 
         The next server may refuse the request, so a second retry is set aside.
@@ -172,7 +172,7 @@
         ):
             return False
         while call.n_retries_granted < N_MOVE_RETRIES:
-            if not self.retries.try_take(call.pool.name):
+            if not self.retries.try_take(call.pool.name, reply.started):
                 self._return_retries(call)
                 return False
             call.n_retries_granted += 1
@@ -198,8 +198,8 @@
             remaining_ms=round(call.deadline.remaining_ms()),
         )
 
-    def _take_retry_budget(self, call):
-        if self.retries.try_take(call.pool.name):
+    def _take_retry_budget(self, call, has_begun):
+        if self.retries.try_take(call.pool.name, has_begun):
             return True
         self.metrics.count("retries_over_budget", pool=call.pool.name)
         return False
--- a/teaselwall/retries.py
+++ b/teaselwall/retries.py
@@ -4,6 +4,8 @@
 
 # Share of the limit that a host uses: hosts don't know one another's counts exactly.
 USED_SHARE = 0.7
+# Share for streams that have begun, whose callers would get a cut answer.
+USED_SHARE_BEGUN = 0.85
 MS_PER_S = 1000.0
 
 
@@ -40,13 +42,21 @@
         """Record the first attempt of a request."""
         self._times_in_window(self.first_times, pool).append(self.clock.now_ms())
 
-    def try_take(self, pool):
-        """Return whether a retry may be made, and record it if so."""
+    def try_take(self, pool, has_begun=False):
+        """Return whether a retry may be made, and record it if so.
+
+        Parameters
+        ----------
+        pool : str
+        has_begun : bool
+            Whether the caller has a part of its answer.
+        """
         n_first = len(self._times_in_window(self.first_times, pool))
         retry_times = self._times_in_window(self.retry_times, pool)
         host_slack = self.bounds.retry_slack / max(1, self.n_hosts())
         allowed = self.bounds.retry_ratio * n_first + host_slack
-        if len(retry_times) + 1 > USED_SHARE * allowed:
+        share = USED_SHARE_BEGUN if has_begun else USED_SHARE
+        if len(retry_times) + 1 > share * allowed:
             return False
         retry_times.append(self.clock.now_ms())
         return True
--- a/teaselwall/tests/test_deadlines.py
+++ b/teaselwall/tests/test_deadlines.py
@@ -93,3 +93,17 @@
         await trio.sleep(0.4)
         assert host.platform.stages.live["10.0.3.1:80"]
     assert caller.status == 200
+
+
+async def test_begun_streams_keep_retries_that_other_requests_can_not_use(
+    autojump_clock, application, host, back_ends, monkeypatch
+):
+    """Idempotent requests used up the retries, and broken streams were cut."""
+    monkeypatch.setattr(host.settings.bounds, "retry_ratio", 0.0)
+    monkeypatch.setattr(host.settings.bounds, "retry_slack", 20)
+    while host.forwarder.retries.try_take("llm"):
+        pass
+    back_ends.scripts = [Script(body=[EVENTS[0], BROKEN]), Script(body=EVENTS[1:])]
+    caller = await Caller("/resumed/1").send_request(application)
+    assert (caller.status, caller.ended) == (200, True)
+    assert not host.forwarder.retries.try_take("llm")
