Take no evidence from servers that were to end

A server that leaves may end while requests are in progress there; in a release, one after the other. Such ends say nothing of the requests. The new test failed before.

--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -172,6 +172,9 @@
 
     def _record_broken(self, attempt):
         incarnation = attempt.server.incarnation
+        if attempt.server.leaving:
+            # Its process was to end.
+            return
         if incarnation in self.broken:
             self.broken[incarnation].add(attempt)
         elif incarnation not in self.evidence.crashes and self.nursery is not None:
--- a/teaselwall/tests/test_crashguard.py
+++ b/teaselwall/tests/test_crashguard.py
@@ -162,6 +162,20 @@
     assert not guarded_host.crash_guard.evidence.crashes
 
 
+async def test_planned_end_of_a_server_is_no_evidence(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    """Servers replaced one after the other must not have sound parts refused."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send, guarded_application)
+        await trio.sleep(crashing_engines.HEAD_S)
+        for server in guarded_host.fleet.servers_in_use():
+            server.leaving = True
+    await trio.sleep(0.2)
+    assert len(engines.crashes_s) == 1
+    assert not guarded_host.crash_guard.evidence.crashes
+
+
 async def test_host_that_starts_refuses_what_was_refused_before(
     autojump_clock, nursery, store, engines
 ):
