Close the callers' listener first, then wait for what was read

What callers saw: at a planned stop, a request that was read when the drain ended was passed on and cut after 200 ms without an answer; one that came between the last check and the count of the requests cut was cut at once.

Cause: the drain waited for the requests in flight while the listeners still took new ones, and only then closed the listeners, allowed 200 ms and cancelled everything. A head that was being read did not count as in flight. In the product's own interface (daemon) the same, and there the duties were released in between, which takes the store's time.

Now the listener for callers closes as soon as the addresses that callers keep have lapsed; connections that wait in its queue are accepted first, idle ones are closed unless a request has arrived, and a head that has begun has 0.5 s left. The stop waits, within its limit, until the listener's connections have ended and nothing is in flight, releases the duties, announces that it leaves and waits again. The listening socket itself now closes with the accepting; before, it stayed open and unanswered until the last request. Replies of the own interface ask callers to leave during the drain, as the platform's did.

Not covered: a body that ends just before the limit is passed on and may be cut. In the own interface, Hypercorn closes a connection whose head is half read, and can close one in the same turn of the event loop in which its request is read.

--- a/teaselwall/daemon.py
+++ b/teaselwall/daemon.py
@@ -1,6 +1,7 @@
 """The ``teaselwalld`` program, which runs an entry host."""
 
 import argparse
+import functools
 import logging
 import signal
 import sys
@@ -68,17 +69,20 @@
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_close_listeners, stop, shutdown, nursery.cancel_scope)
-        for app, address in (
-            (callers_app, listen.callers),
-            (host.control, listen.peers),
-        ):
-            nursery.start_soon(
-                listeners.serve,
-                app,
-                address,
-                shutdown,
-                trio.TASK_STATUS_IGNORED,
-            )
+        serve_callers = functools.partial(
+            listeners.serve,
+            listeners.closing(callers_app, stop.requested.is_set),
+            listen.callers,
+            task_status=trio.TASK_STATUS_IGNORED,
+        )
+        nursery.start_soon(stop.run_listener, serve_callers)
+        nursery.start_soon(
+            listeners.serve,
+            host.control,
+            listen.peers,
+            shutdown,
+            trio.TASK_STATUS_IGNORED,
+        )
 
 
 async def _close_listeners(stop, shutdown, cancel_scope):
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -149,8 +149,8 @@
         host.platform.readiness_path,
         host.platform.encode_address_answer,
     )
+    callers = httpserver.Server(gateway_application, listen.callers, CONNECTION_IDLE_S)
     applications = {
-        listen.callers: gateway_application,
         listen.readiness: directory_application,
         listen.directory: directory_application,
         listen.metrics: directory_application,
@@ -158,6 +158,7 @@
     }
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop.run_listener, callers.run)
         for address, application in applications.items():
             server = httpserver.Server(application, address, CONNECTION_IDLE_S)
             nursery.start_soon(server.run, shutdown)
--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -4,7 +4,7 @@
 processor time of a request is a small part of that under a general ASGI server.
 """
 
-import errno
+import functools
 import logging
 import socket
 import struct
@@ -13,14 +13,16 @@
 import h11
 import trio
 
-from teaselwall import events, sockets
+from teaselwall import acceptors, events, sockets
 
 logger = logging.getLogger(__name__)
 
-ACCEPT_BACKLOG = 1024
 MAX_HEAD_BYTES = 16 * 1024
 # Time from the first byte of a request's head to its last.
 HEAD_TIMEOUT_S = 15.0
+# The same from the time at which the server closes: the request has to end as well
+# before the process does.
+CLOSING_HEAD_TIMEOUT_S = 0.5
 # Time for the next bytes of a body, and for a caller to take the bytes sent.
 BODY_TIMEOUT_S = 10.0
 SEND_TIMEOUT_S = 10.0
@@ -29,10 +31,6 @@
 LINGER_S = 1.0
 # Bytes of further requests that are read while one is in progress.
 MAX_PIPELINED_BYTES = 64 * 1024
-# Pause after an accept failed, such as for want of descriptors.
-ACCEPT_PAUSE_S = 0.05
-# Errors of accept that concern a single connection.
-ABORTED_ERRNOS = (errno.ECONNABORTED, errno.EPROTO, errno.EPERM)
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -76,29 +74,15 @@
         ----------
         shutdown : trio.Event
         """
-        with _listen(self.address) as listener:
-            async with trio.open_nursery() as nursery:
-                async with trio.open_nursery() as accepting:
-                    accepting.start_soon(self._accept, listener, nursery)
-                    await shutdown.wait()
-                    accepting.cancel_scope.cancel()
-                self.closing = True
-                for connection in self.connections:
-                    connection.close_if_idle()
-
-    async def _accept(self, listener, nursery):
-        while True:
-            await trio.lowlevel.wait_readable(listener)
-            try:
-                sock, _ = listener.accept()
-            except (BlockingIOError, InterruptedError):
-                continue
-            except OSError as error:
-                events.log(logger, logging.WARNING, "accept_failed", detail=str(error))
-                if error.errno not in ABORTED_ERRNOS:
-                    await trio.sleep(ACCEPT_PAUSE_S)
-                continue
-            nursery.start_soon(self._handle, sock)
+        async with trio.open_nursery() as nursery:
+            await acceptors.run(
+                self.address,
+                functools.partial(nursery.start_soon, self._handle),
+                shutdown,
+            )
+            self.closing = True
+            for connection in self.connections:
+                connection.close_if_idle()
 
     async def _handle(self, sock):
         """Serve one connection; an exception ends this connection only."""
@@ -129,6 +113,8 @@
     protocol : h11.Connection
     idle_scope : trio.CancelScope or None
         Set while the connection waits for a request.
+    head_scope : trio.CancelScope or None
+        Set while the rest of a request's head is read.
     caller_gone : bool
         Whether the caller has closed its end.
     method : bytes
@@ -142,6 +128,7 @@
         "stream",
         "protocol",
         "idle_scope",
+        "head_scope",
         "caller_gone",
         "method",
         "head",
@@ -154,6 +141,7 @@
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.idle_scope = None
+        self.head_scope = None
         self.caller_gone = False
         self.method = b""
         self.head = None
@@ -161,9 +149,8 @@
     async def run(self):
         """Serve the requests of the connection, one after the other."""
         try:
-            is_open = True
-            while is_open and not self.server.closing:
-                is_open = await self._serve_one()
+            while await self._serve_one():
+                pass
         except BaseException:
             if self._ends_body_by_close():
                 # Otherwise the cut reply would look complete.
@@ -173,9 +160,12 @@
             self.stream.close()
 
     def close_if_idle(self):
-        """Close the connection if it waits for a request."""
+        """Close the connection if it waits for a request, or soon for its head."""
         if self.idle_scope is not None:
             self.idle_scope.cancel()
+        if self.head_scope is not None:
+            limit_s = trio.current_time() + CLOSING_HEAD_TIMEOUT_S
+            self.head_scope.deadline = min(self.head_scope.deadline, limit_s)
 
     async def _serve_one(self):
         """Serve the next request; return whether another may follow."""
@@ -203,17 +193,29 @@
                 return None
             event = self.protocol.next_event()
         if event is h11.NEED_DATA:
-            with trio.move_on_after(HEAD_TIMEOUT_S):
-                while event is h11.NEED_DATA:
-                    self.protocol.receive_data(await self.stream.receive())
-                    event = self.protocol.next_event()
+            event = await self._read_rest_of_head()
         return event if isinstance(event, h11.Request) else None
 
+    async def _read_rest_of_head(self):
+        event = h11.NEED_DATA
+        limit_s = CLOSING_HEAD_TIMEOUT_S if self.server.closing else HEAD_TIMEOUT_S
+        with trio.move_on_after(limit_s) as self.head_scope:
+            while event is h11.NEED_DATA:
+                self.protocol.receive_data(await self.stream.receive())
+                event = self.protocol.next_event()
+        self.head_scope = None
+        return event
+
     async def _wait_for_request(self):
-        data = b""
-        with trio.move_on_after(self.server.idle_s) as self.idle_scope:
-            data = await self.stream.receive()
-        self.idle_scope = None
+        """Receive the first bytes of a request; return whether there are any."""
+        data = None
+        if not self.server.closing:
+            with trio.move_on_after(self.server.idle_s) as self.idle_scope:
+                data = await self.stream.receive()
+            self.idle_scope = None
+        if data is None:
+            # A request may have arrived since the connection was found idle.
+            data = self.stream.receive_now()
         if data:
             self.protocol.receive_data(data)
         return bool(data)
@@ -351,18 +353,6 @@
             )
 
 
-def _listen(address):
-    """Return a listening socket."""
-    host, _, port = address.rpartition(":")
-    family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host.strip("[]"), int(port)))
-    sock.setblocking(False)
-    sock.listen(ACCEPT_BACKLOG)
-    return sock
-
-
 def _scope(request):
     """Return the ASGI scope of a request."""
     path, _, query = request.target.partition(b"?")
--- a/teaselwall/listeners.py
+++ b/teaselwall/listeners.py
@@ -100,6 +100,29 @@
         connections.cancel_scope.deadline = trio.current_time() + SHUTDOWN_GRACE_S
 
 
+def closing(application, is_closing):
+    """Return an ASGI application whose replies may end their connections.
+
+    Parameters
+    ----------
+    application : callable
+        ASGI application.
+    is_closing : callable
+        ``is_closing()`` returns whether callers are asked to leave.
+    """
+
+    async def serve_request(scope, receive, send):
+        async def send_closing(message):
+            if message["type"] == "http.response.start" and is_closing():
+                headers = [*message["headers"], (b"connection", b"close")]
+                message = message | {"headers": headers}
+            await send(message)
+
+        await application(scope, receive, send_closing)
+
+    return serve_request
+
+
 def _config(address, keep_alive_s):
     config = hypercorn_config.Config()
     config.bind = [address]
--- a/teaselwall/stops.py
+++ b/teaselwall/stops.py
@@ -39,6 +39,10 @@
         Set when the stop is requested.
     forced : trio.Event
         Set at a second request, which ends the drain at once.
+    closing : trio.Event
+        Set once no new caller is expected; the listeners for callers then close.
+    n_listeners : int
+        Listeners for callers that have not closed yet.
     n_cut : int
         Requests still in flight when the drain ended.
     """
@@ -53,6 +57,8 @@
         "release_calls",
         "requested",
         "forced",
+        "closing",
+        "n_listeners",
         "n_cut",
     )
 
@@ -66,6 +72,8 @@
         self.release_calls = []
         self.requested = trio.Event()
         self.forced = trio.Event()
+        self.closing = trio.Event()
+        self.n_listeners = 0
         self.n_cut = 0
 
     def request(self):
@@ -79,6 +87,19 @@
         self.requested.set()
         return {"draining": True, "n_in_flight": self.n_in_flight()}
 
+    async def run_listener(self, serve):
+        """Serve callers until the drain has closed the listener and its connections.
+
+        Parameters
+        ----------
+        serve : callable
+            ``await serve(closing)`` accepts no connection once ``closing`` is set and
+            returns when the requests that it has read are answered.
+        """
+        self.n_listeners += 1
+        await serve(self.closing)
+        self.n_listeners -= 1
+
     async def run(self):
         """Wait for a request, drain the host, and return when listeners may close."""
         await self.requested.wait()
@@ -86,6 +107,7 @@
         events.log(logger, logging.INFO, "draining", n_in_flight=self.n_in_flight())
         with self.clock.timeout_ms(self.limit_ms):
             await self._until_forced(self._drain)
+        self.closing.set()
         self.n_cut = self.n_in_flight()
         level = logging.WARNING if self.n_cut else logging.INFO
         events.log(logger, level, "drained", n_cut=self.n_cut)
@@ -101,14 +123,25 @@
         scope.cancel()
 
     async def _drain(self):
-        """Serve until no caller is sent here and no request is left; hand over."""
+        """Serve until no caller is sent here and no request is left; hand over.
+
+        The listeners close before the last request has ended: a request that is taken
+        while a long one ends may have too little time left itself.
+        """
         await self.gossip.announce()
         await self.clock.sleep_ms(self._answer_expiry_ms())
-        while self.n_in_flight():
-            await self.clock.sleep_ms(POLL_MS)
+        self.closing.set()
+        events.log(logger, logging.INFO, "closing", n_in_flight=self.n_in_flight())
+        await self._wait_until_idle()
         for release_call in self.release_calls:
             await release_call()
         await self.gossip.announce(leaving=True)
+        # Peers may have sent stage work until they were told.
+        await self._wait_until_idle()
+
+    async def _wait_until_idle(self):
+        while self.n_listeners or self.n_in_flight():
+            await self.clock.sleep_ms(POLL_MS)
 
     def _answer_expiry_ms(self):
         """Return for how long, in ms, callers may still be sent to this host.
--- a/teaselwall/tests/test_http.py
+++ b/teaselwall/tests/test_http.py
@@ -124,6 +124,24 @@
         assert b"abc" in await exchange(server.address, REQUEST, until=b"abc")
 
 
+async def test_requests_on_connections_not_accepted_yet_are_answered_at_a_stop(nursery):
+    """Guards against a stop under load that resets the connections that wait."""
+    shutdown = trio.Event()
+    running = httpserver.Server(application, free_address(), 60.0)
+    nursery.start_soon(running.run, shutdown)
+    await trio.testing.wait_all_tasks_blocked()
+    host, _, port = running.address.rpartition(":")
+    # Blocking calls, so that the server does not run in between.
+    waiting = [socket.create_connection((host, int(port))) for _ in range(5)]
+    for sock in waiting:
+        sock.sendall(REQUEST)
+    shutdown.set()
+    for sock in waiting:
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+        async with stream:
+            assert b"abc" in await stream.receive_some()
+
+
 async def test_a_stop_lets_requests_end_and_closes_idle_connections(nursery):
     release = trio.Event()
 
