Keep the call to a coordinator that seems lost while another is asked

What callers saw: a request whose coordinator's datagrams were lost for about a second was refused, although the coordinator was sound and would have returned the stage results.

Cause: `Coordination._cancel_if_lost` cancelled the call as soon as the coordinator had left four probes unanswered or was no live member. The coordinator drops a job whose caller has gone, so the running stages were thrown away before it was known that the next coordinator could take the job; if that refused it, the caller was refused.

Now `submissions.Submission` runs the calls of one job. A coordinator that seems lost is replaced as soon as before, but its call stays open. The first results count; all other coordinators asked are told to release the job, by address, so that a process that has been started again keeps the job that counts. A refusal ends the asking, and is returned when no call in progress may still bring results: a coordinator that has seemed lost for a second is not waited for. `stages_answered` logs which answer counted where several were asked.

That a dead coordinator is replaced in time is checked by the tests that existed, unchanged, and by one more for a refusal behind it.

The price: where a coordinator is sound but not heard, the stages of its jobs run twice until the first results; where it is dead and the next one refuses, the refusal is one second later than before.

--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -2,32 +2,18 @@
 
 import logging
 
-import expression
-import msgspec
 import trio
 import xxhash
 
-from teaselwall import control, errors, events
+from teaselwall import control, events, submissions
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
-RUN_PATH = "/peer/stages/run"
-# Errors after which the coordinator counts as lost. A timeout is not among them: the
-# call may have had too little time.
-_LOST_ERRORS = (errors.ConnectRefused, errors.ConnectionBroken)
-# About the least interval between probes of a peer.
-LIVENESS_CHECK_MS = 260.0
-# One attempt each at the coordinator, the next two hosts and one more host.
-MAX_ATTEMPTS = 4
-RETRY_DELAY_MS = 50.0
 # How often a host with stage work checks that it is the coordinator, and for how long
 # another host must have been before jobs are handed over.
 HAND_OVER_CHECK_MS = 100.0
 ROLE_LOSS_MS = 250.0
-# Time after the results were due at which the coordinator is called for them again
-# over a new connection, because an open connection may stop answering.
-SECOND_CALL_DELAY_MS = 700.0
 # Backlogs of other hosts are known with a delay of about a second. If a coordinator's
 # backlog exceeds another coordinator's by more than SPILL_FROM_MS, a share of its
 # requests goes to the other one. The share grows over SPILL_RANGE_MS to at most half,
@@ -93,7 +79,7 @@
         ----------
         interface : control.Control
         """
-        interface.add(RUN_PATH, self._handle_run, cancel_on_disconnect=True)
+        interface.add(submissions.RUN_PATH, self._handle_run, cancel_on_disconnect=True)
         self.gossip.on_release = lambda r: self.stage_work.release(r.request, r.run)
 
     async def run(self):
@@ -186,89 +172,25 @@
             ``(messages.StageResults, callable)``; the callable releases the results at
             the coordinator.
         """
-        started_ms = self.clock.now_ms()
-        result = None
-        for attempt in range(MAX_ATTEMPTS):
-            if attempt:
-                await self.clock.sleep_ms(RETRY_DELAY_MS)
-            coordinator = self.coordinator_for(message)
-            elapsed_ms = self.clock.now_ms() - started_ms
-            updated = msgspec.structs.replace(
-                message,
-                remaining_ms=message.remaining_ms - elapsed_ms,
-                due_ms=message.due_ms - elapsed_ms,
-            )
-            if updated.remaining_ms <= 0:
-                break
-            result = await self._submit(coordinator, updated)
-            if result.is_ok() or not isinstance(result.error, errors.TransportError):
-                break
-            if isinstance(result.error, _LOST_ERRORS):
-                self.gossip.record_lost(coordinator.address)
-            events.log(
-                logger,
-                logging.WARNING,
-                "coordinator_lost",
-                request=message.request,
-                peer=coordinator.address,
-                attempt=attempt + 1,
-                elapsed_ms=round(self.clock.now_ms() - started_ms),
-                detail=str(result.error),
-            )
-        if result is None or _is_transport_error(result):
-            detail = "No coordinator returned the results of the stages in time."
-            return expression.Error(errors.Unavailable(detail))
+        submission = submissions.Submission(self, message)
+        result = await submission.run()
         return result.map(
-            lambda reply: (reply, lambda: self._release(coordinator, message))
-        )
-
-    async def _submit(self, coordinator, message):
-        if coordinator is self.membership.me:
-            result = await self.stage_work.submit(message)
-            return result.map(_results)
-        result = expression.Error(
-            errors.TransportError(
-                "The coordinator stopped answering or left the membership."
-            )
+            lambda results: (results, lambda: self.release(submission.winner, message))
         )
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_if_lost, coordinator, nursery.cancel_scope)
-            result = await self._call_peer(coordinator, message)
-            nursery.cancel_scope.cancel()
-        return result
-
-    async def _call_peer(self, coordinator, message):
-        """Call a peer; if the results are late, call it again in parallel."""
-        results = []
-        async with trio.open_nursery() as nursery:
 
-            async def ask(delay_ms):
-                await self.clock.sleep_ms(delay_ms)
-                timeout_ms = message.remaining_ms - delay_ms
-                result = await self.peers.call(
-                    coordinator.address, RUN_PATH, message, timeout_ms, fresh=True
-                )
-                results.append(result)
-                nursery.cancel_scope.cancel()
-
-            nursery.start_soon(ask, 0.0)
-            second_call_ms = max(0.0, message.due_ms) + SECOND_CALL_DELAY_MS
-            if second_call_ms < message.remaining_ms:
-                nursery.start_soon(ask, second_call_ms)
-        return results[0].map(
-            lambda reply: msgspec.convert(reply, messages.StageResults)
-        )
+    async def submit_here(self, message):
+        """Have this host run the stages of a request.
 
-    async def _cancel_if_lost(self, coordinator, cancel_scope):
-        """Cancel a call once the coordinator has left or does not answer probes."""
-        while self.membership.is_member(coordinator.nonce):
-            await self.gossip.probe(coordinator.address)
-            if self.gossip.is_silent(coordinator.address):
-                break
-            await self.clock.sleep_ms(LIVENESS_CHECK_MS)
-        cancel_scope.cancel()
+        Returns
+        -------
+        expression.Result
+            ``messages.StageResults``.
+        """
+        result = await self.stage_work.submit(message)
+        return result.map(_results)
 
-    def _release(self, coordinator, message):
+    def release(self, coordinator, message):
+        """Have a coordinator end a request's job and free its results."""
         if coordinator is self.membership.me:
             self.stage_work.release(message.request, message.run)
         elif self.nursery is not None:
@@ -276,10 +198,10 @@
             self.nursery.start_soon(self.gossip.release, coordinator.address, release)
 
     async def _handle_run(self, message):
-        result = await self.stage_work.submit(control.read(message, messages.StageJob))
+        result = await self.submit_here(control.read(message, messages.StageJob))
         if result.is_error():
             raise result.error
-        return _results(result.ok)
+        return result.ok
 
 
 def group_name(group):
@@ -303,7 +225,3 @@
 def _request_fraction(request):
     """Return a number from 0 to 1 that is the same for a request on every host."""
     return xxhash.xxh32_intdigest(request.encode()) / (1 << 32)
-
-
-def _is_transport_error(result):
-    return result.is_error() and isinstance(result.error, errors.TransportError)
--- a/teaselwall/tests/test_coordination.py
+++ b/teaselwall/tests/test_coordination.py
@@ -29,6 +29,8 @@
         Addresses of hosts without connectivity; calls to them hang.
     stopped : set of str
         Addresses of stopped hosts; connections to them are refused.
+    muted : set of str
+        Addresses of hosts whose datagrams are lost; calls to them work.
     hosts : dict of str to Host
         By address.
     n_datagrams : collections.Counter
@@ -39,6 +41,7 @@
         self.hosts = {}
         self.isolated = set()
         self.stopped = set()
+        self.muted = set()
         self.n_datagrams = collections.Counter()
 
     def reaches(self, sender, receiver):
@@ -55,6 +58,8 @@
         receiver = f"{receiver[0]}:{receiver[1]}"
         self.network.n_datagrams[self.address] += 1
         await trio.lowlevel.checkpoint()
+        if self.address in self.network.muted:
+            return
         if self.network.reaches(self.address, receiver):
             host = self.network.hosts.get(receiver)
             if host is not None:
@@ -102,10 +107,19 @@
 
 
 class Work:
-    """Stage work that takes 400 ms and returns the address of its host."""
+    """Stage work that returns the address of its host.
+
+    Attributes
+    ----------
+    duration_s : float
+    error : errors.Error or None
+        Returned in place of the results.
+    """
 
     def __init__(self, address):
         self.address = address
+        self.duration_s = 0.4
+        self.error = None
         self.n_submitted = 0
         self.released = []
         self.job_submitted = trio.Event()
@@ -115,7 +129,9 @@
 
     async def submit(self, message):
         self.n_submitted += 1
-        await trio.sleep(0.4)
+        await trio.sleep(self.duration_s)
+        if self.error is not None:
+            return expression.Error(self.error)
         return expression.Ok([self.address])
 
 
@@ -325,6 +341,81 @@
     assert coordinator_of(await run_stages(hosts[3])) == "10.0.0.2:1"
 
 
+async def run_while_muted(hosts, network, silence_s):
+    """Have a host submit a job while the coordinator's datagrams are lost."""
+    for host in hosts:
+        host.coordination.register(Interface())
+    results = []
+
+    async def ask():
+        message = job("j", stage("encode", 1), remaining_ms=4000.0, due_ms=2000.0)
+        results.append(await hosts[3].coordination.run_stages(message))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(hosts[3].coordination.run)
+        async with trio.open_nursery() as asking:
+            asking.start_soon(ask)
+            await trio.sleep(0.05)
+            network.muted.add("10.0.0.1:1")
+            await trio.sleep(silence_s)
+            network.muted.clear()
+        await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    return results[0]
+
+
+@pytest.mark.parametrize(("silence_s", "n_submitted"), [(0.8, 1), (1.3, 2)])
+async def test_a_coordinator_without_datagrams_for_a_second_returns_its_results(
+    autojump_clock, hosts, network, silence_s, n_submitted
+):
+    """Guards against a call given up for a coordinator that then refuses the job."""
+    hosts[0].stage_work.duration_s = 1.8
+    for host in hosts[1:]:
+        host.stage_work.duration_s = 0.0
+        host.stage_work.error = errors.Overloaded("too late")
+    result = await run_while_muted(hosts, network, silence_s)
+    assert coordinator_of(result) == "10.0.0.1:1"
+    assert sum(host.stage_work.n_submitted for host in hosts) == n_submitted
+
+
+async def test_the_first_results_count_and_the_other_job_is_released(
+    autojump_clock, hosts, network
+):
+    """Guards against results that nobody frees and jobs that run twice to the end."""
+    hosts[0].stage_work.duration_s = 3.0
+    started_s = trio.current_time()
+    result = await run_while_muted(hosts, network, 1.6)
+    assert coordinator_of(result) == "10.0.0.2:1"
+    assert trio.current_time() - started_s < 1.9
+    assert [host.stage_work.n_submitted for host in hosts[:2]] == [1, 1]
+    assert hosts[0].stage_work.released == [("j", 0)]
+    assert not hosts[1].stage_work.released
+
+
+async def test_a_dead_coordinator_does_not_delay_a_refusal_for_long(
+    autojump_clock, hosts, network
+):
+    for host in hosts[1:]:
+        host.stage_work.error = errors.Overloaded("no time", retry_after_ms=40.0)
+    network.isolated.add("10.0.0.1:1")
+    started_s = trio.current_time()
+    message = job("j", stage("encode", 1), remaining_ms=8000.0)
+    result = await hosts[3].coordination.run_stages(message)
+    assert result.is_error() and result.error.retry_after_ms == 40.0
+    assert trio.current_time() - started_s < 2.6
+
+
+async def test_a_refusal_of_a_coordinator_in_touch_is_returned_at_once(
+    autojump_clock, hosts
+):
+    hosts[0].stage_work.error = errors.Overloaded("no time", retry_after_ms=40.0)
+    started_s = trio.current_time()
+    result = await run_stages(hosts[3])
+    assert result.is_error() and result.error.retry_after_ms == 40.0
+    assert trio.current_time() - started_s < 0.5
+    assert not any(host.stage_work.n_submitted for host in hosts[1:])
+
+
 async def test_an_unreadable_datagram_is_ignored(autojump_clock, hosts):
     await hosts[0].gossip._process(b"\xff")
     await hosts[0].gossip._process(json.dumps({"sender": 3}).encode())
