Let a failed call to a coordinator leave the other one in progress

Where results are late, the coordinator is called for them a second time over a new connection. If that call failed, or the first one did while the second was in progress, the pair ended with the error and the results that were still coming were thrown away.

Cause: `_call_peer` ended with whichever call returned first, whatever it returned.

Now results end the pair, and an error only if no other call is in progress. A first call that fails before the second was made still ends the pair at once, so a coordinator that was stopped is replaced as soon as before; a call that hangs is ended by `Submission._watch`.

Evidence: with the parent's `_call_peer` the new test makes a third call, to the next coordinator, in both cases (`IndexError: pop from empty list` in the calls it has).

--- a/teaselwall/submissions.py
+++ b/teaselwall/submissions.py
@@ -206,26 +206,33 @@
             await self.clock.sleep_ms(LIVENESS_CHECK_MS)
 
     async def _call_peer(self, coordinator, message):
-        """Call a peer; if the results are late, call it again in parallel."""
+        """Call a peer; if the results are late, call it again in parallel.
+
+        Results end both calls, and an error only if no other call is in progress.
+        """
         results = []
+        n_open = 0
         async with trio.open_nursery() as nursery:
 
             async def ask(delay_ms):
+                nonlocal n_open
                 await self.clock.sleep_ms(delay_ms)
+                n_open += 1
                 timeout_ms = message.remaining_ms - delay_ms
                 result = await self.coordination.peers.call(
                     coordinator.address, RUN_PATH, message, timeout_ms, fresh=True
                 )
+                n_open -= 1
                 results.append(result)
-                nursery.cancel_scope.cancel()
+                if result.is_ok() or not n_open:
+                    nursery.cancel_scope.cancel()
 
             nursery.start_soon(ask, 0.0)
             second_call_ms = max(0.0, message.due_ms) + SECOND_CALL_DELAY_MS
             if second_call_ms < message.remaining_ms:
                 nursery.start_soon(ask, second_call_ms)
-        return results[0].map(
-            lambda reply: msgspec.convert(reply, messages.StageResults)
-        )
+        result = next((r for r in results if r.is_ok()), results[-1])
+        return result.map(lambda reply: msgspec.convert(reply, messages.StageResults))
 
     def _log_answered(self):
         events.log(
--- a/teaselwall/tests/test_coordination.py
+++ b/teaselwall/tests/test_coordination.py
@@ -416,6 +416,54 @@
     assert not any(host.stage_work.n_submitted for host in hosts[1:])
 
 
+class SlowPeers:
+    """Peers of which each call takes a given time and has a given result.
+
+    Parameters
+    ----------
+    calls : list of (float, expression.Result)
+        Time in s and result of each call.
+    """
+
+    def __init__(self, calls):
+        self.calls = calls
+
+    async def call(self, address, path, message, timeout_ms, fresh=False):
+        duration_s, result = self.calls.pop(0)
+        await trio.sleep(duration_s)
+        return result
+
+
+ANSWERED = expression.Ok({"handles": ["10.0.0.1:1"], "data_centre": "a"})
+TIMED_OUT = expression.Error(errors.ConnectFailed("timed out"))
+BROKEN = expression.Error(errors.ConnectionBroken("reset"))
+
+
+@pytest.mark.parametrize(
+    "calls", [[(1.4, ANSWERED), (0.3, TIMED_OUT)], [(1.1, BROKEN), (0.5, ANSWERED)]]
+)
+async def test_a_failed_call_does_not_end_the_other_call_to_its_coordinator(
+    autojump_clock, hosts, calls
+):
+    """Guards against results thrown away while they are on their way."""
+    hosts[3].coordination.peers = SlowPeers(calls)
+    message = job("j", stage("encode", 1), remaining_ms=3000.0, due_ms=300.0)
+    assert coordinator_of(await hosts[3].coordination.run_stages(message))
+    assert not calls
+
+
+async def test_a_call_that_fails_early_is_not_repeated_at_its_coordinator(
+    autojump_clock, hosts, network
+):
+    """Guards against a stopped coordinator that is asked a second time, late."""
+    network.stopped.add("10.0.0.1:1")
+    started_s = trio.current_time()
+    message = job("j", stage("encode", 1), remaining_ms=3000.0, due_ms=300.0)
+    result = await hosts[3].coordination.run_stages(message)
+    assert coordinator_of(result) == "10.0.0.2:1"
+    assert trio.current_time() - started_s < 0.6
+
+
 async def test_an_unreadable_datagram_is_ignored(autojump_clock, hosts):
     await hosts[0].gossip._process(b"\xff")
     await hosts[0].gossip._process(json.dumps({"sender": 3}).encode())
