End jobs of stage work whose pool is not configured any more

Cause: `_assign_batches` returns where a pool has no limits, and nothing else looks at the pieces that wait there. Only new jobs were refused for a pool that is not configured.

Now the periodic check, each 40 ms, ends the jobs that still need such a pool as not run (Unavailable, with a Retry-After, which the refusal of new jobs lacked as well). Pieces that are in a call at one of its servers may go on; if that call fails, the next check ends the job. Their places in the pool's queue are given up too.

Evidence: with the parent's modules the three new tests fail: the waiting jobs end with `Overloaded('The stage pools have too long a backlog...')` long after, the job whose call failed is still there, and the caller gets `429 == 503`.

--- a/teaselwall/stageadmission.py
+++ b/teaselwall/stageadmission.py
@@ -1,4 +1,4 @@
-"""Decides which jobs of stage work are refused because they can't finish in time."""
+"""Decides which jobs of stage work are refused because they can't finish."""
 
 from teaselwall import errors
 
@@ -7,6 +7,8 @@
 # Callers honour a retry-after time of up to a third of their remaining time.
 MAX_RETRY_AFTER_MS = 2000.0
 MIN_RETRY_AFTER_MS = 40.0
+# A caller that comes back after this time finds the route as it is configured then.
+NO_POOL_RETRY_AFTER_MS = 300.0
 # A late job that has not started is refused if WAIT_FACTOR times its wait plus
 # TAIL_FACTOR times its stages' time exceeds its time left: on-time jobs overtake it.
 WAIT_FACTOR = 2.0
@@ -14,7 +16,7 @@
 
 
 class StageAdmission:
-    """Refuses jobs that can't finish in time.
+    """Refuses jobs that can't finish, or not in time.
 
     Parameters
     ----------
@@ -33,7 +35,7 @@
         wait_ms = 0.0
         for stage in job.stages:
             if self.wait_estimates.limits_of(stage.pool) is None:
-                return errors.Unavailable(f"No stage pool {stage.pool} is configured.")
+                return _no_pool(stage.pool)
             pool_wait_ms = self.wait_estimates.wait_ms(stage.pool)
             wait_ms = max(wait_ms, pool_wait_ms, self.fleet.rest_ms(stage.pool))
         stages_ms = max((stage.tail_ms for stage in job.stages), default=0.0)
@@ -46,6 +48,27 @@
         )
         return _overloaded(detail, wait_ms)
 
+    def missing_pools(self, jobs):
+        """Return the names of the jobs' pools that are not configured any more."""
+        pools = {stage.pool for job in jobs for stage in job.stages}
+        return {pool for pool in pools if self.wait_estimates.limits_of(pool) is None}
+
+    def refusal_in_progress(self, job, backlog, missing_pools):
+        """Return the error for a job that can't go on, or None.
+
+        Parameters
+        ----------
+        job : stagejobs.Job
+            A job that has not ended.
+        backlog : backlogs.Backlogs
+        missing_pools : set of str
+            See ``missing_pools``.
+        """
+        for stage in job.stages:
+            if stage.pool in missing_pools and stage.needs_server():
+                return _no_pool(stage.pool)
+        return None if job.started else self.late_refusal(job, backlog)
+
     def late_refusal(self, job, backlog):
         """Return the error for a waiting job that will miss its deadline, or None.
 
@@ -65,6 +88,12 @@
         return _overloaded(detail, wait_ms)
 
 
+def _no_pool(name):
+    return errors.Unavailable(
+        f"No stage pool {name} is configured.", retry_after_ms=NO_POOL_RETRY_AFTER_MS
+    )
+
+
 def _overloaded(detail, wait_ms):
     retry_after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
     return errors.Overloaded(detail, retry_after_ms=retry_after_ms)
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -186,6 +186,10 @@
         """Return whether every piece has a result."""
         return not self.n_missing
 
+    def needs_server(self):
+        """Return whether a piece has neither a result nor a call in progress."""
+        return any(not piece.handle and not piece.running for piece in self.pieces)
+
     def ready(self):
         """Return whether all its inputs are available."""
         return all(source.done() for source in self.sources)
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -189,13 +189,16 @@
                 await self.job_submitted.wait()
             await self.clock.sleep_ms(RECHECK_MS)
             backlog = self._backlogs()
+            missing_pools = self.admission.missing_pools(self.jobs.values())
             for job in list(self.jobs.values()):
                 if job.remaining_ms() < (
                     0 if job.ended() else stageadmission.MIN_MARGIN_MS
                 ):
                     self._expire(job)
-                elif not job.started and not job.ended():
-                    refused = self.admission.late_refusal(job, backlog)
+                elif not job.ended():
+                    refused = self.admission.refusal_in_progress(
+                        job, backlog, missing_pools
+                    )
                     if refused is not None:
                         self._end(job, refused)
             if any(queue.pieces for queue in self.queues.values()):
@@ -223,7 +226,11 @@
         """Send batches to the available servers of a pool."""
         queue = self.queues[pool]
         limits = self.wait_estimates.limits_of(pool)
-        if not queue.pieces or limits is None:
+        if not queue.pieces:
+            return
+        if limits is None:
+            # Drops the pieces of the jobs that were ended for this.
+            queue.sort(backlog)
             return
         states = self._states_of(pool, limits)
         available = [state for state in states if state.is_available()]
--- a/teaselwall/tests/test_stagework.py
+++ b/teaselwall/tests/test_stagework.py
@@ -1,3 +1,5 @@
+import json
+
 import expression
 import pytest
 import trio
@@ -14,7 +16,7 @@
     stagework,
 )
 from teaselwall.generated import messages
-from teaselwall.tests import fake_stages
+from teaselwall.tests import fake_stages, platform_entry
 
 
 def entry(address, pool, data_centre="a"):
@@ -313,3 +315,79 @@
     await submit_all(work, jobs)
     ranked_at = {address for address, items in servers.calls if items[0].stage == 1}
     assert ranked_at == {"r2"}
+
+
+async def test_jobs_that_wait_for_a_pool_that_is_gone_end_at_once(
+    autojump_clock, work, servers, monkeypatch
+):
+    """Guards against jobs that wait until they expire for a pool that has gone."""
+    servers.slowdown["r1"] = 5.0
+    results = {}
+
+    async def submit(message):
+        result = await work.submit(message)
+        results[message.request] = (result, trio.current_time())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(submit, job("runs there", stage("rank", 1)))
+        await trio.sleep(0.05)
+        nursery.start_soon(submit, job("waits", stage("rank", 1)))
+        later = job("runs before", stage("encode", 1), stage("rank", 1, [0]))
+        nursery.start_soon(submit, later)
+        await trio.sleep(0.05)
+        monkeypatch.delitem(fake_stages.LIMITS, "rank")
+        gone_s = trio.current_time()
+    assert results["runs there"][0].is_ok()
+    for name in ("waits", "runs before"):
+        result, ended_s = results[name]
+        assert isinstance(result.error, errors.Unavailable)
+        assert result.error.outcome is errors.Outcome.NOT_RUN
+        assert result.error.retry_after_ms > 0
+        assert ended_s - gone_s < 0.1
+    await trio.sleep(0.1)
+    assert not work.queues["rank"].pieces
+
+
+async def test_a_piece_that_fails_where_its_pool_is_gone_ends_its_job(
+    autojump_clock, work, servers, monkeypatch
+):
+    lost = errors.TransportError("lost", outcome=errors.Outcome.UNKNOWN)
+    servers.answers["r1"] = [expression.Error(lost)]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(submit_all, work, [job("j", stage("rank", 1))])
+        await trio.sleep(0.05)
+        monkeypatch.delitem(fake_stages.LIMITS, "rank")
+        await trio.sleep(0.3)
+        assert not work.jobs
+
+
+async def test_request_whose_stage_pool_is_gone_is_refused_at_once(
+    autojump_clock, application, host, back_ends
+):
+    """Guards against a caller who waits for its answer until its time is over."""
+    back_ends.scripts = [platform_entry.Script(body=[b"id: 1\ndata: x\n\n"])]
+    host.platform.stages.slowdown["10.0.3.1:80"] = 40.0
+    first, second = (
+        platform_entry.Caller(
+            "/continued/1", Pieces="1", Piece_Key="pk", Deadline_Ms="6000", Request_Id=r
+        )
+        for r in ("r1", "r2")
+    )
+    ended_s = []
+
+    async def run(caller):
+        await caller.send_request(application)
+        ended_s.append(trio.current_time())
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(run, first)
+        await trio.sleep(0.1)
+        nursery.start_soon(run, second)
+        await trio.sleep(0.1)
+        smaller = platform_entry.CONFIG | {"version": 7, "routes": [], "services": []}
+        host.operator_state.replace({"config": json.dumps(smaller).encode()})
+        gone_s = trio.current_time()
+    assert first.status == 200
+    assert second.status == 503
+    assert dict(second.headers)[b"retry-after"]
+    assert ended_s[0] - gone_s < 0.1
