Keep signals that arrive during the start until they can be handled

A SIGHUP while a process started, beside a change of the settings, ended it with status -1, and a SIGTERM with -15.

Cause: until trio's receiver for signals is open, Python's defaults are in force, and the modules that are loaded before take most of the start.

Now the platform's program records both signals before it loads them (`earlysignals`). They are handled once the receiver is open, as SIGHUP may concern settings that were read before it came; ignoring it would leave them unread. A SIGTERM that has come by the time the settings are read ends the process with status 0, as no other process knows of it. `teaselwalld`, which does not handle SIGHUP at any time, records SIGTERM from the first line of its `main`; its modules are loaded before that.

--- a/teaselwall/daemon.py
+++ b/teaselwall/daemon.py
@@ -8,13 +8,23 @@
 
 import trio
 
-from teaselwall import application, events, hosts, listeners, settings, stops
+from teaselwall import (
+    application,
+    earlysignals,
+    events,
+    hosts,
+    listeners,
+    settings,
+    stops,
+)
 
 logger = logging.getLogger(__name__)
 
 
 def main(argv=None):
     """Run an entry host until it is asked to stop; return the exit status."""
+    if argv is None:
+        earlysignals.record(signal.SIGTERM)
     parser = argparse.ArgumentParser(prog="teaselwalld", description=__doc__)
     parser.add_argument("settings", help="settings file (TOML)")
     arguments = parser.parse_args(argv)
@@ -95,6 +105,8 @@
 
 async def _request_stop_on_signal(stop):
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        for _ in earlysignals.take():
+            stop.request()
         async for _ in signals:
             stop.request()
 
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -12,6 +12,7 @@
 
 from teaselwall import (
     directories,
+    earlysignals,
     entry,
     events,
     gateway,
@@ -84,6 +85,9 @@
     if result.is_error():
         print(f"teaselwalld: {result.error}", file=sys.stderr)
         return stops.EXIT_SETTINGS
+    if signal.SIGTERM in earlysignals.received:
+        # No other process knows of this host yet.
+        return stops.EXIT_OK
     node_settings = result.ok
     sink = logsinks.Sink(
         sys.stdout.fileno(),
@@ -172,11 +176,17 @@
 async def _handle_signals(host, path):
     handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*handled) as signals:
+        for number in earlysignals.take():
+            _handle_signal(host, path, number)
         async for number in signals:
-            if number == signal.SIGHUP:
-                reload(host, path)
-            else:
-                host.stop.request()
+            _handle_signal(host, path, number)
+
+
+def _handle_signal(host, path, number):
+    if number == signal.SIGHUP:
+        reload(host, path)
+    else:
+        host.stop.request()
 
 
 def reload(host, path):
