Bound the event of a stream, and search each of its bytes once

What callers saw: a server that sends an event without end held its caller until the deadline, kept all its bytes in memory and took the whole processor, as each new part was joined to the rest and searched from its beginning, three times over.

Cause: EventSplitter.partial had no bound and feed searched all of it.

Now an event of more than 256 KiB that has not ended raises EventTooLarge, a ServerFailed of unknown outcome, out of the reading: the connection closes, and the request goes on elsewhere after the last whole event where its route allows that. Events that end in the same part are passed on first, so that the id to resume from is never ahead of the caller. Only new bytes and the last three before them are searched.

--- a/teaselwall/sse.py
+++ b/teaselwall/sse.py
@@ -1,7 +1,16 @@
 """Splits a byte stream of server-sent events into events."""
 
+from teaselwall import errors
+
 # A blank line ends an event, with any of the three line ends of the format.
 SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+# Bytes of a separator that may have arrived before its last byte.
+MAX_OVERLAP_BYTES = max(len(separator) for separator in SEPARATORS) - 1
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class EventTooLarge(errors.ServerFailed):
+    """A server sends an event that does not end within ``MAX_EVENT_BYTES``."""
 
 
 class EventSplitter:
@@ -27,13 +36,25 @@
         self.last_id = last_id
 
     def feed(self, data):
-        """Add bytes; return the bytes of all events that are complete now."""
-        partial = self.partial + data
-        end = max(_end_after(partial, separator) for separator in SEPARATORS)
-        if end <= 0:
-            self.partial = partial
+        """Add bytes; return the bytes of all events that are complete now.
+
+        Raises
+        ------
+        EventTooLarge
+            No event is complete and the partial one exceeds ``MAX_EVENT_BYTES``.
+        """
+        start = 0
+        if self.partial:
+            start = max(0, len(self.partial) - MAX_OVERLAP_BYTES)
+            data = self.partial + data
+        end = _last_end(data, start)
+        if not end:
+            self.partial = data
+            if len(data) > MAX_EVENT_BYTES:
+                detail = f"An event has not ended after {len(data)} bytes."
+                raise EventTooLarge(detail, outcome=errors.Outcome.UNKNOWN)
             return b""
-        complete, self.partial = partial[:end], partial[end:]
+        complete, self.partial = data[:end], data[end:]
         self._record_ids(complete)
         return complete
 
@@ -46,6 +67,13 @@
             self.last_id = line.decode("latin-1").strip()
 
 
-def _end_after(data, separator):
-    position = data.rfind(separator)
-    return position + len(separator) if position >= 0 else 0
+def _last_end(data, start):
+    """Return the position after the last separator from ``start`` on, or 0."""
+    if data.endswith(SEPARATORS):
+        return len(data)
+    end = 0
+    for separator in SEPARATORS:
+        position = data.rfind(separator, start)
+        if position >= 0:
+            end = max(end, position + len(separator))
+    return end
--- /dev/null
+++ b/teaselwall/tests/test_endless_replies.py
@@ -0,0 +1,83 @@
+"""Back ends that send bytes without end, on the platform path."""
+
+import pytest
+
+from teaselwall import gateway, replies, sse
+from teaselwall.tests import platform_entry, test_stagework
+from teaselwall.tests.platform_entry import Caller, Script
+
+EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
+PIECE_BYTES = 16 * 1024
+# Far beyond the bounds: a test that reads so much fails instead of running on.
+GIVE_UP_BYTES = 16 * 1024 * 1024
+
+
+@pytest.fixture
+def back_ends():
+    return platform_entry.BackEnds()
+
+
+@pytest.fixture
+async def application(autojump_clock, back_ends):
+    servers = test_stagework.FakeServers()
+    return gateway.Gateway(platform_entry.make_entry_host(back_ends, servers))
+
+
+class EndlessBody:
+    """Parts of a body, then bytes that end nothing.
+
+    Attributes
+    ----------
+    n_bytes : int
+        Bytes without an end that were read so far.
+    """
+
+    def __init__(self, *parts):
+        self.parts = parts
+        self.n_bytes = 0
+
+    def __iter__(self):
+        yield from self.parts
+        while self.n_bytes < GIVE_UP_BYTES:
+            self.n_bytes += PIECE_BYTES
+            yield b"x" * PIECE_BYTES
+
+
+async def test_a_stream_goes_on_elsewhere_after_an_event_without_end(
+    autojump_clock, application, back_ends
+):
+    """Guards against an event kept without bound and searched again for each part."""
+    body = EndlessBody(EVENTS[0])
+    back_ends.scripts = [Script(body=body), Script(body=EVENTS[1:])]
+    caller = await Caller("/resumed/1").send_request(application)
+    assert b"".join(caller.parts) == b"".join(EVENTS)
+    assert caller.ended
+    assert back_ends.calls[1][1][b"last-event-id"] == b"1"
+    assert body.n_bytes <= sse.MAX_EVENT_BYTES + PIECE_BYTES
+    assert back_ends.n_open == 0
+
+
+async def test_an_event_without_end_never_looks_complete(
+    autojump_clock, application, back_ends
+):
+    body = EndlessBody(EVENTS[0])
+    back_ends.scripts = [Script(body=body)]
+    caller = Caller("/stream/1")
+    with pytest.raises(replies.AnswerBroken):
+        await caller.send_request(application)
+    assert caller.parts == EVENTS[:1]
+    assert len(back_ends.calls) == 1
+    assert body.n_bytes <= sse.MAX_EVENT_BYTES + PIECE_BYTES
+    assert back_ends.n_open == 0
+
+
+@pytest.mark.parametrize("separator", sse.SEPARATORS)
+def test_the_bound_on_an_event_loses_no_event_before_it(separator):
+    """An event that ends in the part that exceeds the bound is still passed on."""
+    splitter = sse.EventSplitter()
+    assert splitter.feed(b"id: 1" + separator[:-1]) == b""
+    rest = b"x" * (sse.MAX_EVENT_BYTES + 1)
+    assert splitter.feed(separator[-1:] + rest) == b"id: 1" + separator
+    assert splitter.last_id == "1"
+    with pytest.raises(sse.EventTooLarge):
+        splitter.feed(b"x")
