Leave turns to other tasks while a socket never runs empty

What callers saw: a server that sends faster than its bytes are decoded held the whole process: no other request, no timeout, not even the deadline of its own request took effect, as cancellation needs a wait. A caller that keeps sending after a refusal did the same (the server reads on for a second before it closes).

Cause: sockets.Stream waits for the event loop only when a socket is empty. One receive of 64 KB of one-byte chunks takes 110 to 200 ms to decode, all of it in one turn.

Now a receiver lets other tasks run after 64 KB without a wait, and a body is passed on after 256 decoded parts. Sound events arrive in smaller numbers and pay one comparison.

--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -16,6 +16,8 @@
 MAX_IDLE_ADDRESSES = 1000
 # Limit of the head of a reply.
 MAX_HEAD_BYTES = 64 * 1024
+# Parts of a body that are decoded before other tasks run.
+MAX_PARTS_PER_TURN = 256
 
 
 class Connection:
@@ -137,6 +139,8 @@
                 event = protocol.next_event()
                 while isinstance(event, h11.Data):
                     parts.append(event.data)
+                    if len(parts) == MAX_PARTS_PER_TURN:
+                        break
                     event = protocol.next_event()
             except h11.RemoteProtocolError as error:
                 failure = httpcalls.Disconnected(str(error))
@@ -144,13 +148,18 @@
                 yield bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
             if failure is not None:
                 raise failure
-            if event is not h11.NEED_DATA:
+            if isinstance(event, h11.Data):
+                await self.connection.stream.end_turn()
+            elif event is h11.NEED_DATA:
+                await self._receive_body()
+            else:
                 return
-            await self._receive_body()
 
     async def _receive_body(self):
         stream = self.connection.stream
         try:
+            if stream.n_turn_bytes >= sockets.BYTES_PER_TURN:
+                await stream.end_turn()
             data = stream.receive_now()
             if data is None:
                 with trio.move_on_after(self.silence_s) as scope:
--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -13,6 +13,8 @@
 
 # Largest number of bytes that one receive returns.
 RECEIVE_BYTES = 64 * 1024
+# After this many bytes without a wait, a receiver lets other tasks run.
+BYTES_PER_TURN = RECEIVE_BYTES
 
 
 class Stream:
@@ -22,14 +24,28 @@
     ----------
     sock : socket.socket
         Connected; it is made non-blocking.
+
+    Attributes
+    ----------
+    n_turn_bytes : int
+        Bytes received since the last wait for the event loop.
     """
 
-    __slots__ = ("sock",)
+    __slots__ = ("sock", "n_turn_bytes")
 
     def __init__(self, sock):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock = sock
+        self.n_turn_bytes = 0
+
+    async def end_turn(self):
+        """Let other tasks run, and let a timeout that has passed take effect.
+
+        A sender that keeps the socket full would otherwise hold the whole process.
+        """
+        self.n_turn_bytes = 0
+        await trio.lowlevel.checkpoint()
 
     async def receive(self):
         """Return the next bytes, or no bytes once the other end has closed.
@@ -39,6 +55,8 @@
         OSError
             The connection was reset.
         """
+        if self.n_turn_bytes >= BYTES_PER_TURN:
+            await self.end_turn()
         while True:
             data = self.receive_now()
             if data is not None:
@@ -48,9 +66,12 @@
     def receive_now(self):
         """Return bytes that have arrived, or None if there are none yet."""
         try:
-            return self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(RECEIVE_BYTES)
         except (BlockingIOError, InterruptedError):
+            self.n_turn_bytes = 0
             return None
+        self.n_turn_bytes += len(data)
+        return data
 
     async def send(self, data):
         """Send all bytes.
