Bound the informational replies before a reply

What callers saw: a server that answers with 1xx heads without end, as fast as it can, kept its request until the deadline and the processor with it; each such head was decoded and dropped, and nothing counted their bytes.

Cause: h11 bounds only a head that is not complete.

Now all bytes before the reply's own head count towards MAX_HEAD_BYTES (64 KiB): the connection closes with a Disconnected, outcome unknown.

Seen to fail with the bound left out (a scratch copy): "read on without end" after 16 MB for both kinds of informational replies; the two heads that never end passed before, by h11's bound.

--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -14,7 +14,7 @@
 KEEP_IDLE_S = 5.0
 MAX_IDLE_PER_ADDRESS = 4
 MAX_IDLE_ADDRESSES = 1000
-# Limit of the head of a reply.
+# Limit of the head of a reply, with the informational replies before it.
 MAX_HEAD_BYTES = 64 * 1024
 # Parts of a body that are decoded before other tasks run.
 MAX_PARTS_PER_TURN = 256
@@ -212,6 +212,7 @@
 
     async def _read_head(self):
         protocol = self.connection.protocol
+        n_bytes = 0
         while True:
             try:
                 event = protocol.next_event()
@@ -222,10 +223,13 @@
                 self.headers = list(event.headers)
                 return
             if event is h11.NEED_DATA:
+                if n_bytes >= MAX_HEAD_BYTES:
+                    raise httpcalls.Disconnected("the head is over the size limit")
                 try:
                     data = await self.connection.stream.receive()
                 except OSError as error:
                     raise httpcalls.Disconnected(str(error)) from error
+                n_bytes += len(data)
                 protocol.receive_data(data)
             elif isinstance(event, h11.ConnectionClosed):
                 raise httpcalls.Disconnected("closed without a reply")
--- a/teaselwall/tests/test_endless_sockets.py
+++ b/teaselwall/tests/test_endless_sockets.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from teaselwall import clock, httpclient, sockets
+from teaselwall import clock, errors, httpcalls, httpclient, sockets
 
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 # A receiver that reads so much without a wait would never have ended.
@@ -68,9 +68,11 @@
     scope.cancel()
 
 
-def forward():
+def forward(progress=None):
     client = httpclient.Client(clock.Clock())
-    return client.forward(b"GET", "10.0.0.1:80", b"/", [(b"host", b"h")], b"", 500)
+    return client.forward(
+        b"GET", "10.0.0.1:80", b"/", [(b"host", b"h")], b"", 500, progress=progress
+    )
 
 
 @pytest.mark.parametrize(
@@ -99,6 +101,30 @@
     assert sock.fileno() == -1
 
 
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"HTTP/1.1 100 Continue\r\n\r\n" * 1000,
+        b"HTTP/1.1 103 Early Hints\r\nlink: " + b"x" * 9000 + b"\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n" + b"x: y\r\n" * 1000,
+        b"HTTP/1.1 200 " + b"x" * 9000,
+    ],
+)
+async def test_a_head_without_end_is_given_up_by_its_size(
+    autojump_clock, connect, rest
+):
+    """Guards against informational replies read until the time is over."""
+    sock = connect(b"", rest)
+    progress = httpcalls.CallProgress()
+    with pytest.raises(httpcalls.Disconnected) as failure:
+        async with forward(progress):
+            pass
+    error = httpcalls.to_transport_error("10.0.0.1:80", "/", failure.value, progress)
+    assert error.outcome is errors.Outcome.UNKNOWN
+    assert sock.n_bytes <= httpclient.MAX_HEAD_BYTES + sockets.RECEIVE_BYTES
+    assert sock.fileno() == -1
+
+
 async def test_a_stream_that_is_never_empty_leaves_turns_to_other_tasks(
     autojump_clock, nursery
 ):
