Bound the bytes of all replies that are being read together

What callers would see: a server in trouble that answers its requests with bodies without end makes an entry host hold 8 MB for each of them; eight at once exceed the memory that a host has, and it ends with all its requests.

Cause: read_body bounded each reply, and nothing their sum.

Now replies over 256 KiB are given up while all that are being read exceed 24 MiB; smaller ones, and so those of sound servers, are not affected.

The tests of single replies without end, with status 200 and 500, passed before; they fail with MAX_REPLY_BYTES left out.

--- a/teaselwall/httpcalls.py
+++ b/teaselwall/httpcalls.py
@@ -12,6 +12,10 @@
 from teaselwall import errors
 
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+# While the replies that are being read take up more than this together, those over
+# LARGE_REPLY_BYTES are given up.
+MAX_HELD_BYTES = 24 * 1024 * 1024
+LARGE_REPLY_BYTES = 256 * 1024
 CONNECT_TIMEOUT_MS = 300
 # Shortest timeout of a step, even when no time is left.
 MIN_TIMEOUT_S = 0.001
@@ -278,19 +282,49 @@
     return max(MIN_TIMEOUT_S, duration_ms / 1000)
 
 
-async def read_body(response):
+class HeldBytes:
+    """Counts the bytes of the replies that are being read in this process."""
+
+    __slots__ = ("n_bytes",)
+
+    def __init__(self):
+        self.n_bytes = 0
+
+
+_held = HeldBytes()
+
+
+async def read_body(response, held=_held):
     """Return the whole body of a reply.
 
+    Parameters
+    ----------
+    response : object
+        Its ``aiter_stream`` gives the parts of the body.
+    held : HeldBytes, optional
+        Count that the reply is part of; that of the process by default.
+
     Raises
     ------
     BadCall
-        The body is over ``MAX_REPLY_BYTES``.
+        The body is over ``MAX_REPLY_BYTES``, or over ``LARGE_REPLY_BYTES`` while all
+        bodies are over ``MAX_HELD_BYTES``.
     """
     parts = []
     n_bytes = 0
-    async for part in response.aiter_stream():
-        n_bytes += len(part)
-        if n_bytes > MAX_REPLY_BYTES:
-            raise BadCall("reply body is over the size limit")
-        parts.append(part)
+    try:
+        async for part in response.aiter_stream():
+            n_bytes += len(part)
+            held.n_bytes += len(part)
+            if _is_over_limit(n_bytes, held):
+                raise BadCall("reply body is over the size limit")
+            parts.append(part)
+    finally:
+        held.n_bytes -= n_bytes
     return b"".join(parts)
+
+
+def _is_over_limit(n_bytes, held):
+    if n_bytes > MAX_REPLY_BYTES:
+        return True
+    return n_bytes > LARGE_REPLY_BYTES and held.n_bytes > MAX_HELD_BYTES
--- a/teaselwall/tests/test_endless_replies.py
+++ b/teaselwall/tests/test_endless_replies.py
@@ -1,8 +1,9 @@
 """Back ends that send bytes without end, on the platform path."""
 
 import pytest
+import trio
 
-from teaselwall import gateway, replies, sse
+from teaselwall import gateway, httpcalls, replies, sse
 from teaselwall.tests import platform_entry, test_stagework
 from teaselwall.tests.platform_entry import Caller, Script
 
@@ -81,3 +82,60 @@
     assert splitter.last_id == "1"
     with pytest.raises(sse.EventTooLarge):
         splitter.feed(b"x")
+
+
+@pytest.mark.parametrize("status", [200, 500])
+async def test_a_reply_without_end_is_given_up_by_its_size(
+    autojump_clock, application, back_ends, status
+):
+    body = EndlessBody()
+    back_ends.scripts = [Script(status, body=body)]
+    caller = await Caller("/safe/1", method="GET").send_request(application)
+    assert (caller.status, caller.parts) == (200, [b"ok"])
+    assert body.n_bytes <= httpcalls.MAX_REPLY_BYTES + PIECE_BYTES
+    assert [address for address, _ in back_ends.calls][0] != back_ends.calls[1][0]
+    assert back_ends.n_open == 0
+
+
+async def test_what_may_have_run_once_is_not_repeated_after_a_reply_without_end(
+    autojump_clock, application, back_ends
+):
+    back_ends.scripts = [Script(body=EndlessBody())]
+    caller = await Caller("/once/1").send_request(application)
+    assert caller.status == 502
+    assert len(back_ends.calls) == 1
+
+
+class Reply:
+    def __init__(self, parts):
+        self.parts = parts
+
+    async def aiter_stream(self):
+        for part in self.parts:
+            await trio.sleep(0.001)
+            yield part
+
+
+async def test_many_replies_without_end_are_bounded_together(autojump_clock):
+    """Guards against a server in trouble that fills the memory of an entry host."""
+    held = httpcalls.HeldBytes()
+    peak_bytes = 0
+    n_failed = 0
+
+    async def read(body):
+        nonlocal n_failed
+        try:
+            await httpcalls.read_body(body, held)
+        except httpcalls.BadCall:
+            n_failed += 1
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(20):
+            nursery.start_soon(read, Reply(EndlessBody()))
+        nursery.start_soon(read, Reply([b"x" * 100] * 500))
+        while len(nursery.child_tasks):
+            peak_bytes = max(peak_bytes, held.n_bytes)
+            await trio.sleep(0.001)
+    assert n_failed == 20
+    assert held.n_bytes == 0
+    assert peak_bytes <= httpcalls.MAX_HELD_BYTES + 20 * httpcalls.LARGE_REPLY_BYTES
