--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -58,7 +58,8 @@
         protocol = self.protocol
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
             return False
-        if protocol.trailing_data[0]:
+        surplus, is_closed = protocol.trailing_data
+        if surplus or is_closed:
             return False
         protocol.start_next_cycle()
         self.idle_since_s = trio.current_time()
