Bound heads on the product's own interface in bytes and in time

What callers would see: an engine that sends informational replies without end, or a head byte by byte, kept its request until the request's deadline; no other engine was tried in time, and the flood took the processor.

Cause: httpcore's timeouts limit each read by itself, and it drops informational replies without counting them.

Now Transport waits for a head no longer than its timeout (plus that of connecting), and a thin layer over httpcore's connections (headlimits) counts the bytes before a head's end, 64 KiB as on the platform path. httpcalls.MAX_HEAD_BYTES serves both.

Seen to fail on scratch copies: without the bound in bytes "read on without end" after 16 MB of informational replies; without the bound in time both trickling heads were still read after 60 s (mock clock). The tests of replies, chunk extensions and trailers without end passed before; with the bounds of read_body left out the two of replies fail.

--- a/teaselwall/httpcalls.py
+++ b/teaselwall/httpcalls.py
@@ -11,6 +11,8 @@
 
 from teaselwall import errors
 
+# Limit of the head of a reply, with the informational replies before it.
+MAX_HEAD_BYTES = 64 * 1024
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 # While the replies that are being read take up more than this together, those over
 # LARGE_REPLY_BYTES are given up.
@@ -116,7 +118,8 @@
         Parameters
         ----------
         method, address, path, message, timeout_ms, headers, fresh
-            See ``call``; ``timeout_ms`` limits each step up to the reply's head.
+            See ``call``; ``timeout_ms`` limits the time up to the reply's head, without
+            that of connecting.
         silence_ms : float, optional
             Longest wait for each part of the body; ``timeout_ms`` by default.
         progress : CallProgress, optional
--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -14,8 +14,6 @@
 KEEP_IDLE_S = 5.0
 MAX_IDLE_PER_ADDRESS = 4
 MAX_IDLE_ADDRESSES = 1000
-# Limit of the head of a reply, with the informational replies before it.
-MAX_HEAD_BYTES = 64 * 1024
 # Parts of a body that are decoded before other tasks run.
 MAX_PARTS_PER_TURN = 256
 
@@ -34,7 +32,7 @@
     def __init__(self, stream):
         self.stream = stream
         self.protocol = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=httpcalls.MAX_HEAD_BYTES
         )
         self.idle_since_s = 0.0
 
@@ -224,7 +222,7 @@
                 self.headers = list(event.headers)
                 return
             if event is h11.NEED_DATA:
-                if n_bytes >= MAX_HEAD_BYTES:
+                if n_bytes >= httpcalls.MAX_HEAD_BYTES:
                     raise httpcalls.Disconnected("the head is over the size limit")
                 try:
                     data = await self.connection.stream.receive()
--- a/teaselwall/tests/test_endless_sockets.py
+++ b/teaselwall/tests/test_endless_sockets.py
@@ -121,7 +121,7 @@
             pass
     error = httpcalls.to_transport_error("10.0.0.1:80", "/", failure.value, progress)
     assert error.outcome is errors.Outcome.UNKNOWN
-    assert sock.n_bytes <= httpclient.MAX_HEAD_BYTES + sockets.RECEIVE_BYTES
+    assert sock.n_bytes <= httpcalls.MAX_HEAD_BYTES + sockets.RECEIVE_BYTES
     assert sock.fileno() == -1
 
 
--- a/teaselwall/transport.py
+++ b/teaselwall/transport.py
@@ -6,8 +6,9 @@
 
 import httpcore
 import msgspec
+import trio
 
-from teaselwall import httpcalls
+from teaselwall import headlimits, httpcalls
 
 MAX_CONNECTIONS = 1000
 MAX_POOLS = 2000
@@ -44,17 +45,22 @@
         By address, least recently used first.
     fresh_pool : httpcore.AsyncConnectionPool
         Opens a new connection for each call.
+    network : headlimits.HeadLimitedNetwork
+        Opens the connections of all pools.
     """
 
-    __slots__ = ("clock", "pools", "fresh_pool")
+    __slots__ = ("clock", "pools", "fresh_pool", "network")
 
     failures = TRANSPORT_EXCEPTIONS
 
     def __init__(self, clock):
         self.clock = clock
         self.pools = collections.OrderedDict()
+        self.network = headlimits.HeadLimitedNetwork()
         self.fresh_pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS, max_keepalive_connections=0
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=0,
+            network_backend=self.network,
         )
 
     async def _pool_of(self, address):
@@ -69,6 +75,7 @@
                 max_connections=MAX_CONNECTIONS,
                 max_keepalive_connections=MAX_CONNECTIONS,
                 keepalive_expiry=KEEP_ALIVE_S,
+                network_backend=self.network,
             )
             self.pools[address] = pool
             await self._drop_least_recent()
@@ -157,9 +164,18 @@
         url = httpcore.URL(
             scheme=b"http", host=host.encode(), port=int(port), target=target
         )
-        async with pool.stream(
+        opened = pool.stream(
             method, url, headers=headers, content=body, extensions=extensions
-        ) as response:
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            # The timeouts of httpcore limit each single read and write.
+            head_s = timeouts["connect"] + timeouts["read"]
+            response = None
+            with trio.move_on_after(head_s):
+                response = await stack.enter_async_context(opened)
+            if response is None:
+                raise httpcalls.ReplyTimeout("no head of a reply")
+            headlimits.end_head(response)
             if silence_ms is not None:
                 timeouts["read"] = httpcalls.to_timeout_s(silence_ms)
             yield response
