Keep whole answers of engines, and end their lines and tokens in time

What callers saw, on the product's own interface: - an answer whose end mark had arrived was made again at another engine, or lost where no time or budget was left, if anything but a regular end followed it: surplus bytes, a line too many, a reset; - an engine that sent a byte of a line now and then counted as live until the request's deadline, so that its tokens were not resumed elsewhere in time; - an engine whose tokens never end filled the memory and the caller's answer.

Cause: an error in the read after the end mark, which only lets the connection be reused, failed the attempt; the wait for a part, not for a whole line, was limited; nothing compared the number of tokens with the number asked for.

Now such a read ends with a log line and a closed connection, a batch of whole lines has to follow the last one within the timeout, and a token beyond max_tokens is an error.

--- a/teaselwall/engines.py
+++ b/teaselwall/engines.py
@@ -2,13 +2,16 @@
 
 import abc
 import contextlib
+import logging
 
 import msgspec
 import trio
 
-from teaselwall import errors, httpcalls, servers, transport
+from teaselwall import errors, events, httpcalls, servers, transport
 from teaselwall.generated import messages
 
+logger = logging.getLogger(__name__)
+
 # Longest wait for the end of a stream after its last token.
 STREAM_END_TIMEOUT_S = 0.05
 MAX_LINE_BYTES = 65536
@@ -27,7 +30,7 @@
         server : servers.Server
         call : messages.GenerateCall
         timeout_ms : float
-            Longest time between two parts of the stream.
+            Longest time between two batches of the stream.
         headers : sequence of (bytes, bytes)
         first_ms : float, optional
             Longest wait for the reply's headers, which come with the first token;
@@ -81,25 +84,40 @@
                 if response.status != errors.HTTP_OK:
                     raise errors.require_ok(response, address).error
                 async with contextlib.aclosing(
-                    _batches(response, call, address)
+                    _batches(response, call, address, timeout_ms)
                 ) as batches:
                     yield batches
-                    await _read_to_end(batches)
+                    await _read_to_end(batches, call, address)
         except transport.TRANSPORT_EXCEPTIONS as error:
             raise transport.to_transport_error(
                 address, path, error, progress
             ) from error
 
 
-async def _read_to_end(batches):
-    """Read the end of a stream, so that its connection can be reused."""
-    with trio.move_on_after(STREAM_END_TIMEOUT_S):
-        async for _ in batches:
-            return
-
+async def _read_to_end(batches, call, address):
+    """Read the end of a stream, so that its connection can be reused.
 
-async def _batches(response, call, address):
+    The answer is whole by now: bytes that are no end close the connection only.
+    """
+    try:
+        with trio.move_on_after(STREAM_END_TIMEOUT_S):
+            async for _ in batches:
+                return
+    except (errors.TransportError, *transport.TRANSPORT_EXCEPTIONS) as error:
+        events.log(
+            logger,
+            logging.INFO,
+            "stream_end_unreadable",
+            request=call.request,
+            server=address,
+            detail=str(error),
+        )
+
+
+async def _batches(response, call, address, timeout_ms):
+    timeout_s = httpcalls.to_timeout_s(timeout_ms)
     partial_line = b""
+    batch_at_s = trio.current_time()
     try:
         async for part in response.aiter_stream():
             *lines, partial_line = (partial_line + part).split(b"\n")
@@ -109,15 +127,27 @@
             batch = [_decode_chunk(line, call, address) for line in lines]
             if batch:
                 yield batch
+                batch_at_s = trio.current_time()
+            elif trio.current_time() - batch_at_s > timeout_s:
+                raise httpcalls.ReplyTimeout("no whole line of a stream in time")
     except msgspec.DecodeError as error:
         detail = f"{address} sent a chunk that could not be decoded: {error}."
         raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN) from error
 
 
 def _decode_chunk(line, call, address):
-    """Return the chunk of a line; raise if it belongs to another request or attempt."""
+    """Return the chunk of a line.
+
+    Raises
+    ------
+    errors.ServerFailed
+        It belongs to another request or attempt, or is a token more than asked for.
+    """
     chunk = _decoder.decode(line)
     if chunk.request != call.request or chunk.attempt != call.attempt:
         detail = f"{address} sent a chunk of another request or attempt."
         raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN)
+    if chunk.index >= call.max_tokens and not chunk.end:
+        detail = f"{address} sent more than {call.max_tokens} tokens."
+        raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN)
     return chunk
--- a/teaselwall/tests/test_unframed_replies.py
+++ b/teaselwall/tests/test_unframed_replies.py
@@ -4,36 +4,20 @@
 
 import pytest
 
-from teaselwall import (
-    clock,
-    engines,
-    errors,
-    gateway,
-    httpclient,
-    replies,
-    servers,
-    streams,
-    transport,
+from teaselwall import clock, errors, gateway, httpclient, replies, transport
+from teaselwall.tests import (
+    platform_entry,
+    raw_back_end,
+    test_stagework,
+    token_relays,
 )
-from teaselwall.generated import messages
-from teaselwall.tests import platform_entry, raw_back_end, test_stagework
 from teaselwall.tests.platform_entry import Caller
 from teaselwall.tests.raw_back_end import HEAD, RawScript
-from teaselwall.tools import rigs
 
 END = b"\r\n"
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
 
 
-def lines(n_tokens):
-    """Return the lines of a stream of tokens, the last one with the end mark."""
-    return [
-        b'{"request":"r","attempt":1,"index":%d,"token":"t","end":%s}\n'
-        % (index, b"true" if index == n_tokens else b"false")
-        for index in range(n_tokens + 1)
-    ]
-
-
 @pytest.fixture(params=[httpclient.Client, transport.Transport])
 def client(request):
     return request.param(clock.Clock())
@@ -146,52 +130,23 @@
     assert sum(b"last-event-id: 1\r\n" in request for request in requests) == 1
 
 
-async def relay_tokens(address, sink, max_tokens=3):
-    """Pass the tokens of an engine on, on the path of the product's own interface."""
-    engine = engines.HttpModelEngine(transport.Transport(clock.Clock()))
-    entry = rigs.fake_servers("engine", 1)[0].entry
-    entry.address = address
-    server = servers.Server(entry, clock.Clock())
-    call = messages.GenerateCall(
-        request="r",
-        attempt=1,
-        model="m",
-        prompt="p",
-        max_tokens=max_tokens,
-        remaining_ms=2000,
-    )
-    async with engine.generate(server, call, 1000) as batches:
-        await streams.relay(batches, server, [], sink)
-
-
-@pytest.fixture
-def passed_on():
-    return []
-
-
-@pytest.fixture
-def sink(passed_on):
-    async def pass_on(tokens):
-        passed_on.extend(tokens)
-
-    return pass_on
-
-
-async def test_an_engine_may_end_its_tokens_with_the_connection(serve, passed_on, sink):
-    back_end = await serve(RawScript(HEAD + END, *lines(3), pause_s=0.01))
-    await relay_tokens(back_end.address, sink)
-    assert passed_on == ["t"] * 3
+async def test_an_engine_may_end_its_tokens_with_the_connection(serve):
+    back_end = await serve(RawScript(HEAD + END, *token_relays.lines(3), pause_s=0.01))
+    tokens = []
+    calls = transport.Transport(clock.Clock())
+    await token_relays.relay(calls, back_end.address, tokens)
+    assert tokens == ["t"] * 3
 
 
 @pytest.mark.parametrize("resets", [False, True])
-@pytest.mark.parametrize("n_bytes", [-1, -20, -len(lines(3)[3])])
-async def test_tokens_that_break_off_never_look_complete(
-    serve, passed_on, sink, n_bytes, resets
-):
+@pytest.mark.parametrize("n_bytes", [-1, -20, -len(token_relays.lines(3)[3])])
+async def test_tokens_that_break_off_never_look_complete(serve, n_bytes, resets):
     """A stream may break within a line, or between the last token and the end mark."""
-    body = b"".join(lines(3))[:n_bytes]
+    body = b"".join(token_relays.lines(3))[:n_bytes]
     back_end = await serve(RawScript(HEAD + END + body, resets=resets))
+    tokens = []
+    calls = transport.Transport(clock.Clock())
     with pytest.raises(errors.TransportError) as failure:
-        await relay_tokens(back_end.address, sink)
+        await token_relays.relay(calls, back_end.address, tokens)
     assert failure.value.outcome is errors.Outcome.UNKNOWN
-    assert passed_on == ["t"] * 3
+    assert tokens == ["t"] * 3
