Answer replies that can't be decoded with typed errors everywhere

What callers saw: a request failed with an internal error instead of a retry where an engine's line, a load report in a header, a probe's report or a peer's reply was nested deeper than the decoder goes, or where a process that is no entry host answered a peer's call with other JSON. A Retry-After of another type went on as it was.

Cause: RecursionError is no DecodeError; from_problem assumed an object with the right types.

errors.UNDECODABLE now names what decoding may raise, for all of them.

Seen to fail before, all of test_malformed_replies.py: RecursionError, AttributeError "'list' object has no attribute 'get'", ValueError "'maybe' is not a valid Outcome", and a text as the time to retry after.

--- a/teaselwall/engines.py
+++ b/teaselwall/engines.py
@@ -130,7 +130,7 @@
                 batch_at_s = trio.current_time()
             elif trio.current_time() - batch_at_s > timeout_s:
                 raise httpcalls.ReplyTimeout("no whole line of a stream in time")
-    except msgspec.DecodeError as error:
+    except errors.UNDECODABLE as error:
         detail = f"{address} sent a chunk that could not be decoded: {error}."
         raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN) from error
 
--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -8,6 +8,8 @@
 HTTP_OK = 200
 # Statuses of a server that refuses a call without having run it.
 REFUSAL_STATUSES = (429, 503)
+# What decoding raises for bytes that are not the expected JSON.
+UNDECODABLE = (msgspec.DecodeError, UnicodeError, RecursionError)
 
 
 class Outcome(enum.Enum):
@@ -255,7 +257,7 @@
 def _decode_reply(reply, kind, responder):
     try:
         return expression.Ok(reply.decode(kind))
-    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+    except UNDECODABLE as error:
         detail = f"The reply of the {responder} cannot be decoded: {error}."
         return expression.Error(ServerFailed(detail, outcome=Outcome.UNKNOWN))
 
--- a/teaselwall/peers.py
+++ b/teaselwall/peers.py
@@ -77,12 +77,16 @@
 def _decode_reply(reply):
     try:
         message = msgspec.json.decode(reply.body)
-    except msgspec.DecodeError as error:
+    except errors.UNDECODABLE as error:
         detail = f"The reply of an entry host cannot be decoded: {error}."
         return _unknown_outcome(detail)
     if reply.status == errors.HTTP_OK:
         return expression.Ok(message)
-    return expression.Error(from_problem(message))
+    try:
+        return expression.Error(from_problem(message))
+    except (AttributeError, TypeError, ValueError) as error:
+        detail = f"An entry host answered {reply.status} without a problem: {error}."
+        return _unknown_outcome(detail)
 
 
 def from_problem(message):
@@ -92,7 +96,7 @@
     return error_class(
         message.get("detail", ""),
         outcome=errors.Outcome(message.get("outcome", "unknown")),
-        retry_after_ms=message.get("retry_after_s", 0) * 1000,
+        retry_after_ms=float(message.get("retry_after_s", 0)) * 1000,
         remedy=message.get("remedy", ""),
     )
 
--- a/teaselwall/probes.py
+++ b/teaselwall/probes.py
@@ -2,8 +2,6 @@
 
 import abc
 
-import msgspec
-
 from teaselwall import errors
 from teaselwall.generated import messages
 
@@ -80,7 +78,7 @@
     """Return the crash name if a load report shows a new process, else empty."""
     try:
         report = reply.decode(messages.LoadReport)
-    except msgspec.DecodeError:
+    except errors.UNDECODABLE:
         return ""
     is_same = report.incarnation == server.incarnation or not server.incarnation
     return "" if is_same else f"{server.address}/{report.incarnation}"
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -295,7 +295,7 @@
         return
     try:
         server.record_report(msgspec.json.decode(raw, type=messages.LoadReport))
-    except msgspec.DecodeError:
+    except errors.UNDECODABLE:
         return
 
 
--- /dev/null
+++ b/teaselwall/tests/test_malformed_replies.py
@@ -0,0 +1,68 @@
+"""Replies whose framing is sound and whose content is not what was asked for."""
+
+import expression
+import pytest
+
+from teaselwall import clock, errors, httpcalls, peers, probes, servers
+from teaselwall.tests import test_endless_transport, token_relays
+from teaselwall.tests.test_endless_transport import ADDRESS
+from teaselwall.tools import rigs
+
+# Deeper than a JSON decoder descends, in a field that is skipped.
+NESTED = b'{"unknown":' + b"[" * 20_000
+
+
+class FixedReplies:
+    """HTTP client that gets the same reply to each call."""
+
+    def __init__(self, status, body):
+        self.reply = httpcalls.Reply(status, {}, body)
+        self.clock = clock.Clock()
+
+    async def call(self, *arguments, **options):
+        return expression.Ok(self.reply)
+
+
+def server():
+    return servers.Server(rigs.fake_servers("engine", 1)[0].entry, clock.Clock())
+
+
+async def test_a_token_nested_too_deep_is_a_failure_of_its_server(autojump_clock):
+    """Guards against an unexpected exception in place of a retry."""
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (len(NESTED) + 1)
+    network = test_endless_transport.EndlessNetwork(head + NESTED + b"\n", b"")
+    calls = test_endless_transport.transport_to(network)
+    with pytest.raises(errors.ServerFailed) as failure:
+        await token_relays.relay(calls, ADDRESS, [])
+    assert failure.value.outcome is errors.Outcome.UNKNOWN
+
+
+def test_a_load_report_nested_too_deep_is_ignored():
+    reply = httpcalls.Reply(200, {servers.LOAD_HEADER: NESTED}, b"")
+    reported = server()
+    assert servers.record_reply(reported, reply) is reply
+    assert reported.report is None
+
+
+async def test_a_probe_answered_with_nonsense_finds_no_crash(autojump_clock):
+    prober = probes.HttpProber(FixedReplies(200, NESTED))
+    assert await prober.find_crash(server()) == ""
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, NESTED),
+        (503, NESTED),
+        (503, b"[]"),
+        (503, b'{"outcome":"maybe"}'),
+        (503, b'{"retry_after_s":"soon"}'),
+    ],
+)
+async def test_a_peer_that_is_none_gives_an_error(autojump_clock, status, body):
+    """Guards against an exception where another service has taken an address over."""
+    calls = peers.Peers(FixedReplies(status, body), "key")
+    result = await calls.call(ADDRESS, "/peer/x", {}, 100)
+    assert isinstance(result.error, errors.TransportError)
+    assert result.error.outcome is errors.Outcome.UNKNOWN
+    assert result.error.retry_after_ms == 0
