Bound the pages of a topic

What would be seen: a store, or what answers in its place, that always says that there is one more page kept a host reading the same topic for ever, with every record in memory.

Cause: the loop over pages ended only on the store's word.

Now a topic has at most 1,000 pages and 32 MiB, and the key to go on from has to change; otherwise the read fails like others and is made again with the usual pause.

--- a/teaselwall/platform/store.py
+++ b/teaselwall/platform/store.py
@@ -19,6 +19,9 @@
 # Times that the pages of one topic are read again because the era changed in between.
 MAX_PAGE_RESTARTS = 3
 MAX_ERA_DIGITS = 18
+# Limits of one topic; the store's pages hold up to 500 records or 1 MB each.
+MAX_TOPIC_PAGES = 1000
+MAX_TOPIC_BYTES = 32 * 1024 * 1024
 
 
 class _Item(msgspec.Struct):
@@ -67,7 +70,8 @@
         records = []
         end, era = None, None
         after = ""
-        while True:
+        n_bytes = 0
+        for _ in range(MAX_TOPIC_PAGES):
             query = {"topic": topic, "part": 0}
             if after:
                 query["after"] = after
@@ -86,7 +90,14 @@
             records += [_item_record(item) for item in newest.items]
             if not newest.has_more or not newest.items:
                 return expression.Ok(keyedtopics.Page(records, end, era=era))
+            n_bytes += len(result.ok.body)
+            if newest.items[-1].key == after or n_bytes > MAX_TOPIC_BYTES:
+                break
             after = newest.items[-1].key
+        detail = f"The pages of topic {topic} do not end: {n_bytes} bytes were read."
+        return expression.Error(
+            errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN)
+        )
 
     async def changes(self, topic, offset, wait_ms, era=None):
         """Read records from an offset on; see ``keyedtopics.Store.changes``."""
