Bound the digits of counts in headers

What callers saw: a load of some hundred digits in one reply's header made every later choice of a server fail with an OverflowError, so that this host answered 500 until the next report; one of 5,000 digits failed its own request. A caller's own counts of such size were answered 500 instead of 400, or instead of being left out.

Cause: int() refuses over 4,300 digits with a ValueError, and smaller ones don't fit into a float. Counts now have at most 9 digits.

Seen to fail with the bound left out (a scratch copy): OverflowError "integer division result too large for a float", and 500 for 200, 400 and 200.

--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -8,6 +8,7 @@
 BEARER_PREFIX = "bearer "
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000
+MAX_COUNT_DIGITS = 9
 
 
 class UsersProtocol(protocols.Protocol):
@@ -131,7 +132,7 @@
     parts = []
     for entry in filter(None, text.split(",")):
         part, _, tokens = entry.strip().partition(":")
-        if not tokens.isdecimal():
+        if not _is_count(tokens):
             return ()
         parts.append(protocols.PromptPart(part, int(tokens)))
     return tuple(parts)
@@ -139,7 +140,7 @@
 
 def _piece_counts(text):
     counts = [entry.strip() for entry in filter(None, text.split(","))]
-    if not all(count.isdecimal() for count in counts):
+    if not all(map(_is_count, counts)):
         raise errors.InvalidRequest("pieces must be a list of non-negative integers.")
     return tuple(int(count) for count in counts)
 
@@ -147,6 +148,11 @@
 def _server_load(text):
     """Decode the numbers of requests that run, that wait, and that can run at once."""
     numbers = [entry.strip() for entry in text.split(",")]
-    if len(numbers) != 3 or not all(number.isdecimal() for number in numbers):
+    if len(numbers) != 3 or not all(map(_is_count, numbers)):
         return None
     return tuple(int(number) for number in numbers)
+
+
+def _is_count(text):
+    """Return whether a text is a whole number of a size that can be computed with."""
+    return text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
--- a/teaselwall/tests/test_malformed_replies.py
+++ b/teaselwall/tests/test_malformed_replies.py
@@ -3,8 +3,13 @@
 import expression
 import pytest
 
-from teaselwall import clock, errors, httpcalls, peers, probes, servers
-from teaselwall.tests import test_endless_transport, token_relays
+from teaselwall import clock, errors, gateway, httpcalls, peers, probes, servers
+from teaselwall.tests import (
+    platform_entry,
+    test_endless_transport,
+    test_stagework,
+    token_relays,
+)
 from teaselwall.tests.test_endless_transport import ADDRESS
 from teaselwall.tools import rigs
 
@@ -44,6 +49,31 @@
     assert reported.report is None
 
 
+@pytest.mark.parametrize("n_digits", [400, 5000])
+async def test_a_load_of_too_many_digits_is_ignored(autojump_clock, n_digits):
+    """Guards against a header that fails its own request, or all later choices."""
+    back_ends = platform_entry.BackEnds()
+    host = platform_entry.make_entry_host(back_ends, test_stagework.FakeServers())
+    application = gateway.Gateway(host)
+    for _ in range(4):
+        load = ",".join(["9" * n_digits] * 3)
+        back_ends.scripts = [platform_entry.Script(headers={"Server-Load": load})]
+        caller = await platform_entry.Caller("/once/1").send_request(application)
+        assert caller.status == 200
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [({"Pieces": "9" * 5000}, 400), ({"Prompt_Prefix": "a:" + "9" * 5000}, 200)],
+)
+async def test_counts_of_too_many_digits_fail_no_host(autojump_clock, headers, status):
+    back_ends = platform_entry.BackEnds()
+    host = platform_entry.make_entry_host(back_ends, test_stagework.FakeServers())
+    caller = platform_entry.Caller("/once/1", **headers)
+    await caller.send_request(gateway.Gateway(host))
+    assert caller.status == status
+
+
 async def test_a_probe_answered_with_nonsense_finds_no_crash(autojump_clock):
     prober = probes.HttpProber(FixedReplies(200, NESTED))
     assert await prober.find_crash(server()) == ""
