Take a switch of protocols for no reply

What callers would see: a CONNECT answered with 200 got an empty body as if it were whole, in place of the server's; a 101 to a call that offered an upgrade made the process loop without end.

Cause: h11 pauses at such a point, which the reading of a body took for its end and the reading of a head for one more informational reply.

--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -151,8 +151,10 @@
                 await self.connection.stream.end_turn()
             elif event is h11.NEED_DATA:
                 await self._receive_body()
-            else:
+            elif isinstance(event, h11.EndOfMessage):
                 return
+            else:
+                raise httpcalls.Disconnected("the protocol was switched")
 
     async def _receive_body(self):
         stream = self.connection.stream
@@ -230,8 +232,8 @@
                     raise httpcalls.Disconnected(str(error)) from error
                 n_bytes += len(data)
                 protocol.receive_data(data)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise httpcalls.Disconnected("closed without a reply")
+            elif not isinstance(event, h11.InformationalResponse):
+                raise httpcalls.Disconnected("closed or switched without a reply")
 
 
 class Client(httpcalls.HttpCalls):
--- a/teaselwall/tests/test_malformed_replies.py
+++ b/teaselwall/tests/test_malformed_replies.py
@@ -3,9 +3,19 @@
 import expression
 import pytest
 
-from teaselwall import clock, errors, gateway, httpcalls, peers, probes, servers
+from teaselwall import (
+    clock,
+    errors,
+    gateway,
+    httpcalls,
+    httpclient,
+    peers,
+    probes,
+    servers,
+)
 from teaselwall.tests import (
     platform_entry,
+    raw_back_end,
     test_endless_transport,
     test_stagework,
     token_relays,
@@ -96,3 +106,23 @@
     assert isinstance(result.error, errors.TransportError)
     assert result.error.outcome is errors.Outcome.UNKNOWN
     assert result.error.retry_after_ms == 0
+
+
+@pytest.mark.parametrize(
+    ("method", "headers", "reply"),
+    [
+        ("CONNECT", [], b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"),
+        (
+            "GET",
+            [(b"connection", b"upgrade"), (b"upgrade", b"x")],
+            b"HTTP/1.1 101 Switching\r\n\r\nok",
+        ),
+    ],
+)
+async def test_a_switch_of_protocols_is_no_reply(nursery, method, headers, reply):
+    """Guards against an empty body in place of the server's, and a loop without end."""
+    back_end = await raw_back_end.serve(nursery, raw_back_end.RawScript(reply))
+    client = httpclient.Client(clock.Clock())
+    result = await client.call(method, back_end.address, "/", {}, 2000, headers)
+    assert isinstance(result.error, errors.ConnectionBroken)
+    assert result.error.outcome is errors.Outcome.UNKNOWN
