Pass on no event whose id a stream can't go on from

What callers would see: after an event with an empty id a broken stream was begun anew at the next server, so that its events came twice; with a control character in the id, or some 64 KB of it, the call to go on could not be sent, or was refused for its head, and counted as the failure to connect of each sound server that was tried.

Cause: any bytes after "id:" became the id to resume from.

Now such an id makes the stream fail (BadEventId, outcome unknown) before its event is passed on, and it goes on from the last one that can be used.

Seen to fail with the check left out (a scratch copy), for an empty id, two control characters and 5,000 bytes: the event was passed on.

--- a/teaselwall/sse.py
+++ b/teaselwall/sse.py
@@ -1,5 +1,7 @@
 """Splits a byte stream of server-sent events into events."""
 
+import re
+
 from teaselwall import errors
 
 # A blank line ends an event, with any of the three line ends of the format.
@@ -7,12 +9,19 @@
 # Bytes of a separator that may have arrived before its last byte.
 MAX_OVERLAP_BYTES = max(len(separator) for separator in SEPARATORS) - 1
 MAX_EVENT_BYTES = 256 * 1024
+MAX_ID_BYTES = 256
+# What a header can carry to the server at which a stream is resumed.
+ID_PATTERN = re.compile(rb"[^\x00-\x1f\x7f]{1,%d}" % MAX_ID_BYTES)
 
 
 class EventTooLarge(errors.ServerFailed):
     """A server sends an event that does not end within ``MAX_EVENT_BYTES``."""
 
 
+class BadEventId(errors.ServerFailed):
+    """A server sends an event after which its stream could not be resumed."""
+
+
 class EventSplitter:
     """Splits a stream of server-sent events at the ends of events.
 
@@ -42,6 +51,9 @@
         ------
         EventTooLarge
             No event is complete and the partial one exceeds ``MAX_EVENT_BYTES``.
+        BadEventId
+            The last id is empty, too long or has control characters. None of the
+            events that are complete now are returned.
         """
         start = 0
         if self.partial:
@@ -63,8 +75,11 @@
         while start > 0 and complete[start - 1] not in b"\r\n":
             start = complete.rfind(b"id:", 0, start)
         if start >= 0:
-            line = complete[start + 3 :].splitlines()[0]
-            self.last_id = line.decode("latin-1").strip()
+            event_id = complete[start + 3 :].splitlines()[0].strip()
+            if not ID_PATTERN.fullmatch(event_id):
+                detail = f"The id of an event can't be used: {event_id[:40]!r}."
+                raise BadEventId(detail, outcome=errors.Outcome.UNKNOWN)
+            self.last_id = event_id.decode("latin-1")
 
 
 def _last_end(data, start):
--- a/teaselwall/tests/test_endless_replies.py
+++ b/teaselwall/tests/test_endless_replies.py
@@ -84,6 +84,18 @@
         splitter.feed(b"x")
 
 
+@pytest.mark.parametrize("event_id", [b"", b"2\x00", b"\x7f", b"9" * 5000])
+async def test_an_id_that_can_not_be_resumed_from_is_not_passed_on(
+    autojump_clock, application, back_ends, event_id
+):
+    """Guards against a stream that is begun anew, or for which no call can be sent."""
+    bad = b"id: " + event_id + b"\ndata: b\n\n"
+    back_ends.scripts = [Script(body=[EVENTS[0], bad]), Script(body=EVENTS[1:])]
+    caller = await Caller("/resumed/1").send_request(application)
+    assert b"".join(caller.parts) == b"".join(EVENTS)
+    assert back_ends.calls[1][1][b"last-event-id"] == b"1"
+
+
 @pytest.mark.parametrize("status", [200, 500])
 async def test_a_reply_without_end_is_given_up_by_its_size(
     autojump_clock, application, back_ends, status
