--- a/teaselwall/tests/raw_back_end.py
+++ b/teaselwall/tests/raw_back_end.py
@@ -32,7 +32,7 @@
         self.address = ""
 
     async def handle(self, stream):
-        self.requests.append(await _read_request(stream))
+        self.requests.append(await read_request(stream))
         script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
         self.n_open += 1
         try:
@@ -91,7 +91,7 @@
             stream.socket.close()
 
 
-async def _read_request(stream):
+async def read_request(stream):
     request = b""
     while part := await stream.receive_some():
         request += part
