Bound the pieces of a request

What would be seen: a request that names a hundred million pieces made the coordinator build an object for each, until the process ended for want of memory.

Cause: the counts were taken as they came; since the digits are bounded they reach 10^9. A request now has at most 10,000 pieces, else it is answered 400.

Seen to fail with the bound left out (a scratch copy), with 10,001 pieces: "assert 200 == 400". Larger numbers were not tried without the bound.

--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -9,6 +9,8 @@
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000
 MAX_COUNT_DIGITS = 9
+# Pieces of all stages of one request; each takes memory at the coordinator.
+MAX_PIECES = 10_000
 
 
 class UsersProtocol(protocols.Protocol):
@@ -142,7 +144,10 @@
     counts = [entry.strip() for entry in filter(None, text.split(","))]
     if not all(map(_is_count, counts)):
         raise errors.InvalidRequest("pieces must be a list of non-negative integers.")
-    return tuple(int(count) for count in counts)
+    numbers = tuple(int(count) for count in counts)
+    if sum(numbers) > MAX_PIECES:
+        raise errors.InvalidRequest(f"A request has at most {MAX_PIECES} pieces.")
+    return numbers
 
 
 def _server_load(text):
--- a/teaselwall/tests/test_malformed_replies.py
+++ b/teaselwall/tests/test_malformed_replies.py
@@ -13,6 +13,7 @@
     probes,
     servers,
 )
+from teaselwall.platform import heads
 from teaselwall.tests import (
     platform_entry,
     raw_back_end,
@@ -74,9 +75,14 @@
 
 @pytest.mark.parametrize(
     ("headers", "status"),
-    [({"Pieces": "9" * 5000}, 400), ({"Prompt_Prefix": "a:" + "9" * 5000}, 200)],
+    [
+        ({"Pieces": "9" * 5000}, 400),
+        ({"Pieces": f"1,{heads.MAX_PIECES}"}, 400),
+        ({"Pieces": f"1,{heads.MAX_PIECES - 1}"}, 200),
+        ({"Prompt_Prefix": "a:" + "9" * 5000}, 200),
+    ],
 )
-async def test_counts_of_too_many_digits_fail_no_host(autojump_clock, headers, status):
+async def test_counts_that_are_too_large_fail_no_host(autojump_clock, headers, status):
     back_ends = platform_entry.BackEnds()
     host = platform_entry.make_entry_host(back_ends, test_stagework.FakeServers())
     caller = platform_entry.Caller("/once/1", **headers)
