Test of bytes without end after a reply on a kept connection

Passed at once: the connection is dropped before it is used again, whether the surplus came with the reply or later, and the next call is answered on a new one. With the checks left out of httpclient.Connection (a scratch copy) both failed: the next call read the surplus as its head.

--- a/teaselwall/tests/test_endless_calls.py
+++ b/teaselwall/tests/test_endless_calls.py
@@ -120,3 +120,22 @@
     await check_endless(
         nursery, client, lambda _, address: call(address=address, path="/"), script
     )
+
+
+@pytest.mark.parametrize("in_one_piece", [False, True])
+async def test_bytes_without_end_after_a_reply_discard_its_connection(
+    nursery, client, in_one_piece
+):
+    """They come together with the reply, or while its connection is kept."""
+    reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}"
+    surplus = RawScript(reply + CHUNK if in_one_piece else reply, rest=CHUNK)
+    back_end = await raw_back_end.serve(nursery, surplus, OK)
+    with trio.fail_after(20):
+        assert (await free_results(client, back_end.address)).is_ok()
+        while not surplus.n_rest_bytes and not surplus.broken:
+            await trio.sleep(0.001)
+        assert (await free_results(client, back_end.address)).is_ok()
+        while not surplus.broken:
+            await trio.sleep(0.001)
+    assert len(back_end.requests) == 2
+    assert surplus.n_rest_bytes <= BUFFER_BYTES
