--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -14,8 +14,8 @@
 KEEP_IDLE_S = 5.0
 MAX_IDLE_PER_ADDRESS = 4
 MAX_IDLE_ADDRESSES = 1000
-# Limit of the head of a reply.
-MAX_HEAD_BYTES = 64 * 1024
+# Parts of a body that are decoded before other tasks run.
+MAX_PARTS_PER_TURN = 256
 
 
 class Connection:
@@ -32,7 +32,7 @@
     def __init__(self, stream):
         self.stream = stream
         self.protocol = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.CLIENT, max_incomplete_event_size=httpcalls.MAX_HEAD_BYTES
         )
         self.idle_since_s = 0.0
 
@@ -56,7 +56,8 @@
         protocol = self.protocol
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
             return False
-        if protocol.trailing_data[0]:
+        surplus, is_closed = protocol.trailing_data
+        if surplus or is_closed:
             return False
         protocol.start_next_cycle()
         self.idle_since_s = trio.current_time()
@@ -146,6 +147,8 @@
                 event = protocol.next_event()
                 while isinstance(event, h11.Data):
                     parts.append(event.data)
+                    if len(parts) == MAX_PARTS_PER_TURN:
+                        break
                     event = protocol.next_event()
             except h11.RemoteProtocolError as error:
                 failure = httpcalls.Disconnected(str(error))
@@ -153,13 +156,20 @@
                 yield bytes(parts[0]) if len(parts) == 1 else b"".join(parts)
             if failure is not None:
                 raise failure
-            if event is not h11.NEED_DATA:
+            if isinstance(event, h11.Data):
+                await self.connection.stream.end_turn()
+            elif event is h11.NEED_DATA:
+                await self._receive_body()
+            elif isinstance(event, h11.EndOfMessage):
                 return
-            await self._receive_body()
+            else:
+                raise httpcalls.Disconnected("the protocol was switched")
 
     async def _receive_body(self):
         stream = self.connection.stream
         try:
+            if stream.n_turn_bytes >= sockets.BYTES_PER_TURN:
+                await stream.end_turn()
             data = stream.receive_now()
             if data is None:
                 limit = patience.Patience(self.silence_s, self.may_give_up)
@@ -214,6 +224,7 @@
 
     async def _read_head(self, limit):
         protocol = self.connection.protocol
+        n_bytes = 0
         while True:
             try:
                 event = protocol.next_event()
@@ -224,14 +235,17 @@
                 self.headers = list(event.headers)
                 return
             if event is h11.NEED_DATA:
+                if n_bytes >= httpcalls.MAX_HEAD_BYTES:
+                    raise httpcalls.Disconnected("the head is over the size limit")
                 try:
                     receive = self.connection.stream.receive
                     data = await limit.wait(receive, "head of a reply")
                 except OSError as error:
                     raise httpcalls.Disconnected(str(error)) from error
+                n_bytes += len(data)
                 protocol.receive_data(data)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise httpcalls.Disconnected("closed without a reply")
+            elif not isinstance(event, h11.InformationalResponse):
+                raise httpcalls.Disconnected("closed or switched without a reply")
 
 
 class Client(httpcalls.HttpCalls):
