--- a/teaselwall/tests/test_endless_replies.py
+++ b/teaselwall/tests/test_endless_replies.py
@@ -3,8 +3,7 @@
 import pytest
 import trio
 
-from teaselwall import gateway, httpcalls, replies, sse
-from teaselwall.tests import platform_entry, test_stagework
+from teaselwall import httpcalls, replies, sse
 from teaselwall.tests.platform_entry import Caller, Script
 
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
@@ -13,17 +12,6 @@
 GIVE_UP_BYTES = 16 * 1024 * 1024
 
 
-@pytest.fixture
-def back_ends():
-    return platform_entry.BackEnds()
-
-
-@pytest.fixture
-async def application(autojump_clock, back_ends):
-    servers = test_stagework.FakeServers()
-    return gateway.Gateway(platform_entry.make_entry_host(back_ends, servers))
-
-
 class EndlessBody:
     """Parts of a body, then bytes that end nothing.
 
--- a/teaselwall/tests/test_malformed_replies.py
+++ b/teaselwall/tests/test_malformed_replies.py
@@ -15,10 +15,10 @@
 )
 from teaselwall.platform import heads
 from teaselwall.tests import (
+    fake_stages,
     platform_entry,
     raw_back_end,
     test_endless_transport,
-    test_stagework,
     token_relays,
 )
 from teaselwall.tests.test_endless_transport import ADDRESS
@@ -64,7 +64,7 @@
 async def test_a_load_of_too_many_digits_is_ignored(autojump_clock, n_digits):
     """Guards against a header that fails its own request, or all later choices."""
     back_ends = platform_entry.BackEnds()
-    host = platform_entry.make_entry_host(back_ends, test_stagework.FakeServers())
+    host = platform_entry.make_entry_host(back_ends, fake_stages.FakeServers())
     application = gateway.Gateway(host)
     for _ in range(4):
         load = ",".join(["9" * n_digits] * 3)
@@ -84,7 +84,7 @@
 )
 async def test_counts_that_are_too_large_fail_no_host(autojump_clock, headers, status):
     back_ends = platform_entry.BackEnds()
-    host = platform_entry.make_entry_host(back_ends, test_stagework.FakeServers())
+    host = platform_entry.make_entry_host(back_ends, fake_stages.FakeServers())
     caller = platform_entry.Caller("/once/1", **headers)
     await caller.send_request(gateway.Gateway(host))
     assert caller.status == status
--- a/teaselwall/tests/test_unframed_replies.py
+++ b/teaselwall/tests/test_unframed_replies.py
@@ -6,9 +6,9 @@
 
 from teaselwall import clock, errors, gateway, httpclient, replies, transport
 from teaselwall.tests import (
+    fake_stages,
     platform_entry,
     raw_back_end,
-    test_stagework,
     token_relays,
 )
 from teaselwall.tests.platform_entry import Caller
@@ -35,7 +35,7 @@
     def make(pool, *back_ends):
         host = platform_entry.make_entry_host(
             httpclient.Client(clock.Clock()),
-            test_stagework.FakeServers(),
+            fake_stages.FakeServers(),
             servers={
                 f"s{i}": platform_entry.registration(pool, address=back_end.address)
                 for i, back_end in enumerate(back_ends)
