Survive datagrams that are nested too deeply to be decoded

Decoding one raised RecursionError, which left the receiving task and ended the process. Evidence: the new test failed with RecursionError before.

--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from teaselwall import events, gossip, sockets
+from teaselwall import errors, events, gossip, sockets
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -189,7 +189,7 @@
         """Process one received datagram."""
         try:
             exchange = msgspec.json.decode(data, type=messages.Exchange)
-        except (msgspec.DecodeError, UnicodeError) as error:
+        except errors.UNDECODABLE as error:
             events.log(logger, logging.WARNING, "view_unreadable", detail=str(error))
             return
         sender = exchange.sender
--- a/teaselwall/tests/test_datagrams.py
+++ b/teaselwall/tests/test_datagrams.py
@@ -2,6 +2,7 @@
 
 from teaselwall import datagrams
 from teaselwall.generated import messages
+from teaselwall.tests import platform_entry
 
 N_MEMBERS = 900
 
@@ -23,3 +24,10 @@
         row.nonce for row in rows
     ]
     assert sum(part.asks for part in decoded) == 1
+
+
+async def test_deeply_nested_datagram_ends_no_task(autojump_clock):
+    """Decoding it raised RecursionError, which ended the process."""
+    host = platform_entry.make_entry_host(platform_entry.BackEnds(), None)
+    await host.gossip._process(b'{"zz":' + b"[" * 50_000)
+    await host.gossip._process(b"\xff\xfe")
