Take an engine that sends bytes but no event for a silent one

A byte now and then kept a resumable stream at a stalled engine until its deadline, as each byte restarted the limit of silence. Time without a whole event counts now, under the same conditions as a silence. One attempt is an object of its own, as its parts share most of its arguments.

--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -97,19 +97,17 @@
         span = self.tracer.start(
             "attempt", call.span, server=server.address, request=call.head.id
         )
-        received = progress.AttemptProgress(self.clock)
+        attempt = ServerAttempt(self, call, server, reply, on_head, may_give_up)
         with (
-            server.track_call(self.clock) as server_attempt,
-            self.crash_guard.watching(call, server, received) as watched,
+            server.track_call(self.clock) as tracked,
+            self.crash_guard.watching(call, server, attempt.received) as watched,
         ):
-            error = await self._exchange(
-                call, server, reply, inputs, on_head, may_give_up, received
-            )
+            error = await attempt.run(inputs)
             if error is not None:
                 watched.error = error
-                server_attempt.fail(error)
+                tracked.fail(error)
                 traces.record_failure(span, error)
-                self._record_failure(server, error)
+                _record_failure(server, error)
         span.end()
         if error is None or error.outcome is not errors.Outcome.NOT_RUN:
             call.n_ran += 1
@@ -126,20 +124,48 @@
             parts=call.head.shared_parts()[:MAX_PARTS_LOGGED],
             outcome=error.outcome.value if error is not None else "ok",
             error=str(error) if error is not None else "",
-            **received.log_fields(),
+            **attempt.received.log_fields(),
         )
         return error
 
-    def _record_failure(self, server, error):
-        if isinstance(error, errors.ConnectFailed):
-            server.n_failures = max(server.n_failures, ejections.FAILURES_TO_EJECT)
-        elif isinstance(error, BadAnswer) or error.outcome is errors.Outcome.NOT_RUN:
-            # A refusal or an error reply shows that the server is reachable.
-            server.n_failures = max(0, server.n_failures - 1)
 
-    async def _exchange(
-        self, call, server, reply, inputs, on_head, may_give_up, received
-    ):
+class ServerAttempt:
+    """One attempt at a request.
+
+    Parameters
+    ----------
+    attempts : ServerAttempts
+    call, server, reply, on_head, may_give_up
+        See ``ServerAttempts.make``.
+
+    Attributes
+    ----------
+    received : progress.AttemptProgress
+    """
+
+    __slots__ = (
+        "attempts",
+        "call",
+        "server",
+        "reply",
+        "on_head",
+        "may_give_up",
+        "received",
+    )
+
+    def __init__(self, attempts, call, server, reply, on_head, may_give_up):
+        self.attempts = attempts
+        self.call = call
+        self.server = server
+        self.reply = reply
+        self.on_head = on_head
+        self.may_give_up = may_give_up
+        self.received = progress.AttemptProgress(attempts.clock)
+
+    async def run(self, inputs):
+        """Send the request and relay the reply; return the error, or None."""
+        call, server = self.call, self.server
+        transport = self.attempts.transport
         remaining_ms = call.deadline.remaining_ms()
         attempt = protocols.Attempt(
             remaining_ms=remaining_ms,
@@ -153,32 +179,33 @@
         )
         try:
             with trio.fail_after(max(0.0, remaining_ms) / 1000) as limit:
-                reply.add_limit(limit)
-                async with self.transport.forward(
+                self.reply.add_limit(limit)
+                async with transport.forward(
                     call.head.method,
                     server.address,
                     call.head.target,
-                    self.protocol.request_headers(call.head, attempt),
+                    self.attempts.protocol.request_headers(call.head, attempt),
                     call.body,
                     call.head_timeout_ms(remaining_ms),
                     silence_ms=call.silence_timeout_ms(remaining_ms),
-                    progress=received,
-                    may_give_up=may_give_up,
+                    progress=self.received,
+                    may_give_up=self.may_give_up,
                 ) as response:
-                    received.record_head()
-                    return await self._read_response(
-                        call, server, reply, response, on_head, received
-                    )
-        except self.transport.failures as error:
-            return self.transport.to_error(server.address, "", error, received)
+                    self.received.record_head()
+                    return await self._read_response(response)
+        except transport.failures as error:
+            return transport.to_error(server.address, "", error, self.received)
         except errors.TransportError as error:
             return error
 
-    async def _read_response(self, call, server, reply, response, on_head, received):
-        head = self.protocol.read_reply(response.status, response.headers, call.head)
+    async def _read_response(self, response):
+        call, server = self.call, self.server
+        head = self.attempts.protocol.read_reply(
+            response.status, response.headers, call.head
+        )
         _record_load(server, head)
         if head.genuine or head.not_run:
-            self.server_choices.fleet.record_notice(server, head.notice)
+            self.attempts.server_choices.fleet.record_notice(server, head.notice)
         if not head.genuine and not head.not_run:
             detail = (
                 f"The reply from {server.address} lacks the server's stamp or belongs "
@@ -195,32 +222,48 @@
             body = await httpcalls.read_body(response)
             detail = f"{server.address} answered with status {head.status}."
             raise BadAnswer(head, body, detail, errors.Outcome.RAN)
-        on_head()
+        self.on_head()
         if calls.is_streaming(call.route):
-            return await self._relay_stream(
-                call, server, reply, head, response, received
-            )
-        body = await httpcalls.read_body(response)
-        await reply.send_whole(head.status, head.headers, body)
+            await self._relay_stream(head, response)
+        else:
+            body = await httpcalls.read_body(response)
+            await self.reply.send_whole(head.status, head.headers, body)
         return None
 
-    async def _relay_stream(self, call, server, reply, head, response, received):
+    async def _relay_stream(self, head, response):
         """Pass complete events on to the caller as they arrive."""
-        splitter = call.splitter
+        splitter = self.call.splitter
         splitter.partial = b""
-        if not reply.started:
-            reply.start(head.status, head.headers)
+        if not self.reply.started:
+            self.reply.start(head.status, head.headers)
+        event_ms = self.received.received_ms
         async for data in response.aiter_stream():
-            received.record_bytes(len(data))
+            self.received.record_bytes(len(data))
             complete = splitter.feed(data)
             if complete:
-                call.waiting_since_ms = received.received_ms
-                await reply.write(complete)
+                event_ms = self.call.waiting_since_ms = self.received.received_ms
+                await self.reply.write(complete)
+            else:
+                self._check_progress(self.received.received_ms - event_ms)
         if splitter.partial:
-            detail = f"The stream from {server.address} ended within an event."
+            detail = f"The stream from {self.server.address} ended within an event."
             raise errors.ConnectionBroken(detail, outcome=errors.Outcome.UNKNOWN)
-        await reply.end()
-        return None
+        await self.reply.end()
+
+    def _check_progress(self, since_event_ms):
+        """Give up a server that sends bytes but no event, as one that is silent."""
+        limit_ms = self.call.silence_timeout_ms(self.call.deadline.remaining_ms())
+        if since_event_ms > limit_ms and self.may_give_up():
+            detail = f"{self.server.address} sent no whole event for {since_event_ms:.0f} ms."
+            raise errors.TransportError(detail, outcome=errors.Outcome.UNKNOWN)
+
+
+def _record_failure(server, error):
+    if isinstance(error, errors.ConnectFailed):
+        server.n_failures = max(server.n_failures, ejections.FAILURES_TO_EJECT)
+    elif isinstance(error, BadAnswer) or error.outcome is errors.Outcome.NOT_RUN:
+        # A refusal or an error reply shows that the server is reachable.
+        server.n_failures = max(0, server.n_failures - 1)
 
 
 def _record_load(server, head):
--- a/teaselwall/tests/test_continued_streams.py
+++ b/teaselwall/tests/test_continued_streams.py
@@ -175,3 +175,17 @@
     assert [caller.status for caller in callers] == [200] * 10
     host.fleet.choices("core")
     assert not any(s.n_ejections for s in host.fleet.servers_in_use())
+
+
+async def test_stream_of_an_engine_that_only_trickles_is_continued_at_another(
+    autojump_clock, application, back_ends
+):
+    """A byte now and then, without a whole event, kept a stream at a stalled engine."""
+    trickle = [part for _ in range(60) for part in (0.3, b":")]
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], *trickle]),
+        Script(body=EVENTS[1:]),
+    ]
+    started_s = trio.current_time()
+    assert_whole(await stream_caller().send_request(application))
+    assert trio.current_time() - started_s < 3.0
