--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -254,7 +254,8 @@
         """Give up a server that sends bytes but no event, as one that is silent."""
         limit_ms = self.call.silence_timeout_ms(self.call.deadline.remaining_ms())
         if since_event_ms > limit_ms and self.may_give_up():
-            detail = f"{self.server.address} sent no whole event for {since_event_ms:.0f} ms."
+            address = self.server.address
+            detail = f"{address} sent no whole event for {since_event_ms:.0f} ms."
             raise errors.TransportError(detail, outcome=errors.Outcome.UNKNOWN)
 
 
