Read a server's answer that comes before a long body is sent

A server that answers before it has read a long body, and reads no further, had its answer left in the socket while the client waited for room, until the deadline. The client now waits for either.

--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -10,6 +10,7 @@
 
 from teaselwall import httpcalls, patience, sockets
 
+INFORMATIONAL = b"HTTP/1.1 1"
 # An idle connection is kept for reuse for this long, and this many for each address.
 KEEP_IDLE_S = 5.0
 MAX_IDLE_PER_ADDRESS = 4
@@ -204,23 +205,34 @@
         try:
             rest = stream.send_now(data)
             while rest:
-                await limit.wait(stream.wait_writable, "room for the request")
+                await limit.wait(stream.wait_ready, "room for the request")
+                if self._has_early_reply():
+                    return
                 rest = stream.send_now(rest)
         except OSError as error:
             # A server may answer and close before it has read the whole request.
-            if not await self._has_early_reply():
+            if not self._has_early_reply():
                 raise httpcalls.Disconnected(str(error)) from error
 
-    async def _has_early_reply(self):
-        """Return whether bytes of a reply arrived though the sending failed."""
+    def _has_early_reply(self):
+        """Return whether a reply arrived before the whole request was sent.
+
+        Raises
+        ------
+        httpcalls.Disconnected
+            The connection has ended without a reply.
+        """
         try:
             data = self.connection.stream.receive_now()
         except OSError:
             return False
-        if not data:
+        if data is None:
             return False
+        if not data:
+            raise httpcalls.Disconnected("closed before the request was sent")
         self.connection.protocol.receive_data(data)
-        return True
+        # The server still reads the request after an informational reply.
+        return not data.startswith(INFORMATIONAL)
 
     async def _read_head(self, limit):
         protocol = self.connection.protocol
--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -90,6 +90,17 @@
         """Wait until the socket has room for more bytes."""
         await trio.lowlevel.wait_writable(self.sock)
 
+    async def wait_ready(self):
+        """Wait until the socket has room for more bytes or bytes have arrived."""
+        async with trio.open_nursery() as nursery:
+
+            async def wait(until_ready):
+                await until_ready(self.sock)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(wait, trio.lowlevel.wait_readable)
+            nursery.start_soon(wait, trio.lowlevel.wait_writable)
+
     def send_now(self, data):
         """Send as many bytes as the socket has room for; return the others.
 
--- a/teaselwall/tests/test_patience.py
+++ b/teaselwall/tests/test_patience.py
@@ -70,3 +70,48 @@
 async def test_a_call_is_given_up_after_a_silence_by_default(nursery):
     with pytest.raises(httpcalls.ReplyTimeout):
         await read_whole(nursery, SilentServer(HEAD), None)
+
+
+async def test_answer_before_a_long_body_is_read_is_passed_on(nursery):
+    """A server's early answer stayed unread while the client waited to send on."""
+    long_body = b"x" * (32 << 20)
+
+    async def answer_early(stream):
+        await stream.receive_some()
+        await stream.send_all(HEAD + b"late")
+        await trio.sleep_forever()
+
+    listeners = await nursery.start(
+        functools.partial(trio.serve_tcp, answer_early, 0, host="127.0.0.1")
+    )
+    port = listeners[0].socket.getsockname()[1]
+    client = httpclient.Client(clock.Clock())
+    headers = [(b"host", b"h"), (b"content-length", b"%d" % len(long_body))]
+    address = f"127.0.0.1:{port}"
+    async with client.forward(
+        b"POST", address, b"/", headers, long_body, 5000
+    ) as reply:
+        assert await httpcalls.read_body(reply) == b"late"
+    nursery.cancel_scope.cancel()
+
+
+async def test_end_of_a_connection_while_a_long_body_is_sent_is_noticed(nursery):
+    """The client must not turn in circles on a connection that has ended."""
+    long_body = b"x" * (32 << 20)
+
+    async def end_sending(stream):
+        await stream.receive_some()
+        await stream.send_eof()
+        await trio.sleep_forever()
+
+    listeners = await nursery.start(
+        functools.partial(trio.serve_tcp, end_sending, 0, host="127.0.0.1")
+    )
+    port = listeners[0].socket.getsockname()[1]
+    client = httpclient.Client(clock.Clock())
+    headers = [(b"host", b"h"), (b"content-length", b"%d" % len(long_body))]
+    call = client.forward(b"POST", f"127.0.0.1:{port}", b"/", headers, long_body, 5000)
+    with pytest.raises(httpcalls.Disconnected):
+        async with call:
+            pass
+    nursery.cancel_scope.cancel()
