Survive replies of other hosts that are of another kind

A reply of the wrong shape raised in the task that exchanges views or follows the store, which ends the process, or failed a request with an internal error. They are typed errors now, decoded in one place. Evidence: both new tests failed before (ValidationError, a page read from text that is not base64).

--- a/teaselwall/emergencies.py
+++ b/teaselwall/emergencies.py
@@ -2,9 +2,7 @@
 
 import collections
 
-import msgspec
-
-from teaselwall import changes, control, fanout, rendezvous
+from teaselwall import changes, control, errors, fanout, rendezvous
 from teaselwall.generated import messages
 
 PUBLISH_INTERVAL_MS = 1000
@@ -95,10 +93,12 @@
             result = await self.peers.call(
                 member.address, ORDER_PATH, message, PEER_TIMEOUT_MS
             )
-            if result.is_error():
+            result = result.bind(
+                lambda reply: errors.convert(reply, messages.HostsInForce, "peer")
+            )
+            if result.is_error() or not result.ok.hosts:
                 return fanout.NO_ANSWER
-            reply = msgspec.convert(result.ok, messages.HostsInForce)
-            return reply.hosts[0].version if reply.hosts else fanout.NO_ANSWER
+            return result.ok.hosts[0].version
 
         return await fanout.visit_local(self.membership, send)
 
--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -254,12 +254,24 @@
     )
 
 
+def convert(message, kind, responder):
+    """Return a decoded JSON message as a struct, as a result; see ``read_reply``."""
+    try:
+        return expression.Ok(msgspec.convert(message, kind))
+    except msgspec.ValidationError as error:
+        return _undecodable(error, responder)
+
+
 def _decode_reply(reply, kind, responder):
     try:
         return expression.Ok(reply.decode(kind))
     except UNDECODABLE as error:
-        detail = f"The reply of the {responder} cannot be decoded: {error}."
-        return expression.Error(ServerFailed(detail, outcome=Outcome.UNKNOWN))
+        return _undecodable(error, responder)
+
+
+def _undecodable(error, responder):
+    detail = f"The reply of the {responder} cannot be decoded: {error}."
+    return expression.Error(ServerFailed(detail, outcome=Outcome.UNKNOWN))
 
 
 def require_ok(reply, responder):
--- a/teaselwall/fanout.py
+++ b/teaselwall/fanout.py
@@ -1,8 +1,8 @@
 """Fan-out to all entry hosts, through a delegate in each other data centre."""
 
-import msgspec
 import trio
 
+from teaselwall import errors
 from teaselwall.generated import messages
 
 NO_ANSWER = -1  # version listed for a host that did not answer or refused
@@ -62,9 +62,11 @@
     async def visit(delegates):
         for delegate in delegates:
             result = await peers.call(delegate.address, path, message, timeout_ms)
+            result = result.bind(
+                lambda reply: errors.convert(reply, messages.HostsInForce, "peer")
+            )
             if result.is_ok():
-                reply = msgspec.convert(result.ok, messages.HostsInForce)
-                statuses.extend(reply.hosts)
+                statuses.extend(result.ok.hosts)
                 return
         statuses.extend(status(delegate, NO_ANSWER) for delegate in delegates)
 
--- a/teaselwall/gossip.py
+++ b/teaselwall/gossip.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from teaselwall import events, responses
+from teaselwall import errors, events, responses
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -95,6 +95,7 @@
         """Send this host's view to a peer and merge the view that it returns."""
         message = self._message(self._assumed_digest(address), leaving)
         result = await self.peers.call(address, PATH, message, self.interval_ms)
+        result = result.bind(lambda r: errors.convert(r, messages.Exchange, "peer"))
         if result.is_error():
             events.log(
                 logger,
@@ -106,8 +107,7 @@
             return
         self.n_bytes += len(msgspec.json.encode(message))
         self.n_bytes += len(msgspec.json.encode(result.ok))
-        reply = msgspec.convert(result.ok, messages.Exchange)
-        self.membership.merge(reply)
+        self.membership.merge(result.ok)
 
     async def handle(self, message):
         """Answer a peer's exchange."""
--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -7,10 +7,10 @@
 """
 
 import base64
+import binascii
 import logging
 
 import expression
-import msgspec
 import trio
 import xxhash
 
@@ -223,11 +223,11 @@
 
 
 def _decode_page(reply, offset, era):
-    try:
-        news = msgspec.convert(reply, messages.StoreNews)
-    except msgspec.ValidationError as error:
-        detail = f"The reader's reply cannot be decoded: {error}."
-        return expression.Error(errors.ServerFailed(detail))
+    result = errors.convert(reply, messages.StoreNews, "reader")
+    return result.bind(lambda news: _read_page(news, offset, era))
+
+
+def _read_page(news, offset, era):
     is_same_era = news.era == _era_number(era)
     if not is_same_era and not (news.whole and news.era > _era_number(era)):
         detail = f"The reader's records are of era {news.era} of the store, not {era}."
@@ -239,12 +239,11 @@
             f"the store was {news.idle_ms:.0f} ms ago."
         )
         return expression.Error(errors.Unavailable(detail))
-    records = [
-        keyedtopics.Record(
-            record.key, None if record.dropped else base64.b64decode(record.value)
-        )
-        for record in news.records
-    ]
+    try:
+        records = [_decode(record) for record in news.records]
+    except binascii.Error as error:
+        detail = f"A record of the reader is not base64: {error}."
+        return expression.Error(errors.ServerFailed(detail))
     recovered_ms = news.returned_ms if news.returned_ms >= 0 else None
     return expression.Ok(
         keyedtopics.Page(
@@ -260,5 +259,10 @@
     )
 
 
+def _decode(record):
+    value = None if record.dropped else base64.b64decode(record.value, validate=True)
+    return keyedtopics.Record(record.key, value)
+
+
 def _rendezvous_score(nonce, me):
     return xxhash.xxh3_64_intdigest(f"{nonce}/{me}".encode())
--- a/teaselwall/submissions.py
+++ b/teaselwall/submissions.py
@@ -232,7 +232,9 @@
             if second_call_ms < message.remaining_ms:
                 nursery.start_soon(ask, second_call_ms)
         result = next((r for r in results if r.is_ok()), results[-1])
-        return result.map(lambda reply: msgspec.convert(reply, messages.StageResults))
+        return result.bind(
+            lambda reply: errors.convert(reply, messages.StageResults, "coordinator")
+        )
 
     def _log_answered(self):
         events.log(
--- a/teaselwall/tests/test_malformed_replies.py
+++ b/teaselwall/tests/test_malformed_replies.py
@@ -7,11 +7,13 @@
     clock,
     errors,
     gateway,
+    gossip,
     httpcalls,
     httpclient,
     peers,
     probes,
     servers,
+    sharedreads,
 )
 from teaselwall.platform import heads
 from teaselwall.tests import (
@@ -132,3 +134,25 @@
     result = await client.call(method, back_end.address, "/", {}, 2000, headers)
     assert isinstance(result.error, errors.ConnectionBroken)
     assert result.error.outcome is errors.Outcome.UNKNOWN
+
+
+class WrongPeers:
+    """Peers whose replies are JSON of another kind."""
+
+    async def call(self, *arguments, **options):
+        return expression.Ok({"rows": 7, "hosts": "all", "handles": 1})
+
+
+async def test_a_peer_reply_of_another_kind_ends_no_task(autojump_clock):
+    """It left the task that exchanges views, and with it the process."""
+    host = platform_entry.make_entry_host(platform_entry.BackEnds(), None)
+    exchanging = gossip.Gossip(host.clock, host.membership, WrongPeers())
+    await exchanging.exchange("10.0.0.2:1")
+
+
+def test_a_page_of_a_reader_that_is_not_base64_is_an_error():
+    """It left the task that follows the store, and with it the process."""
+    record = {"key": "k", "value": "%"}
+    news = {"records": [record], "next_offset": 1, "age_ms": 0, "idle_ms": 0}
+    news |= {"returned_ms": -1, "era": -1, "whole": False}
+    assert sharedreads._decode_page(news, 0, None).is_error()
