Send no piece whose inputs were lost while it waited

Pieces leave the queue while their inputs are missing and are queued again with the new ones.

The jobs of the stage tests move to the module of the fake stage servers.

--- a/teaselwall/stagequeues.py
+++ b/teaselwall/stagequeues.py
@@ -43,7 +43,10 @@
         self.pieces.extend(pieces)
 
     def sort(self, backlogs):
-        """Remove pieces that need no more work and sort the rest by urgency.
+        """Remove pieces that can't run now and sort the rest by urgency.
+
+        Besides pieces that need no more work, these are pieces whose inputs were lost
+        while they waited; they are queued again with the new inputs.
 
         Parameters
         ----------
@@ -51,7 +54,7 @@
         """
         kept = []
         for piece in self.pieces:
-            if piece.job.ended() or piece.handle:
+            if piece.job.ended() or piece.handle or not piece.stage.ready():
                 piece.queued = False
             else:
                 kept.append(piece)
--- a/teaselwall/tests/fake_stages.py
+++ b/teaselwall/tests/fake_stages.py
@@ -1,4 +1,4 @@
-"""Fake stage servers that run calls in mock time."""
+"""Fake stage servers that run calls in mock time, and jobs for them."""
 
 import collections
 
@@ -6,6 +6,7 @@
 import trio
 
 from teaselwall import errors, routes, stagecalls
+from teaselwall.generated import messages
 
 LIMITS = {
     "encode": routes.BatchLimits(1, 4, 200.0, 10.0, 10_000, 4000.0),
@@ -82,3 +83,50 @@
         await trio.sleep(0.001)
         self.live[server.address] -= set(handles)
         return expression.Ok(None)
+
+
+def entry(address, pool, data_centre="a"):
+    return messages.HostEntry(
+        address=address,
+        pool=pool,
+        data_centre=data_centre,
+        incarnation=address,
+        state="live",
+    )
+
+
+def job(request, *stages, due_ms=2000.0, remaining_ms=6000.0, data_centre="a"):
+    return messages.StageJob(
+        request=request,
+        key=f"key of {request}",
+        remaining_ms=remaining_ms,
+        due_ms=due_ms,
+        priority=0,
+        data_centre=data_centre,
+        stages=list(stages),
+    )
+
+
+def stage(pool, n_pieces, after=(), n_bytes=100):
+    return messages.StageJobStage(
+        pool=pool, after=list(after), n_pieces=n_pieces, n_bytes=n_bytes
+    )
+
+
+def pool_of(name):
+    if name not in LIMITS:
+        return None
+    return routes.Pool(name, 100, 0.0, 0.0, LIMITS[name], False)
+
+
+async def submit_all(work, jobs, pause_s=0.0):
+    results = {}
+
+    async def submit(message):
+        results[message.request] = await work.submit(message)
+
+    async with trio.open_nursery() as nursery:
+        for message in jobs:
+            nursery.start_soon(submit, message)
+            await trio.sleep(pause_s)
+    return results
--- a/teaselwall/tests/test_coordination.py
+++ b/teaselwall/tests/test_coordination.py
@@ -17,7 +17,7 @@
 )
 from teaselwall.generated import gateway as schema
 from teaselwall.tests import platform_entry
-from teaselwall.tests.test_stagework import job, stage
+from teaselwall.tests.fake_stages import job, stage
 
 
 class Network:
--- a/teaselwall/tests/test_datacentregroups.py
+++ b/teaselwall/tests/test_datacentregroups.py
@@ -3,7 +3,7 @@
 from teaselwall import clock, coordination, datacentregroups, fleet, operatorstate
 from teaselwall.generated import messages
 from teaselwall.tests import fakes
-from teaselwall.tests.test_stagework import job, stage
+from teaselwall.tests.fake_stages import job, stage
 
 POOLS = ("encode", "rank")
 
--- a/teaselwall/tests/test_stageload.py
+++ b/teaselwall/tests/test_stageload.py
@@ -11,7 +11,7 @@
 from teaselwall import clock, errors, metrics, stagecalls, stagework
 from teaselwall.generated import messages
 from teaselwall.tests import fake_stages, test_stagework
-from teaselwall.tests.test_stagework import job, pool_of, stage
+from teaselwall.tests.fake_stages import job, pool_of, stage
 
 RESULT_BYTES = 1500
 N_FITTING = 6
@@ -62,7 +62,7 @@
 
 @pytest.fixture
 async def work(servers, pool, autojump_clock, nursery):
-    entries = [test_stagework.entry("e1", "encode"), test_stagework.entry("r1", "rank")]
+    entries = [fake_stages.entry("e1", "encode"), fake_stages.entry("r1", "rank")]
     pool.apply(messages.HostList(hosts=entries))
     made = stagework.StageWork(clock.Clock(), pool, servers, pool_of, metrics.Metrics())
     nursery.start_soon(made.run)
--- a/teaselwall/tests/test_stagework.py
+++ b/teaselwall/tests/test_stagework.py
@@ -10,41 +10,13 @@
     fleet,
     metrics,
     operatorstate,
-    routes,
     stagecalls,
     stagechoices,
     stagework,
 )
 from teaselwall.generated import messages
 from teaselwall.tests import fake_stages, platform_entry
-
-
-def entry(address, pool, data_centre="a"):
-    return messages.HostEntry(
-        address=address,
-        pool=pool,
-        data_centre=data_centre,
-        incarnation=address,
-        state="live",
-    )
-
-
-def job(request, *stages, due_ms=2000.0, remaining_ms=6000.0, data_centre="a"):
-    return messages.StageJob(
-        request=request,
-        key=f"key of {request}",
-        remaining_ms=remaining_ms,
-        due_ms=due_ms,
-        priority=0,
-        data_centre=data_centre,
-        stages=list(stages),
-    )
-
-
-def stage(pool, n_pieces, after=(), n_bytes=100):
-    return messages.StageJobStage(
-        pool=pool, after=list(after), n_pieces=n_pieces, n_bytes=n_bytes
-    )
+from teaselwall.tests.fake_stages import entry, job, pool_of, stage, submit_all
 
 
 @pytest.fixture
@@ -58,12 +30,6 @@
     return fleet.Fleet(time, None, operatorstate.OperatorState(None, None, ""), 0, 0)
 
 
-def pool_of(name):
-    if name not in fake_stages.LIMITS:
-        return None
-    return routes.Pool(name, 100, 0.0, 0.0, fake_stages.LIMITS[name], False)
-
-
 @pytest.fixture
 async def work(servers, pool, autojump_clock, nursery):
     pool.apply(
@@ -76,19 +42,6 @@
     return made
 
 
-async def submit_all(work, jobs, pause_s=0.0):
-    results = {}
-
-    async def submit(message):
-        results[message.request] = await work.submit(message)
-
-    async with trio.open_nursery() as nursery:
-        for message in jobs:
-            nursery.start_soon(submit, message)
-            await trio.sleep(pause_s)
-    return results
-
-
 async def test_a_stage_gets_all_results_of_the_stage_before_it(
     autojump_clock, work, servers
 ):
