Call slow stage servers again: measurements age, and a slow pool is used

After all servers of a stage pool had been silent together, each counted as slow; a slow server gets only pieces that it can finish in time, and its slowdown changed only with a finished call, so none was ever called again. The measured slowdown now halves every 2 s without calls, and where all servers of a pool are slow, they are used.

--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -14,6 +14,8 @@
 MAX_LOST_CALL_PAUSE_MS = 4000.0
 # After three calls the moving average is most of the way to a new value.
 SLOWDOWN_WEIGHT = 0.3
+# A server without calls is measured anew some time later.
+SLOWDOWN_HALF_LIFE_MS = 2000.0
 # A server that is slower than expected by this factor gets only pieces that it can
 # still finish in time.
 SLOW_FACTOR = 1.7
@@ -48,8 +50,10 @@
     uncounted : list of (float, float)
         Space that may be taken up by results without a known handle: time on the clock
         until which it counts, and bytes.
-    slowdown : float
+    measured_slowdown : float
         Moving average of the measured time of a call over its expected time.
+    measured_ms : float
+        Time on the clock of the last measurement.
     n_lost_in_row : int
         Calls lost in a row.
     paused_until_ms : float
@@ -67,7 +71,8 @@
         "used_bytes",
         "reserved_bytes",
         "uncounted",
-        "slowdown",
+        "measured_slowdown",
+        "measured_ms",
         "n_lost_in_row",
         "paused_until_ms",
         "busy_until_ms",
@@ -82,7 +87,8 @@
         self.used_bytes = 0
         self.reserved_bytes = 0
         self.uncounted = []
-        self.slowdown = 1.0
+        self.measured_slowdown = 1.0
+        self.measured_ms = -math.inf
         self.n_lost_in_row = 0
         self.paused_until_ms = -math.inf
         self.busy_until_ms = -math.inf
@@ -98,6 +104,15 @@
         until_ms = max(self.busy_until_ms, self.paused_until_ms)
         return max(0.0, until_ms - self.clock.now_ms())
 
+    @property
+    def slowdown(self):
+        """Return how much slower than expected the server is; measurements age."""
+        excess = self.measured_slowdown - 1.0
+        if excess <= 0:
+            return self.measured_slowdown
+        age_ms = self.clock.now_ms() - self.measured_ms
+        return 1.0 + excess * 0.5 ** (age_ms / SLOWDOWN_HALF_LIFE_MS)
+
     def is_slow(self):
         """Return whether calls take much longer than the configuration says."""
         return self.slowdown > SLOW_FACTOR
@@ -157,9 +172,18 @@
     def record_time(self, elapsed_ms, n_pieces):
         """Record the time of a call that the server finished."""
         ratio = elapsed_ms / self.batches.expected_ms(n_pieces)
-        self.slowdown += SLOWDOWN_WEIGHT * (ratio - self.slowdown)
+        slowdown = self.slowdown
+        self._measure(slowdown + SLOWDOWN_WEIGHT * (ratio - slowdown))
         self.n_lost_in_row = 0
 
+    def record_late_call(self):
+        """Record that a call takes longer than the time after which it is hedged."""
+        self._measure(max(self.slowdown, HEDGE_FACTOR))
+
+    def _measure(self, slowdown):
+        self.measured_slowdown = slowdown
+        self.measured_ms = self.clock.now_ms()
+
     def add_result(self, handle, n_bytes):
         """Count a result that the server holds."""
         self.results[handle] = n_bytes
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -236,13 +236,15 @@
         available = [state for state in states if state.is_available()]
         if not available:
             return
+        all_slow = all(state.is_slow() for state in states)
         queue.sort(backlog)
         lead_ms = LEAD_MS + self.wait_estimates.wait_ms(pool)
         waits = functools.partial(stagechoices.should_wait, states, lead_ms, backlog)
         while available and queue.pieces:
             state = stagechoices.best_server(available, queue.pieces[0])
             available.remove(state)
-            if state.is_slow() and not self._finishes_in_time(state, queue.pieces[0]):
+            spares_slow = state.is_slow() and not all_slow
+            if spares_slow and not self._finishes_in_time(state, queue.pieces[0]):
                 continue
             batch = queue.take(state, waits)
             if batch and self.fleet.is_available(state.server):
@@ -315,7 +317,7 @@
         late = [
             p for p in waiting if p.n_attempts < stagejobs.MAX_ATTEMPTS and not p.queued
         ]
-        state.slowdown = max(state.slowdown, stageservers.HEDGE_FACTOR)
+        state.record_late_call()
         if late:
             stagelogs.hedged(state, late)
             self.queues[state.server.pool].add(late)
--- a/teaselwall/tests/test_stagetrouble.py
+++ b/teaselwall/tests/test_stagetrouble.py
@@ -2,6 +2,7 @@
 
 import expression
 import pytest
+import trio
 
 from teaselwall import clock, fleet, metrics, operatorstate, stagecalls, stagework
 from teaselwall.generated import messages
@@ -27,6 +28,26 @@
     return made
 
 
+async def test_stage_servers_that_were_slow_for_a_while_get_calls_again(
+    autojump_clock, work, servers
+):
+    """Every job was refused for good once all servers had answered slowly."""
+    servers.slowdown.update({"e1": 9.0, "e2": 9.0})
+    for number in range(12):
+        await submit_all(work, [quick_job(f"slow{number}")])
+    servers.slowdown.clear()
+    n_served = 0
+    for number in range(20):
+        results = await submit_all(work, [quick_job(f"late{number}")])
+        n_served += all(result.is_ok() for result in results.values())
+        await trio.sleep(0.5)
+    assert n_served >= 15
+
+
+def quick_job(name):
+    return job(name, stage("encode", 4), due_ms=900.0, remaining_ms=3000.0)
+
+
 async def test_queued_second_attempts_of_a_stage_wait_for_its_inputs(
     autojump_clock, work, servers
 ):
