Try sound parts that were refused along with a bad one soon, and alone

A request with more than one refused part is never a trial now, and parts that explain the same ends are tried after a second.

Evidence: the two new tests failed before (200 for a request with the bad part, 503 for a sound one).

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import dataclasses
 
 import xxhash
 
@@ -64,6 +65,22 @@
         return (self.begun or self.waiting) - self.cleared
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Conviction:
+    """Why a suspect is refused.
+
+    Attributes
+    ----------
+    n_events : int
+        Events that it explains.
+    tied : bool
+        Whether other suspects explain the same events.
+    """
+
+    n_events: int
+    tied: bool = False
+
+
 class CrashEvidence:
     """What all hosts have reported about the ends of servers.
 
@@ -152,7 +169,7 @@
         self.clear(suspect, list(self.crashes))
 
     def convicted(self):
-        """Return the suspects that end servers, with the number of events of each.
+        """Return the suspects that end servers.
 
         The suspect that explains most events is convicted first, and the others are
         not blamed for these. Of suspects that explain the same number, whole contents
@@ -160,7 +177,7 @@
 
         Returns
         -------
-        dict of str to int
+        dict of str to Conviction
         """
         unexplained = [c for c in self.crashes.values() if c.candidates()]
         found = {}
@@ -172,7 +189,7 @@
             best = [s for s in best if is_content(s)] or best
             if n_most < n_needed:
                 return found
-            found.update(dict.fromkeys(best, n_most))
+            found.update(dict.fromkeys(best, Conviction(n_most, len(best) > 1)))
             explained = set().union(*(events[suspect] for suspect in best))
             unexplained = [c for c in unexplained if c.event not in explained]
         return found
--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -136,7 +136,7 @@
         if not entries:
             return None
         suspect = entries[0].suspect
-        if self._tries(suspect) and self.quarantine.try_begin_trial(entries):
+        if len(entries) == 1 and self._begins_trial(entries[0]):
             call.on_trial = True
             self._log("quarantine_trial", suspect, request=call.head.id)
             return None
@@ -146,6 +146,10 @@
             retry_after_ms=min(MAX_RETRY_AFTER_MS, max(wait_ms, GATHER_MS)),
         )
 
+    def _begins_trial(self, entry):
+        """Return whether a request may be sent to try its only refused suspect."""
+        return self._tries(entry.suspect) and self.quarantine.try_begin_trial(entry)
+
     def _tries(self, suspect):
         """Return whether this host makes the trials of a suspect."""
         return rendezvous.rank(self.membership, suspect) == 0
@@ -217,17 +221,20 @@
         """Refuse what ends servers, once all hosts have reported a server's end."""
         await self.clock.sleep_ms(REPORT_MS)
         self.is_judging = False
-        for suspect, n_events in self.evidence.convicted().items():
+        for suspect, conviction in self.evidence.convicted().items():
             if not self.quarantine.was_lifted(suspect):
-                self._refuse(suspect, n_events)
+                self._refuse(suspect, conviction)
 
-    def _refuse(self, suspect, n_events):
-        if not self.quarantine.add(suspect, n_events):
+    def _refuse(self, suspect, conviction):
+        n_events, tied = conviction.n_events, conviction.tied
+        if not self.quarantine.add(suspect, n_events, tied):
             return
-        self._log("quarantined", suspect, n_events=n_events)
+        self._log("quarantined", suspect, n_events=n_events, tied=tied)
         if self._tries(suspect):
             self.archive.save(suspect)
-        notice = messages.QuarantineNotice(suspect=suspect, n_events=n_events)
+        notice = messages.QuarantineNotice(
+            suspect=suspect, n_events=n_events, tied=tied
+        )
         self._tell(quarantined=[notice])
 
     def _record_answer(self, attempt):
@@ -287,7 +294,7 @@
             if self.quarantine.was_lifted(notice.suspect):
                 # The sender has missed it.
                 self._tell(exchange.sender.address, lifted=[notice.suspect])
-            elif self.quarantine.add(notice.suspect, notice.n_events):
+            elif self.quarantine.add(notice.suspect, notice.n_events, notice.tied):
                 self._log("quarantined", notice.suspect, n_events=notice.n_events)
 
     def notices(self):
--- a/teaselwall/crashquarantine.py
+++ b/teaselwall/crashquarantine.py
@@ -5,6 +5,8 @@
 MAX_ENTRIES = 1024
 # A refused suspect gets a trial after this time, and the next after twice as long.
 FIRST_TRIAL_MS = 20_000.0
+# The same for suspects that explain the same ends as another one, mostly sound parts.
+TIED_TRIAL_MS = 1000.0
 # Trials of a suspect, which may each end a server.
 MAX_TRIALS = 5
 # A trial that has not ended by then counts as over.
@@ -47,13 +49,13 @@
         "trial_until_ms",
     )
 
-    def __init__(self, suspect, n_events, now_ms):
+    def __init__(self, suspect, n_events, tied, now_ms):
         self.suspect = suspect
         self.n_events = n_events
         self.added_ms = now_ms
         self.used_ms = now_ms
         self.n_trials = 0
-        self.interval_ms = FIRST_TRIAL_MS
+        self.interval_ms = TIED_TRIAL_MS if tied else FIRST_TRIAL_MS
         self.trial_ms = now_ms + self.interval_ms
         self.trial_until_ms = float("-inf")
 
@@ -80,13 +82,21 @@
         self.entries = collections.OrderedDict()
         self.lifted_ms = {}
 
-    def add(self, suspect, n_events):
-        """Refuse a suspect; return whether it was not refused before."""
+    def add(self, suspect, n_events, tied=False):
+        """Refuse a suspect; return whether it was not refused before.
+
+        Parameters
+        ----------
+        suspect : str
+        n_events : int
+        tied : bool
+            See ``crashevidence.Conviction``.
+        """
         if suspect in self.entries:
             return False
         now_ms = self.clock.now_ms()
         self.lifted_ms.pop(suspect, None)
-        self.entries[suspect] = Entry(suspect, n_events, now_ms)
+        self.entries[suspect] = Entry(suspect, n_events, tied, now_ms)
         while len(self.entries) > MAX_ENTRIES:
             self.entries.popitem(last=False)
         return True
@@ -116,13 +126,12 @@
             entry.used_ms = self.clock.now_ms()
         return found
 
-    def try_begin_trial(self, entries):
-        """Return whether trials of all these entries are due, and begin them."""
+    def try_begin_trial(self, entry):
+        """Return whether a trial of a refused suspect is due, and begin it."""
         now_ms = self.clock.now_ms()
-        if any(now_ms < max(e.trial_ms, e.trial_until_ms) for e in entries):
+        if now_ms < max(entry.trial_ms, entry.trial_until_ms):
             return False
-        for entry in entries:
-            entry.trial_until_ms = now_ms + TRIAL_MS
+        entry.trial_until_ms = now_ms + TRIAL_MS
         return True
 
     def record_crash(self, suspect):
@@ -136,7 +145,7 @@
             return
         entry.n_events += 1
         entry.n_trials += 1
-        entry.interval_ms *= 2
+        entry.interval_ms = max(FIRST_TRIAL_MS, 2 * entry.interval_ms)
         entry.trial_ms = now_ms + entry.interval_ms
         if entry.n_trials >= MAX_TRIALS:
             entry.trial_ms = float("inf")
--- a/teaselwall/tests/test_crashevidence.py
+++ b/teaselwall/tests/test_crashevidence.py
@@ -35,6 +35,10 @@
     return server
 
 
+def n_events(evidence):
+    return {s: c.n_events for s, c in evidence.convicted().items()}
+
+
 def test_one_end_blames_nothing(evidence):
     crash(evidence, BAD)
     assert not evidence.convicted()
@@ -43,7 +47,7 @@
 def test_part_that_explains_two_ends_among_few_is_blamed(evidence):
     crash(evidence, BAD, part("a"))
     crash(evidence, BAD, part("b"))
-    assert evidence.convicted() == {BAD: 2}
+    assert n_events(evidence) == {BAD: 2}
 
 
 def test_part_among_many_is_blamed_after_the_third_end(evidence):
@@ -51,7 +55,7 @@
     for number in range(3):
         assert not evidence.convicted()
         crash(evidence, BAD, *(part(f"{number}-{n}") for n in range(20)))
-    assert evidence.convicted() == {BAD: 3}
+    assert n_events(evidence) == {BAD: 3}
 
 
 def test_part_with_an_answer_in_between_is_not_blamed(evidence):
@@ -80,7 +84,7 @@
     for number in range(4):
         others = [part("unlucky")] if number < 3 else []
         crash(evidence, BAD, *others)
-    assert evidence.convicted() == {BAD: 4}
+    assert n_events(evidence) == {BAD: 4}
 
 
 def test_parts_that_always_come_together_are_blamed_later(evidence):
@@ -96,26 +100,26 @@
     """A request that comes again must not have sound requests refused."""
     for _ in range(3):
         crash(evidence, CONTENT, part("shared"))
-    assert evidence.convicted() == {CONTENT: 3}
+    assert n_events(evidence) == {CONTENT: 3}
 
 
 def test_part_is_blamed_once_it_explains_more_than_one_content(evidence):
     for _ in range(3):
         crash(evidence, CONTENT, BAD)
     crash(evidence, crashevidence.content_suspect("llm", "other"), BAD)
-    assert evidence.convicted() == {BAD: 4}
+    assert n_events(evidence) == {BAD: 4}
 
 
 def test_requests_without_an_answer_yet_are_blamed_only_without_others(evidence):
     for _ in range(4):
         crash(evidence, BAD, waiting=[part("queued"), CONTENT])
-    assert evidence.convicted() == {BAD: 4}
+    assert n_events(evidence) == {BAD: 4}
 
 
 def test_request_to_a_plain_service_is_blamed_without_any_answer(evidence):
     for number in range(3):
         crash(evidence, waiting=[CONTENT, *(part(f"{number}{n}") for n in range(9))])
-    assert evidence.convicted() == {CONTENT: 3}
+    assert n_events(evidence) == {CONTENT: 3}
 
 
 def test_two_bad_parts_are_both_blamed(evidence):
--- a/teaselwall/tests/test_crashguard.py
+++ b/teaselwall/tests/test_crashguard.py
@@ -8,6 +8,7 @@
 
 from teaselwall import clock as clocks
 from teaselwall import (
+    crashguard,
     crashquarantine,
     errors,
     gatewayviews,
@@ -114,7 +115,8 @@
     guarded_host.crash_guard.restore([BAD])
     for number in range(2000):
         guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
-        await send(guarded_application, body=b"%d" % number)
+        parts = f"a{number}:900,bad:200,1:50"
+        await send(guarded_application, parts, b"%d" % number)
         await trio.sleep(1.0)
     times_s = [at_s for at_s, _ in engines.arrivals]
     assert len(times_s) == crashquarantine.MAX_TRIALS
@@ -136,18 +138,47 @@
     assert not store.values
 
 
+async def test_sound_part_refused_along_with_a_bad_one_gets_a_trial_of_its_own(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    """Its trial was made with a request that held the bad part, too."""
+    guarded_host.crash_guard.restore([BAD, "llm/part/a0"])
+    await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
+    guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
+    assert (await send(guarded_application, "a0:900,bad:200,1:50")).status == 503
+    assert (await send(guarded_application, "a0:900,s1:200,2:50")).status == 200
+    assert set(guarded_host.crash_guard.quarantine.entries) == {BAD}
+
+
+async def test_parts_refused_together_are_tried_soon(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    """A part that half of the requests share was refused for as long as the bad one."""
+    guard = guarded_host.crash_guard
+    for number in range(4):
+        guard.evidence.record(f"e{number}", [BAD, "llm/part/a0"], [])
+        await trio.sleep(1.0)
+    guard._take_report(messages.CrashReport(server="e3", begun=[BAD, "llm/part/a0"]))
+    await trio.sleep(crashguard.REPORT_MS / 1000 + 0.01)
+    assert set(guard.quarantine.entries) == {BAD, "llm/part/a0"}
+    await trio.sleep(crashquarantine.TIED_TRIAL_MS / 1000)
+    guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
+    assert (await send(guarded_application, "a0:900,s1:200,2:50")).status == 200
+    assert set(guard.quarantine.entries) == {BAD}
+
+
 async def test_trial_whose_caller_left_is_made_again(
     autojump_clock, guarded_host, guarded_application, engines
 ):
     """A trial without a result must not keep a sound part refused for good."""
     guarded_host.crash_guard.restore([BAD])
     quarantine = guarded_host.crash_guard.quarantine
-    entries = quarantine.find([BAD])
+    (entry,) = quarantine.find([BAD])
     await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
-    assert quarantine.try_begin_trial(entries)
-    assert not quarantine.try_begin_trial(entries)
+    assert quarantine.try_begin_trial(entry)
+    assert not quarantine.try_begin_trial(entry)
     await trio.sleep(crashquarantine.TRIAL_MS / 1000)
-    assert quarantine.try_begin_trial(entries)
+    assert quarantine.try_begin_trial(entry)
 
 
 async def test_broken_answer_of_a_server_that_runs_is_no_evidence(
