Soak: silent servers, resumable streams with stages, lost answers, two versions

Incidents showed answers cut off while a sound server was only silent, and requests that end each server that begins to answer them. The soak saw neither: its streams could not be resumed, results of stages were never fetched, and no check asked why an answer was missing.

New: a resumable route with stages, longer streams, engines that fetch inputs (409 where they are gone), servers that send nothing for 1 to 1.6 s amid new configurations, the check for cut answers (soak_losses), versions in events, and requests that end servers with their checks (soak_crashes), which are played only by name (--also crash_servers) until there is a guard.

--- a/teaselwall/tests/test_soak.py
+++ b/teaselwall/tests/test_soak.py
@@ -3,7 +3,15 @@
 import pytest
 import trio
 
-from teaselwall.tools import soak, soak_checks, soak_faults, soak_fleet, soak_proxy
+from teaselwall.tools import (
+    soak,
+    soak_checks,
+    soak_crashes,
+    soak_faults,
+    soak_fleet,
+    soak_losses,
+    soak_proxy,
+)
 
 TENANTS = {key: name for name, key in soak_fleet.API_KEYS.items()}
 KEY = soak_fleet.API_KEYS["alpha"]
@@ -11,10 +19,12 @@
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def make_request(kind="once", status=200, body=None, sent_s=10.0):
-    if body is None:
-        body = b"answer of r1"
-    return soak_checks.Request("r1", kind, KEY, sent_s, sent_s + 1, status, body, True)
+def make_request(
+    kind="once", status=200, body=b"answer of r1", sent_s=10.0, complete=True, **fields
+):
+    return soak_checks.Request(
+        "r1", kind, KEY, sent_s, sent_s + 1, status, body, complete, "h1", **fields
+    )
 
 
 def make_run(server="s1", at_s=10.1, **fields):
@@ -30,7 +40,11 @@
 
 
 def stream_body(*numbers):
-    return "".join(f"id: {n}\ndata: r1 {n}\n\n" for n in numbers).encode()
+    return stream_body_of([(n, "v1") for n in numbers])
+
+
+def stream_body_of(events):
+    return "".join(f"id: {n}\ndata: r1 {n} {v}\n\n" for n, v in events).encode()
 
 
 def check(requests, runs, revoked_s=(), evacuations=()):
@@ -61,6 +75,24 @@
             (),
             (),
         ),
+        (
+            [make_request("resume", body=stream_body(1, 3), complete=False)],
+            [make_run()],
+            (),
+            (),
+        ),
+        (
+            [
+                make_request(
+                    "resume",
+                    body=stream_body_of([(1, "v1"), (2, "v1"), (3, "v2")]),
+                    complete=False,
+                )
+            ],
+            [make_run(), make_run("s2")],
+            (),
+            (),
+        ),
         ([make_request(status=502)], [make_run(), make_run("s2")], (), ()),
         ([make_request(status=503)], [make_run()], (), ()),
         ([make_request(status=429)], [make_run()], (), ()),
@@ -90,6 +122,12 @@
             (),
             (),
         ),
+        (
+            [make_request("resume", body=stream_body(1, 2), complete=False)],
+            [make_run(), make_run("s2")],
+            (),
+            (),
+        ),
         ([make_request("safe")], [make_run(), make_run("s2")], (), ()),
         ([make_request("safe", status=503)], [make_run()], (), ()),
         ([make_request(status=502)], [make_run()], (), ()),
@@ -100,6 +138,101 @@
     assert check(requests, runs, revoked_s, evacuations) == []
 
 
+def make_cut(kind="resume", ended_s=11.5, **fields):
+    given = {"complete": False, "body": b"", "written_s": 10.0}
+    request = make_request(kind, **given | fields)
+    request.ended_s = ended_s
+    return request
+
+
+def find_losses(request, runs=(), spans=()):
+    disturbances = soak_losses.Disturbances()
+    disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    return soak_losses.find_losses([request], runs, disturbances, soak_fleet.TIMEOUTS_S)
+
+
+@pytest.mark.parametrize(
+    ("request_", "runs", "spans"),
+    [
+        (make_cut(), [make_run()], ()),
+        (make_cut("once"), [], ()),
+        (make_cut("safe", status=0, ended_s=10.1), [make_run()], ()),
+        (make_cut(ended_s=14.0), [make_run()], ()),
+        (make_cut(), [make_run()], [("h1", 1.0, 6.9), ("s1", 11.6, 20.0)]),
+        (make_cut(), [make_run()], [("h2", 9.0, 20.0), ("s2", 9.0, 20.0)]),
+    ],
+)
+def test_an_answer_cut_by_sound_processes_is_seen(request_, runs, spans):
+    assert len(find_losses(request_, runs, spans)) == 1
+
+
+@pytest.mark.parametrize(
+    ("request_", "runs", "spans"),
+    [
+        (make_request("resume", written_s=10.0), [make_run()], ()),
+        (make_request("once", status=503, written_s=10.0), [], ()),
+        (make_cut(timed_out=True), [make_run()], ()),
+        (make_cut(written_s=0.0), [], ()),
+        (make_cut(ended_s=0.0), [make_run()], ()),
+        (make_cut(ended_s=14.3), [make_run()], ()),
+        (make_cut("once", ended_s=12.2), [make_run()], ()),
+        (make_cut("once", ended_s=10.4), [], ()),
+        (make_cut(), [make_run()], [("h1", 1.0, 7.1)]),
+        (make_cut(), [make_run()], [("s1", 11.4, 20.0)]),
+        (make_cut(), [make_run(), make_run("s2")], [("s2", 9.0, 9.5)]),
+        (make_cut(parts=("a", soak_checks.CRASH_PART, "b")), [make_run()], ()),
+    ],
+)
+def test_cuts_with_a_reason_are_no_losses(request_, runs, spans):
+    assert find_losses(request_, runs, spans) == []
+
+
+def make_crashing(name, sent_s):
+    request = make_cut(parts=("f1", soak_checks.CRASH_PART, name), sent_s=sent_s)
+    request.id = name
+    return request
+
+
+def find_crash_violations(arrivals_s, requests=(), spans=(), n_ends=5):
+    crashing = [make_crashing(f"c{i}", s) for i, s in enumerate(arrivals_s)]
+    records = [{"crashed": "c0", "at_s": 20.0 + i} for i in range(n_ends)]
+    records += [{"arrived": r.id, "at_s": r.sent_s} for r in crashing]
+    disturbances = soak_losses.Disturbances()
+    disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    return soak_crashes.find_violations([*crashing, *requests], records, disturbances)
+
+
+def test_arrivals_of_requests_that_end_servers_are_counted_from_the_fifth_end_on():
+    early = [19.0, 25.0, 26.9]
+    assert find_crash_violations([*early, 27.1, 28.0, 29.0]) == []
+    late = [*early, 27.1, 28.0, 29.0, 30.0]
+    assert len(find_crash_violations(late)) == 1
+    assert find_crash_violations(late, n_ends=4) == []
+    assert find_crash_violations(late, spans=[("h1", 20.0, 24.5)]) == []
+    assert len(find_crash_violations(late, spans=[("h2", 20.0, 24.5)])) == 1
+
+
+@pytest.mark.parametrize(
+    ("key", "first_part", "n_found"),
+    [(KEY, "f2", 1), ("other", "f1", 1), ("other", "f2", 0)],
+)
+def test_sound_requests_beside_those_that_end_servers_must_begin(
+    key, first_part, n_found
+):
+    def sound(status, sent_s):
+        body = stream_body(1) if status == 200 else b""
+        request = make_request("stream", status, body, sent_s, parts=(first_part, "o"))
+        request.key = key
+        return request
+
+    before = [sound(200, 12.0) for _ in range(8)] + [sound(503, 12.0)] * 2
+    between = [sound(503, 29.0)] * 50
+    half = [sound(200, 31.0) for _ in range(4)] + [sound(503, 31.0)] * 6
+    fewer = [sound(200, 31.0) for _ in range(3)] + [sound(503, 31.0)] * 7
+    assert find_crash_violations([19.0], before + between + half) == []
+    assert len(find_crash_violations([19.0], before + between + fewer)) == n_found
+
+
 def test_recovery_needs_nine_of_ten_requests_served():
     served = [make_request(sent_s=100.0) for _ in range(9)]
     assert (
@@ -186,10 +319,10 @@
     assert await echo_through(stream) == b"x"
 
 
-def test_a_seed_gives_the_same_fault_kinds():
+def test_a_seed_gives_the_same_fault_kinds(tmp_path):
     drawn = []
     for _ in range(2):
-        faults = soak_faults.Faults(None, None, SEED)
+        faults = soak_faults.Faults(soak_fleet.Fleet(tmp_path), None, SEED)
         drawn.append(
             [faults.schedule_random.choice(faults.kinds).__name__ for _ in range(30)]
         )
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -1,30 +1,64 @@
 """Stand-in for a back end of the users: ``python -m teaselwall.tools.platform_server``.
 
 It registers itself in the store's stand-in. It prints a line of JSON for each request
-that it starts to run, and for each request or piece whose inputs belong to another
-request.
+that it starts to run, that its caller leaves or that ends this process, and for each
+request or piece whose inputs belong to another request.
 """
 
 import contextlib
 import json
+import os
 import signal
 import sys
 import time
+import urllib.parse
 
 import httpcore
 import msgspec
 import trio
 
 from teaselwall import listeners, responses
-from teaselwall.tools import platform_store, standins
+from teaselwall.tools import platform_results, platform_store, standins
 
 HEARTBEAT_INTERVAL_S = 0.4
 # The users' servers also serve for this long after they report that they drain.
 DRAIN_S = 2.5
+# Events of a stream and their interval where the request's query names none.
 N_EVENTS = 6
-EVENT_INTERVAL_S = 0.02
+EVENT_INTERVAL_MS = 20
 REQUEST_TIME_S = 0.02
 STAGE_CALL_TIME_S = 0.05
+# From the head of an answer to the end of a process that the request crashes.
+CRASH_DELAY_S = 0.1
+CRASH_EXIT_CODE = 23
+NOT_EXECUTED = (b"not-executed", b"1")
+
+
+class Silence:
+    """Holds back everything that a server sends until a time.
+
+    Attributes
+    ----------
+    until_s : float
+        On the monotonic clock.
+    """
+
+    def __init__(self):
+        self.until_s = 0.0
+
+    def begin(self, length_s):
+        """Be silent for a time from now on."""
+        self.until_s = max(self.until_s, time.monotonic() + length_s)
+
+    def held_back(self, send):
+        """Return an ASGI ``send`` that waits while this server is silent."""
+
+        async def send_after_silence(message):
+            while (left_s := self.until_s - time.monotonic()) > 0:
+                await trio.sleep(left_s)
+            await send(message)
+
+        return send_after_silence
 
 
 class PlatformServer(standins.StandIn):
@@ -33,7 +67,9 @@
     Parameters
     ----------
     options : argparse.Namespace
-        ``listen``, ``public``, ``store``, ``id``, ``service`` and ``zone``.
+        ``listen``, ``public``, ``store``, ``id``, ``service``, ``zone``, ``version``
+        and ``crash_part``: a request whose prompt has this part, but not as its last
+        one, ends the process.
 
     Attributes
     ----------
@@ -43,8 +79,8 @@
         ``ready`` or ``draining``, as registered.
     sequence : int
         Number of registrations written so far.
-    results : dict of str to bool
-        Handles of the stored results of pieces.
+    results : platform_results.Results
+    silence_fault : Silence
     """
 
     def __init__(self, options):
@@ -53,7 +89,8 @@
         self.started_ms = int(time.time() * 1000)
         self.state = "ready"
         self.sequence = 0
-        self.results = {}
+        self.results = platform_results.Results()
+        self.silence_fault = Silence()
 
     async def handle(self, method, path, query, body, send):
         """Not used: ``__call__`` is overridden, because it needs the headers."""
@@ -65,69 +102,121 @@
             return
         headers = responses.headers_of(scope)
         body = await responses.read_body(receive, 1 << 22)
-        expected = headers.get("expect-instance", self.options.id)
-        if expected != self.options.id:
+        if scope["path"] == "/faults":
+            self.silence_fault.begin(json.loads(body)["silent_s"])
+            await responses.send_json(send, {})
+            return
+        send = self.silence_fault.held_back(send)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._drop_on_disconnect, receive, headers, nursery.cancel_scope
+            )
+            await self._answer(scope, headers, body, send)
+            nursery.cancel_scope.cancel()
+
+    async def _drop_on_disconnect(self, receive, headers, cancel_scope):
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        self._print("left", headers)
+        cancel_scope.cancel()
+
+    async def _answer(self, scope, headers, body, send):
+        path = scope["path"]
+        if self._crashes(headers):
+            self._print("arrived", headers)
+        if headers.get("expect-instance", self.options.id) != self.options.id:
             await self._send(send, 421, headers, b"another one")
-        elif scope["path"] == "/v1/stage-run":
+        elif path.startswith(platform_results.PATH_PREFIX):
+            name = path.removeprefix(platform_results.PATH_PREFIX)
+            is_kept = self.results.has(f"{self.options.public}/{name}")
+            await responses.send_json(send, {}, 200 if is_kept else 404)
+        elif path == "/v1/stage-run":
             await self._run_pieces(json.loads(body), send)
-        elif scope["path"] == "/v1/stage-free":
-            for handle in json.loads(body)["handles"]:
-                self.results.pop(handle, None)
+        elif path == "/v1/stage-free":
+            self.results.free(json.loads(body)["handles"])
             await responses.send_json(send, {})
         else:
             await self._run(scope, headers, send)
 
+    def _crashes(self, headers):
+        """Return whether a request ends the server that begins to answer it."""
+        entries = headers.get("prompt-prefix", "").split(",")
+        parts = [entry.partition(":")[0].strip() for entry in entries]
+        return bool(self.options.crash_part) and self.options.crash_part in parts[:-1]
+
     async def _run(self, scope, headers, send):
         request = headers["request-id"]
-        inputs = headers.get("inputs", "")
-        matches = [f"/{request}-" in handle for handle in inputs.split(",") if handle]
-        if not all(matches):
+        inputs = [handle for handle in headers.get("inputs", "").split(",") if handle]
+        if not all(f"/{request}-" in handle for handle in inputs):
             print_record(broken=f"request {request} was given inputs {inputs}")
-        print_record(
-            ran=request,
-            server=self.options.id,
+        if await self.results.fetch_all(inputs):
+            await self._send(send, 409, headers, b"an input is gone")
+            return
+        self._print(
+            "ran",
+            headers,
             zone=self.options.zone,
             path=scope["path"],
             tenant=headers.get("tenant", ""),
             key="authorization" in headers,
         )
-        if scope["path"].startswith("/stream/"):
-            await self._stream_events(headers, send)
+        if self.options.service == "engine":
+            await self._stream_events(scope, headers, send)
             return
         await trio.sleep(REQUEST_TIME_S)
         await self._send(send, 200, headers, f"answer of {request}".encode())
 
-    async def _stream_events(self, headers, send):
+    async def _stream_events(self, scope, headers, send):
         request = headers["request-id"]
-        first = int(headers.get("last-event-id", 0)) + 1
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        first = int(headers.get("last-event-id") or 0) + 1
+        interval_s = float(query.get("interval_ms", EVENT_INTERVAL_MS)) / 1000
         head = [
             *self._headers(headers),
             (b"content-type", b"text/event-stream"),
         ]
         await responses.start(send, 200, head)
-        for number in range(first, N_EVENTS + 1):
-            await trio.sleep(EVENT_INTERVAL_S)
-            data = f"id: {number}\ndata: {request} {number}\n\n".encode()
-            await send({"type": "http.response.body", "body": data, "more_body": True})
+        if self._crashes(headers):
+            await self._crash(headers, send)
+        for number in range(first, int(query.get("events", N_EVENTS)) + 1):
+            await trio.sleep(interval_s)
+            event = f"id: {number}\ndata: {request} {number} {self.options.version}\n\n"
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": event.encode(),
+                    "more_body": True,
+                }
+            )
         await send({"type": "http.response.body", "body": b""})
 
+    async def _crash(self, headers, send):
+        """Send the head of the answer and end this process."""
+        await send({"type": "http.response.body", "body": b"", "more_body": True})
+        await trio.sleep(CRASH_DELAY_S)
+        self._print("crashed", headers)
+        os._exit(CRASH_EXIT_CODE)
+
     async def _run_pieces(self, call, send):
         items = []
         for item in call["items"]:
             request = item["id"]
-            matches = [f"/{request}-" in handle for handle in item.get("inputs", ())]
-            if not all(matches):
-                print_record(broken=f"a piece of {request} was given {item['inputs']}")
+            inputs = item.get("inputs", ())
+            if not all(f"/{request}-" in handle for handle in inputs):
+                print_record(broken=f"a piece of {request} was given {inputs}")
+            if await self.results.fetch_all(inputs):
+                items.append({"reason": "gone"})
+                continue
             handle = f"{self.options.public}/{request}-{item['stage']}-{item['piece']}"
             items.append({"handle": handle})
         await trio.sleep(STAGE_CALL_TIME_S)
-        self.results.update((item["handle"], True) for item in items)
+        self.results.add(item["handle"] for item in items if "handle" in item)
         await responses.send_json(send, {"items": items})
 
     async def _send(self, send, status, headers, body):
         head = [*self._headers(headers), (b"content-length", b"%d" % len(body))]
-        if status == 421:
-            head.append((b"not-executed", b"1"))
+        if status != 200:
+            head.append(NOT_EXECUTED)
         await responses.start(send, status, head)
         await send({"type": "http.response.body", "body": body})
 
@@ -137,12 +226,18 @@
             (b"server-stamp", self.options.id.encode()),
         ]
 
+    def _print(self, event, headers, **fields):
+        """Print a record about a request of this server."""
+        request = headers.get("request-id", "")
+        print_record(**{event: request}, server=self.options.id, **fields)
+
     def _registration(self):
         self.sequence += 1
         return {
             "service": self.options.service,
             "address": self.options.public,
             "zone": self.options.zone,
+            "version": self.options.version,
             "state": self.state,
             "coldRemainingMs": 0,
             "sequence": self.sequence,
@@ -194,8 +289,9 @@
 def main(arguments=None):
     """Run the stand-in; after SIGTERM it drains and ends."""
     parser = standins.parser("Stand-in for a back end of the users.")
-    for name in ("public", "store", "id", "service", "zone"):
+    for name in ("public", "store", "id", "service", "zone", "version"):
         parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--crash-part", default="")
     trio.run(_serve, PlatformServer(parser.parse_args(arguments)))
 
 
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -7,9 +7,9 @@
 """
 
 import argparse
-import json
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -17,133 +17,26 @@
 
 import trio
 
-from teaselwall.tools import soak_checks, soak_faults, soak_fleet
+from teaselwall.tools import (
+    soak_callers,
+    soak_checks,
+    soak_crashes,
+    soak_faults,
+    soak_fleet,
+    soak_losses,
+)
 
-REQUEST_KINDS = ("once", "safe", "stream")
-# Value of the Pieces header: pieces of each stage before the engine.
-PIECES_BY_KIND = {"stream": "2,1"}
-# With 20 callers and this mean pause, some 60 requests a second are sent.
-N_CALLERS = 20
-MEAN_PAUSE_S = 0.3
-# The users' callers also wait 1 s for a connection and keep addresses for 1 s.
-CONNECT_TIMEOUT_S = 1.0
-ADDRESSES_KEPT_S = 1.0
-DEADLINE_S = 4.0
 # After the last fault, hosts have this long to recover; requests are not counted yet.
 RECOVERY_S = 8.0
 # Fault-free time after the recovery, in which requests are expected to be served.
-FAULT_FREE_S = 5.0
-MAX_RESPONSE_BYTES = 1 << 20
+FAULT_FREE_S = 6.0
+# Requests of the last seconds may have been cancelled before their response arrived.
+UNFINISHED_S = 3.0
+# Violations printed of each seed.
+MAX_LINES = 20
 
 
-class Callers:
-    """Callers that resolve addresses, reuse connections and never retry a request.
-
-    Parameters
-    ----------
-    fleet : soak_fleet.Fleet
-    source : random.Random
-        Decides pauses, hosts, kinds and keys of the requests.
-
-    Attributes
-    ----------
-    requests : list of soak_checks.Request
-        All requests sent.
-    revoked_s : dict of str to float
-        When the store accepted the configuration without an API key; infinite until
-        the write is acknowledged. Set by ``soak_faults.Faults``.
-    """
-
-    def __init__(self, fleet, source):
-        self.fleet = fleet
-        self.random = source
-        self.requests = []
-        self.revoked_s = {}
-
-    async def run(self, index):
-        """Send the requests of one caller until cancelled."""
-        stream, kept_until_s, addresses = None, 0.0, []
-        while True:
-            await trio.sleep(self.random.uniform(0.5, 1.5) * MEAN_PAUSE_S)
-            now_s = time.monotonic()
-            if now_s > kept_until_s:
-                addresses = await self._resolve() or addresses
-                kept_until_s = now_s + ADDRESSES_KEPT_S
-            if stream is None and addresses:
-                stream = await _connect(self.random.choice(addresses))
-            if stream is not None and not await self._send_request(index, stream):
-                await trio.aclose_forcefully(stream)
-                stream = None
-
-    async def _resolve(self):
-        for host in self.random.sample(self.fleet.hosts, 3):
-            stream = await _connect(host.directory)
-            if stream is None:
-                continue
-            head = b"GET /v1/resolve?name=soak.example&zone=z1 HTTP/1.1\r\n"
-            status, body, _, _ = await _exchange(stream, head, {}, CONNECT_TIMEOUT_S)
-            await trio.aclose_forcefully(stream)
-            if status == 200:
-                return json.loads(body)["addresses"]
-        return []
-
-    async def _send_request(self, index, stream):
-        """Send one request; return whether the connection may be reused."""
-        kind = self.random.choice(REQUEST_KINDS)
-        request_id = f"r{index}x{len(self.requests)}"
-        keys = [k for k in soak_fleet.API_KEYS.values() if k not in self.revoked_s]
-        if self.random.random() < 0.1:
-            keys = list(soak_fleet.API_KEYS.values())
-        request = soak_checks.Request(
-            request_id, kind, self.random.choice(keys), time.monotonic()
-        )
-        self.requests.append(request)
-        headers = {
-            "Request-Id": request_id,
-            "Deadline-Ms": str(int(DEADLINE_S * 1000)),
-            "Authorization": f"Bearer {request.key}",
-            "Content-Length": "0",
-        }
-        if kind in PIECES_BY_KIND:
-            headers |= {"Pieces": PIECES_BY_KIND[kind], "Piece-Key": request_id}
-        head = f"POST /{kind}/{request_id} HTTP/1.1\r\n".encode()
-        response = await _exchange(stream, head, headers, DEADLINE_S)
-        request.status, request.body, request.complete, reusable = response
-        request.ended_s = time.monotonic()
-        return reusable
-
-
-async def _connect(address):
-    host, _, port = address.rpartition(":")
-    with trio.move_on_after(CONNECT_TIMEOUT_S):
-        try:
-            return await trio.open_tcp_stream(host, int(port))
-        except OSError:
-            # The host is down; the caller tries another host.
-            return None
-    return None
-
-
-async def _exchange(stream, head, headers, timeout_s):
-    """Send a request and read its response; see ``soak_checks.parse_response``."""
-    lines = [f"{name}: {value}\r\n" for name, value in headers.items()]
-    message = head + b"Host: soak.example\r\n" + "".join(lines).encode() + b"\r\n"
-    data = b""
-    with trio.move_on_after(timeout_s):
-        try:
-            await stream.send_all(message)
-            while not soak_checks.is_complete(data):
-                chunk = await stream.receive_some(65536)
-                if not chunk or len(data) > MAX_RESPONSE_BYTES:
-                    break
-                data += chunk
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The bytes received before the connection broke are still parsed.
-            pass
-    return soak_checks.parse_response(data)
-
-
-async def run_seed(seed, faults_s, folder):
+async def run_seed(seed, faults_s, folder, only=(), also=()):
     """Run the soak with one seed.
 
     Parameters
@@ -153,6 +46,8 @@
         How long new faults are started.
     folder : str or pathlib.Path
         For the settings and logs of the processes.
+    only, also : sequence of str
+        Kinds of faults, see ``soak_faults.Faults.restrict``.
 
     Returns
     -------
@@ -161,34 +56,54 @@
         served, the number of runs and the faults played.
     """
     fleet = soak_fleet.Fleet(folder)
-    callers = Callers(fleet, random.Random(seed))
+    callers = soak_callers.Callers(fleet, seed)
     faults = soak_faults.Faults(fleet, callers, seed)
+    faults.restrict(only, also)
     try:
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
+            nursery.start_soon(faults.restart_crashed)
             await trio.sleep(soak_faults.STARTUP_S)
-            for index in range(N_CALLERS):
-                nursery.start_soon(callers.run, index)
+            for _ in range(soak_callers.N_CALLERS):
+                nursery.start_soon(callers.run)
             await faults.run(faults_s)
             await trio.sleep(RECOVERY_S)
             recovered_s = time.monotonic()
             await trio.sleep(FAULT_FREE_S)
             ended_s = time.monotonic()
             nursery.cancel_scope.cancel()
+        violations = fleet.ended_hosts()
     finally:
         fleet.kill_all()
-    runs, violations = soak_checks.read_runs(fleet.servers)
-    tenants = {key: name for name, key in soak_fleet.API_KEYS.items()}
+    records = fleet.records()
+    violations += _check(callers, fleet, faults, records)
+    owed = [r for r in callers.requests if not r.crashes]
+    finished = [r for r in owed if r.sent_s < ended_s - UNFINISHED_S]
+    violations += soak_checks.check_recovery(finished, recovered_s)
+    n_served = sum(r.status == 200 and r.complete for r in owed)
+    n_runs = sum("ran" in record for record in records)
+    n_ends = len(soak_crashes.end_times_s(records))
+    summary = (
+        f"{n_served} of {len(owed)} served, {n_runs} runs, {n_ends} servers ended, "
+        f"{dict(faults.counts)}"
+    )
+    return violations, summary
+
+
+def _check(callers, fleet, faults, records):
+    """Return a line for each promise that was broken while the soak ran."""
     requests = callers.requests
+    runs = [record for record in records if "ran" in record]
+    tenants = {key: name for name, key in soak_fleet.API_KEYS.items()}
+    violations = [record["broken"] for record in records if "broken" in record]
     violations += soak_checks.find_violations(
         requests, runs, callers.revoked_s, faults.evacuations, tenants
     )
-    # Later requests may have been cancelled before their response arrived.
-    finished = [r for r in requests if r.sent_s < ended_s - DEADLINE_S / 2]
-    violations += soak_checks.check_recovery(finished, recovered_s)
-    n_served = sum(r.status == 200 and r.complete for r in requests)
-    summary = f"{n_served} of {len(requests)} served, {len(runs)} runs, {faults.counts}"
-    return violations, summary
+    violations += soak_losses.find_losses(
+        requests, runs, fleet.disturbances, soak_fleet.TIMEOUTS_S
+    )
+    violations += soak_crashes.find_violations(requests, records, fleet.disturbances)
+    return violations
 
 
 def main(arguments=None):
@@ -200,6 +115,15 @@
         "--seconds", type=float, default=20.0, help="how long faults are started"
     )
     parser.add_argument("--keep", help="folder that keeps the logs of failed seeds")
+    parser.add_argument(
+        "--only", nargs="+", default=(), help="kinds of faults to draw; default: all"
+    )
+    parser.add_argument(
+        "--also",
+        nargs="+",
+        default=(),
+        help="kinds of faults to play once from the beginning on, as crash_servers",
+    )
     options = parser.parse_args(arguments)
     first = options.first
     if first is None:
@@ -207,15 +131,15 @@
     n_failed = 0
     for seed in range(first, first + options.seeds):
         with tempfile.TemporaryDirectory() as folder:
-            violations, summary = trio.run(run_seed, seed, options.seconds, folder)
+            violations, summary = trio.run(
+                run_seed, seed, options.seconds, folder, options.only, options.also
+            )
             print(f"seed {seed}: {len(violations)} broken; {summary}", flush=True)
-            for line in violations[:20]:
+            for line in violations[:MAX_LINES]:
                 print(f"  {line}", flush=True)
             if violations and options.keep:
                 kept = pathlib.Path(options.keep) / str(seed)
-                kept.parent.mkdir(parents=True, exist_ok=True)
-                pathlib.Path(folder).rename(kept)
-                pathlib.Path(folder).mkdir()
+                shutil.copytree(folder, kept, dirs_exist_ok=True)
         n_failed += bool(violations)
     print(f"{options.seeds - n_failed} passed, {n_failed} failed")
     return n_failed
--- a/teaselwall/tools/soak_checks.py
+++ b/teaselwall/tools/soak_checks.py
@@ -13,6 +13,14 @@
 DELIVERY_S = 0.5
 # Share of the requests that must be served once all faults have ended.
 MIN_SERVED_SHARE = 0.9
+STREAM_KINDS = ("stream", "resume")
+# Kinds of request that may run more than once.
+REPEATABLE_KINDS = ("safe", "resume")
+# Number of events of a stream whose caller asks for no other.
+N_EVENTS = 6
+# A server that begins to answer a request ends if this is a part of its prompt, other
+# than the last one.
+CRASH_PART = "c0de"
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,16 +31,27 @@
     ----------
     id : str
     kind : str
-        ``once``, ``safe`` or ``stream``; only a safe request may run more than once.
+        ``once``, ``safe``, ``stream`` or ``resume``, a stream that may be resumed.
     key : str
         The API key.
     sent_s, ended_s : float
-        On the monotonic clock, which the back ends use too.
+        On the monotonic clock, which the back ends use too; ``ended_s`` is 0 for a
+        request that was still in progress at the end of the soak.
     status : int
         0 if the connection ended before the head of a response.
     body : bytes
     complete : bool
         Whether the response's body was received to its end.
+    host : str
+        Name of the entry host that it was sent to.
+    written_s : float
+        When all its bytes had been sent; 0 if they were not.
+    timed_out : bool
+        Whether the caller gave up.
+    parts : tuple of str
+        Parts of its prompt.
+    n_events : int
+        Number of events of a stream that it asks for.
     """
 
     id: str
@@ -43,9 +62,19 @@
     status: int = 0
     body: bytes = b""
     complete: bool = False
+    host: str = ""
+    written_s: float = 0.0
+    timed_out: bool = False
+    parts: tuple = ()
+    n_events: int = N_EVENTS
 
+    @property
+    def crashes(self):
+        """Return whether a server that begins to answer this request ends."""
+        return CRASH_PART in self.parts[:-1]
 
-def read_runs(servers):
+
+def read_records(servers):
     """Read the back ends' logs.
 
     Parameters
@@ -54,10 +83,10 @@
 
     Returns
     -------
-    tuple
-        Runs (list of dict) and violations that the back ends saw (list of str).
+    list of dict
+        One record for each line of JSON.
     """
-    runs, violations = [], []
+    records = []
     for server in servers:
         if not server.process.log.exists():
             continue
@@ -65,15 +94,11 @@
             if not line.startswith("{"):
                 continue
             try:
-                entry = json.loads(line)
+                records.append(json.loads(line))
             except ValueError:
                 # The process was killed while it wrote this line.
                 continue
-            if "ran" in entry:
-                runs.append(entry)
-            elif "broken" in entry:
-                violations.append(entry["broken"])
-    return runs, violations
+    return records
 
 
 def find_violations(requests, runs, revoked_s, evacuations, tenants):
@@ -83,7 +108,7 @@
     ----------
     requests : list of Request
     runs : list of dict
-        From ``read_runs``.
+        Records of runs, from ``read_records``.
     revoked_s : dict of str to float
         When the store had a configuration without this API key; all times are on the
         same monotonic clock.
@@ -115,26 +140,40 @@
 
 
 def _check_response(request):
-    if request.status != 200 or not request.complete:
+    if request.status != 200:
+        return []
+    if request.kind in STREAM_KINDS:
+        return _check_stream(request)
+    expected = f"answer of {request.id}".encode()
+    if not request.complete or request.body == expected:
         return []
-    if request.kind != "stream":
-        expected = f"answer of {request.id}".encode()
-        return (
-            [] if request.body == expected else [f"{request.id} got {request.body!r}"]
-        )
-    events = request.body.decode().split("\n\n")
-    expected = [f"id: {n}\ndata: {request.id} {n}" for n in range(1, len(events))]
-    if events[-1] or events[:-1] != expected or len(expected) != 6:
+    return [f"{request.id} got {request.body!r}"]
+
+
+def _check_stream(request):
+    """Check the events of a stream, also of one that ended early."""
+    *events, partial = request.body.decode().split("\n\n")
+    expected = [f"id: {n}\ndata: {request.id} {n} " for n in range(1, len(events) + 1)]
+    versions = [
+        event.removeprefix(start) for event, start in zip(events, expected, strict=True)
+    ]
+    is_whole = not partial and len(events) == request.n_events
+    if any(" " in version for version in versions) or (
+        request.complete and not is_whole
+    ):
         return [f"stream {request.id} got {request.body!r}"]
+    if len(set(versions)) > 1:
+        return [f"stream {request.id} has events of versions {versions}"]
     return []
 
 
 def _check_runs(request, runs, tenants):
     violations = []
-    if request.kind != "safe" and len(runs) > 1:
+    repeatable = request.kind in REPEATABLE_KINDS
+    if not repeatable and len(runs) > 1:
         servers = [run["server"] for run in runs]
         violations.append(f"{request.kind} request {request.id} ran at {servers}")
-    if request.kind != "safe" and runs and request.status in NOT_RUN_STATUSES:
+    if not repeatable and runs and request.status in NOT_RUN_STATUSES:
         violations.append(f"{request.id} was answered {request.status} and ran")
     for run in runs:
         if run["key"] or run["tenant"] != tenants[request.key]:
--- /dev/null
+++ b/teaselwall/tools/soak_crashes.py
@@ -0,0 +1,87 @@
+"""Check of the soak for requests that end the servers that begin to answer them."""
+
+from teaselwall.tools import soak_checks
+
+# The promises hold from the end of this many servers on.
+N_ENDS = 5
+# A host counts if nothing disturbed it for this long.
+CALM_S = 3.0
+# This long after that end, hosts let no more such requests through, but for a few.
+BLOCK_DELAY_S = 3.0
+MAX_LATE_ARRIVALS = 3
+# This long after that end, sound requests begin at least this share as often as before.
+RECOVERY_DELAY_S = 6.0
+MIN_BEGUN_SHARE = 0.5
+# Requests needed before and after it for a statement.
+MIN_REQUESTS = 10
+
+
+def end_times_s(records):
+    """Return when servers were ended by requests, in order."""
+    return sorted(record["at_s"] for record in records if "crashed" in record)
+
+
+def find_violations(requests, records, disturbances):
+    """Return a line for each broken promise about requests that end servers.
+
+    Parameters
+    ----------
+    requests : list of soak_checks.Request
+    records : list of dict
+        From ``soak_checks.read_records``.
+    disturbances : soak_losses.Disturbances
+    """
+    ends_s = end_times_s(records)
+    if len(ends_s) < N_ENDS:
+        return []
+    by_id = {request.id: request for request in requests}
+    crashing = [request for request in requests if request.crashes]
+    from_s = ends_s[N_ENDS - 1] + BLOCK_DELAY_S
+    late = [
+        record["arrived"]
+        for record in records
+        if "arrived" in record
+        and record["at_s"] > from_s
+        and not disturbances.touch(
+            by_id[record["arrived"]].host, record["at_s"] - CALM_S, record["at_s"]
+        )
+    ]
+    violations = []
+    if len(late) > MAX_LATE_ARRIVALS:
+        violations.append(
+            f"{len(late)} requests that end servers reached servers over "
+            f"{BLOCK_DELAY_S} s after {N_ENDS} of {len(ends_s)} ends: {late[:9]}"
+        )
+    related = [r for r in requests if not r.crashes and _is_related(r, crashing)]
+    recovered_s = ends_s[N_ENDS - 1] + RECOVERY_DELAY_S
+    before = [r for r in related if r.sent_s < crashing[0].sent_s]
+    after = [r for r in related if r.sent_s > recovered_s and r.ended_s]
+    return violations + _check_begun(before, after)
+
+
+def _is_related(request, crashing):
+    """Return whether a stream has the key or the first part of a crashing request."""
+    if request.kind not in soak_checks.STREAM_KINDS:
+        return False
+    return any(
+        request.key == other.key or request.parts[0] == other.parts[0]
+        for other in crashing
+    )
+
+
+def _check_begun(before, after):
+    if min(len(before), len(after)) < MIN_REQUESTS:
+        return []
+    shares = [
+        sum(_has_begun(r) for r in group) / len(group) for group in (before, after)
+    ]
+    if shares[1] >= MIN_BEGUN_SHARE * shares[0]:
+        return []
+    return [
+        f"of {len(after)} sound requests beside those that end servers {shares[1]:.2f} "
+        f"began, {shares[0]:.2f} of {len(before)} before"
+    ]
+
+
+def _has_begun(request):
+    return request.status == 200 and bool(request.body)
--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -11,14 +11,32 @@
 import tomli_w
 import trio
 
-from teaselwall.tools import deployments, platform_store, soak_checks, soak_proxy
+from teaselwall.tools import (
+    deployments,
+    platform_results,
+    platform_server,
+    platform_store,
+    soak_checks,
+    soak_losses,
+    soak_proxy,
+)
 
 LOOPBACK = "127.0.0.1"
 ZONES = ("z1", "z2")
 API_KEYS = {"alpha": "key-of-alpha", "beta": "key-of-beta"}
-POOLS = ("plain", "engine", "encode")
+# Servers of each pool; each data centre has half of them.
+POOL_SIZES = {"plain": 2, "engine": 4, "encode": 2}
+# Each data centre has an engine of each version of their software.
+VERSIONS = ("v1", "v2")
 N_HOSTS = 4
-N_SERVERS_PER_POOL = 2
+# Kind of each route, and the time that it allows.
+ROUTE_KINDS = {
+    "once": "unsafe",
+    "safe": "safe",
+    "stream": "streaming",
+    "resume": "streaming",
+}
+TIMEOUTS_S = {"once": 3.0, "safe": 3.0, "stream": 3.0, "resume": 6.0}
 STOP_TIMEOUT_S = 8
 START_TIMEOUT_S = 20.0
 # A call whose reply the store's stand-in loses never ends without a timeout.
@@ -70,26 +88,62 @@
             self.popen.send_signal(signal_number)
             self.suspended = signal_number == signal.SIGSTOP
 
+    def has_crashed(self):
+        """Return whether a request has ended the process."""
+        exit_code = self.popen.poll() if self.popen is not None else None
+        return exit_code == platform_server.CRASH_EXIT_CODE
+
     async def stop(self, signal_number, timeout_s):
-        """Send a signal and wait for the exit; kill the process after the timeout."""
+        """Send a signal and wait for the exit; kill the process after the timeout.
+
+        Returns
+        -------
+        bool
+            Whether it ended in time.
+        """
         self.send(signal_number)
         with trio.move_on_after(timeout_s):
             while self.popen.poll() is None:
                 await trio.sleep(0.05)
-        if self.popen.poll() is None:
-            self.popen.kill()
-            self.popen.wait()
+        if self.popen.poll() is not None:
+            return True
+        self.popen.kill()
+        self.popen.wait()
+        return False
 
 
 class Server:
-    """One back end and the proxy in front of it."""
+    """One back end and the proxy in front of it.
 
-    def __init__(self, number, pool, zone, proxy, process):
-        self.id = f"s{number}"
-        self.pool = pool
-        self.zone = zone
+    Parameters
+    ----------
+    options : dict of str to str
+        Options of the server's program.
+    proxy : soak_proxy.Proxy
+    log : pathlib.Path
+
+    Attributes
+    ----------
+    name, pool, zone : str
+    process : Process
+    """
+
+    def __init__(self, options, proxy, log):
+        self.options = options
+        self.name = options["id"]
+        self.pool = options["service"]
+        self.zone = options["zone"]
         self.proxy = proxy
-        self.process = process
+        self.process = Process([], log)
+        self.set_version(options["version"])
+
+    def set_version(self, version):
+        """Set the version of the software that the next start has."""
+        self.options["version"] = version
+        command = ["-m", platform_server.__name__]
+        for option, value in self.options.items():
+            command += [f"--{option}", value]
+        self.process.command = command
 
 
 class EntryHost:
@@ -124,12 +178,14 @@
     servers : list of Server
     config : dict
         The configuration published last.
+    disturbances : soak_losses.Disturbances
     """
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
         self.hosts = []
         self.servers = []
+        self.disturbances = soak_losses.Disturbances()
         self.config = {"version": 1, **_first_configuration()}
         self.store_address = f"{LOOPBACK}:{_free_ports(1)[0]}"
         self.store = Process(
@@ -144,9 +200,9 @@
         await self.retry_until_done(self.publish)
         for index in range(N_HOSTS):
             await self._add_host(nursery, index)
-        for pool in POOLS:
-            for zone in ZONES * (N_SERVERS_PER_POOL // len(ZONES)):
-                await self._add_server(nursery, pool, zone)
+        for pool, n_servers in POOL_SIZES.items():
+            for index in range(n_servers):
+                await self._add_server(nursery, pool, index)
         for process in self.processes():
             process.start()
 
@@ -154,6 +210,18 @@
         """Return all processes except the store."""
         return [h.process for h in self.hosts] + [s.process for s in self.servers]
 
+    def records(self):
+        """Return what the back ends have logged so far."""
+        return soak_checks.read_records(self.servers)
+
+    def ended_hosts(self):
+        """Return a line for each entry host whose process has ended by itself."""
+        return [
+            f"entry host {host.name} ended with {host.process.popen.poll()}"
+            for host in self.hosts
+            if host.process.popen.poll() is not None
+        ]
+
     def kill_all(self):
         """Kill every process that the soak has started."""
         for process in [*self.processes(), self.store]:
@@ -180,10 +248,23 @@
         url = f"http://{self.store_address}/faults"
         await self.pool.request("POST", url, content=json.dumps(faults).encode())
 
+    async def silence(self, server, length_s):
+        """Have a running server send nothing for a time."""
+        url = f"http://{server.options['listen']}/faults"
+        content = json.dumps({"silent_s": length_s}).encode()
+        with trio.move_on_after(TRY_TIMEOUT_S):
+            try:
+                await self.pool.request("POST", url, content=content)
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                # The server is down.
+                return
+
     async def expire_entry(self, server):
         """Drop the entry of a server that has died, as the users' store does."""
         await trio.sleep(ENTRY_EXPIRY_S)
-        await self.retry_until_done(lambda: self.write("keyed.servers", server.id, b""))
+        await self.retry_until_done(
+            lambda: self.write("keyed.servers", server.name, b"")
+        )
 
     async def retry_until_done(self, action):
         """Retry an action until it succeeds; it must be safe to repeat."""
@@ -210,24 +291,22 @@
         )
         self.hosts.append(EntryHost(name, ports, zone, proxy, process))
 
-    async def _add_server(self, nursery, pool, zone):
-        number = len(self.servers)
+    async def _add_server(self, nursery, pool, index):
         address = f"{LOOPBACK}:{_free_ports(1)[0]}"
         proxy = soak_proxy.Proxy(address)
         await nursery.start(proxy.run)
+        name = f"s{len(self.servers)}"
         options = {
             "listen": address,
             "public": proxy.address,
             "store": self.store_address,
-            "id": f"s{number}",
+            "id": name,
             "service": pool,
-            "zone": zone,
+            "zone": ZONES[index % len(ZONES)],
+            "version": VERSIONS[index // len(ZONES) % len(VERSIONS)],
+            "crash-part": soak_checks.CRASH_PART,
         }
-        command = ["-m", "teaselwall.tools.platform_server"]
-        for option, value in options.items():
-            command += [f"--{option}", value]
-        process = Process(command, self.folder / f"s{number}.log")
-        self.servers.append(Server(number, pool, zone, proxy, process))
+        self.servers.append(Server(options, proxy, self.folder / f"{name}.log"))
 
 
 def _settings(name, zone, ports, store):
@@ -254,15 +333,7 @@
 
 
 def _first_configuration():
-    routes = [
-        _route("once", "unsafe", "plain", 1),
-        _route("safe", "safe", "plain", 2),
-        _route("stream", "streaming", "engine", 1),
-    ]
-    routes[2]["stages"] = [
-        {"service": "encode", "after": [], "bytes": 1000},
-        {"service": "encode", "after": [0], "bytes": 1000},
-    ]
+    routes = [_route(name) for name in ROUTE_KINDS]
     stage_limits = {
         "slots": 1,
         "queue": 2,
@@ -270,7 +341,7 @@
         "callMs": 50,
         "itemMs": 1,
         "roomMb": 4,
-        "handleS": 4,
+        "handleS": platform_results.RESULT_KEPT_S,
     }
     services = [
         {"name": "plain", "maxConnections": 200},
@@ -281,17 +352,25 @@
     return {"routes": routes, "services": services, "tenants": tenants}
 
 
-def _route(name, kind, service, max_attempts):
-    return {
+def _route(name):
+    route = {
         "name": name,
         "host": "soak.example",
         "pathPrefix": f"/{name}/",
-        "kind": kind,
-        "timeoutMs": 3000,
+        "kind": ROUTE_KINDS[name],
+        "timeoutMs": TIMEOUTS_S[name] * 1000,
         "targetLatencyMs": 1000,
-        "service": service,
-        "maxAttempts": max_attempts,
+        "service": "plain",
+        "maxAttempts": 2 if name in soak_checks.REPEATABLE_KINDS else 1,
     }
+    if name in soak_checks.STREAM_KINDS:
+        route["service"] = "engine"
+        route["resumable"] = name in soak_checks.REPEATABLE_KINDS
+        route["stages"] = [
+            {"service": "encode", "after": [], "bytes": 1000},
+            {"service": "encode", "after": [0], "bytes": 1000},
+        ]
+    return route
 
 
 def _free_ports(n_ports):
--- /dev/null
+++ b/teaselwall/tools/soak_losses.py
@@ -0,0 +1,108 @@
+"""Check of the soak for requests that sound hosts and servers left unanswered."""
+
+import contextlib
+import dataclasses
+import time
+
+# A host or server is sound for a request if nothing disturbed it from this long before
+# the request on.
+CALM_S = 3.0
+# A request that crosses the closing of its connection ends sooner than this.
+LOSS_SLACK_S = 0.5
+# A request that has used this share of its time may end for want of time.
+USED_TIME_SHARE = 0.7
+
+
+@dataclasses.dataclass(slots=True)
+class Disturbance:
+    """A time in which a host or server was disturbed by a fault.
+
+    Attributes
+    ----------
+    target : str
+        Name of the host or server.
+    from_s, until_s : float
+        On the monotonic clock; ``until_s`` is infinite until the fault has ended.
+    """
+
+    target: str
+    from_s: float
+    until_s: float = float("inf")
+
+
+class Disturbances:
+    """Times in which hosts and servers were killed, paused or cut off.
+
+    What every process must bear is not among them: silence of a server, signals to
+    reload or to stop in time, faults of the store and new configurations.
+
+    Attributes
+    ----------
+    spans : list of Disturbance
+    """
+
+    def __init__(self):
+        self.spans = []
+
+    @contextlib.contextmanager
+    def during(self, target, since_s=0.0):
+        """Record a disturbance that began some time ago and lasts for the block."""
+        disturbance = Disturbance(target, time.monotonic() - since_s)
+        self.spans.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.until_s = time.monotonic()
+
+    def add(self, target, since_s):
+        """Record a disturbance that has just ended, and when it began."""
+        with self.during(target, since_s):
+            pass
+
+    def touch(self, target, from_s, until_s):
+        """Return whether a target was disturbed at any moment of a time."""
+        return any(
+            span.target == target and span.from_s <= until_s and span.until_s >= from_s
+            for span in self.spans
+        )
+
+
+def find_losses(requests, runs, disturbances, timeouts_s):
+    """Return a line for each request that was cut off without a reason.
+
+    Parameters
+    ----------
+    requests : list of soak_checks.Request
+    runs : list of dict
+        From ``soak_checks.read_records``.
+    disturbances : Disturbances
+    timeouts_s : dict of str to float
+        Time that the route allows, by kind of request.
+    """
+    servers_by_id = {}
+    for run in runs:
+        servers_by_id.setdefault(run["ran"], []).append(run["server"])
+    violations = []
+    for request in requests:
+        servers = servers_by_id.get(request.id, [])
+        if not _is_cut(request, servers, timeouts_s[request.kind]):
+            continue
+        from_s = request.sent_s - CALM_S
+        involved = [request.host, *servers]
+        if not any(disturbances.touch(t, from_s, request.ended_s) for t in involved):
+            violations.append(
+                f"{request.kind} request {request.id} ended without an answer after "
+                f"{request.ended_s - request.sent_s:.2f} s at {involved}"
+            )
+    return violations
+
+
+def _is_cut(request, servers, timeout_s):
+    """Return whether a request that a host had read ended early without an answer."""
+    if request.complete or request.timed_out or request.crashes:
+        return False
+    if not request.written_s or not request.ended_s:
+        return False
+    if request.ended_s - request.sent_s > USED_TIME_SHARE * timeout_s:
+        return False
+    return bool(servers) or request.ended_s - request.written_s > LOSS_SLACK_S
