--- a/teaselwall/tests/test_soak.py
+++ b/teaselwall/tests/test_soak.py
@@ -1,4 +1,5 @@
 import contextlib
+import types
 
 import pytest
 import trio
@@ -6,15 +7,17 @@
 from teaselwall.tools import (
     soak,
     soak_checks,
+    soak_configuration,
     soak_crashes,
     soak_faults,
     soak_fleet,
     soak_losses,
+    soak_notices,
     soak_proxy,
 )
 
-TENANTS = {key: name for name, key in soak_fleet.API_KEYS.items()}
-KEY = soak_fleet.API_KEYS["alpha"]
+TENANTS = {key: name for name, key in soak_configuration.API_KEYS.items()}
+KEY = soak_configuration.API_KEYS["alpha"]
 SEED = 1
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -148,7 +151,9 @@
 def find_losses(request, runs=(), spans=()):
     disturbances = soak_losses.Disturbances()
     disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
-    return soak_losses.find_losses([request], runs, disturbances, soak_fleet.TIMEOUTS_S)
+    return soak_losses.find_losses(
+        [request], runs, disturbances, soak_configuration.TIMEOUTS_S
+    )
 
 
 @pytest.mark.parametrize(
@@ -187,6 +192,55 @@
     assert find_losses(request_, runs, spans) == []
 
 
+def find_notice_violations(tmp_path, records, told_at_s=11.0, spans=(), starts_s=()):
+    fleet = soak_fleet.Fleet(tmp_path)
+    fleet.disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    for name, make in (("h1", "hosts"), ("s1", "servers")):
+        process = soak_fleet.Process([], tmp_path / name)
+        process.starts_s = [1.0, *(s for n, s in starts_s if n == name)]
+        target = types.SimpleNamespace(name=name, process=process)
+        setattr(fleet, make, [target])
+    requests = [make_request(sent_s=told_at_s - 1), make_request()]
+    requests[1].id = "r2"
+    return soak_notices.find_violations(requests, records, fleet)
+
+
+def make_refused(at_s=10.1, rest_s=1.5):
+    return {"refused": "r1", "server": "s1", "at_s": at_s, "rest_s": rest_s}
+
+
+@pytest.mark.parametrize(
+    ("record", "at_s", "n_found"),
+    [
+        (make_run(leaving=True), 11.6, 1),
+        (make_run(leaving=True), 30.0, 1),
+        (make_run(leaving=True), 11.4, 0),
+        (make_run(leaving=False), 30.0, 0),
+        (make_refused(), 10.7, 1),
+        (make_refused(), 11.5, 1),
+        (make_refused(), 10.5, 0),
+        (make_refused(), 11.7, 0),
+    ],
+)
+def test_what_servers_say_about_themselves_binds_the_host_that_was_told(
+    tmp_path, record, at_s, n_found
+):
+    records = [record, make_run(ran="r2", at_s=at_s)]
+    assert len(find_notice_violations(tmp_path, records)) == n_found
+    elsewhere = [record, make_run("s2", ran="r2", at_s=at_s)]
+    assert find_notice_violations(tmp_path, elsewhere) == []
+    for name in ("h1", "s1"):
+        spans = [(name, at_s - 0.1, at_s)]
+        assert find_notice_violations(tmp_path, records, spans=spans) == []
+
+
+@pytest.mark.parametrize("name", ["h1", "s1"])
+def test_a_start_ends_what_a_server_has_said(tmp_path, name):
+    records = [make_run(leaving=True), make_run(ran="r2", at_s=30.0)]
+    assert find_notice_violations(tmp_path, records, starts_s=[(name, 20.0)]) == []
+    assert find_notice_violations(tmp_path, records, starts_s=[(name, 5.0)])
+
+
 def make_crashing(name, sent_s):
     request = make_cut(parts=("f1", soak_checks.CRASH_PART, name), sent_s=sent_s)
     request.id = name
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -34,31 +34,46 @@
 NOT_EXECUTED = (b"not-executed", b"1")
 
 
-class Silence:
-    """Holds back everything that a server sends until a time.
+class ServerFaults:
+    """Faults of one server; ``POST /faults`` sets those in its body.
 
     Attributes
     ----------
-    until_s : float
-        On the monotonic clock.
+    silent_until_s : float
+        Until then nothing is sent; on the monotonic clock.
+    rest_until_s : float
+        Until then nothing is run and every reply asks to come back at that time.
+    leaving : bool
+        Whether every reply says that the server leaves.
     """
 
     def __init__(self):
-        self.until_s = 0.0
-
-    def begin(self, length_s):
-        """Be silent for a time from now on."""
-        self.until_s = max(self.until_s, time.monotonic() + length_s)
-
-    def held_back(self, send):
-        """Return an ASGI ``send`` that waits while this server is silent."""
-
-        async def send_after_silence(message):
-            while (left_s := self.until_s - time.monotonic()) > 0:
+        self.silent_until_s = 0.0
+        self.rest_until_s = 0.0
+        self.leaving = False
+
+    def set(self, silent_s=0.0, rest_s=0.0, leaving=False):
+        """Begin faults; times are counted from now on."""
+        now_s = time.monotonic()
+        self.silent_until_s = max(self.silent_until_s, now_s + silent_s)
+        self.rest_until_s = max(self.rest_until_s, now_s + rest_s)
+        self.leaving = self.leaving or leaving
+
+    def rest_s(self):
+        """Return for how long nothing is run."""
+        return max(0.0, self.rest_until_s - time.monotonic())
+
+    def applied_to(self, send):
+        """Return an ASGI ``send`` with the silence and the notice of leaving."""
+
+        async def send_with_faults(message):
+            while (left_s := self.silent_until_s - time.monotonic()) > 0:
                 await trio.sleep(left_s)
+            if self.leaving and message["type"] == "http.response.start":
+                message["headers"].append((b"server-leaving", b"1"))
             await send(message)
 
-        return send_after_silence
+        return send_with_faults
 
 
 class PlatformServer(standins.StandIn):
@@ -80,7 +95,7 @@
     sequence : int
         Number of registrations written so far.
     results : platform_results.Results
-    silence_fault : Silence
+    server_faults : ServerFaults
     """
 
     def __init__(self, options):
@@ -90,7 +105,7 @@
         self.state = "ready"
         self.sequence = 0
         self.results = platform_results.Results()
-        self.silence_fault = Silence()
+        self.server_faults = ServerFaults()
 
     async def handle(self, method, path, query, body, send):
         """Not used: ``__call__`` is overridden, because it needs the headers."""
@@ -103,10 +118,10 @@
         headers = responses.headers_of(scope)
         body = await responses.read_body(receive, 1 << 22)
         if scope["path"] == "/faults":
-            self.silence_fault.begin(json.loads(body)["silent_s"])
+            self.server_faults.set(**json.loads(body))
             await responses.send_json(send, {})
             return
-        send = self.silence_fault.held_back(send)
+        send = self.server_faults.applied_to(send)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._drop_on_disconnect, receive, headers, nursery.cancel_scope
@@ -130,14 +145,29 @@
             name = path.removeprefix(platform_results.PATH_PREFIX)
             is_kept = self.results.has(f"{self.options.public}/{name}")
             await responses.send_json(send, {}, 200 if is_kept else 404)
-        elif path == "/v1/stage-run":
-            await self._run_pieces(json.loads(body), send)
         elif path == "/v1/stage-free":
             self.results.free(json.loads(body)["handles"])
             await responses.send_json(send, {})
+        elif self.server_faults.rest_s():
+            await self._refuse(headers, send)
+        elif path == "/v1/stage-run":
+            await self._run_pieces(json.loads(body), send)
         else:
             await self._run(scope, headers, send)
 
+    async def _refuse(self, headers, send):
+        """Ask for a rest; the request is not run."""
+        rest_s = self.server_faults.rest_s()
+        self._print("refused", headers, rest_s=rest_s)
+        head = [
+            *self._headers(headers),
+            NOT_EXECUTED,
+            (b"retry-after", f"{rest_s:.3f}".encode()),
+            (b"content-length", b"0"),
+        ]
+        await responses.start(send, 503, head)
+        await send({"type": "http.response.body", "body": b""})
+
     def _crashes(self, headers):
         """Return whether a request ends the server that begins to answer it."""
         entries = headers.get("prompt-prefix", "").split(",")
@@ -159,6 +189,7 @@
             path=scope["path"],
             tenant=headers.get("tenant", ""),
             key="authorization" in headers,
+            leaving=self.server_faults.leaving,
         )
         if self.options.service == "engine":
             await self._stream_events(scope, headers, send)
--- a/teaselwall/tools/platform_store.py
+++ b/teaselwall/tools/platform_store.py
@@ -45,6 +45,10 @@
         """Offset after the newest record."""
         return self.first + len(self.records)
 
+    def copy(self):
+        """Return a copy, in which nobody waits for a change."""
+        return Topic(self.first, list(self.records), dict(self.newest))
+
     def append(self, content):
         """Append one record: a byte with the key's length, the key, the value."""
         key = content[1 : 1 + content[0]].decode()
@@ -62,24 +66,65 @@
 
 
 class PlatformStore(standins.StandIn):
-    """Keyed topics in memory, with the interface of the users' store."""
+    """Keyed topics in memory, with the interface of the users' store.
+
+    ``/copy`` has it keep a copy of itself, ``/restore`` goes back to that copy.
+
+    Attributes
+    ----------
+    topics : dict of str to Topic
+    kept_topics : dict of str to Topic
+        The copy that was kept last.
+    era : int
+        Raised by one each time an older copy is restored; in the head of each reply.
+    """
 
     def __init__(self):
         super().__init__()
         self.topics = {}
+        self.kept_topics = {}
+        self.era = 1
+
+    async def __call__(self, scope, receive, send):
+        """Answer one ASGI scope; the head of each reply states the era."""
+
+        async def send_with_era(message):
+            if message["type"] == "http.response.start":
+                era = (b"store-era", b"%d" % self.era)
+                message = {**message, "headers": [*message["headers"], era]}
+            await send(message)
+
+        await super().__call__(scope, receive, send_with_era)
 
     async def handle(self, method, path, query, body, send):
         """Answer one request; see ``standins.StandIn.handle``."""
-        topic = self.topics.setdefault(query.get("topic", ""), Topic())
+        name = query.get("topic", "")
         if path == "/v1/log-append":
-            await self._append(topic, body, send)
+            await self._append(self._topic(name), body, send)
         elif path == "/v1/log-newest":
-            await self._send_newest(topic, send)
+            await self._send_newest(self._topic(name), send)
         elif path == "/v1/log-read":
-            await self._read(topic, query, send)
+            await self._read(name, query, send)
+        elif path == "/copy":
+            self.kept_topics = _copied(self.topics)
+            await responses.send_json(send, {})
+        elif path == "/restore":
+            self._restore()
+            await responses.send_json(send, {})
         else:
             await responses.send_json(send, {"error": "not found"}, 404)
 
+    def _topic(self, name):
+        return self.topics.setdefault(name, Topic())
+
+    def _restore(self):
+        left = self.topics
+        self.topics = _copied(self.kept_topics)
+        self.era += 1
+        for topic in left.values():
+            # Reads that wait go on in the copy.
+            topic.changed.set()
+
     async def _append(self, topic, body, send):
         if self.faults.lose_replies:
             self.faults.lose_replies -= 1
@@ -97,14 +142,15 @@
         reply = {"items": items, "hasMore": False, "end": topic.end}
         await responses.send_json(send, reply)
 
-    async def _read(self, topic, query, send):
+    async def _read(self, name, query, send):
         offset = int(query["from"])
-        if offset < topic.first:
+        with trio.move_on_after(float(query.get("waitMs", 0)) / 1000):
+            while self._topic(name).end == offset:
+                await self._topic(name).changed.wait()
+        topic = self._topic(name)
+        if not topic.first <= offset <= topic.end:
             await responses.send_json(send, {"first": topic.first}, 410)
             return
-        with trio.move_on_after(float(query.get("waitMs", 0)) / 1000):
-            while topic.end <= offset:
-                await topic.changed.wait()
         records = topic.records[offset - topic.first :]
         content = b"".join(LENGTH.pack(len(record)) + record for record in records)
         head = READ_HEAD.pack(topic.end, topic.first)
@@ -117,6 +163,10 @@
     return LENGTH.pack(len(content)) + content
 
 
+def _copied(topics):
+    return {name: topic.copy() for name, topic in topics.items()}
+
+
 def _append_all(topic, body):
     position = 0
     while position < len(body):
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -20,10 +20,13 @@
 from teaselwall.tools import (
     soak_callers,
     soak_checks,
+    soak_configuration,
     soak_crashes,
     soak_faults,
     soak_fleet,
     soak_losses,
+    soak_notices,
+    soak_targets,
 )
 
 # After the last fault, hosts have this long to recover; requests are not counted yet.
@@ -62,8 +65,8 @@
     try:
         async with trio.open_nursery() as nursery:
             await fleet.start(nursery)
-            nursery.start_soon(faults.restart_crashed)
-            await trio.sleep(soak_faults.STARTUP_S)
+            nursery.start_soon(faults.servers.restart_crashed)
+            await trio.sleep(soak_targets.STARTUP_S)
             for _ in range(soak_callers.N_CALLERS):
                 nursery.start_soon(callers.run)
             await faults.run(faults_s)
@@ -94,15 +97,16 @@
     """Return a line for each promise that was broken while the soak ran."""
     requests = callers.requests
     runs = [record for record in records if "ran" in record]
-    tenants = {key: name for name, key in soak_fleet.API_KEYS.items()}
+    tenants = {key: name for name, key in soak_configuration.API_KEYS.items()}
     violations = [record["broken"] for record in records if "broken" in record]
     violations += soak_checks.find_violations(
-        requests, runs, callers.revoked_s, faults.evacuations, tenants
+        requests, runs, callers.revoked_s, faults.store.evacuations, tenants
     )
     violations += soak_losses.find_losses(
-        requests, runs, fleet.disturbances, soak_fleet.TIMEOUTS_S
+        requests, runs, fleet.disturbances, soak_configuration.TIMEOUTS_S
     )
     violations += soak_crashes.find_violations(requests, records, fleet.disturbances)
+    violations += soak_notices.find_violations(requests, records, fleet)
     return violations
 
 
--- a/teaselwall/tools/soak_callers.py
+++ b/teaselwall/tools/soak_callers.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from teaselwall.tools import soak_checks, soak_fleet
+from teaselwall.tools import soak_checks, soak_configuration
 
 # With 20 callers and this mean pause, some 50 requests a second are sent.
 N_CALLERS = 20
@@ -84,10 +84,10 @@
 
     async def _send_one(self, host, stream):
         """Send one request; return whether the connection may be reused."""
-        kind = self.random.choice(tuple(soak_fleet.ROUTE_KINDS))
+        kind = self.random.choice(tuple(soak_configuration.ROUTE_KINDS))
         keys = self.valid_keys()
         if self.random.random() < REVOKED_KEY_SHARE:
-            keys = list(soak_fleet.API_KEYS.values())
+            keys = list(soak_configuration.API_KEYS.values())
         request = self.new_request(kind, self.random.choice(keys), host)
         if kind in soak_checks.STREAM_KINDS and self.random.random() < LONG_SHARE:
             request.n_events = LONG_EVENTS
@@ -95,7 +95,9 @@
 
     def valid_keys(self):
         """Return the API keys that were not taken away."""
-        return [k for k in soak_fleet.API_KEYS.values() if k not in self.revoked_s]
+        return [
+            k for k in soak_configuration.API_KEYS.values() if k not in self.revoked_s
+        ]
 
     async def send_crashing(self, host, key):
         """Send one request that ends the server that begins to answer it."""
@@ -126,7 +128,7 @@
 
     async def send(self, request, stream):
         """Send a request and read its response; return whether to reuse the stream."""
-        limit_s = soak_fleet.TIMEOUTS_S[request.kind]
+        limit_s = soak_configuration.TIMEOUTS_S[request.kind]
         headers = {
             "Request-Id": request.id,
             "Deadline-Ms": str(int(limit_s * 1000)),
--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import httpcore
 import tomli_w
@@ -13,31 +14,15 @@
 
 from teaselwall.tools import (
     deployments,
-    platform_results,
     platform_server,
     platform_store,
     soak_checks,
+    soak_configuration,
     soak_losses,
     soak_proxy,
 )
 
-LOOPBACK = "127.0.0.1"
-ZONES = ("z1", "z2")
-API_KEYS = {"alpha": "key-of-alpha", "beta": "key-of-beta"}
-# Servers of each pool; each data centre has half of them.
-POOL_SIZES = {"plain": 2, "engine": 4, "encode": 2}
-# Each data centre has an engine of each version of their software.
-VERSIONS = ("v1", "v2")
 N_HOSTS = 4
-# Kind of each route, and the time that it allows.
-ROUTE_KINDS = {
-    "once": "unsafe",
-    "safe": "safe",
-    "stream": "streaming",
-    "resume": "streaming",
-}
-TIMEOUTS_S = {"once": 3.0, "safe": 3.0, "stream": 3.0, "resume": 6.0}
-STOP_TIMEOUT_S = 8
 START_TIMEOUT_S = 20.0
 # A call whose reply the store's stand-in loses never ends without a timeout.
 TRY_TIMEOUT_S = 1.0
@@ -62,6 +47,8 @@
     popen : subprocess.Popen or None
     suspended : bool
         Whether the last signal sent to it was SIGSTOP.
+    starts_s : list of float
+        When it was started, on the monotonic clock.
     """
 
     def __init__(self, command, log, environment=None):
@@ -70,9 +57,11 @@
         self.environment = environment or {}
         self.popen = None
         self.suspended = False
+        self.starts_s = []
 
     def start(self):
         """Start the process; append its output to its log."""
+        self.starts_s.append(time.monotonic())
         with self.log.open("ab") as out:
             self.popen = subprocess.Popen(
                 [sys.executable, *self.command],
@@ -84,10 +73,14 @@
 
     def send(self, signal_number):
         """Send a signal if the process runs."""
-        if self.popen is not None and self.popen.poll() is None:
+        if self.is_running():
             self.popen.send_signal(signal_number)
             self.suspended = signal_number == signal.SIGSTOP
 
+    def is_running(self):
+        """Return whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
     def has_crashed(self):
         """Return whether a request has ended the process."""
         exit_code = self.popen.poll() if self.popen is not None else None
@@ -157,8 +150,8 @@
 
     def __init__(self, name, ports, zone, proxy, process):
         self.name = name
-        self.callers = f"{LOOPBACK}:{ports[0]}"
-        self.directory = f"{LOOPBACK}:{ports[2]}"
+        self.callers = f"{soak_configuration.LOOPBACK}:{ports[0]}"
+        self.directory = f"{soak_configuration.LOOPBACK}:{ports[2]}"
         self.zone = zone
         self.proxy = proxy
         self.process = process
@@ -179,6 +172,10 @@
     config : dict
         The configuration published last.
     disturbances : soak_losses.Disturbances
+    operator_records : dict of str to bytes
+        What operators wrote last under each key; empty for a deleted key.
+    write_lock : trio.Lock
+        Held during a write, so that writes arrive in order.
     """
 
     def __init__(self, folder):
@@ -186,8 +183,10 @@
         self.hosts = []
         self.servers = []
         self.disturbances = soak_losses.Disturbances()
-        self.config = {"version": 1, **_first_configuration()}
-        self.store_address = f"{LOOPBACK}:{_free_ports(1)[0]}"
+        self.operator_records = {}
+        self.write_lock = trio.Lock()
+        self.config = {"version": 1, **soak_configuration.first_configuration()}
+        self.store_address = f"{soak_configuration.LOOPBACK}:{_free_ports(1)[0]}"
         self.store = Process(
             ["-m", platform_store.__name__, "--listen", self.store_address],
             self.folder / "store.log",
@@ -200,7 +199,7 @@
         await self.retry_until_done(self.publish)
         for index in range(N_HOSTS):
             await self._add_host(nursery, index)
-        for pool, n_servers in POOL_SIZES.items():
+        for pool, n_servers in soak_configuration.POOL_SIZES.items():
             for index in range(n_servers):
                 await self._add_server(nursery, pool, index)
         for process in self.processes():
@@ -239,7 +238,10 @@
         """Append one record; an empty value deletes the key."""
         url = f"http://{self.store_address}/v1/log-append?topic={topic}&part=0"
         content = platform_store.encode_record(key, value)
-        reply = await self.pool.request("POST", url, content=content)
+        async with self.write_lock:
+            if topic == "keyed.op":
+                self.operator_records[key] = value
+            reply = await self.pool.request("POST", url, content=content)
         if reply.status != 200:
             raise OSError(f"the store answered {reply.status}")
 
@@ -248,17 +250,44 @@
         url = f"http://{self.store_address}/faults"
         await self.pool.request("POST", url, content=json.dumps(faults).encode())
 
-    async def silence(self, server, length_s):
-        """Have a running server send nothing for a time."""
+    async def set_server_faults(self, server, **faults):
+        """Set faults of a server that runs."""
         url = f"http://{server.options['listen']}/faults"
-        content = json.dumps({"silent_s": length_s}).encode()
         with trio.move_on_after(TRY_TIMEOUT_S):
             try:
+                content = json.dumps(faults).encode()
                 await self.pool.request("POST", url, content=content)
             except (httpcore.NetworkError, httpcore.ProtocolError):
                 # The server is down.
                 return
 
+    async def restore_store(self, age_s):
+        """Have the store go back to the copy that it had this long before."""
+        await self.retry_until_done(lambda: self._command_store("copy"))
+        await trio.sleep(age_s)
+        await self.retry_until_done(lambda: self._command_store("restore"))
+        for key, value in list(self.operator_records.items()):
+            await self.retry_until_done(
+                lambda key=key, value=value: self._write_again(key, value)
+            )
+        await trio.sleep(ENTRY_EXPIRY_S)
+        for server in self.servers:
+            if not server.process.is_running():
+                await self.retry_until_done(
+                    lambda name=server.name: self.write("keyed.servers", name, b"")
+                )
+
+    async def _write_again(self, key, value):
+        newest = self.operator_records[key]
+        if newest == value:
+            await self.write("keyed.op", key, value)
+
+    async def _command_store(self, command):
+        url = f"http://{self.store_address}/{command}"
+        reply = await self.pool.request("POST", url)
+        if reply.status != 200:
+            raise OSError(f"the store answered {reply.status}")
+
     async def expire_entry(self, server):
         """Drop the entry of a server that has died, as the users' store does."""
         await trio.sleep(ENTRY_EXPIRY_S)
@@ -283,8 +312,9 @@
         await nursery.start(proxy.run)
         ports = _free_ports(5)
         path = self.folder / f"{name}.toml"
-        zone = ZONES[index % len(ZONES)]
-        path.write_text(tomli_w.dumps(_settings(name, zone, ports, proxy.address)))
+        zone = soak_configuration.ZONES[index % len(soak_configuration.ZONES)]
+        settings = soak_configuration.settings(name, zone, ports, proxy.address)
+        path.write_text(tomli_w.dumps(settings))
         environment = {"TEASELWALL_NODE_FILE": str(path)}
         process = Process(
             ["-m", "teaselwall.platform"], self.folder / f"{name}.log", environment
@@ -292,7 +322,7 @@
         self.hosts.append(EntryHost(name, ports, zone, proxy, process))
 
     async def _add_server(self, nursery, pool, index):
-        address = f"{LOOPBACK}:{_free_ports(1)[0]}"
+        address = f"{soak_configuration.LOOPBACK}:{_free_ports(1)[0]}"
         proxy = soak_proxy.Proxy(address)
         await nursery.start(proxy.run)
         name = f"s{len(self.servers)}"
@@ -302,77 +332,17 @@
             "store": self.store_address,
             "id": name,
             "service": pool,
-            "zone": ZONES[index % len(ZONES)],
-            "version": VERSIONS[index // len(ZONES) % len(VERSIONS)],
+            "zone": soak_configuration.ZONES[index % len(soak_configuration.ZONES)],
+            "version": soak_configuration.VERSIONS[
+                index
+                // len(soak_configuration.ZONES)
+                % len(soak_configuration.VERSIONS)
+            ],
             "crash-part": soak_checks.CRASH_PART,
         }
         self.servers.append(Server(options, proxy, self.folder / f"{name}.log"))
 
 
-def _settings(name, zone, ports, store):
-    names = ("callers", "readiness", "directory", "peers", "metrics")
-    listen = {key: f"{LOOPBACK}:{port}" for key, port in zip(names, ports, strict=True)}
-    return {
-        "host": {"name": name, "data_centre": zone, "region": "r"},
-        "listen": listen,
-        "store": {"address": store},
-        "access": {
-            "peer_key": "soak-peer-key-0001",
-            "operator_key": "soak-operator-key",
-        },
-        "bounds": {
-            "revocation_ms": soak_checks.REVOCATION_DELAY_S * 1000,
-            "retry_ratio": 0.2,
-            "retry_window_s": 10,
-            "retry_slack": 50,
-            "answer_kept_s": 1,
-        },
-        "membership": {"answer_kept_ms": 1000},
-        "stop": {"limit_ms": STOP_TIMEOUT_S * 1000},
-    }
-
-
-def _first_configuration():
-    routes = [_route(name) for name in ROUTE_KINDS]
-    stage_limits = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 8,
-        "callMs": 50,
-        "itemMs": 1,
-        "roomMb": 4,
-        "handleS": platform_results.RESULT_KEPT_S,
-    }
-    services = [
-        {"name": "plain", "maxConnections": 200},
-        {"name": "engine", "maxConnections": 200, "engine": {}},
-        {"name": "encode", "maxConnections": 200, "pieces": stage_limits},
-    ]
-    tenants = [{"name": name, "apiKeys": [key]} for name, key in API_KEYS.items()]
-    return {"routes": routes, "services": services, "tenants": tenants}
-
-
-def _route(name):
-    route = {
-        "name": name,
-        "host": "soak.example",
-        "pathPrefix": f"/{name}/",
-        "kind": ROUTE_KINDS[name],
-        "timeoutMs": TIMEOUTS_S[name] * 1000,
-        "targetLatencyMs": 1000,
-        "service": "plain",
-        "maxAttempts": 2 if name in soak_checks.REPEATABLE_KINDS else 1,
-    }
-    if name in soak_checks.STREAM_KINDS:
-        route["service"] = "engine"
-        route["resumable"] = name in soak_checks.REPEATABLE_KINDS
-        route["stages"] = [
-            {"service": "encode", "after": [], "bytes": 1000},
-            {"service": "encode", "after": [0], "bytes": 1000},
-        ]
-    return route
-
-
 def _free_ports(n_ports):
     addresses = [deployments.free_address() for _ in range(n_ports)]
     return [int(address.rpartition(":")[2]) for address in addresses]
--- /dev/null
+++ b/teaselwall/tools/soak_storefaults.py
@@ -0,0 +1,105 @@
+"""Faults of the soak's store, and orders of its operators."""
+
+import time
+
+import trio
+
+from teaselwall.tools import soak_configuration, soak_targets
+
+
+class StoreFaults:
+    """Faults of the store, and what operators write to it.
+
+    Parameters
+    ----------
+    fleet : soak_fleet.Fleet
+    callers : soak_callers.Callers
+        Its ``revoked_s`` is set when an API key is revoked.
+    targets : soak_targets.Targets
+
+    Attributes
+    ----------
+    evacuations : list of (str, float, float)
+        Zone, begin and end of each order to evacuate a zone.
+    """
+
+    def __init__(self, fleet, callers, targets):
+        self.fleet = fleet
+        self.callers = callers
+        self.targets = targets
+        self.random = targets.random
+        self.evacuations = []
+
+    def kinds(self):
+        """Return the methods that play one fault each."""
+        return (
+            self.store_away,
+            self.store_loses,
+            self.restore_store,
+            self.evacuate,
+            self.revoke,
+            self.change_routes,
+        )
+
+    async def store_away(self):
+        """Have every call to the store fail."""
+        await self.fleet.set_store_faults(outage=True)
+        await self.targets.sleep_fault_duration()
+        await self.fleet.set_store_faults(outage=False)
+
+    async def store_loses(self):
+        """Have the store lose replies."""
+        slow_ms = self.random.choice((0, 200))
+        await self.fleet.set_store_faults(lose_replies=2, slow_ms=slow_ms)
+        await self.targets.sleep_fault_duration()
+        await self.fleet.set_store_faults(lose_replies=0, slow_ms=0)
+
+    async def restore_store(self):
+        """Have the store go back to an older copy and its writers write again."""
+        if "store" in self.targets.in_use:
+            return
+        self.targets.in_use.add("store")
+        await self.fleet.restore_store(
+            self.random.uniform(0.2, 1.0) * soak_targets.MAX_FAULT_S
+        )
+        await trio.sleep(soak_targets.MAX_FAULT_S)
+        self.targets.in_use.discard("store")
+
+    async def evacuate(self):
+        """Take a data centre out for a while."""
+        zone = self.random.choice(soak_configuration.ZONES)
+        if "zone" in self.targets.in_use:
+            return
+        self.targets.in_use.add("zone")
+        key = f"evacuate/{zone}"
+        await self.fleet.retry_until_done(
+            lambda: self.fleet.write("keyed.op", key, b"{}")
+        )
+        started_s = time.monotonic()
+        await trio.sleep(2 * soak_targets.MAX_FAULT_S)
+        self.evacuations.append((zone, started_s, time.monotonic()))
+        await self.fleet.retry_until_done(
+            lambda: self.fleet.write("keyed.op", key, b"")
+        )
+        await trio.sleep(soak_targets.MAX_FAULT_S)
+        self.targets.in_use.discard("zone")
+
+    async def revoke(self):
+        """Take one API key away for the rest of the soak."""
+        name, key = self.random.choice(list(soak_configuration.API_KEYS.items()))
+        if self.callers.revoked_s:
+            return
+        tenants = [
+            {"name": other, "apiKeys": [] if other == name else [other_key]}
+            for other, other_key in soak_configuration.API_KEYS.items()
+        ]
+        self.callers.revoked_s[key] = float("inf")
+        await self.fleet.retry_until_done(lambda: self.fleet.publish(tenants=tenants))
+        self.callers.revoked_s[key] = time.monotonic()
+
+    async def change_routes(self):
+        """Publish a configuration with other priorities."""
+        routes = [dict(route) for route in self.fleet.config["routes"]]
+        for route in routes:
+            route["priority"] = self.random.randrange(3)
+        await self.fleet.retry_until_done(lambda: self.fleet.publish(routes=routes))
