--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import collections
 import pathlib
 import random
 import shutil
@@ -83,14 +84,20 @@
     owed = [r for r in callers.requests if not r.crashes]
     finished = [r for r in owed if r.sent_s < ended_s - UNFINISHED_S]
     violations += soak_checks.check_recovery(finished, recovered_s)
-    n_served = sum(r.status == 200 and r.complete for r in owed)
-    n_runs = sum("ran" in record for record in records)
+    return violations, _summary(owed, records, faults)
+
+
+def _summary(requests, records, faults):
+    """Return a line about the requests, their runs and the faults played."""
+    n_served = sum(r.status == 200 and r.complete for r in requests)
+    n_runs = collections.Counter(record["ran"] for record in records if "ran" in record)
+    moved = [r for r in requests if r.kind == "resume" and n_runs[r.id] > 1]
     n_ends = len(soak_crashes.end_times_s(records))
-    summary = (
-        f"{n_served} of {len(owed)} served, {n_runs} runs, {n_ends} servers ended, "
-        f"{dict(faults.counts)}"
+    return (
+        f"{n_served} of {len(requests)} served, {n_runs.total()} runs, "
+        f"{sum(r.complete for r in moved)} of {len(moved)} moved streams whole, "
+        f"{n_ends} servers ended, {dict(faults.counts)}"
     )
-    return violations, summary
 
 
 def _check(callers, fleet, faults, records):
--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -261,11 +261,14 @@
                 # The server is down.
                 return
 
-    async def restore_store(self, age_s):
-        """Have the store go back to the copy that it had this long before."""
+    async def copy_store(self):
+        """Have the store keep a copy of itself."""
         await self.retry_until_done(lambda: self._command_store("copy"))
-        await trio.sleep(age_s)
+
+    async def restore_store(self, rewrite_s):
+        """Have the store go back to its copy; write again after a time what it lost."""
         await self.retry_until_done(lambda: self._command_store("restore"))
+        await trio.sleep(rewrite_s)
         for key, value in list(self.operator_records.items()):
             await self.retry_until_done(
                 lambda key=key, value=value: self._write_again(key, value)
--- a/teaselwall/tools/soak_storefaults.py
+++ b/teaselwall/tools/soak_storefaults.py
@@ -6,6 +6,11 @@
 
 from teaselwall.tools import soak_configuration, soak_targets
 
+# Range of the age of a copy that the store goes back to.
+MIN_COPY_AGE_S, MAX_COPY_AGE_S = 1.0, 8.0
+# Operators write again what a restored store has lost within this time.
+MAX_REWRITE_S = 1.5
+
 
 class StoreFaults:
     """Faults of the store, and what operators write to it.
@@ -55,13 +60,17 @@
         await self.fleet.set_store_faults(lose_replies=0, slow_ms=0)
 
     async def restore_store(self):
-        """Have the store go back to an older copy and its writers write again."""
+        """Have the store lose an order and more, and its writers write again."""
         if "store" in self.targets.in_use:
             return
         self.targets.in_use.add("store")
-        await self.fleet.restore_store(
-            self.random.uniform(0.2, 1.0) * soak_targets.MAX_FAULT_S
-        )
+        age_s = self.random.uniform(MIN_COPY_AGE_S, MAX_COPY_AGE_S)
+        rewrite_s = self.random.uniform(0.0, MAX_REWRITE_S)
+        async with trio.open_nursery() as nursery:
+            await self.fleet.copy_store()
+            nursery.start_soon(self.evacuate)
+            await trio.sleep(age_s)
+            await self.fleet.restore_store(rewrite_s)
         await trio.sleep(soak_targets.MAX_FAULT_S)
         self.targets.in_use.discard("store")
 
