Soak: see two sound servers at work on one request at once

A server that a host has left for another one must not go on with the request. Servers log when a request ends there; over 0.4 s after the next one has begun it is a violation if host and servers were sound. The made-up history in test_soak.py is seen.

--- a/teaselwall/tests/test_soak.py
+++ b/teaselwall/tests/test_soak.py
@@ -204,6 +204,29 @@
     assert find_losses(request_, runs, spans) == []
 
 
+@pytest.mark.parametrize(
+    ("end", "end_s", "spans", "n_found"),
+    [
+        ("done", 13.5, (), 1),
+        ("left", 13.5, (), 1),
+        ("left", 13.3, (), 0),
+        ("left", 13.5, [("s1", 12.0, 12.1)], 0),
+        ("left", 13.5, [("h1", 6.0, 7.2)], 0),
+    ],
+)
+def test_two_servers_at_work_on_one_request_are_seen(end, end_s, spans, n_found):
+    records = [
+        make_run(at_s=10.1),
+        make_run("s2", at_s=13.0),
+        {end: "r1", "server": "s1", "at_s": end_s},
+        {"done": "r1", "server": "s2", "at_s": 20.0},
+    ]
+    disturbances = soak_losses.Disturbances()
+    disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    found = soak_losses.find_overlaps([make_request()], records, disturbances)
+    assert len(found) == n_found
+
+
 def find_notice_violations(tmp_path, records, told_at_s=11.0, spans=(), starts_s=()):
     fleet = soak_fleet.Fleet(tmp_path)
     fleet.disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -1,8 +1,8 @@
 """Stand-in for a back end of the users: ``python -m teaselwall.tools.platform_server``.
 
 It registers itself in the store's stand-in. It prints a line of JSON for each request
-that it starts to run, that its caller leaves or that ends this process, and for each
-request or piece whose inputs belong to another request.
+that it starts or ends to run, that its caller leaves or that ends this process, and for
+each request or piece whose inputs belong to another request.
 """
 
 import contextlib
@@ -193,9 +193,10 @@
         )
         if self.options.service == "engine":
             await self._stream_events(scope, headers, send)
-            return
-        await trio.sleep(REQUEST_TIME_S)
-        await self._send(send, 200, headers, f"answer of {request}".encode())
+        else:
+            await trio.sleep(REQUEST_TIME_S)
+            await self._send(send, 200, headers, f"answer of {request}".encode())
+        self._print("done", headers)
 
     async def _stream_events(self, scope, headers, send):
         request = headers["request-id"]
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -115,6 +115,7 @@
     violations += soak_losses.find_losses(
         requests, runs, fleet.disturbances, soak_configuration.TIMEOUTS_S
     )
+    violations += soak_losses.find_overlaps(requests, records, fleet.disturbances)
     violations += soak_crashes.find_violations(requests, records, fleet.disturbances)
     violations += soak_notices.find_violations(requests, records, fleet)
     return violations
--- a/teaselwall/tools/soak_losses.py
+++ b/teaselwall/tools/soak_losses.py
@@ -1,4 +1,4 @@
-"""Check of the soak for requests that sound hosts and servers left unanswered."""
+"""Checks of the soak for answers that sound processes cut off or make twice."""
 
 import contextlib
 import dataclasses
@@ -11,6 +11,8 @@
 LOSS_SLACK_S = 0.5
 # A request that has used this share of its time may end for want of time.
 USED_TIME_SHARE = 0.7
+# A server may go on with a request for this long after another one has begun it.
+MAX_OVERLAP_S = 0.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,3 +108,37 @@
     if request.ended_s - request.sent_s > USED_TIME_SHARE * timeout_s:
         return False
     return bool(servers) or request.ended_s - request.written_s > LOSS_SLACK_S
+
+
+def find_overlaps(requests, records, disturbances):
+    """Return a line for each request that two sound servers worked on at once.
+
+    Parameters
+    ----------
+    requests : list of soak_checks.Request
+    records : list of dict
+        From ``soak_checks.read_records``.
+    disturbances : Disturbances
+    """
+    hosts = {request.id: request.host for request in requests}
+    runs_by_id, ends = {}, {}
+    for record in sorted(records, key=lambda record: record["at_s"]):
+        if "ran" in record:
+            runs_by_id.setdefault(record["ran"], []).append(record)
+        name = record.get("done") or record.get("left")
+        if name:
+            ends.setdefault((name, record["server"]), record["at_s"])
+    violations = []
+    for name, runs in runs_by_id.items():
+        for earlier, later in zip(runs, runs[1:], strict=False):
+            ended_s = ends.get((name, earlier["server"]), 0.0)
+            overlap_s = ended_s - later["at_s"]
+            involved = [hosts[name], earlier["server"], later["server"]]
+            if overlap_s > MAX_OVERLAP_S and not any(
+                disturbances.touch(t, earlier["at_s"] - CALM_S, ended_s)
+                for t in involved
+            ):
+                violations.append(
+                    f"{name} was at work for {overlap_s:.2f} s at two of {involved}"
+                )
+    return violations
