--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -172,6 +173,8 @@
     config : dict
         The configuration published last.
     disturbances : soak_losses.Disturbances
+    reserved : list of socket.socket
+        They keep the addresses of the processes while these don't run.
     operator_records : dict of str to bytes
         What operators wrote last under each key; empty for a deleted key.
     write_lock : trio.Lock
@@ -186,7 +189,8 @@
         self.operator_records = {}
         self.write_lock = trio.Lock()
         self.config = {"version": 1, **soak_configuration.first_configuration()}
-        self.store_address = f"{soak_configuration.LOOPBACK}:{_free_ports(1)[0]}"
+        self.reserved = []
+        self.store_address = self._new_address()
         self.store = Process(
             ["-m", platform_store.__name__, "--listen", self.store_address],
             self.folder / "store.log",
@@ -227,6 +231,8 @@
             if process.popen is not None:
                 process.popen.kill()
                 process.popen.wait()
+        for reserved in self.reserved:
+            reserved.close()
 
     async def publish(self, **changes):
         """Write a new version of the configuration to the store."""
@@ -309,11 +315,20 @@
                         # The store is not up yet, or a fault makes it fail.
                         await trio.sleep(0.05)
 
+    def _new_address(self):
+        """Return an address for a process, which no other program takes meanwhile."""
+        while True:
+            address = deployments.free_address()
+            reserved = _reserve(address)
+            if reserved is not None:
+                self.reserved.append(reserved)
+                return address
+
     async def _add_host(self, nursery, index):
         name = f"h{index}"
         proxy = soak_proxy.Proxy(self.store_address)
         await nursery.start(proxy.run)
-        ports = _free_ports(5)
+        ports = [int(self._new_address().rpartition(":")[2]) for _ in range(5)]
         path = self.folder / f"{name}.toml"
         zone = soak_configuration.ZONES[index % len(soak_configuration.ZONES)]
         settings = soak_configuration.settings(name, zone, ports, proxy.address)
@@ -325,7 +340,7 @@
         self.hosts.append(EntryHost(name, ports, zone, proxy, process))
 
     async def _add_server(self, nursery, pool, index):
-        address = f"{soak_configuration.LOOPBACK}:{_free_ports(1)[0]}"
+        address = self._new_address()
         proxy = soak_proxy.Proxy(address)
         await nursery.start(proxy.run)
         name = f"s{len(self.servers)}"
@@ -346,6 +361,14 @@
         self.servers.append(Server(options, proxy, self.folder / f"{name}.log"))
 
 
-def _free_ports(n_ports):
-    addresses = [deployments.free_address() for _ in range(n_ports)]
-    return [int(address.rpartition(":")[2]) for address in addresses]
+def _reserve(address):
+    """Return a socket that keeps others off an address but does not listen."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    host, _, port = address.rpartition(":")
+    try:
+        reserved.bind((host, int(port)))
+    except OSError:
+        reserved.close()
+        return None
+    return reserved
