--- a/teaselwall/tests/test_soak.py
+++ b/teaselwall/tests/test_soak.py
@@ -303,12 +303,12 @@
 
 @pytest.mark.parametrize(
     ("key", "first_part", "n_found"),
-    [(KEY, "f2", 1), ("other", "f1", 1), ("other", "f2", 0)],
+    [(KEY, "f2", 1), ("other", "f1", 1), (KEY, "f1", 2), ("other", "f2", 0)],
 )
 def test_sound_requests_beside_those_that_end_servers_must_begin(
     key, first_part, n_found
 ):
-    def sound(status, sent_s):
+    def sound(status, sent_s, key=key, first_part=first_part):
         body = stream_body(1) if status == 200 else b""
         request = make_request("stream", status, body, sent_s, parts=(first_part, "o"))
         request.key = key
@@ -316,10 +316,12 @@
 
     before = [sound(200, 12.0) for _ in range(8)] + [sound(503, 12.0)] * 2
     between = [sound(503, 29.0)] * 50
+    others = [sound(200, 31.0, "other", "f2") for _ in range(50)]
     half = [sound(200, 31.0) for _ in range(4)] + [sound(503, 31.0)] * 6
     fewer = [sound(200, 31.0) for _ in range(3)] + [sound(503, 31.0)] * 7
     assert find_crash_violations([19.0], before + between + half) == []
-    assert len(find_crash_violations([19.0], before + between + fewer)) == n_found
+    found = find_crash_violations([19.0], before + between + fewer + others)
+    assert len(found) == n_found
 
 
 def test_recovery_needs_nineteen_of_twenty_requests_served():
--- a/teaselwall/tools/soak_crashes.py
+++ b/teaselwall/tools/soak_crashes.py
@@ -52,24 +52,31 @@
             f"{len(late)} requests that end servers reached servers over "
             f"{BLOCK_DELAY_S} s after {N_ENDS} of {len(ends_s)} ends: {late[:9]}"
         )
-    related = [r for r in requests if not r.crashes and _is_related(r, crashing)]
+    sound = [
+        r for r in requests if not r.crashes and r.kind in soak_checks.STREAM_KINDS
+    ]
     recovered_s = ends_s[N_ENDS - 1] + RECOVERY_DELAY_S
-    before = [r for r in related if r.sent_s < crashing[0].sent_s]
-    after = [r for r in related if r.sent_s > recovered_s and r.ended_s]
-    return violations + _check_begun(before, after)
+    before = [r for r in sound if r.sent_s < crashing[0].sent_s]
+    after = [r for r in sound if r.sent_s > recovered_s and r.ended_s]
+    for what, value_of in (("key", _key), ("first part", _first_part)):
+        shared = {value_of(request) for request in crashing}
+        violations += _check_begun(
+            what,
+            [r for r in before if value_of(r) in shared],
+            [r for r in after if value_of(r) in shared],
+        )
+    return violations
+
+
+def _key(request):
+    return request.key
 
 
-def _is_related(request, crashing):
-    """Return whether a stream has the key or the first part of a crashing request."""
-    if request.kind not in soak_checks.STREAM_KINDS:
-        return False
-    return any(
-        request.key == other.key or request.parts[0] == other.parts[0]
-        for other in crashing
-    )
+def _first_part(request):
+    return request.parts[0]
 
 
-def _check_begun(before, after):
+def _check_begun(what, before, after):
     if min(len(before), len(after)) < MIN_REQUESTS:
         return []
     shares = [
@@ -78,8 +85,8 @@
     if shares[1] >= MIN_BEGUN_SHARE * shares[0]:
         return []
     return [
-        f"of {len(after)} sound requests beside those that end servers {shares[1]:.2f} "
-        f"began, {shares[0]:.2f} of {len(before)} before"
+        f"of {len(after)} sound requests with the {what} of those that end servers "
+        f"{shares[1]:.2f} began, {shares[0]:.2f} of {len(before)} before"
     ]
 
 
