--- a/teaselwall/tests/test_soak.py
+++ b/teaselwall/tests/test_soak.py
@@ -240,8 +240,9 @@
     return soak_notices.find_violations(requests, records, fleet)
 
 
-def make_refused(at_s=10.1, rest_s=1.5):
-    return {"refused": "r1", "server": "s1", "at_s": at_s, "rest_s": rest_s}
+def make_refused(at_s=10.1, rest_s=1.5, silent_s=0.0):
+    times = {"at_s": at_s, "told_s": at_s + silent_s, "rest_s": rest_s}
+    return {"refused": "r1", "server": "s1", **times}
 
 
 @pytest.mark.parametrize(
@@ -254,6 +255,8 @@
         (make_refused(), 10.7, 1),
         (make_refused(), 11.5, 1),
         (make_refused(), 10.5, 0),
+        (make_refused(silent_s=1.0), 11.5, 0),
+        (make_refused(silent_s=1.0), 12.5, 1),
         (make_refused(), 11.7, 0),
     ],
 )
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -157,8 +157,8 @@
 
     async def _refuse(self, headers, send):
         """Ask for a rest; the request is not run."""
+        arrived_s = time.monotonic()
         rest_s = self.server_faults.rest_s()
-        self._print("refused", headers, rest_s=rest_s)
         head = [
             *self._headers(headers),
             NOT_EXECUTED,
@@ -167,6 +167,8 @@
         ]
         await responses.start(send, 503, head)
         await send({"type": "http.response.body", "body": b""})
+        told_s = time.monotonic()
+        self._print("refused", headers, rest_s=rest_s, at_s=arrived_s, told_s=told_s)
 
     def _crashes(self, headers):
         """Return whether a request ends the server that begins to answer it."""
@@ -296,7 +298,7 @@
 
 def print_record(**fields):
     """Print one line and flush it, so that it is not lost if this process is killed."""
-    fields["at_s"] = time.monotonic()
+    fields.setdefault("at_s", time.monotonic())
     print(json.dumps(fields), flush=True)
 
 
--- a/teaselwall/tools/soak_notices.py
+++ b/teaselwall/tools/soak_notices.py
@@ -55,8 +55,8 @@
 def _notice(record, request):
     """Return from when and until when a reply binds its host, and what it said."""
     if "refused" in record and record["rest_s"]:
-        from_s = record["at_s"] + DELIVERY_S
-        return from_s, record["at_s"] + record["rest_s"] - ROUNDING_S, "rests"
+        told_s = record["told_s"]
+        return told_s + DELIVERY_S, told_s + record["rest_s"] - ROUNDING_S, "rests"
     if record.get("leaving") and request.complete and request.status == 200:
         return request.ended_s + DELIVERY_S, float("inf"), "leaves"
     return None
