--- a/teaselwall/tools/soak_checks.py
+++ b/teaselwall/tools/soak_checks.py
@@ -183,11 +183,12 @@
     is_whole = not partial and given == expected
     if given != expected[: len(given)] or (request.complete and not is_whole):
         return [f"stream {request.id} got {request.body!r}"]
-    versions = request.versions
+    versions, name = request.versions, f"stream {request.id}"
     if request.origin is not None:
         versions = request.origin.versions + versions
+        name += f", which takes up {request.origin.id},"
     if len(set(versions)) > 1:
-        return [f"stream {request.id} has events of versions {versions}"]
+        return [f"{name} has events of versions {versions}"]
     return []
 
 
