--- a/teaselwall/tests/test_soak.py
+++ b/teaselwall/tests/test_soak.py
@@ -1,20 +1,33 @@
 import contextlib
+import types
 
 import pytest
 import trio
 
-from teaselwall.tools import soak, soak_checks, soak_faults, soak_fleet, soak_proxy
+from teaselwall.tools import (
+    soak,
+    soak_checks,
+    soak_configuration,
+    soak_crashes,
+    soak_faults,
+    soak_fleet,
+    soak_losses,
+    soak_notices,
+    soak_proxy,
+)
 
-TENANTS = {key: name for name, key in soak_fleet.API_KEYS.items()}
-KEY = soak_fleet.API_KEYS["alpha"]
+TENANTS = {key: name for name, key in soak_configuration.API_KEYS.items()}
+KEY = soak_configuration.API_KEYS["alpha"]
 SEED = 1
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def make_request(kind="once", status=200, body=None, sent_s=10.0):
-    if body is None:
-        body = b"answer of r1"
-    return soak_checks.Request("r1", kind, KEY, sent_s, sent_s + 1, status, body, True)
+def make_request(
+    kind="once", status=200, body=b"answer of r1", sent_s=10.0, complete=True, **fields
+):
+    return soak_checks.Request(
+        "r1", kind, KEY, sent_s, sent_s + 1, status, body, complete, "h1", **fields
+    )
 
 
 def make_run(server="s1", at_s=10.1, **fields):
@@ -30,7 +43,11 @@
 
 
 def stream_body(*numbers):
-    return "".join(f"id: {n}\ndata: r1 {n}\n\n" for n in numbers).encode()
+    return stream_body_of([(n, "v1") for n in numbers])
+
+
+def stream_body_of(events):
+    return "".join(f"id: {n}\ndata: r1 {n} {v}\n\n" for n, v in events).encode()
 
 
 def check(requests, runs, revoked_s=(), evacuations=()):
@@ -61,6 +78,24 @@
             (),
             (),
         ),
+        (
+            [make_request("resume", body=stream_body(1, 3), complete=False)],
+            [make_run()],
+            (),
+            (),
+        ),
+        (
+            [
+                make_request(
+                    "resume",
+                    body=stream_body_of([(1, "v1"), (2, "v1"), (3, "v2")]),
+                    complete=False,
+                )
+            ],
+            [make_run(), make_run("s2")],
+            (),
+            (),
+        ),
         ([make_request(status=502)], [make_run(), make_run("s2")], (), ()),
         ([make_request(status=503)], [make_run()], (), ()),
         ([make_request(status=429)], [make_run()], (), ()),
@@ -90,6 +125,12 @@
             (),
             (),
         ),
+        (
+            [make_request("resume", body=stream_body(1, 2), complete=False)],
+            [make_run(), make_run("s2")],
+            (),
+            (),
+        ),
         ([make_request("safe")], [make_run(), make_run("s2")], (), ()),
         ([make_request("safe", status=503)], [make_run()], (), ()),
         ([make_request(status=502)], [make_run()], (), ()),
@@ -100,17 +141,200 @@
     assert check(requests, runs, revoked_s, evacuations) == []
 
 
-def test_recovery_needs_nine_of_ten_requests_served():
-    served = [make_request(sent_s=100.0) for _ in range(9)]
-    assert (
-        soak_checks.check_recovery(
-            [*served, make_request(status=503, sent_s=100.0)], 50
-        )
-        == []
+@pytest.mark.parametrize(
+    ("numbers", "version", "n_found"),
+    [((3, 4, 5, 6), "v1", 0), ((3, 4, 5, 6), "v2", 1), ((4, 5, 6), "v1", 1)],
+)
+def test_a_stream_that_is_taken_up_goes_on_at_its_version(numbers, version, n_found):
+    origin = make_request("resume", body=stream_body(1, 2), complete=False)
+    origin.id = "r0"
+    body = stream_body_of([(n, version) for n in numbers])
+    request = make_request("resume", body=body, origin=origin)
+    assert len(check([request], [make_run()])) == n_found
+
+
+def make_cut(kind="resume", ended_s=11.5, **fields):
+    given = {"complete": False, "body": b"", "written_s": 10.0}
+    request = make_request(kind, **given | fields)
+    request.ended_s = ended_s
+    return request
+
+
+def find_losses(request, runs=(), spans=()):
+    disturbances = soak_losses.Disturbances()
+    disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    return soak_losses.find_losses(
+        [request], runs, disturbances, soak_configuration.TIMEOUTS_S
     )
-    failed = [make_request(status=503, sent_s=100.0) for _ in range(2)]
-    assert soak_checks.check_recovery([*served, *failed], 50)
-    assert soak_checks.check_recovery([make_request(sent_s=10.0)], 50)
+
+
+@pytest.mark.parametrize(
+    ("request_", "runs", "spans"),
+    [
+        (make_cut(), [make_run()], ()),
+        (make_cut("once"), [], ()),
+        (make_cut("safe", status=0, ended_s=10.1), [make_run()], ()),
+        (make_cut(ended_s=14.0), [make_run()], ()),
+        (make_cut(), [make_run()], [("h1", 1.0, 6.9), ("s1", 11.6, 20.0)]),
+        (make_cut(), [make_run()], [("h2", 9.0, 20.0), ("s2", 9.0, 20.0)]),
+    ],
+)
+def test_an_answer_cut_by_sound_processes_is_seen(request_, runs, spans):
+    assert len(find_losses(request_, runs, spans)) == 1
+
+
+@pytest.mark.parametrize(
+    ("request_", "runs", "spans"),
+    [
+        (make_request("resume", written_s=10.0), [make_run()], ()),
+        (make_request("once", status=503, written_s=10.0), [], ()),
+        (make_cut(timed_out=True), [make_run()], ()),
+        (make_cut(written_s=0.0), [], ()),
+        (make_cut(ended_s=0.0), [make_run()], ()),
+        (make_cut(ended_s=14.3), [make_run()], ()),
+        (make_cut("once", ended_s=12.2), [make_run()], ()),
+        (make_cut("once", ended_s=10.4), [], ()),
+        (make_cut(), [make_run()], [("h1", 1.0, 7.1)]),
+        (make_cut(), [make_run()], [("s1", 11.4, 20.0)]),
+        (make_cut(), [make_run(), make_run("s2")], [("s2", 9.0, 9.5)]),
+        (make_cut(parts=("a", soak_checks.CRASH_PART, "b")), [make_run()], ()),
+    ],
+)
+def test_cuts_with_a_reason_are_no_losses(request_, runs, spans):
+    assert find_losses(request_, runs, spans) == []
+
+
+@pytest.mark.parametrize(
+    ("end", "end_s", "spans", "n_found"),
+    [
+        ("done", 13.5, (), 1),
+        ("left", 13.5, (), 1),
+        ("left", 13.3, (), 0),
+        ("left", 13.5, [("s1", 12.0, 12.1)], 0),
+        ("left", 13.5, [("h1", 6.0, 7.2)], 0),
+    ],
+)
+def test_two_servers_at_work_on_one_request_are_seen(end, end_s, spans, n_found):
+    records = [
+        make_run(at_s=10.1),
+        make_run("s2", at_s=13.0),
+        {end: "r1", "server": "s1", "at_s": end_s},
+        {"done": "r1", "server": "s2", "at_s": 20.0},
+    ]
+    disturbances = soak_losses.Disturbances()
+    disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    found = soak_losses.find_overlaps([make_request()], records, disturbances)
+    assert len(found) == n_found
+
+
+def find_notice_violations(tmp_path, records, told_at_s=11.0, spans=(), starts_s=()):
+    fleet = soak_fleet.Fleet(tmp_path)
+    fleet.disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    for name, make in (("h1", "hosts"), ("s1", "servers")):
+        process = soak_fleet.Process([], tmp_path / name)
+        process.starts_s = [1.0, *(s for n, s in starts_s if n == name)]
+        target = types.SimpleNamespace(name=name, process=process)
+        setattr(fleet, make, [target])
+    requests = [make_request(sent_s=told_at_s - 1), make_request()]
+    requests[1].id = "r2"
+    return soak_notices.find_violations(requests, records, fleet)
+
+
+def make_refused(at_s=10.1, rest_s=1.5, silent_s=0.0):
+    times = {"at_s": at_s, "told_s": at_s + silent_s, "rest_s": rest_s}
+    return {"refused": "r1", "server": "s1", **times}
+
+
+@pytest.mark.parametrize(
+    ("record", "at_s", "n_found"),
+    [
+        (make_run(leaving=True), 11.6, 1),
+        (make_run(leaving=True), 30.0, 1),
+        (make_run(leaving=True), 11.4, 0),
+        (make_run(leaving=False), 30.0, 0),
+        (make_refused(), 10.7, 1),
+        (make_refused(), 11.5, 1),
+        (make_refused(), 10.5, 0),
+        (make_refused(silent_s=1.0), 11.5, 0),
+        (make_refused(silent_s=1.0), 12.5, 1),
+        (make_refused(), 11.7, 0),
+    ],
+)
+def test_what_servers_say_about_themselves_binds_the_host_that_was_told(
+    tmp_path, record, at_s, n_found
+):
+    records = [record, make_run(ran="r2", at_s=at_s)]
+    assert len(find_notice_violations(tmp_path, records)) == n_found
+    elsewhere = [record, make_run("s2", ran="r2", at_s=at_s)]
+    assert find_notice_violations(tmp_path, elsewhere) == []
+    for name in ("h1", "s1"):
+        spans = [(name, at_s - 0.1, at_s)]
+        assert find_notice_violations(tmp_path, records, spans=spans) == []
+
+
+@pytest.mark.parametrize("name", ["h1", "s1"])
+def test_a_start_ends_what_a_server_has_said(tmp_path, name):
+    records = [make_run(leaving=True), make_run(ran="r2", at_s=30.0)]
+    assert find_notice_violations(tmp_path, records, starts_s=[(name, 20.0)]) == []
+    assert find_notice_violations(tmp_path, records, starts_s=[(name, 5.0)])
+
+
+def make_crashing(name, sent_s):
+    request = make_cut(parts=("f1", soak_checks.CRASH_PART, name), sent_s=sent_s)
+    request.id = name
+    return request
+
+
+def find_crash_violations(arrivals_s, requests=(), spans=(), n_ends=5):
+    crashing = [make_crashing(f"c{i}", s) for i, s in enumerate(arrivals_s)]
+    records = [{"crashed": "c0", "at_s": 20.0 + i} for i in range(n_ends)]
+    records += [{"arrived": r.id, "at_s": r.sent_s} for r in crashing]
+    disturbances = soak_losses.Disturbances()
+    disturbances.spans = [soak_losses.Disturbance(*span) for span in spans]
+    return soak_crashes.find_violations([*crashing, *requests], records, disturbances)
+
+
+def test_arrivals_of_requests_that_end_servers_are_counted_from_the_fifth_end_on():
+    early = [19.0, 25.0, 26.9]
+    assert find_crash_violations([*early, 27.1, 28.0, 29.0]) == []
+    late = [*early, 27.1, 28.0, 29.0, 30.0]
+    assert len(find_crash_violations(late)) == 1
+    assert find_crash_violations(late, n_ends=4) == []
+    assert find_crash_violations(late, spans=[("h1", 20.0, 24.5)]) == []
+    assert len(find_crash_violations(late, spans=[("h2", 20.0, 24.5)])) == 1
+
+
+@pytest.mark.parametrize(
+    ("key", "first_part", "n_found"),
+    [(KEY, "f2", 1), ("other", "f1", 1), (KEY, "f1", 2), ("other", "f2", 0)],
+)
+def test_sound_requests_beside_those_that_end_servers_must_begin(
+    key, first_part, n_found
+):
+    def sound(status, sent_s, key=key, first_part=first_part):
+        body = stream_body(1) if status == 200 else b""
+        request = make_request("stream", status, body, sent_s, parts=(first_part, "o"))
+        request.key = key
+        return request
+
+    before = [sound(200, 12.0) for _ in range(8)] + [sound(503, 12.0)] * 2
+    between = [sound(503, 29.0)] * 50
+    others = [sound(200, 31.0, "other", "f2") for _ in range(50)]
+    half = [sound(200, 31.0) for _ in range(4)] + [sound(503, 31.0)] * 6
+    fewer = [sound(200, 31.0) for _ in range(3)] + [sound(503, 31.0)] * 7
+    assert find_crash_violations([19.0], before + between + half) == []
+    found = find_crash_violations([19.0], before + between + fewer + others)
+    assert len(found) == n_found
+
+
+def test_recovery_needs_nineteen_of_twenty_requests_served():
+    served = [make_request() for _ in range(19)]
+    failed = make_request(status=503)
+    cut = make_request(complete=False)
+    assert soak_checks.check_recovery([*served, failed]) == []
+    assert soak_checks.check_recovery([*served, failed, failed])
+    assert soak_checks.check_recovery([*served, failed, cut])
+    assert soak_checks.check_recovery([])
 
 
 @pytest.mark.parametrize(
@@ -137,19 +361,20 @@
     assert soak_checks.parse_response(data) == expected
 
 
+async def _echo(stream):
+    with contextlib.suppress(trio.BrokenResourceError):
+        async for data in stream:
+            await stream.send_all(data)
+
+
 @pytest.fixture
 async def echo_proxy(nursery):
     """Return a proxy in front of an echo server."""
-
-    async def echo(stream):
-        with contextlib.suppress(trio.BrokenResourceError):
-            async for data in stream:
-                await stream.send_all(data)
-
-    listeners = await nursery.start(trio.serve_tcp, echo, 0)
+    listeners = await nursery.start(trio.serve_tcp, _echo, 0)
     port = listeners[0].socket.getsockname()[1]
     proxy = soak_proxy.Proxy(f"127.0.0.1:{port}")
     await nursery.start(proxy.run)
+    await proxy.listening.wait()
     return proxy
 
 
@@ -186,10 +411,34 @@
     assert await echo_through(stream) == b"x"
 
 
-def test_a_seed_gives_the_same_fault_kinds():
+@pytest.mark.parametrize("in_use", [True, False])
+async def test_proxy_refuses_connections_once_its_target_has_ended(nursery, in_use):
+    """A host that finds a connection accepted takes the server for running."""
+    scope = trio.CancelScope()
+
+    async def serve(task_status):
+        with scope:
+            await trio.serve_tcp(_echo, 0, task_status=task_status)
+
+    listeners = await nursery.start(serve)
+    proxy = soak_proxy.Proxy(f"127.0.0.1:{listeners[0].socket.getsockname()[1]}")
+    await nursery.start(proxy.run)
+    await proxy.listening.wait()
+    stream = await connect(proxy) if in_use else None
+    scope.cancel()
+    if in_use:
+        with contextlib.suppress(trio.BrokenResourceError):
+            assert await stream.receive_some(1) == b""
+    else:
+        await trio.sleep(0.1)
+    with pytest.raises(OSError, match="all attempts to connect"):
+        await connect(proxy)
+
+
+def test_a_seed_gives_the_same_fault_kinds(tmp_path):
     drawn = []
     for _ in range(2):
-        faults = soak_faults.Faults(None, None, SEED)
+        faults = soak_faults.Faults(soak_fleet.Fleet(tmp_path), None, SEED)
         drawn.append(
             [faults.schedule_random.choice(faults.kinds).__name__ for _ in range(30)]
         )
--- a/teaselwall/tools/soak_checks.py
+++ b/teaselwall/tools/soak_checks.py
@@ -12,7 +12,15 @@
 # Allowance for a request already on its way from a host to a server.
 DELIVERY_S = 0.5
 # Share of the requests that must be served once all faults have ended.
-MIN_SERVED_SHARE = 0.9
+MIN_SERVED_SHARE = 0.95
+STREAM_KINDS = ("stream", "resume")
+# Kinds of request that may run more than once.
+REPEATABLE_KINDS = ("safe", "resume")
+# Number of events of a stream whose caller asks for no other.
+N_EVENTS = 6
+# A server that begins to answer a request ends if this is a part of its prompt, other
+# than the last one.
+CRASH_PART = "c0de"
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,16 +31,29 @@
     ----------
     id : str
     kind : str
-        ``once``, ``safe`` or ``stream``; only a safe request may run more than once.
+        ``once``, ``safe``, ``stream`` or ``resume``, a stream that may be resumed.
     key : str
         The API key.
     sent_s, ended_s : float
-        On the monotonic clock, which the back ends use too.
+        On the monotonic clock, which the back ends use too; ``ended_s`` is 0 for a
+        request that was still in progress at the end of the soak.
     status : int
         0 if the connection ended before the head of a response.
     body : bytes
     complete : bool
         Whether the response's body was received to its end.
+    host : str
+        Name of the entry host that it was sent to.
+    written_s : float
+        When all its bytes had been sent; 0 if they were not.
+    timed_out : bool
+        Whether the caller gave up.
+    parts : tuple of str
+        Parts of its prompt.
+    n_events : int
+        Number of events of a stream that it asks for.
+    origin : Request or None
+        The request whose broken stream this one takes up.
     """
 
     id: str
@@ -43,9 +64,41 @@
     status: int = 0
     body: bytes = b""
     complete: bool = False
+    host: str = ""
+    written_s: float = 0.0
+    timed_out: bool = False
+    parts: tuple = ()
+    n_events: int = N_EVENTS
+    origin: object = None
 
+    @property
+    def events(self):
+        """Return the complete events of a stream, and what follows them."""
+        *events, partial = self.body.decode().split("\n\n")
+        return events, partial
 
-def read_runs(servers):
+    @property
+    def first_event(self):
+        """Return the number of the first event of a stream that it asks for."""
+        return 1 + len(self.origin.events[0]) if self.origin is not None else 1
+
+    @property
+    def versions(self):
+        """Return the versions that a stream's events name, in order."""
+        return [event.rpartition(" ")[2] for event in self.events[0]]
+
+    @property
+    def served(self):
+        """Return whether it was answered with success and completely."""
+        return self.status == 200 and self.complete
+
+    @property
+    def crashes(self):
+        """Return whether a server that begins to answer this request ends."""
+        return CRASH_PART in self.parts[:-1]
+
+
+def read_records(servers):
     """Read the back ends' logs.
 
     Parameters
@@ -54,10 +107,10 @@
 
     Returns
     -------
-    tuple
-        Runs (list of dict) and violations that the back ends saw (list of str).
+    list of dict
+        One record for each line of JSON.
     """
-    runs, violations = [], []
+    records = []
     for server in servers:
         if not server.process.log.exists():
             continue
@@ -65,15 +118,11 @@
             if not line.startswith("{"):
                 continue
             try:
-                entry = json.loads(line)
+                records.append(json.loads(line))
             except ValueError:
                 # The process was killed while it wrote this line.
                 continue
-            if "ran" in entry:
-                runs.append(entry)
-            elif "broken" in entry:
-                violations.append(entry["broken"])
-    return runs, violations
+    return records
 
 
 def find_violations(requests, runs, revoked_s, evacuations, tenants):
@@ -83,7 +132,7 @@
     ----------
     requests : list of Request
     runs : list of dict
-        From ``read_runs``.
+        Records of runs, from ``read_records``.
     revoked_s : dict of str to float
         When the store had a configuration without this API key; all times are on the
         same monotonic clock.
@@ -115,26 +164,41 @@
 
 
 def _check_response(request):
-    if request.status != 200 or not request.complete:
+    if request.status != 200:
+        return []
+    if request.kind in STREAM_KINDS:
+        return _check_stream(request)
+    expected = f"answer of {request.id}".encode()
+    if not request.complete or request.body == expected:
         return []
-    if request.kind != "stream":
-        expected = f"answer of {request.id}".encode()
-        return (
-            [] if request.body == expected else [f"{request.id} got {request.body!r}"]
-        )
-    events = request.body.decode().split("\n\n")
-    expected = [f"id: {n}\ndata: {request.id} {n}" for n in range(1, len(events))]
-    if events[-1] or events[:-1] != expected or len(expected) != 6:
+    return [f"{request.id} got {request.body!r}"]
+
+
+def _check_stream(request):
+    """Check the events of a stream, also of one that ended early."""
+    events, partial = request.events
+    given = [event.rpartition(" ")[0] for event in events]
+    first, n_events = request.first_event, request.n_events
+    expected = [f"id: {n}\ndata: {request.id} {n}" for n in range(first, n_events + 1)]
+    is_whole = not partial and given == expected
+    if given != expected[: len(given)] or (request.complete and not is_whole):
         return [f"stream {request.id} got {request.body!r}"]
+    versions, name = request.versions, f"stream {request.id}"
+    if request.origin is not None:
+        versions = request.origin.versions + versions
+        name += f", which takes up {request.origin.id},"
+    if len(set(versions)) > 1:
+        return [f"{name} has events of versions {versions}"]
     return []
 
 
 def _check_runs(request, runs, tenants):
     violations = []
-    if request.kind != "safe" and len(runs) > 1:
+    repeatable = request.kind in REPEATABLE_KINDS
+    if not repeatable and len(runs) > 1:
         servers = [run["server"] for run in runs]
         violations.append(f"{request.kind} request {request.id} ran at {servers}")
-    if request.kind != "safe" and runs and request.status in NOT_RUN_STATUSES:
+    if not repeatable and runs and request.status in NOT_RUN_STATUSES:
         violations.append(f"{request.id} was answered {request.status} and ran")
     for run in runs:
         if run["key"] or run["tenant"] != tenants[request.key]:
@@ -149,26 +213,22 @@
     return [f"{request.id} ran {late_s:.1f} s past its key's end"] if late_s > 0 else []
 
 
-def check_recovery(requests, recovered_s):
+def check_recovery(requests):
     """Return a violation if too few requests sent after the recovery were served.
 
     Parameters
     ----------
     requests : list of Request
-    recovered_s : float
-        Requests sent later than this are counted.
+        Those sent after the recovery that every configuration allows.
     """
-    late_requests = [request for request in requests if request.sent_s > recovered_s]
-    n_served = sum(
-        request.status == 200 and request.complete for request in late_requests
-    )
-    if late_requests and n_served >= MIN_SERVED_SHARE * len(late_requests):
+    n_served = sum(request.served for request in requests)
+    if requests and n_served >= MIN_SERVED_SHARE * len(requests):
         return []
     n_by_status = collections.Counter(
-        f"{request.kind} {request.status}" for request in late_requests
+        f"{request.kind} {request.status}" for request in requests
     )
     return [
-        f"after the faults {n_served} of {len(late_requests)} requests were served; "
+        f"after the faults {n_served} of {len(requests)} requests were served; "
         f"by kind and status: {dict(n_by_status)}"
     ]
 
--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -4,22 +4,26 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
+import time
 
 import httpcore
 import tomli_w
 import trio
 
-from teaselwall.tools import deployments, platform_store, soak_checks, soak_proxy
+from teaselwall.tools import (
+    deployments,
+    platform_server,
+    platform_store,
+    soak_checks,
+    soak_configuration,
+    soak_losses,
+    soak_proxy,
+)
 
-LOOPBACK = "127.0.0.1"
-ZONES = ("z1", "z2")
-API_KEYS = {"alpha": "key-of-alpha", "beta": "key-of-beta"}
-POOLS = ("plain", "engine", "encode")
 N_HOSTS = 4
-N_SERVERS_PER_POOL = 2
-STOP_TIMEOUT_S = 8
 START_TIMEOUT_S = 20.0
 # A call whose reply the store's stand-in loses never ends without a timeout.
 TRY_TIMEOUT_S = 1.0
@@ -44,6 +48,8 @@
     popen : subprocess.Popen or None
     suspended : bool
         Whether the last signal sent to it was SIGSTOP.
+    starts_s : list of float
+        When it was started, on the monotonic clock.
     """
 
     def __init__(self, command, log, environment=None):
@@ -52,9 +58,11 @@
         self.environment = environment or {}
         self.popen = None
         self.suspended = False
+        self.starts_s = []
 
     def start(self):
         """Start the process; append its output to its log."""
+        self.starts_s.append(time.monotonic())
         with self.log.open("ab") as out:
             self.popen = subprocess.Popen(
                 [sys.executable, *self.command],
@@ -66,30 +74,70 @@
 
     def send(self, signal_number):
         """Send a signal if the process runs."""
-        if self.popen is not None and self.popen.poll() is None:
+        if self.is_running():
             self.popen.send_signal(signal_number)
             self.suspended = signal_number == signal.SIGSTOP
 
+    def is_running(self):
+        """Return whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def has_crashed(self):
+        """Return whether a request has ended the process."""
+        exit_code = self.popen.poll() if self.popen is not None else None
+        return exit_code == platform_server.CRASH_EXIT_CODE
+
     async def stop(self, signal_number, timeout_s):
-        """Send a signal and wait for the exit; kill the process after the timeout."""
+        """Send a signal and wait for the exit; kill the process after the timeout.
+
+        Returns
+        -------
+        bool
+            Whether it ended in time.
+        """
         self.send(signal_number)
         with trio.move_on_after(timeout_s):
             while self.popen.poll() is None:
                 await trio.sleep(0.05)
-        if self.popen.poll() is None:
-            self.popen.kill()
-            self.popen.wait()
+        if self.popen.poll() is not None:
+            return True
+        self.popen.kill()
+        self.popen.wait()
+        return False
 
 
 class Server:
-    """One back end and the proxy in front of it."""
+    """One back end and the proxy in front of it.
 
-    def __init__(self, number, pool, zone, proxy, process):
-        self.id = f"s{number}"
-        self.pool = pool
-        self.zone = zone
+    Parameters
+    ----------
+    options : dict of str to str
+        Options of the server's program.
+    proxy : soak_proxy.Proxy
+    log : pathlib.Path
+
+    Attributes
+    ----------
+    name, pool, zone : str
+    process : Process
+    """
+
+    def __init__(self, options, proxy, log):
+        self.options = options
+        self.name = options["id"]
+        self.pool = options["service"]
+        self.zone = options["zone"]
         self.proxy = proxy
-        self.process = process
+        self.process = Process([], log)
+        self.set_version(options["version"])
+
+    def set_version(self, version):
+        """Set the version of the software that the next start has."""
+        self.options["version"] = version
+        command = ["-m", platform_server.__name__]
+        for option, value in self.options.items():
+            command += [f"--{option}", value]
+        self.process.command = command
 
 
 class EntryHost:
@@ -103,8 +151,8 @@
 
     def __init__(self, name, ports, zone, proxy, process):
         self.name = name
-        self.callers = f"{LOOPBACK}:{ports[0]}"
-        self.directory = f"{LOOPBACK}:{ports[2]}"
+        self.callers = f"{soak_configuration.LOOPBACK}:{ports[0]}"
+        self.directory = f"{soak_configuration.LOOPBACK}:{ports[2]}"
         self.zone = zone
         self.proxy = proxy
         self.process = process
@@ -124,14 +172,25 @@
     servers : list of Server
     config : dict
         The configuration published last.
+    disturbances : soak_losses.Disturbances
+    reserved : list of socket.socket
+        They keep the addresses of the processes while these don't run.
+    operator_records : dict of str to bytes
+        What operators wrote last under each key; empty for a deleted key.
+    write_lock : trio.Lock
+        Held during a write, so that writes arrive in order.
     """
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
         self.hosts = []
         self.servers = []
-        self.config = {"version": 1, **_first_configuration()}
-        self.store_address = f"{LOOPBACK}:{_free_ports(1)[0]}"
+        self.disturbances = soak_losses.Disturbances()
+        self.operator_records = {}
+        self.write_lock = trio.Lock()
+        self.config = {"version": 1, **soak_configuration.first_configuration()}
+        self.reserved = []
+        self.store_address = self._new_address()
         self.store = Process(
             ["-m", platform_store.__name__, "--listen", self.store_address],
             self.folder / "store.log",
@@ -144,9 +203,9 @@
         await self.retry_until_done(self.publish)
         for index in range(N_HOSTS):
             await self._add_host(nursery, index)
-        for pool in POOLS:
-            for zone in ZONES * (N_SERVERS_PER_POOL // len(ZONES)):
-                await self._add_server(nursery, pool, zone)
+        for pool, n_servers in soak_configuration.POOL_SIZES.items():
+            for index in range(n_servers):
+                await self._add_server(nursery, pool, index)
         for process in self.processes():
             process.start()
 
@@ -154,12 +213,26 @@
         """Return all processes except the store."""
         return [h.process for h in self.hosts] + [s.process for s in self.servers]
 
+    def records(self):
+        """Return what the back ends have logged so far."""
+        return soak_checks.read_records(self.servers)
+
+    def ended_hosts(self):
+        """Return a line for each entry host whose process has ended by itself."""
+        return [
+            f"entry host {host.name} ended with {host.process.popen.poll()}"
+            for host in self.hosts
+            if host.process.popen.poll() is not None
+        ]
+
     def kill_all(self):
         """Kill every process that the soak has started."""
         for process in [*self.processes(), self.store]:
             if process.popen is not None:
                 process.popen.kill()
                 process.popen.wait()
+        for reserved in self.reserved:
+            reserved.close()
 
     async def publish(self, **changes):
         """Write a new version of the configuration to the store."""
@@ -171,7 +244,10 @@
         """Append one record; an empty value deletes the key."""
         url = f"http://{self.store_address}/v1/log-append?topic={topic}&part=0"
         content = platform_store.encode_record(key, value)
-        reply = await self.pool.request("POST", url, content=content)
+        async with self.write_lock:
+            if topic == "keyed.op":
+                self.operator_records[key] = value
+            reply = await self.pool.request("POST", url, content=content)
         if reply.status != 200:
             raise OSError(f"the store answered {reply.status}")
 
@@ -180,10 +256,53 @@
         url = f"http://{self.store_address}/faults"
         await self.pool.request("POST", url, content=json.dumps(faults).encode())
 
+    async def set_server_faults(self, server, **faults):
+        """Set faults of a server that runs."""
+        url = f"http://{server.options['listen']}/faults"
+        with trio.move_on_after(TRY_TIMEOUT_S):
+            try:
+                content = json.dumps(faults).encode()
+                await self.pool.request("POST", url, content=content)
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                # The server is down.
+                return
+
+    async def copy_store(self):
+        """Have the store keep a copy of itself."""
+        await self.retry_until_done(lambda: self._command_store("copy"))
+
+    async def restore_store(self, rewrite_s):
+        """Have the store go back to its copy; write again after a time what it lost."""
+        await self.retry_until_done(lambda: self._command_store("restore"))
+        await trio.sleep(rewrite_s)
+        for key, value in list(self.operator_records.items()):
+            await self.retry_until_done(
+                lambda key=key, value=value: self._write_again(key, value)
+            )
+        await trio.sleep(ENTRY_EXPIRY_S)
+        for server in self.servers:
+            if not server.process.is_running():
+                await self.retry_until_done(
+                    lambda name=server.name: self.write("keyed.servers", name, b"")
+                )
+
+    async def _write_again(self, key, value):
+        newest = self.operator_records[key]
+        if newest == value:
+            await self.write("keyed.op", key, value)
+
+    async def _command_store(self, command):
+        url = f"http://{self.store_address}/{command}"
+        reply = await self.pool.request("POST", url)
+        if reply.status != 200:
+            raise OSError(f"the store answered {reply.status}")
+
     async def expire_entry(self, server):
         """Drop the entry of a server that has died, as the users' store does."""
         await trio.sleep(ENTRY_EXPIRY_S)
-        await self.retry_until_done(lambda: self.write("keyed.servers", server.id, b""))
+        await self.retry_until_done(
+            lambda: self.write("keyed.servers", server.name, b"")
+        )
 
     async def retry_until_done(self, action):
         """Retry an action until it succeeds; it must be safe to repeat."""
@@ -196,104 +315,60 @@
                         # The store is not up yet, or a fault makes it fail.
                         await trio.sleep(0.05)
 
+    def _new_address(self):
+        """Return an address for a process, which no other program takes meanwhile."""
+        while True:
+            address = deployments.free_address()
+            reserved = _reserve(address)
+            if reserved is not None:
+                self.reserved.append(reserved)
+                return address
+
     async def _add_host(self, nursery, index):
         name = f"h{index}"
         proxy = soak_proxy.Proxy(self.store_address)
         await nursery.start(proxy.run)
-        ports = _free_ports(5)
+        ports = [int(self._new_address().rpartition(":")[2]) for _ in range(5)]
         path = self.folder / f"{name}.toml"
-        zone = ZONES[index % len(ZONES)]
-        path.write_text(tomli_w.dumps(_settings(name, zone, ports, proxy.address)))
+        zone = soak_configuration.ZONES[index % len(soak_configuration.ZONES)]
+        settings = soak_configuration.settings(name, zone, ports, proxy.address)
+        path.write_text(tomli_w.dumps(settings))
         environment = {"TEASELWALL_NODE_FILE": str(path)}
         process = Process(
             ["-m", "teaselwall.platform"], self.folder / f"{name}.log", environment
         )
         self.hosts.append(EntryHost(name, ports, zone, proxy, process))
 
-    async def _add_server(self, nursery, pool, zone):
-        number = len(self.servers)
-        address = f"{LOOPBACK}:{_free_ports(1)[0]}"
+    async def _add_server(self, nursery, pool, index):
+        address = self._new_address()
         proxy = soak_proxy.Proxy(address)
         await nursery.start(proxy.run)
+        name = f"s{len(self.servers)}"
         options = {
             "listen": address,
             "public": proxy.address,
             "store": self.store_address,
-            "id": f"s{number}",
+            "id": name,
             "service": pool,
-            "zone": zone,
+            "zone": soak_configuration.ZONES[index % len(soak_configuration.ZONES)],
+            "version": soak_configuration.VERSIONS[
+                index
+                // len(soak_configuration.ZONES)
+                % len(soak_configuration.VERSIONS)
+            ],
+            "crash-part": soak_checks.CRASH_PART,
         }
-        command = ["-m", "teaselwall.tools.platform_server"]
-        for option, value in options.items():
-            command += [f"--{option}", value]
-        process = Process(command, self.folder / f"s{number}.log")
-        self.servers.append(Server(number, pool, zone, proxy, process))
-
-
-def _settings(name, zone, ports, store):
-    names = ("callers", "readiness", "directory", "peers", "metrics")
-    listen = {key: f"{LOOPBACK}:{port}" for key, port in zip(names, ports, strict=True)}
-    return {
-        "host": {"name": name, "data_centre": zone, "region": "r"},
-        "listen": listen,
-        "store": {"address": store},
-        "access": {
-            "peer_key": "soak-peer-key-0001",
-            "operator_key": "soak-operator-key",
-        },
-        "bounds": {
-            "revocation_ms": soak_checks.REVOCATION_DELAY_S * 1000,
-            "retry_ratio": 0.2,
-            "retry_window_s": 10,
-            "retry_slack": 50,
-            "answer_kept_s": 1,
-        },
-        "membership": {"answer_kept_ms": 1000},
-        "stop": {"limit_ms": STOP_TIMEOUT_S * 1000},
-    }
-
-
-def _first_configuration():
-    routes = [
-        _route("once", "unsafe", "plain", 1),
-        _route("safe", "safe", "plain", 2),
-        _route("stream", "streaming", "engine", 1),
-    ]
-    routes[2]["stages"] = [
-        {"service": "encode", "after": [], "bytes": 1000},
-        {"service": "encode", "after": [0], "bytes": 1000},
-    ]
-    stage_limits = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 8,
-        "callMs": 50,
-        "itemMs": 1,
-        "roomMb": 4,
-        "handleS": 4,
-    }
-    services = [
-        {"name": "plain", "maxConnections": 200},
-        {"name": "engine", "maxConnections": 200, "engine": {}},
-        {"name": "encode", "maxConnections": 200, "pieces": stage_limits},
-    ]
-    tenants = [{"name": name, "apiKeys": [key]} for name, key in API_KEYS.items()]
-    return {"routes": routes, "services": services, "tenants": tenants}
-
-
-def _route(name, kind, service, max_attempts):
-    return {
-        "name": name,
-        "host": "soak.example",
-        "pathPrefix": f"/{name}/",
-        "kind": kind,
-        "timeoutMs": 3000,
-        "targetLatencyMs": 1000,
-        "service": service,
-        "maxAttempts": max_attempts,
-    }
-
-
-def _free_ports(n_ports):
-    addresses = [deployments.free_address() for _ in range(n_ports)]
-    return [int(address.rpartition(":")[2]) for address in addresses]
+        self.servers.append(Server(options, proxy, self.folder / f"{name}.log"))
+
+
+def _reserve(address):
+    """Return a socket that keeps others off an address but does not listen."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    host, _, port = address.rpartition(":")
+    try:
+        reserved.bind((host, int(port)))
+    except OSError:
+        reserved.close()
+        return None
+    return reserved
