Move the choice of an attempt's server to callstarts

Nothing changes but names: the gate and the picker are attributes of CallStarts, where hosts, the fake fleet and the benchmark set them.

--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -9,9 +9,8 @@
 from teaselwall import (
     attempts,
     budgets,
-    clock,
+    callstarts,
     errors,
-    gates,
     guards,
     hedges,
     outcomes,
@@ -25,7 +24,6 @@
 from teaselwall.generated import messages
 
 RETRY_PERCENT = 10  # where no retry budgets are given
-MAX_CAPACITY_WAIT_MS = 1000  # for a cold server that has no capacity at the moment
 
 
 class Dispatcher:
@@ -47,8 +45,7 @@
 
     Attributes
     ----------
-    gate : gates.Gate
-        Decides right before each call whether the server may get it.
+    starts : callstarts.CallStarts
     demand : placements.ModelDemand
         Counts the tokens requested from each model.
     """
@@ -56,7 +53,6 @@
     __slots__ = (
         "clock",
         "fleet",
-        "picker",
         "backends",
         "metrics",
         "tracer",
@@ -64,7 +60,7 @@
         "attempt_numbers",
         "retry_budgets",
         "guard",
-        "gate",
+        "starts",
         "demand",
     )
 
@@ -82,7 +78,6 @@
     ):
         self.clock = clock
         self.fleet = fleet
-        self.picker = picker
         self.backends = backends
         self.metrics = metrics
         self.tracer = tracer
@@ -90,7 +85,7 @@
         self.attempt_numbers = itertools.count(1)
         self.retry_budgets = retry_budgets or budgets.RetryBudgets(clock, RETRY_PERCENT)
         self.guard = guard or guards.unshared_guard(clock)
-        self.gate = gates.FleetGate(fleet)
+        self.starts = callstarts.CallStarts(clock, fleet, picker, self.guard)
         self.demand = placements.ModelDemand(clock)
 
     async def call(self, request, stage, inputs):
@@ -133,7 +128,7 @@
             or self.guard.is_suspect(past)
         ):
             return False
-        if not past.feasible(0) or not self._has_untried(past):
+        if not past.feasible(0) or not self.starts.has_untried(past):
             return False
         if not self.retry_budgets.for_pool(past.stage.pool).take(budgets.RETRY_COST):
             return False
@@ -148,14 +143,14 @@
             return admission
         result = None
         try:
-            begun = await self._begin_call(past, admission.ok)
+            begun = await self.starts.begin(past, admission.ok)
             if begun.is_error():
                 return begun
             admitted_call = begun.ok
             with self.guard.running_on(past, admitted_call.server):
                 result = await attempt(past, admitted_call.server, *arguments)
             error = result.error if result.is_error() else None
-            self.gate.end(admitted_call, error, past.request.deadline)
+            self.starts.gate.end(admitted_call, error, past.request.deadline)
             if error is not None:
                 past.error = error
                 await self.guard.detect_crash(past, admitted_call.server, admission.ok)
@@ -163,84 +158,12 @@
         finally:
             self.guard.end_trial(past, admission.ok, result)
 
-    async def _begin_call(self, past, trial):
-        """Choose a server and begin a call to it; return the admitted call.
-
-        No await follows the gate's decision, so it still holds when the call is sent.
-        If only cold servers without capacity are left, wait a short time for capacity.
-        """
-        pool = past.stage.pool
-        remaining_ms = past.request.deadline.remaining_ms()
-        wait_limit = clock.Deadline(self.clock, min(MAX_CAPACITY_WAIT_MS, remaining_ms))
-        while True:
-            begun = self._try_begin_call(past, trial)
-            if begun.is_ok() or wait_limit.passed():
-                return begun
-            if not isinstance(begun.error, errors.Unavailable):
-                return begun
-            remaining_ms = past.request.deadline.remaining_ms()
-            if not await self.gate.wait(pool, past.tried, remaining_ms):
-                return begun
-            if trial is None and self.guard.is_suspect(past):
-                return begun
-
-    def _try_begin_call(self, past, trial):
-        excluded = set()
-        while True:
-            chosen = self._next_server(past, trial, excluded)
-            if chosen.is_error():
-                return chosen
-            server = chosen.ok
-            admitted = self.gate.begin(server, past.request.deadline.remaining_ms())
-            if admitted is not None:
-                past.record_sent(server)
-                return expression.Ok(admitted)
-            excluded.add(server.address)
-
-    def _next_server(self, past, trial, excluded):
-        address = self.guard.address_to_join(past) if trial is None else trial.server
-        server = self._available_server(past, address, excluded)
-        if server is None and trial is None:
-            server = self.choose(past, excluded)
-        if server is None or server.address in excluded:
-            return past.no_server_error()
-        if not past.feasible(server.latency_ms):
-            detail = f"Too little time is left for stage {past.stage.name}."
-            return expression.Error(errors.DeadlineExceeded(detail))
-        return expression.Ok(server)
-
-    def _available_server(self, past, address, excluded):
-        if address is None or address in past.tried or address in excluded:
-            return None
-        choices = self.fleet.choices(past.stage.pool)
-        return next((s for s in choices if s.address == address), None)
-
-    def choose(self, past, excluded=frozenset()):
-        """Return the server for the next attempt, or None if there is none.
-
-        Parameters
-        ----------
-        past : attempts.Attempts
-            Servers in data centres that were not tried are preferred.
-        excluded : set of str
-            Addresses of servers without capacity at the moment.
-        """
-        stage = past.stage
-        tried = past.tried | excluded
-        call = pickers.call_of(past.request, stage, past.prefix)
-        choices = self.fleet.choices(stage.pool, past.prefix)
-        elsewhere = [s for s in choices if s.data_centre not in past.data_centres]
-        # A cold server with a free slot is preferred: that does not delay the call,
-        # and it warms the server, which may be needed once others leave.
-        warming = [server for server in elsewhere if not server.warmth.is_warm()]
-        for preferred in (warming, elsewhere):
-            server = self.picker.pick(preferred, tried, call)
-            if server is not None:
-                return server
-        return self.picker.pick(choices, tried, call)
-
     def _may_retry(self, past, n_tokens=0):
-        if not past.retryable() or not past.feasible(0) or not self._has_untried(past):
+        if (
+            not past.retryable()
+            or not past.feasible(0)
+            or not self.starts.has_untried(past)
+        ):
             return False
         if not self.retry_budgets.for_pool(past.stage.pool).take(
             past.retry_cost(n_tokens)
@@ -250,10 +173,6 @@
         self.metrics.count("retries", pool=past.stage.pool)
         return True
 
-    def _has_untried(self, past):
-        choices = self.fleet.choices(past.stage.pool)
-        return any(server.address not in past.tried for server in choices)
-
     async def _call_backend(self, past, server, inputs):
         request, stage = past.request, past.stage
         timeout_ms = self._timeout_ms(past)
@@ -290,7 +209,7 @@
 
     def _timeout_ms(self, past):
         remaining_ms = past.time_left_ms()
-        last = not past.may_rerun() or not self._has_untried(past)
+        last = not past.may_rerun() or not self.starts.has_untried(past)
         if not past.stage.idempotent or last:
             return remaining_ms
         return min(remaining_ms, past.attempt_timeout_ms(self.silence_ms))
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -282,7 +282,7 @@
             self.clock, self.membership, self.fleet, issuer, permit_client, reports
         )
         self.fleet.filters.append(result.may_get_work)
-        self.dispatcher.gate = result
+        self.dispatcher.starts.gate = result
         return result
 
     def _make_orderers(self, timeout_ms):
--- a/teaselwall/tests/fake_fleet.py
+++ b/teaselwall/tests/fake_fleet.py
@@ -233,7 +233,7 @@
             traces.Tracer(settings.TraceSettings(n_kept=0), address),
             1000,
         )
-        self.dispatcher.gate = self.warmups
+        self.dispatcher.starts.gate = self.warmups
         self.scope = trio.CancelScope()
         self.polls = True
         self.n_ok = 0
--- a/teaselwall/tools/bench_attempts.py
+++ b/teaselwall/tools/bench_attempts.py
@@ -256,7 +256,7 @@
         for server in servers:
             server.late_share = 0.02
     rig = rigs.Rig({"encode": servers})
-    rig.dispatcher.picker = picker
+    rig.dispatcher.starts.picker = picker
     if not hedged:
         rig.dispatcher.__class__ = UnhedgedDispatcher
     document = rigs.document(rigs.stage("encode"), deadline_ms=200)
