Wait for a silent server while no other can take over

Callers got a cut stream or an error where the server had only paused for a second or so. Cause: a read timeout of limits.silence_ms (1 s) ended every attempt at a stream inside the HTTP library, also the last one, also without another server, retry budget, or permit for a cold one; calls of idempotent stages timed out at four times their expected time (1 s at least) without asking the budget. Only then was it looked up whether anything could follow.

Now the timeouts of the library are those of the deadline. A task beside each stream watches its silence and ends it only after it has reserved another server and paid for it from the retry budget, at that moment and once; else it tries again ten times a second. Tokens that arrive at the moment of the takeover are dropped before they are counted.

The rig's silent engines now stay silent until the caller's own timeout; before, the fake raised the timeout itself after 1 s. Two tests of test_attempts.py counted on the silence of 1 s: the bound of test_engine_silent_before_the_first_token_is_abandoned is now that of the rig's silence, and two silences need a deadline of 6 s in test_broken_stream_resumes_after_the_tokens_passed_on.

--- a/teaselwall/attempts.py
+++ b/teaselwall/attempts.py
@@ -7,8 +7,8 @@
 MAX_ATTEMPTS = 3
 # Lowest share of its expected time in which a stage may still finish.
 MIN_EXPECTED_TIME_SHARE = 0.5
-# An attempt's timeout, as a multiple of the stage's expected time.
-ATTEMPT_TIMEOUT_FACTOR = 4
+# Silence before another server is tried, as a multiple of the stage's expected time.
+TAKEOVER_DELAY_FACTOR = 4
 # Delay before a hedge, as a multiple of the stage's expected time.
 HEDGE_DELAY_FACTOR = 3
 # Attempts end this long before the deadline, so that the failure can still be reported
@@ -38,6 +38,9 @@
     n_attempts : int
     error : errors.Error or None
         Error of the most recent attempt that failed.
+    reserved : gates.AdmittedCall or None
+        Call to the server that takes over from a silent one. The retry budget has
+        paid for it; nothing has been sent yet.
     """
 
     __slots__ = (
@@ -49,6 +52,7 @@
         "data_centres",
         "n_attempts",
         "error",
+        "reserved",
     )
 
     def __init__(self, request, stage, later_stages_ms, prefix=None):
@@ -60,6 +64,19 @@
         self.data_centres = set()
         self.n_attempts = 0
         self.error = None
+        self.reserved = None
+
+    def release_reserved(self, gate):
+        """Give back the reserved call, whose server is chosen anew when it is sent.
+
+        Parameters
+        ----------
+        gate : gates.Gate
+        """
+        if self.reserved is not None:
+            detail = "The reserved call was not sent."
+            gate.end(self.reserved, errors.Unavailable(detail))
+            self.reserved = None
 
     def record_sent(self, server):
         """Count an attempt that starts now on a server."""
@@ -80,16 +97,18 @@
             return False
         return self.stage.idempotent or self.error.outcome is errors.Outcome.NOT_RUN
 
-    def retry_cost(self, n_tokens=0):
+    def retry_cost(self, error, n_tokens=0):
         """Return the number of retry budget tokens that a retry takes.
 
         Parameters
         ----------
+        error : errors.Error or None
+            Why the stage is sent again; None for a silent server.
         n_tokens : int
             Output tokens already sent to the caller. The next engine resumes after
             them, which costs less than a retry from the start.
         """
-        if isinstance(self.error, errors.ConnectFailed):
+        if isinstance(error, errors.ConnectFailed):
             return budgets.CONNECT_FAILED_COST
         return budgets.RESUME_COST if n_tokens else budgets.RETRY_COST
 
@@ -135,15 +154,15 @@
         """Return how long to wait for a reply before starting a hedge."""
         return min(HEDGE_DELAY_FACTOR * self.stage.expected_ms, self.time_left_ms() / 2)
 
-    def attempt_timeout_ms(self, silence_ms):
-        """Return the timeout of an attempt after which another server can be tried.
+    def takeover_delay_ms(self, silence_ms):
+        """Return how long to wait for a reply before any other server is tried.
 
         Parameters
         ----------
         silence_ms : float
-            Lower bound of the timeout.
+            Lower bound of the delay.
         """
-        return max(silence_ms, ATTEMPT_TIMEOUT_FACTOR * self.stage.expected_ms)
+        return max(silence_ms, TAKEOVER_DELAY_FACTOR * self.stage.expected_ms)
 
     def options(self):
         """Return further keyword arguments for the backend's call."""
--- a/teaselwall/budgets.py
+++ b/teaselwall/budgets.py
@@ -45,10 +45,14 @@
         """Add the part of a token that one success earns."""
         self._add(self.percent / PERCENT)
 
+    def covers(self, cost):
+        """Return whether there are enough tokens for a retry."""
+        self._refill()
+        return self.tokens >= cost
+
     def take(self, cost):
         """Take the cost of a retry in tokens; return whether there were enough."""
-        self._refill()
-        if self.tokens < cost:
+        if not self.covers(cost):
             return False
         self.tokens -= cost
         return True
--- a/teaselwall/callstarts.py
+++ b/teaselwall/callstarts.py
@@ -53,7 +53,9 @@
         remaining_ms = past.request.deadline.remaining_ms()
         wait_limit = clock.Deadline(self.clock, min(MAX_CAPACITY_WAIT_MS, remaining_ms))
         while True:
-            begun = self._try_begin(past, trial)
+            begun = self.admit(past, trial)
+            if begun.is_ok():
+                past.record_sent(begun.ok.server)
             if begun.is_ok() or wait_limit.passed():
                 return begun
             if not isinstance(begun.error, errors.Unavailable):
@@ -64,7 +66,19 @@
             if trial is None and self.guard.is_suspect(past):
                 return begun
 
-    def _try_begin(self, past, trial):
+    def admit(self, past, trial):
+        """Choose a server and admit a call to it, which is not counted as sent.
+
+        Parameters
+        ----------
+        past : attempts.Attempts
+        trial : suspects.Trial or None
+
+        Returns
+        -------
+        expression.Result
+            ``gates.AdmittedCall``.
+        """
         excluded = set()
         while True:
             chosen = self._next_server(past, trial, excluded)
@@ -73,7 +87,6 @@
             server = chosen.ok
             admitted = self.gate.begin(server, past.request.deadline.remaining_ms())
             if admitted is not None:
-                past.record_sent(server)
                 return expression.Ok(admitted)
             excluded.add(server.address)
 
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -19,6 +19,7 @@
     prefixes,
     services,
     streams,
+    takeovers,
     traces,
 )
 from teaselwall.generated import messages
@@ -114,29 +115,64 @@
                 return past.final_result(result)
 
     async def _attempt_with_hedge(self, past, inputs):
-        """Make one attempt, and a hedge if the attempt is slow and may be repeated."""
+        """Make one attempt, and others beside it if it is slow and may be repeated."""
         run = functools.partial(self._run_guarded, past, self._call_backend, inputs)
         if not past.stage.idempotent:
             return await run()
-        allow = functools.partial(self._may_hedge, past)
-        return await hedges.first_success(self.clock, run, past.hedge_delay_ms(), allow)
+        hedge = hedges.Extra(
+            past.hedge_delay_ms(), functools.partial(self._may_hedge, past)
+        )
+        takeover = hedges.Extra(
+            past.takeover_delay_ms(self.silence_ms),
+            functools.partial(self._may_start_another, past),
+        )
+        return await hedges.first_success(self.clock, run, hedge, takeover)
 
     def _may_hedge(self, past):
-        if (
-            past.error is not None
-            or not past.may_rerun()
-            or self.guard.is_suspect(past)
-        ):
-            return False
-        if not past.feasible(0) or not self.starts.has_untried(past):
-            return False
-        if not self.retry_budgets.for_pool(past.stage.pool).take(budgets.RETRY_COST):
+        return past.error is None and self._may_start_another(past)
+
+    def _may_start_another(self, past):
+        cost = past.retry_cost(None)
+        if self._takeover_obstacle(past, cost) or not self.starts.has_untried(past):
             return False
+        self.retry_budgets.for_pool(past.stage.pool).take(cost)
         self.metrics.count("hedges", pool=past.stage.pool)
         return True
 
+    def _takeover_obstacle(self, past, cost):
+        """Return why no other server may run a stage beside or after a silent one."""
+        if not past.may_rerun():
+            return "attempts"
+        if not past.feasible(0):
+            return "time"
+        if self.guard.is_suspect(past):
+            return "suspect"
+        covered = self.retry_budgets.for_pool(past.stage.pool).covers(cost)
+        return "" if covered else "budget"
+
+    def _take_over(self, past, tokens):
+        """Reserve another server for a stream whose server is silent.
+
+        Returns
+        -------
+        str
+            Why there is none; empty if a server is reserved and the retry budget taken.
+        """
+        cost = past.retry_cost(None, len(tokens))
+        obstacle = self._takeover_obstacle(past, cost)
+        if obstacle:
+            return obstacle
+        reserved = self.starts.admit(past, None)
+        if reserved.is_error():
+            return "servers"
+        self.retry_budgets.for_pool(past.stage.pool).take(cost)
+        self.metrics.count("retries", pool=past.stage.pool)
+        past.reserved = reserved.ok
+        return ""
+
     async def _run_guarded(self, past, attempt, *arguments):
         """Make one attempt as the quarantine allows, and report its end to it."""
+        past.release_reserved(self.starts.gate)
         choices = functools.partial(self.fleet.choices, past.stage.pool)
         admission = await self.guard.admit(past, choices)
         if admission.is_error():
@@ -159,6 +195,8 @@
             self.guard.end_trial(past, admission.ok, result)
 
     def _may_retry(self, past, n_tokens=0):
+        if past.reserved is not None:
+            return True
         if (
             not past.retryable()
             or not past.feasible(0)
@@ -166,7 +204,7 @@
         ):
             return False
         if not self.retry_budgets.for_pool(past.stage.pool).take(
-            past.retry_cost(n_tokens)
+            past.retry_cost(past.error, n_tokens)
         ):
             self.metrics.count("retries_over_budget", pool=past.stage.pool)
             return False
@@ -175,7 +213,6 @@
 
     async def _call_backend(self, past, server, inputs):
         request, stage = past.request, past.stage
-        timeout_ms = self._timeout_ms(past)
         call = messages.StageCall(
             request=request.id,
             attempt=next(self.attempt_numbers),
@@ -195,7 +232,7 @@
                 result = await backend.run(
                     server,
                     call,
-                    timeout_ms,
+                    past.time_left_ms(),
                     [traces.traceparent_header(span)],
                     **past.options(),
                 )
@@ -207,13 +244,6 @@
                 self.retry_budgets.for_pool(stage.pool).record_success()
         return result.map(lambda reply: reply.output)
 
-    def _timeout_ms(self, past):
-        remaining_ms = past.time_left_ms()
-        last = not past.may_rerun() or not self.starts.has_untried(past)
-        if not past.stage.idempotent or last:
-            return remaining_ms
-        return min(remaining_ms, past.attempt_timeout_ms(self.silence_ms))
-
     @contextlib.contextmanager
     def tracking(self, request, stage, server, attempt):
         """Yield the span of one attempt on a server, and record the attempt's time."""
@@ -266,6 +296,12 @@
             services.rest_ms(request.document, stage),
             prefixes.prefix_of(prompt),
         )
+        try:
+            return await self._stream_with_retries(past, prompt, tokens, sink)
+        finally:
+            past.release_reserved(self.starts.gate)
+
+    async def _stream_with_retries(self, past, prompt, tokens, sink):
         while True:
             result = await self._run_guarded(past, self._stream, prompt, tokens, sink)
             if result.is_ok():
@@ -288,32 +324,42 @@
             priority=request.document.priority,
             resume=list(tokens),
         )
-        head_wait_ms = min(past.time_left_ms(), max(self.silence_ms, stage.expected_ms))
-        silence_ms = min(self.silence_ms, head_wait_ms)
-        engine = self.backends["engine"]
+        watch = takeovers.SilenceWatch(
+            self.clock,
+            past,
+            server,
+            # The first tokens may take as long as the whole stage is expected to.
+            (max(self.silence_ms, stage.expected_ms), self.silence_ms),
+            sink,
+            functools.partial(self._take_over, past, tokens),
+        )
         n_units = pickers.n_units(stage) - len(tokens)
         with (
             self.tracking(request, stage, server, call.attempt) as span,
             server.track_call(self.clock, n_units) as pending_call,
         ):
             with outcomes.tracking_outcome(request, stage) as outcome:
-                try:
-                    async with engine.generate(
-                        server,
-                        call,
-                        silence_ms,
-                        [traces.traceparent_header(span)],
-                        head_wait_ms,
-                        **past.options(),
-                    ) as batches:
-                        await streams.relay(batches, server, tokens, sink)
-                    result = expression.Ok(tokens)
-                except errors.TransportError as error:
-                    traces.record_failure(span, error)
-                    pending_call.fail(error)
-                    result = expression.Error(error)
+                receive = functools.partial(
+                    self._receive, past, server, call, span, tokens, watch.deliver
+                )
+                result = await watch.run(receive)
                 outcome.record_result(result)
+            if result.is_error():
+                traces.record_failure(span, result.error)
+                pending_call.fail(result.error)
+            else:
+                self.retry_budgets.for_pool(stage.pool).record_success()
             span.set_attribute("n_tokens", len(tokens))
-        if result.is_ok():
-            self.retry_budgets.for_pool(stage.pool).record_success()
         return result
+
+    async def _receive(self, past, server, call, span, tokens, sink):
+        headers = [traces.traceparent_header(span)]
+        opened = self.backends["engine"].generate(
+            server, call, past.time_left_ms(), headers, **past.options()
+        )
+        try:
+            async with opened as batches:
+                await streams.relay(batches, server, tokens, sink)
+        except errors.TransportError as error:
+            return expression.Error(error)
+        return expression.Ok(tokens)
--- a/teaselwall/engines.py
+++ b/teaselwall/engines.py
@@ -19,7 +19,7 @@
     """Client of an engine that generates tokens."""
 
     @abc.abstractmethod
-    def generate(self, server, call, timeout_ms, headers, first_ms=None, fresh=False):
+    def generate(self, server, call, timeout_ms, headers, fresh=False):
         """Open a stream of token batches.
 
         Parameters
@@ -29,9 +29,6 @@
         timeout_ms : float
             Longest time between two parts of the stream.
         headers : sequence of (bytes, bytes)
-        first_ms : float, optional
-            Longest wait for the reply's headers, which come with the first token;
-            ``timeout_ms`` by default.
         fresh : bool
             Whether to open a new connection instead of reusing a kept one.
 
@@ -58,9 +55,7 @@
         self.transport = transport
 
     @contextlib.asynccontextmanager
-    async def generate(
-        self, server, call, timeout_ms, headers=(), first_ms=None, fresh=False
-    ):
+    async def generate(self, server, call, timeout_ms, headers=(), fresh=False):
         """Open a stream; see ``ModelEngine.generate``."""
         address = server.address
         path = "/v1/generate"
@@ -71,9 +66,8 @@
                 address,
                 path,
                 call,
-                timeout_ms if first_ms is None else first_ms,
+                timeout_ms,
                 headers,
-                silence_ms=timeout_ms,
                 progress=progress,
                 fresh=fresh,
             ) as response:
--- a/teaselwall/hedges.py
+++ b/teaselwall/hedges.py
@@ -1,7 +1,28 @@
-"""Hedged calls: a second attempt is started when the first is slow."""
+"""Hedged calls: further attempts are started when the first is slow."""
 
 import trio
 
+# Time between two tries to start a further attempt after a long silence.
+CHECK_INTERVAL_MS = 100
+
+
+class Extra:
+    """A further attempt beside those that run.
+
+    Parameters
+    ----------
+    delay_ms : float
+        Time without an answer after which it may start.
+    may_start : callable
+        Called after that time; returns whether the attempt may start.
+    """
+
+    __slots__ = ("delay_ms", "may_start")
+
+    def __init__(self, delay_ms, may_start):
+        self.delay_ms = delay_ms
+        self.may_start = may_start
+
 
 class Race:
     """Concurrent attempts at one call; the first success is the result.
@@ -46,18 +67,19 @@
         return next(successes, self.results[-1])
 
 
-async def first_success(clock, run, delay_ms, may_hedge):
-    """Make an attempt, and a second attempt beside it if the first is slow.
+async def first_success(clock, run, hedge, takeover):
+    """Make an attempt, and further ones beside it while none has an answer.
+
+    A slow attempt is not ended, as its answer may still be the first.
 
     Parameters
     ----------
     clock : clock.Clock
     run : callable
         See ``Race``.
-    delay_ms : float
-        Time after which the second attempt starts.
-    may_hedge : callable
-        Called after the delay; returns whether the second attempt may start.
+    hedge, takeover : Extra
+        The second attempt, which starts early, and each further one, which starts
+        only after a long silence.
 
     Returns
     -------
@@ -66,7 +88,14 @@
     race = Race(run)
     async with trio.open_nursery() as nursery:
         race.start_attempt(nursery)
-        await clock.sleep_ms(delay_ms)
-        if may_hedge():
+        await clock.sleep_ms(hedge.delay_ms)
+        if hedge.may_start():
             race.start_attempt(nursery)
+        pause_ms = takeover.delay_ms - hedge.delay_ms
+        while True:
+            await clock.sleep_ms(pause_ms)
+            pause_ms = CHECK_INTERVAL_MS
+            if takeover.may_start():
+                race.start_attempt(nursery)
+                pause_ms = takeover.delay_ms
     return race.result()
--- a/teaselwall/streams.py
+++ b/teaselwall/streams.py
@@ -2,6 +2,8 @@
 
 import logging
 
+import trio
+
 from teaselwall import errors, events
 
 logger = logging.getLogger(__name__)
@@ -37,6 +39,8 @@
                 break
             new_tokens.append(chunk.token)
         if new_tokens:
+            # Tokens that arrive at the moment of a takeover come again from its server.
+            await trio.lowlevel.checkpoint_if_cancelled()
             tokens.extend(new_tokens)
             await sink(new_tokens)
         if ended:
--- a/teaselwall/tests/test_attempts.py
+++ b/teaselwall/tests/test_attempts.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from teaselwall import budgets, clock, errors, guards
-from teaselwall.tools import bench_attempts, engine, rigs
+from teaselwall.tools import bench_attempts, engine, rig_servers, rigs
 
 ENCODE = rigs.stage("encode")
 PURCHASE = rigs.stage("purchase", "plain", idempotent=False)
@@ -160,7 +160,7 @@
 
 @pytest.mark.parametrize("kind", KINDS)
 async def test_broken_stream_resumes_after_the_tokens_passed_on(autojump_clock, kind):
-    rig, servers, document = make(GENERATE)
+    rig, servers, document = make(GENERATE, deadline_ms=6000)
     breaks = [(kind, 3)] if kind == "die" else [(kind, 3)] * 2
     resumes = [0, 3, 6][: len(breaks) + 1]
     for server in servers["generate"]:
@@ -236,7 +236,8 @@
     started = trio.current_time()
     for _ in range(4):
         assert (await rig.run(document)).is_ok()
-    assert trio.current_time() - started < 4 * (1.0 + 0.1)
+    silence_s = rig_servers.SILENCE_MS / clock.MS_PER_S
+    assert trio.current_time() - started < 4 * (silence_s + 0.1)
 
 
 class UnansweredClaims:
--- a/teaselwall/tools/bench_attempts.py
+++ b/teaselwall/tools/bench_attempts.py
@@ -42,6 +42,10 @@
         """Return the same unlimited budget for every pool."""
         return self
 
+    def covers(self, cost):
+        """Allow every retry."""
+        return True
+
     def take(self, cost):
         """Allow every retry."""
         return True
--- a/teaselwall/tools/rig_servers.py
+++ b/teaselwall/tools/rig_servers.py
@@ -12,7 +12,8 @@
 from teaselwall.generated import messages
 from teaselwall.tools import engine
 
-SILENCE_MS = 1000  # silence after which a stream counts as broken
+SILENCE_MS = 2000  # silence after which a stream counts as broken
+PAUSE_MS = 1500  # of a sound server
 TOKEN_MS = 10
 ENDLESS_CHUNK_BYTES = 4096
 LATE_DELAY_MS = 400
@@ -40,10 +41,12 @@
         A call that contains this text crashes the server halfway.
     breaks : list of (str, int)
         Faults of the coming streams, one each, with the number of tokens sent before:
-        ``die`` (the server crashes), ``silent`` (read timeout), ``repeat`` (a token
-        twice), ``skip`` (a token left out), ``foreign`` (a chunk of another request),
+        ``die`` (the server crashes), ``silent`` (nothing more is sent), ``pause``
+        (nothing for ``pause_ms``, then the rest), ``repeat`` (a token twice),
+        ``skip`` (a token left out), ``foreign`` (a chunk of another request),
         ``cut`` (the stream ends without end mark), ``short`` (an end mark too early),
         ``endless`` (a line that never ends) or ``garbage`` (a line that is no JSON).
+    pause_ms : float
     n_open : int
         Calls in progress.
     resumes : list of int
@@ -65,6 +68,7 @@
         self.restarts = True
         self.poison = ""
         self.breaks = []
+        self.pause_ms = PAUSE_MS
         self.n_calls = 0
         self.n_crashes = 0
         self.n_open = 0
@@ -123,7 +127,9 @@
         self.resumes.append(len(call.resume))
         for index in range(len(call.resume), call.max_tokens):
             await self.clock.sleep_ms(TOKEN_MS)
-            if index - len(call.resume) == after:
+            if index - len(call.resume) == after and kind == "pause":
+                await self.clock.sleep_ms(self.pause_ms)
+            elif index - len(call.resume) == after:
                 await self._apply_stream_fault(kind)
                 if kind in ("repeat", "skip"):
                     yield _chunk(call, index + (1 if kind == "skip" else -1))
@@ -143,8 +149,7 @@
             self.crash()
             await trio.sleep_forever()
         if kind == "silent":
-            await self.clock.sleep_ms(SILENCE_MS)
-            raise httpcore.ReadTimeout("no data before the timeout")
+            await trio.sleep_forever()
 
 
 def _faulty_chunk(call, index, kind):
@@ -168,14 +173,23 @@
 class FakeResponse:
     """Stand-in for httpcore's response to a stream."""
 
-    def __init__(self, status, parts):
+    def __init__(self, status, parts, silence_ms):
         self.status = status
         self.headers = []
         self.parts = parts
+        self.silence_ms = silence_ms
 
-    def aiter_stream(self):
-        """Return the body's parts."""
-        return self.parts
+    async def aiter_stream(self):
+        """Yield the body's parts; each has to arrive within ``silence_ms``."""
+        while True:
+            try:
+                with trio.fail_after(self.silence_ms / clock.MS_PER_S):
+                    part = await anext(self.parts)
+            except StopAsyncIteration:
+                return
+            except trio.TooSlowError as error:
+                raise httpcore.ReadTimeout("no data before the timeout") from error
+            yield part
 
 
 class FakeTransport:
@@ -238,4 +252,5 @@
                 await server.clock.sleep_ms(timeout_ms)
                 raise httpcore.ReadTimeout("no data before the timeout")
             async with contextlib.aclosing(server.stream(message)) as parts:
-                yield FakeResponse(server.status, parts)
+                limit_ms = timeout_ms if silence_ms is None else silence_ms
+                yield FakeResponse(server.status, parts, limit_ms)
