Refuse a beginning of prompts that crashes each engine

Callers lost engine after engine to prompts that share a crashing part and are otherwise all different: the quarantine names a content by the hash of the whole input, so each new prompt was an unknown one and ended up to three further servers.

Requests of this interface declare no parts. What stands for one is the prefix of the prompt, as the engines' caches have it. The quarantine now keeps evidence for prefix and pool as well, with the same records, trials, lifts and bounds. A crash counts for it only where the answer was beginning, that is until half a second after its first token. An answer that gets further, at any host, clears it. After two crashes the prefix runs in trials, one request at a time over all hosts; it is refused after three if one of them was in such a trial and no single content was running at all of them. Three later tries, one request each after 1, 4 and 16 minutes, bring a mended service back. A host whose crash limit is reached starts no trial of a prefix, as it would ignore its crash.

A trial now carries its suspect, which test_guards_left_out.py passes to the trials that it forges. MAX_CRASHES_PER_WINDOW moved to crashlimits with its test's reference; both tests check what they did.

--- a/teaselwall/attempts.py
+++ b/teaselwall/attempts.py
@@ -38,6 +38,8 @@
     n_attempts : int
     error : errors.Error or None
         Error of the most recent attempt that failed.
+    answering : bool
+        Whether the server of the newest attempt got past the beginning of its answer.
     reserved : gates.AdmittedCall or None
         Call to the server that takes over from a silent one. The retry budget has
         paid for it; nothing has been sent yet.
@@ -52,6 +54,7 @@
         "data_centres",
         "n_attempts",
         "error",
+        "answering",
         "reserved",
     )
 
@@ -64,6 +67,7 @@
         self.data_centres = set()
         self.n_attempts = 0
         self.error = None
+        self.answering = False
         self.reserved = None
 
     def release_reserved(self, gate):
@@ -83,6 +87,7 @@
         self.tried.add(server.address)
         self.data_centres.add(server.data_centre)
         self.n_attempts += 1
+        self.answering = False
 
     def may_rerun(self):
         """Return whether fewer than ``MAX_ATTEMPTS`` attempts were made."""
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -330,7 +330,7 @@
             server,
             # The first tokens may take as long as the whole stage is expected to.
             (max(self.silence_ms, stage.expected_ms), self.silence_ms),
-            sink,
+            guards.AnswerStart(self.guard, past, sink).deliver,
             functools.partial(self._take_over, past, tokens),
         )
         n_units = pickers.n_units(stage) - len(tokens)
--- a/teaselwall/quarantine.py
+++ b/teaselwall/quarantine.py
@@ -4,7 +4,8 @@
 pool. A content whose connection broke when a server crashed becomes a suspect. A
 suspect runs only in trials: one at a time over all entry hosts, decided by the order
 of trial records in the log. A trial that succeeds clears the content. A content that
-crashes servers in trials is refused.
+crashes servers in trials is refused. So is a part that several contents share, if
+servers crash again and again where they begin to answer it; see ``suspects.PartEntry``.
 """
 
 import collections
@@ -14,16 +15,14 @@
 import msgspec
 import trio
 
-from teaselwall import errors, suspects
+from teaselwall import crashlimits, errors, suspects
 from teaselwall.generated import messages
 
-# Crashes, in trials or not, after which a content is refused in any case.
-MAX_CRASHES = 3
 # A content is refused if its shares of the blame for crashes in trials sum to this.
 FULL_BLAME = 0.99
 # Suspects kept, and crashes kept in ``by_crash``; the oldest are dropped.
 MAX_ENTRIES = 10_000
-MAX_CRASHES_KEPT = 16  # for one content
+MAX_CRASHES_KEPT = 16  # for one suspect
 # Records that wait to be appended to the log; the oldest are dropped.
 MAX_PENDING = 1000
 # Time from a content's first crash until it is no longer a suspect.
@@ -37,10 +36,6 @@
 SETTLE_MS = 50
 TRIAL_SETTLE_MS = 200
 MAX_CONTENTS_PER_CRASH = 256
-# Distinct crashes that a host reports in one window; further ones are ignored.
-MAX_CRASHES_PER_WINDOW = 3
-CRASH_WINDOW_MS = 2000
-RETRY_AFTER_MS = 1000
 
 
 class Quarantine:
@@ -56,8 +51,7 @@
         By content, oldest first. An entry without crashes is no longer a suspect.
     by_crash : collections.OrderedDict of str to set of str
         Contents that were in flight at each crash.
-    recent : collections.deque of (str, float)
-        The newest crashes that this host reported, with their times.
+    crash_limit : crashlimits.CrashLimit
     pending : collections.deque of messages.QuarantineRecord
         Records that ``evidence.EvidenceLog`` has yet to append to the log.
     has_pending : trio.Event
@@ -70,7 +64,7 @@
         "clock",
         "entries",
         "by_crash",
-        "recent",
+        "crash_limit",
         "pending",
         "has_pending",
         "changed",
@@ -80,7 +74,7 @@
         self.clock = clock
         self.entries = collections.OrderedDict()
         self.by_crash = collections.OrderedDict()
-        self.recent = collections.deque()
+        self.crash_limit = crashlimits.CrashLimit(clock)
         self.pending = collections.deque(maxlen=MAX_PENDING)
         self.has_pending = trio.Event()
         self.changed = trio.Event()
@@ -112,20 +106,29 @@
     def refusal(self, content):
         """Return the error for a content that is refused, or None."""
         entry = self.find(content)
-        if entry is None or not self.is_refused(entry):
+        if entry is None or not (self.is_refused(entry) or self._is_probed(entry)):
             return None
         detail = f"Request {content} ran on {len(entry.crashes)} servers that crashed."
         return errors.Quarantined(detail)
 
+    def is_suspect(self, content):
+        """Return whether a content or part may run in trials only."""
+        entry = self.find(content)
+        return entry is not None and entry.is_suspect()
+
+    def _is_probed(self, entry):
+        """Return whether another request tries a part that is otherwise refused."""
+        return entry.is_blamed() and (entry.requested_trial or self._on_trial(entry))
+
     def is_refused(self, entry):
-        """Return whether a content has crashed enough servers to be refused.
+        """Return whether a suspect has crashed enough servers to be refused.
 
-        Below ``MAX_CRASHES``, only crashes in trials count. The blame for each is
-        divided among the contents that were in flight at this and at another crash.
+        Of a content with few crashes, only crashes in trials count. The blame for each
+        is divided among the contents that were in flight at this and at another crash.
         """
-        if len(entry.crashes) >= MAX_CRASHES:
+        if entry.is_refused(self.clock.now_ms()):
             return True
-        if self._unsettled_ms(entry) > 0:
+        if not entry.shares_blame or self._unsettled_ms(entry) > 0:
             return False
         blame = sum(
             1 / max(1, self._n_repeat_suspects(crash))
@@ -143,7 +146,10 @@
         """Return the time to wait for other hosts' evidence of the newest crash."""
         in_trial = any(entry.crashes.values())
         settle_ms = TRIAL_SETTLE_MS if in_trial else SETTLE_MS
-        return entry.crashed_ms + settle_ms - self.clock.now_ms()
+        unsettled_ms = entry.crashed_ms + settle_ms - self.clock.now_ms()
+        if not entry.shares_blame:
+            unsettled_ms = max(unsettled_ms, self.crash_limit.wait_ms())
+        return unsettled_ms
 
     def find(self, content):
         """Return the entry of a content unless it has expired, or None."""
@@ -175,17 +181,32 @@
         """
         while True:
             entry = self.find(content)
-            if entry is None or not entry.crashes:
+            if entry is None or not entry.is_suspect():
                 return expression.Ok(None)
             error = self.refusal(content)
             if error is not None:
                 return expression.Error(error)
             if deadline.passed():
-                return _no_trial_in_time(content)
+                return expression.Error(suspects.no_trial_error(content))
             trial = await self._try_trial(entry, deadline, choose)
             if trial is not None:
                 return expression.Ok(trial)
 
+    async def wait_until_settled(self, content, deadline):
+        """Wait for other hosts' evidence of a content's newest crash, if there is one.
+
+        Parameters
+        ----------
+        content : str
+        deadline : clock.Deadline
+        """
+        entry = self.find(content)
+        while entry is not None and entry.is_suspect() and not deadline.passed():
+            unsettled_ms = self._unsettled_ms(entry)
+            if unsettled_ms <= 0:
+                return
+            await self._wait_for_change(min(deadline.remaining_ms(), unsettled_ms))
+
     async def _try_trial(self, entry, deadline, choose):
         """Return an admitted trial, or wait for a change and return None."""
         remaining_ms = deadline.remaining_ms()
@@ -202,7 +223,8 @@
 
     async def _request_trial(self, entry, server):
         """Write a trial record to the log; return the trial if it is admitted."""
-        trial = suspects.Trial(secrets.token_hex(8), server, self.clock.now_ms())
+        id, now_ms = secrets.token_hex(8), self.clock.now_ms()
+        trial = suspects.Trial(id, server, now_ms, entry.content)
         entry.requested_trial = trial.id
         is_admitted = False
         try:
@@ -226,7 +248,7 @@
 
     def _is_undecided(self, entry):
         is_open = entry.trial is None and entry.requested_trial not in entry.ended
-        return is_open and entry.crashes and not self.is_refused(entry)
+        return is_open and entry.is_suspect() and not self.is_refused(entry)
 
     async def _wait_for_change(self, limit_ms):
         changed = self.changed
@@ -250,21 +272,20 @@
     def _busy_servers(self):
         return {e.trial.server for e in self.entries.values() if self._on_trial(e)}
 
-    def end_trial(self, content, trial, cleared):
+    def end_trial(self, trial, cleared):
         """End a trial that ran on this host.
 
         Parameters
         ----------
-        content : str
         trial : suspects.Trial or None
         cleared : bool
             Whether the run succeeded, so that the content is no longer a suspect.
         """
         if trial is not None:
             kind = "lift" if cleared else "ended"
-            self.apply(self._add_pending(kind, content, id=trial.id))
+            self.apply(self._add_pending(kind, trial.content, id=trial.id))
 
-    def report(self, request, content, crash, trial):
+    def report(self, request, content, crash, trial, cause=""):
         """Report that a server crashed while this host had a content running on it.
 
         Parameters
@@ -274,32 +295,25 @@
         crash : str
             See ``probes.Prober.find_crash``.
         trial : suspects.Trial or None
+        cause : str
+            The content that was running, if ``content`` is a part.
         """
-        if self._exceeds_crash_limit(crash):
+        if not self.crash_limit.admits(crash):
             return
+        # A trial of a part is one of its content too.
+        in_trial = trial is not None and (not cause or trial.content == content)
         record = self._add_pending(
             "crash",
             content,
-            id="" if trial is None else trial.id,
+            id=trial.id if in_trial else "",
             crash=crash,
-            trial=trial is not None,
+            trial=in_trial,
+            cause=cause,
             organisation=request.organisation,
             service=request.document.service,
         )
         self.apply(record)
 
-    def _exceeds_crash_limit(self, crash):
-        """Return whether more servers crash at once than one content can cause."""
-        now_ms = self.clock.now_ms()
-        while self.recent and now_ms - self.recent[0][1] >= CRASH_WINDOW_MS:
-            self.recent.popleft()
-        if any(crash == known for known, _ in self.recent):
-            return False
-        if len(self.recent) >= MAX_CRASHES_PER_WINDOW:
-            return True
-        self.recent.append((crash, now_ms))
-        return False
-
     def apply(self, record):
         """Apply a record, which may have been applied before.
 
@@ -325,12 +339,11 @@
         entry = self.find(record.content) or self._add(record)
         if record.crash in entry.lifted or len(entry.crashes) >= MAX_CRASHES_KEPT:
             return
-        if record.crash not in entry.crashes:
-            entry.crashes[record.crash] = record.trial
-            entry.crashed_ms = self.clock.now_ms()
+        entry.add_crash(record, self.clock.now_ms())
         if record.id:
             entry.end(record.id)
-        self._index_crash(record)
+        if not record.cause:
+            self._index_crash(record)
         self._notify_change()
 
     def _index_crash(self, record):
@@ -342,16 +355,16 @@
 
     def _apply_trial(self, entry, record):
         has_ended = record.id in entry.ended
-        if has_ended or not entry.crashes or self._on_trial(entry):
+        if has_ended or not entry.is_suspect() or self._on_trial(entry):
             return
         if record.server in self._busy_servers():
             entry.end(record.id)
             return
         now_ms = self.clock.now_ms()
-        entry.trial = suspects.Trial(record.id, record.server, now_ms)
+        entry.trial = suspects.Trial(record.id, record.server, now_ms, entry.content)
 
     def _add(self, record):
-        entry = suspects.SuspectEntry(record, self.clock.now_ms())
+        entry = suspects.new_entry(record, self.clock.now_ms())
         self.entries[record.content] = entry
         if len(self.entries) > MAX_ENTRIES:
             self.entries.popitem(last=False)
@@ -372,16 +385,9 @@
         found = [self.find(content) for content in list(self.entries)]
         return messages.QuarantineListing(
             entries=[
-                messages.QuarantineEntry(
-                    content=entry.content,
-                    organisation=entry.organisation,
-                    service=entry.service,
-                    n_crashes=len(entry.crashes),
-                    refused=self.is_refused(entry),
-                    age_ms=int(now_ms - entry.seen_ms),
-                )
+                entry.listed(now_ms, self.is_refused(entry))
                 for entry in found
-                if entry is not None and entry.crashes
+                if entry is not None and entry.is_suspect()
             ]
         )
 
@@ -390,11 +396,3 @@
         self.pending.append(record)
         self.has_pending.set()
         return record
-
-
-def _no_trial_in_time(content):
-    detail = (
-        f"Request {content} is suspected of crashing servers and could not start a"
-        " trial run before its deadline."
-    )
-    return expression.Error(errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS))
--- a/teaselwall/tests/test_guards_left_out.py
+++ b/teaselwall/tests/test_guards_left_out.py
@@ -75,7 +75,7 @@
 
 
 async def admit_every_trial(self, entry, server):
-    return quarantine.suspects.Trial("", server, 0)
+    return quarantine.suspects.Trial("", server, 0, entry.content)
 
 
 def test_without_one_trial_at_a_time(monkeypatch):
--- a/teaselwall/tests/test_quarantine.py
+++ b/teaselwall/tests/test_quarantine.py
@@ -1,7 +1,7 @@
 import pytest
 import trio
 
-from teaselwall import clock, errors, evidence, quarantine
+from teaselwall import clock, crashlimits, errors, evidence, quarantine
 from teaselwall.generated import messages
 from teaselwall.tests import fakes
 from teaselwall.tools import rigs
@@ -142,7 +142,7 @@
     request = rig.request(rigs.document(rigs.stage("rerank")))
     for index in range(20):
         rig.suspects.report(request, f"content {index}", f"crash {index}", None)
-    assert len(rig.suspects.listing().entries) == quarantine.MAX_CRASHES_PER_WINDOW
+    assert len(rig.suspects.listing().entries) == crashlimits.MAX_CRASHES_PER_WINDOW
 
 
 async def test_lift_of_an_unknown_content_is_an_error(autojump_clock, hosts):
--- a/teaselwall/tools/rig_servers.py
+++ b/teaselwall/tools/rig_servers.py
@@ -38,7 +38,10 @@
     restarts : bool
         Whether a new process accepts connections immediately after a crash.
     poison : str
-        A call that contains this text crashes the server halfway.
+        A call that contains this text crashes the server halfway, a stream before
+        its first token.
+    n_poisoned : int
+        Streams that began to be answered and contained the poison.
     breaks : list of (str, int)
         Faults of the coming streams, one each, with the number of tokens sent before:
         ``die`` (the server crashes), ``silent`` (nothing more is sent), ``pause``
@@ -67,6 +70,7 @@
         self.first_silent = False
         self.restarts = True
         self.poison = ""
+        self.n_poisoned = 0
         self.breaks = []
         self.pause_ms = PAUSE_MS
         self.n_calls = 0
@@ -127,6 +131,9 @@
         self.resumes.append(len(call.resume))
         for index in range(len(call.resume), call.max_tokens):
             await self.clock.sleep_ms(TOKEN_MS)
+            if self.poison and self.poison in call.prompt:
+                self.n_poisoned += 1
+                await self._apply_stream_fault("die")
             if index - len(call.resume) == after and kind == "pause":
                 await self.clock.sleep_ms(self.pause_ms)
             elif index - len(call.resume) == after:
