Connect again to a server that could not be reached

Callers got an error 0.3 s after their request, or 0.9 s with several servers, where a link was cut for about a second: an attempt whose connection was not made within 300 ms was final once no other server could be tried or the retry budget was spent.

Nothing was sent, so the next attempt may go to the same server without a share of the budget or of the attempts. It does so while half of the expected time is left, the server did not refuse and is available in the fleet. A retry at another server comes first where it is allowed.

--- a/teaselwall/attempts.py
+++ b/teaselwall/attempts.py
@@ -38,6 +38,10 @@
     data_centres : set of str
         Data centres of the servers tried.
     n_attempts : int
+    newest : str
+        Address of the server of the newest attempt.
+    reconnect_to : str
+        Address of the only server that the next attempt may go to; empty for any.
     error : errors.Error or None
         Error of the most recent attempt that failed.
     answering : bool
@@ -55,6 +59,8 @@
         "tried",
         "data_centres",
         "n_attempts",
+        "newest",
+        "reconnect_to",
         "error",
         "answering",
         "reserved",
@@ -68,6 +74,8 @@
         self.tried = set()
         self.data_centres = set()
         self.n_attempts = 0
+        self.newest = ""
+        self.reconnect_to = ""
         self.error = None
         self.answering = False
         self.reserved = None
@@ -89,6 +97,8 @@
         self.tried.add(server.address)
         self.data_centres.add(server.data_centre)
         self.n_attempts += 1
+        self.newest = server.address
+        self.reconnect_to = ""
         self.answering = False
 
     def may_rerun(self):
@@ -104,6 +114,26 @@
             return False
         return self.stage.idempotent or self.error.outcome is errors.Outcome.NOT_RUN
 
+    def reconnect(self):
+        """Send the next attempt to the same server if it could not be reached.
+
+        Nothing was sent there, so this is no retry. It does not help where the server
+        refused the connection, as its process is gone.
+
+        Returns
+        -------
+        bool
+            Whether there may be such an attempt.
+        """
+        is_unreached = isinstance(self.error, errors.ConnectFailed)
+        is_refused = isinstance(self.error, errors.ConnectRefused)
+        if not is_unreached or is_refused or not self.feasible(0):
+            return False
+        self.reconnect_to = self.newest
+        self.tried.discard(self.newest)
+        self.n_attempts -= 1
+        return True
+
     def retry_cost(self, error, n_tokens=0):
         """Return the number of retry budget tokens that a retry takes.
 
--- a/teaselwall/callstarts.py
+++ b/teaselwall/callstarts.py
@@ -91,9 +91,11 @@
             excluded.add(server.address)
 
     def _next_server(self, past, trial, excluded):
-        address = self.guard.address_to_join(past) if trial is None else trial.server
+        address = past.reconnect_to or self.guard.address_to_join(past)
+        if trial is not None:
+            address = trial.server
         server = self._available_server(past, address, excluded)
-        if server is None and trial is None:
+        if server is None and trial is None and not past.reconnect_to:
             server = self._choose(past, excluded)
         if server is None or server.address in excluded:
             return past.no_server_error()
--- a/teaselwall/dispatch.py
+++ b/teaselwall/dispatch.py
@@ -25,6 +25,7 @@
 from teaselwall.generated import messages
 
 RETRY_PERCENT = 10  # where no retry budgets are given
+RECONNECT_PAUSE_MS = 50
 
 
 class Dispatcher:
@@ -111,7 +112,7 @@
             result = await self._attempt_with_hedge(past, inputs)
             if result.is_ok():
                 return result
-            if past.error is not result.error or not self._may_retry(past):
+            if past.error is not result.error or not await self._goes_on(past):
                 return past.final_result(result)
 
     async def _attempt_with_hedge(self, past, inputs):
@@ -194,7 +195,16 @@
         finally:
             self.guard.end_trial(past, admission.ok, result)
 
-    def _may_retry(self, past, n_tokens=0):
+    async def _goes_on(self, past, n_tokens=0):
+        """Return whether another attempt follows one that failed."""
+        if self._may_retry(past, n_tokens):
+            return True
+        if not past.reconnect():
+            return False
+        await self.clock.sleep_ms(RECONNECT_PAUSE_MS)
+        return True
+
+    def _may_retry(self, past, n_tokens):
         if past.reserved is not None:
             return True
         if (
@@ -309,7 +319,7 @@
             if past.error is not result.error:
                 return past.final_result(result)
             streams.record_broken(past, tokens)
-            if not self._may_retry(past, len(tokens)):
+            if not await self._goes_on(past, len(tokens)):
                 return past.final_result(result)
 
     async def _stream(self, past, server, prompt, tokens, sink):
--- a/teaselwall/tests/test_silences.py
+++ b/teaselwall/tests/test_silences.py
@@ -290,3 +290,52 @@
     assert isinstance(result.error, errors.DeadlineExceeded)
     assert trio.current_time() - started == pytest.approx(DEADLINE_MS / 1000, abs=0.01)
     assert n_calls(servers) == 3
+
+
+@pytest.mark.parametrize(("n_servers", "percent"), [(1, 10), (3, 0), (3, 10)])
+@pytest.mark.parametrize("stage", [ENCODE, PURCHASE, GENERATE])
+async def test_servers_that_cannot_be_reached_for_a_second_are_tried_again(
+    autojump_clock, stage, n_servers, percent
+):
+    """Guards against an error for each request that arrives while a link is cut."""
+    rig, servers, document = make(stage, n_servers, percent)
+    for server in servers:
+        server.unreachable = True
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reach_later, servers, 1.2)
+        result = await rig.run(document, key="k")
+    assert result.is_ok()
+    assert trio.current_time() < 2
+    assert n_calls(servers) == 1
+
+
+async def reach_later(servers, delay_s):
+    await trio.sleep(delay_s)
+    for server in servers:
+        server.unreachable = False
+
+
+async def test_server_that_cannot_be_reached_is_left_once_it_is_gone(autojump_clock):
+    """Guards against waiting for a server that the host list no longer names."""
+    rig, servers, document = make(ENCODE, n_servers=1)
+    servers[0].unreachable = True
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leave_later, rig, servers[0], 1.2)
+        result = await rig.run(document)
+    assert result.error.outcome is errors.Outcome.NOT_RUN
+    assert trio.current_time() < 2
+
+
+async def leave_later(rig, server, delay_s):
+    await trio.sleep(delay_s)
+    server.entry.state = "leaving"
+    rig.refresh()
+
+
+async def test_server_that_refuses_is_not_tried_again(autojump_clock):
+    """Guards against waiting for a server whose process is known to be gone."""
+    rig, servers, document = make(ENCODE, n_servers=1)
+    servers[0].dead = True
+    result = await rig.run(document)
+    assert isinstance(result.error, errors.ConnectRefused)
+    assert trio.current_time() < 0.1
--- a/teaselwall/tools/rig_servers.py
+++ b/teaselwall/tools/rig_servers.py
@@ -29,6 +29,8 @@
         HTTP status of each answer.
     dead : bool
         The server refuses connections.
+    unreachable : bool
+        Attempts to connect get no answer.
     late_share : float
         Share of calls that take ``LATE_DELAY_MS`` longer.
     silent : bool
@@ -64,6 +66,7 @@
         self.service_ms = 10
         self.status = 200
         self.dead = False
+        self.unreachable = False
         self.silent = False
         self.late_share = 0.0
         self.random = random.Random(0)
@@ -93,8 +96,11 @@
         for scope in self.call_scopes:
             scope.cancel()
 
-    def connect(self, progress):
+    async def connect(self, progress):
         """Accept a connection and its request, or refuse it if the server is dead."""
+        if self.unreachable:
+            await self.clock.sleep_ms(httpcalls.CONNECT_TIMEOUT_MS)
+            raise httpcore.ConnectTimeout("no connection before the timeout")
         if self.dead:
             raise httpcore.ConnectError("connection refused")
         progress.sent = True
@@ -230,7 +236,7 @@
         if path == "/v1/load" and not server.dead:
             body = msgspec.json.encode(server.report())
             return httpcalls.Reply(200, {}, body)
-        server.connect(progress)
+        await server.connect(progress)
         with server.tracking_call():
             await server.work(message)
         answer = messages.StageReply(
@@ -253,7 +259,7 @@
     ):
         """Open a stream; see ``transport.Transport.open``."""
         server = self.servers[address]
-        server.connect(progress)
+        await server.connect(progress)
         with server.tracking_call():
             if server.first_silent:
                 await server.clock.sleep_ms(timeout_ms)
