Bound the contents that a part keeps for each crash

The evidence for a part kept up to 64 contents for each of 16 crashes, so 10,000 entries could have taken more than 1 GB. It keeps 8; a crash with more of them no longer tells whether a single content was running at all crashes and is left out there. Without that the extended test fails: the part is refused too early.

--- a/teaselwall/suspects.py
+++ b/teaselwall/suspects.py
@@ -14,7 +14,8 @@
 # Crashes, one of them in a trial of the part, after which a part is refused unless a
 # single content was running at all of them.
 MAX_PART_CRASHES = 3
-MAX_CAUSES_PER_CRASH = 64
+# Contents kept for a crash; one with more tells nothing of a single content.
+MAX_CAUSES_PER_CRASH = 8
 # Times from the newest crash of a refused part until one request may try it again, by
 # the number of further crashes.
 PROBE_DELAYS_MS = (60_000.0, 240_000.0, 960_000.0)
@@ -198,9 +199,13 @@
         return (
             len(self.crashes) >= MAX_PART_CRASHES
             and any(self.crashes.values())
-            and not set.intersection(*self.causes.values())
+            and self._have_no_content_in_common()
         )
 
+    def _have_no_content_in_common(self):
+        known = [c for c in self.causes.values() if len(c) < MAX_CAUSES_PER_CRASH]
+        return bool(known) and not set.intersection(*known)
+
     def is_refused(self, now_ms):
         """Return whether the part is blamed and no request may try it again now."""
         if not self.is_blamed():
--- a/teaselwall/tests/test_parts.py
+++ b/teaselwall/tests/test_parts.py
@@ -175,6 +175,11 @@
     assert not entry.is_refused(6)
     entry.add_crash(msgspec.structs.replace(record, cause="neighbour"), 6)
     assert not entry.is_refused(6)
+    for number in range(20):
+        cause = f"other {number}"
+        entry.add_crash(msgspec.structs.replace(record, crash="many", cause=cause), 6)
+    assert len(entry.causes["many"]) == suspects.MAX_CAUSES_PER_CRASH
+    assert not entry.is_refused(6)
     entry.add_crash(msgspec.structs.replace(record, crash="d", cause="other"), 7)
     assert entry.is_refused(8)
 
