--- a/teaselwall/gates.py
+++ b/teaselwall/gates.py
@@ -28,7 +28,8 @@
     def begin(self, server, call_ms):
         """Admit a call to a server if the server may get it now.
 
-        The caller sends the call right after this, with no await in between.
+        The caller sends the call right after this, with no await in between, or gives
+        the place back with ``end`` and begins anew before it sends one.
 
         Parameters
         ----------
