--- a/teaselwall/attempts.py
+++ b/teaselwall/attempts.py
@@ -7,8 +7,10 @@
 MAX_ATTEMPTS = 3
 # Lowest share of its expected time in which a stage may still finish.
 MIN_EXPECTED_TIME_SHARE = 0.5
-# An attempt's timeout, as a multiple of the stage's expected time.
-ATTEMPT_TIMEOUT_FACTOR = 4
+# Silence before another server is tried, as a multiple of the stage's expected time.
+TAKEOVER_DELAY_FACTOR = 4
+# A sound server may be silent for a second or more.
+MIN_SILENCE_MS = 1500
 # Delay before a hedge, as a multiple of the stage's expected time.
 HEDGE_DELAY_FACTOR = 3
 # Attempts end this long before the deadline, so that the failure can still be reported
@@ -36,8 +38,18 @@
     data_centres : set of str
         Data centres of the servers tried.
     n_attempts : int
+        Attempts that were made, without those that made no connection.
+    newest : str
+        Address of the server of the newest attempt.
+    reconnect_to : str
+        Address of the only server that the next attempt may go to; empty for any.
     error : errors.Error or None
         Error of the most recent attempt that failed.
+    answering : bool
+        Whether the server of the newest attempt got past the beginning of its answer.
+    reserved : gates.AdmittedCall or None
+        Call to the server that takes over from a silent one. The retry budget has
+        paid for it; nothing has been sent yet.
     """
 
     __slots__ = (
@@ -48,7 +60,11 @@
         "tried",
         "data_centres",
         "n_attempts",
+        "newest",
+        "reconnect_to",
         "error",
+        "answering",
+        "reserved",
     )
 
     def __init__(self, request, stage, later_stages_ms, prefix=None):
@@ -59,13 +75,38 @@
         self.tried = set()
         self.data_centres = set()
         self.n_attempts = 0
+        self.newest = ""
+        self.reconnect_to = ""
         self.error = None
+        self.answering = False
+        self.reserved = None
+
+    def release_reserved(self, gate):
+        """Give back the reserved call, whose server is chosen anew when it is sent.
+
+        Parameters
+        ----------
+        gate : gates.Gate
+        """
+        if self.reserved is not None:
+            detail = "The reserved call was not sent."
+            gate.end(self.reserved, errors.Unavailable(detail))
+            self.reserved = None
 
     def record_sent(self, server):
         """Count an attempt that starts now on a server."""
         self.tried.add(server.address)
         self.data_centres.add(server.data_centre)
         self.n_attempts += 1
+        self.newest = server.address
+        self.reconnect_to = ""
+        self.answering = False
+
+    def record_error(self, error):
+        """Record the error of the newest attempt to fail."""
+        self.error = error
+        if isinstance(error, errors.ConnectFailed):
+            self.n_attempts -= 1
 
     def may_rerun(self):
         """Return whether fewer than ``MAX_ATTEMPTS`` attempts were made."""
@@ -80,16 +121,37 @@
             return False
         return self.stage.idempotent or self.error.outcome is errors.Outcome.NOT_RUN
 
-    def retry_cost(self, n_tokens=0):
+    def reconnect(self):
+        """Send the next attempt to the same server if it could not be reached.
+
+        Nothing was sent there, so this is no retry. It does not help where the server
+        refused the connection, as its process is gone.
+
+        Returns
+        -------
+        bool
+            Whether there may be such an attempt.
+        """
+        is_unreached = isinstance(self.error, errors.ConnectFailed)
+        is_refused = isinstance(self.error, errors.ConnectRefused)
+        if not is_unreached or is_refused or not self.feasible(0):
+            return False
+        self.reconnect_to = self.newest
+        self.tried.discard(self.newest)
+        return True
+
+    def retry_cost(self, error, n_tokens=0):
         """Return the number of retry budget tokens that a retry takes.
 
         Parameters
         ----------
+        error : errors.Error or None
+            Why the stage is sent again; None for a silent server.
         n_tokens : int
             Output tokens already sent to the caller. The next engine resumes after
             them, which costs less than a retry from the start.
         """
-        if isinstance(self.error, errors.ConnectFailed):
+        if isinstance(error, errors.ConnectFailed):
             return budgets.CONNECT_FAILED_COST
         return budgets.RESUME_COST if n_tokens else budgets.RETRY_COST
 
@@ -99,7 +161,7 @@
         Retries and hedges open a new connection, since a kept connection may be dead
         without reporting an error.
         """
-        return self.n_attempts > 1
+        return self.n_attempts > 1 or self.error is not None
 
     def feasible(self, latency_ms):
         """Return whether the stage and later ones can still finish by the deadline.
@@ -135,15 +197,32 @@
         """Return how long to wait for a reply before starting a hedge."""
         return min(HEDGE_DELAY_FACTOR * self.stage.expected_ms, self.time_left_ms() / 2)
 
-    def attempt_timeout_ms(self, silence_ms):
-        """Return the timeout of an attempt after which another server can be tried.
+    def silence_limit_ms(self, longest_ms, silent_ms=0.0):
+        """Return the silence of a server after which another one may take over.
+
+        It is half of the time that was left when the silence began, so that the rest
+        suffices for the other server, but at least ``MIN_SILENCE_MS``.
+
+        Parameters
+        ----------
+        longest_ms : float
+            Upper bound of the limit.
+        silent_ms : float
+            Time since the silence began.
+        """
+        left_ms = self.time_left_ms() + silent_ms
+        return max(MIN_SILENCE_MS, min(longest_ms, left_ms / 2))
+
+    def takeover_delay_ms(self, longest_ms):
+        """Return how long to wait for a reply before any other server is tried.
 
         Parameters
         ----------
-        silence_ms : float
-            Lower bound of the timeout.
+        longest_ms : float
+            See ``silence_limit_ms``.
         """
-        return max(silence_ms, ATTEMPT_TIMEOUT_FACTOR * self.stage.expected_ms)
+        expected_ms = TAKEOVER_DELAY_FACTOR * self.stage.expected_ms
+        return max(self.silence_limit_ms(longest_ms), expected_ms)
 
     def options(self):
         """Return further keyword arguments for the backend's call."""
--- a/teaselwall/tools/rig_servers.py
+++ b/teaselwall/tools/rig_servers.py
@@ -12,7 +12,8 @@
 from teaselwall.generated import messages
 from teaselwall.tools import engine
 
-SILENCE_MS = 1000  # silence after which a stream counts as broken
+SILENCE_MS = 2000  # silence after which a stream counts as broken
+PAUSE_MS = 1500  # of a sound server
 TOKEN_MS = 10
 ENDLESS_CHUNK_BYTES = 4096
 LATE_DELAY_MS = 400
@@ -28,6 +29,8 @@
         HTTP status of each answer.
     dead : bool
         The server refuses connections.
+    unreachable : bool
+        Attempts to connect get no answer.
     late_share : float
         Share of calls that take ``LATE_DELAY_MS`` longer.
     silent : bool
@@ -37,13 +40,18 @@
     restarts : bool
         Whether a new process accepts connections immediately after a crash.
     poison : str
-        A call that contains this text crashes the server halfway.
+        A call that contains this text crashes the server halfway, a stream before
+        its first token.
+    n_poisoned : int
+        Streams that began to be answered and contained the poison.
     breaks : list of (str, int)
         Faults of the coming streams, one each, with the number of tokens sent before:
-        ``die`` (the server crashes), ``silent`` (read timeout), ``repeat`` (a token
-        twice), ``skip`` (a token left out), ``foreign`` (a chunk of another request),
+        ``die`` (the server crashes), ``silent`` (nothing more is sent), ``pause``
+        (nothing for ``pause_ms``, then the rest), ``repeat`` (a token twice),
+        ``skip`` (a token left out), ``foreign`` (a chunk of another request),
         ``cut`` (the stream ends without end mark), ``short`` (an end mark too early),
         ``endless`` (a line that never ends) or ``garbage`` (a line that is no JSON).
+    pause_ms : float
     n_open : int
         Calls in progress.
     resumes : list of int
@@ -58,13 +66,16 @@
         self.service_ms = 10
         self.status = 200
         self.dead = False
+        self.unreachable = False
         self.silent = False
         self.late_share = 0.0
         self.random = random.Random(0)
         self.first_silent = False
         self.restarts = True
         self.poison = ""
+        self.n_poisoned = 0
         self.breaks = []
+        self.pause_ms = PAUSE_MS
         self.n_calls = 0
         self.n_crashes = 0
         self.n_open = 0
@@ -85,8 +96,11 @@
         for scope in self.call_scopes:
             scope.cancel()
 
-    def connect(self, progress):
+    async def connect(self, progress):
         """Accept a connection and its request, or refuse it if the server is dead."""
+        if self.unreachable:
+            await self.clock.sleep_ms(httpcalls.CONNECT_TIMEOUT_MS)
+            raise httpcore.ConnectTimeout("no connection before the timeout")
         if self.dead:
             raise httpcore.ConnectError("connection refused")
         progress.sent = True
@@ -123,7 +137,12 @@
         self.resumes.append(len(call.resume))
         for index in range(len(call.resume), call.max_tokens):
             await self.clock.sleep_ms(TOKEN_MS)
-            if index - len(call.resume) == after:
+            if self.poison and self.poison in call.prompt:
+                self.n_poisoned += 1
+                await self._apply_stream_fault("die")
+            if index - len(call.resume) == after and kind == "pause":
+                await self.clock.sleep_ms(self.pause_ms)
+            elif index - len(call.resume) == after:
                 await self._apply_stream_fault(kind)
                 if kind in ("repeat", "skip"):
                     yield _chunk(call, index + (1 if kind == "skip" else -1))
@@ -143,8 +162,7 @@
             self.crash()
             await trio.sleep_forever()
         if kind == "silent":
-            await self.clock.sleep_ms(SILENCE_MS)
-            raise httpcore.ReadTimeout("no data before the timeout")
+            await trio.sleep_forever()
 
 
 def _faulty_chunk(call, index, kind):
@@ -168,14 +186,23 @@
 class FakeResponse:
     """Stand-in for httpcore's response to a stream."""
 
-    def __init__(self, status, parts):
+    def __init__(self, status, parts, silence_ms):
         self.status = status
         self.headers = []
         self.parts = parts
+        self.silence_ms = silence_ms
 
-    def aiter_stream(self):
-        """Return the body's parts."""
-        return self.parts
+    async def aiter_stream(self):
+        """Yield the body's parts; each has to arrive within ``silence_ms``."""
+        while True:
+            try:
+                with trio.fail_after(self.silence_ms / clock.MS_PER_S):
+                    part = await anext(self.parts)
+            except StopAsyncIteration:
+                return
+            except trio.TooSlowError as error:
+                raise httpcore.ReadTimeout("no data before the timeout") from error
+            yield part
 
 
 class FakeTransport:
@@ -209,7 +236,7 @@
         if path == "/v1/load" and not server.dead:
             body = msgspec.json.encode(server.report())
             return httpcalls.Reply(200, {}, body)
-        server.connect(progress)
+        await server.connect(progress)
         with server.tracking_call():
             await server.work(message)
         answer = messages.StageReply(
@@ -232,10 +259,11 @@
     ):
         """Open a stream; see ``transport.Transport.open``."""
         server = self.servers[address]
-        server.connect(progress)
+        await server.connect(progress)
         with server.tracking_call():
             if server.first_silent:
                 await server.clock.sleep_ms(timeout_ms)
                 raise httpcore.ReadTimeout("no data before the timeout")
             async with contextlib.aclosing(server.stream(message)) as parts:
-                yield FakeResponse(server.status, parts)
+                limit_ms = timeout_ms if silence_ms is None else silence_ms
+                yield FakeResponse(server.status, parts, limit_ms)
