Carry the version of each server's software

The adapter ignored the software version in a server's registration, so servers of several versions of a service could not be told apart. It is now decoded, with the empty version for a registration that states none; a version that is no string makes the registration unreadable, as any other field of a wrong type. A server whose listed software changes is another server, even if its incarnation is listed as the same.

Evidence: the new tests failed before (no attribute 'software'; a numeric version was accepted) and pass now.

--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -356,7 +356,8 @@
     The host list lags behind the servers. The incarnation that it showed last time
     does not replace a newer one that the server itself has reported.
     """
-    if server is None or entry.incarnation not in (
+    is_known = server is not None and entry.software == server.software
+    if not is_known or entry.incarnation not in (
         server.incarnation,
         server.listed_incarnation,
     ):
--- a/teaselwall/platform/registrations.py
+++ b/teaselwall/platform/registrations.py
@@ -17,6 +17,8 @@
     state: Literal["ready", "draining"]
     cold_remaining_ms: float
     sequence: int
+    # Version of the server's software.
+    version: str = ""
     # Start of the process in milliseconds of the server's own clock.
     born: int = 0
 
@@ -54,5 +56,6 @@
             leaving=entry.state == "draining",
             cold_ms=entry.cold_remaining_ms,
             sequence=entry.sequence,
+            software=entry.version,
         )
     )
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -36,6 +36,8 @@
         Time for which the server is still cold.
     sequence : int
         Incremented with each report of the process.
+    software : str
+        Version of the server's software; empty if it states none.
     """
 
     id: str
@@ -46,6 +48,7 @@
     leaving: bool
     cold_ms: float
     sequence: int
+    software: str = ""
 
     @property
     def incarnation(self):
@@ -60,6 +63,7 @@
             data_centre=self.data_centre,
             incarnation=self.incarnation,
             state="leaving" if self.leaving else "live",
+            software=self.software,
         )
 
 
@@ -229,6 +233,7 @@
             pool=new.pool,
             data_centre=new.data_centre,
             leaving=new.leaving,
+            software=new.software,
             cold_ms=new.cold_ms,
         )
         return True
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    software : str
+        Version of the server's software; what two versions write does not fit together.
     listed_incarnation : str
         Incarnation in the last host list; it may lag behind the load reports.
     successor : str
@@ -81,6 +83,7 @@
         "pool",
         "data_centre",
         "incarnation",
+        "software",
         "listed_incarnation",
         "successor",
         "token",
@@ -109,6 +112,7 @@
         self.pool = entry.pool
         self.data_centre = entry.data_centre
         self.incarnation = entry.incarnation
+        self.software = entry.software
         self.listed_incarnation = entry.incarnation
         self.successor = ""
         self.token = xxhash.xxh3_64_intdigest(entry.address.encode())
--- a/teaselwall/tests/test_fleet.py
+++ b/teaselwall/tests/test_fleet.py
@@ -1,5 +1,6 @@
 import expression
 import hypothesis
+import msgspec
 import pytest
 import trio
 from hypothesis import stateful
@@ -39,6 +40,16 @@
     return made
 
 
+def test_server_whose_software_changes_is_another_server():
+    """A stream that began before an upgrade in place went on after it."""
+    made = new_fleet([entry(ADDRESSES[0])])
+    old = made.by_pool["pool"][ADDRESSES[0]]
+    upgraded = msgspec.structs.replace(entry(ADDRESSES[0]), software="2")
+    made.apply(messages.HostList(hosts=[upgraded]))
+    new = made.by_pool["pool"][ADDRESSES[0]]
+    assert (new is old, new.software) == (False, "2")
+
+
 class FleetMachine(stateful.RuleBasedStateMachine):
     """Compares the choices with drains, the host list, failures and restarts."""
 
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -122,6 +122,17 @@
     assert registrations.read("i-1", value).ok.leaving
 
 
+@pytest.mark.parametrize(
+    ("fields", "software"),
+    [({"version": "2.1"}, "2.1"), ({"version": ""}, ""), ({}, "")],
+)
+def test_servers_of_different_software_are_told_apart(fields, software):
+    """Streams went on at servers whose software writes them differently."""
+    without = {name: value for name, value in ENTRY.items() if name != "version"}
+    found = registrations.read("i-1", json.dumps(without | fields).encode()).ok
+    assert found.software == found.entry().software == software
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -131,6 +142,8 @@
         {"service": 3},
         {"sequence": "4"},
         {"coldRemainingMs": None},
+        {"version": 7},
+        {"version": None},
     ],
 )
 def test_a_malformed_registration_record_is_an_error(change):
