Keep a begun stream at servers of its software version

Callers got streams joined from two software versions: a stream that broke after its first event went on at any other server of the pool, and servers don't check which version wrote the events before. Once an event is passed on, the request is bound to the version of the server that sent it; only servers of that version are chosen from then on, also when it is asked whether another server could take the request over. If none becomes available while its caller waits, the answer is cut.

Evidence: test_broken_stream_goes_on_at_its_own_version_only and test_broken_stream_is_cut_if_only_other_versions_are_left failed before (the second call went to the other version) and pass now.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -42,6 +42,9 @@
         Clock time since which the caller waits for a first or further event.
     on_trial : bool
         Whether it is sent although requests like it are refused.
+    software : str or None
+        Software version of the servers that may get the request, as its stream began
+        at one of them; None while it may go to any.
     """
 
     __slots__ = (
@@ -61,6 +64,7 @@
         "splitter",
         "waiting_since_ms",
         "on_trial",
+        "software",
         "_suspects",
     )
 
@@ -83,6 +87,7 @@
         self.splitter = sse.EventSplitter(head.last_event)
         self.waiting_since_ms = due_ms - route.target_ms
         self.on_trial = False
+        self.software = None
         self._suspects = None
 
     @property
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -35,6 +35,7 @@
     serverregistry,
     sharedreads,
     stagework,
+    streamversions,
     traces,
 )
 
@@ -237,6 +238,7 @@
         self.gossip.crash_guard = self.crash_guard
 
     def _add_forwarder(self):
+        stream_versions = streamversions.StreamVersions(self.fleet, self.metrics)
         attempts = serverattempts.ServerAttempts(
             self.clock,
             self.transport,
@@ -244,6 +246,7 @@
             self.server_choices,
             self.tracer,
             self.crash_guard,
+            stream_versions,
         )
         self.forwarder = forwarders.Forwarder(
             self.clock,
@@ -252,6 +255,7 @@
             retries.RetryWindow(self.clock, self.settings.bounds, self.n_hosts),
             self.metrics,
             self.crash_guard,
+            stream_versions,
         )
 
     def n_hosts(self):
--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -169,6 +169,16 @@
     remedy = "Retry after the time in Retry-After."
 
 
+class SoftwareUnavailable(Unavailable):
+    """No server of the software version that began a stream can continue it."""
+
+    title = "Software version unavailable"
+    remedy = (
+        "Retry after the time in Retry-After, or send the request anew without the "
+        "last event."
+    )
+
+
 class DeadlineExceeded(Error):
     """The deadline has passed or can no longer be met."""
 
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -150,7 +150,7 @@
         rests = [s.rest_until_ms - now_ms for s in known if self.in_service(s)]
         return max(0.0, min(rests, default=0.0))
 
-    def choices(self, pool, prefix=None):
+    def choices(self, pool, prefix=None, software=None):
         """Return servers of a pool that may get new work.
 
         Only ``rings.WINDOW_SIZE`` servers of this host's subset are examined if
@@ -162,6 +162,8 @@
         prefix : int, optional
             Hash of a prompt's prefix. Equal prefixes get the same window of
             servers.
+        software : str, optional
+            Only servers of this software version are returned.
 
         Returns
         -------
@@ -172,12 +174,25 @@
         ring = self.chosen.get(pool)
         if ring is None:
             return []
-        found = [s for s in self._current_window(ring, prefix) if self.is_available(s)]
+        found = self._available(self._current_window(ring, prefix), software)
         if not found:
             self._review(ring)
-            found = [server for server in ring.servers if self.is_available(server)]
+            found = self._available(ring.servers, software)
         return found
 
+    def _available(self, candidates, software):
+        return [
+            server
+            for server in candidates
+            if (software is None or server.software == software)
+            and self.is_available(server)
+        ]
+
+    def has_software(self, pool, software):
+        """Return whether a server of a pool with a software version is in service."""
+        known = self.by_pool.get(pool, {}).values()
+        return any(s.software == software and self.in_service(s) for s in known)
+
     def _current_window(self, ring, prefix):
         """Return a window of a ring with restarted servers replaced."""
         window = ring.window(prefix)
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -36,6 +36,7 @@
     retries : retries.RetryWindow
     metrics : metrics.Metrics
     crash_guard : crashguard.CrashGuard
+    stream_versions : streamversions.StreamVersions
     """
 
     __slots__ = (
@@ -45,15 +46,26 @@
         "retries",
         "metrics",
         "crash_guard",
+        "stream_versions",
     )
 
-    def __init__(self, clock, attempts, server_choices, retries, metrics, crash_guard):
+    def __init__(
+        self,
+        clock,
+        attempts,
+        server_choices,
+        retries,
+        metrics,
+        crash_guard,
+        stream_versions,
+    ):
         self.clock = clock
         self.attempts = attempts
         self.server_choices = server_choices
         self.retries = retries
         self.metrics = metrics
         self.crash_guard = crash_guard
+        self.stream_versions = stream_versions
 
     async def run(self, call, reply, inputs, on_head):
         """Attempt a request until it is answered or must not be retried.
@@ -128,6 +140,9 @@
             server = self.server_choices.choose(call, inputs)
             if server is not None:
                 return expression.Ok(server)
+            refusal = self.stream_versions.refusal(call)
+            if refusal is not None and not has_begun:
+                return expression.Error(refusal)
             rest_ms = self.server_choices.fleet.rest_ms(call.pool.name)
             left_ms = until_ms - self.clock.now_ms()
             if left_ms <= 0 or rest_ms > left_ms:
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -53,6 +53,7 @@
     server_choices : serverchoices.ServerChoices
     tracer : traces.Tracer
     crash_guard : crashguard.CrashGuard
+    stream_versions : streamversions.StreamVersions
     """
 
     __slots__ = (
@@ -62,15 +63,26 @@
         "server_choices",
         "tracer",
         "crash_guard",
+        "stream_versions",
     )
 
-    def __init__(self, clock, transport, protocol, server_choices, tracer, crash_guard):
+    def __init__(
+        self,
+        clock,
+        transport,
+        protocol,
+        server_choices,
+        tracer,
+        crash_guard,
+        stream_versions,
+    ):
         self.clock = clock
         self.transport = transport
         self.protocol = protocol
         self.server_choices = server_choices
         self.tracer = tracer
         self.crash_guard = crash_guard
+        self.stream_versions = stream_versions
 
     async def make(self, call, server, reply, inputs, on_head, may_give_up):
         """Make one attempt; return its error, or None on success.
@@ -242,6 +254,7 @@
             complete = splitter.feed(data)
             if complete:
                 event_ms = self.call.waiting_since_ms = self.received.received_ms
+                self.attempts.stream_versions.record_event(self.call, self.server)
                 await self.reply.write(complete)
             else:
                 self._check_progress(self.received.received_ms - event_ms)
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -38,7 +38,7 @@
         subset_token = None
         if call.pool.engine:
             subset_token = enginechoices.subset_token_of(call.head.prompt_parts)
-        servers = self.fleet.choices(call.pool.name, subset_token)
+        servers = self.fleet.choices(call.pool.name, subset_token, call.software)
         regions = call.regions()
         if regions:
             servers = [
