Answer no datagram whose sender states an unusable address

A datagram whose sender states an address without a usable port raised in the task that receives datagrams, when this host replied to it; that ends the whole process. Such a reply now counts as one that can't be sent.

Evidence: the four cases of test_datagram_from_an_unusable_address_ends_no_process failed before (ValueError, OverflowError) and pass now.

--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -169,7 +169,8 @@
         self.n_bytes += len(data)
         try:
             await self.socket.sendto(data, _host_and_port(address))
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # The last two: an address from a peer's message that is none.
             events.log(
                 logger, logging.DEBUG, "view_not_sent", peer=address, detail=str(error)
             )
--- a/teaselwall/tests/test_datagrams.py
+++ b/teaselwall/tests/test_datagrams.py
@@ -1,8 +1,9 @@
 import msgspec
+import pytest
 
-from teaselwall import datagrams
+from teaselwall import datagrams, membership
 from teaselwall.generated import messages
-from teaselwall.tests import platform_entry
+from teaselwall.tests import fakes, platform_entry
 
 N_MEMBERS = 900
 
@@ -31,3 +32,26 @@
     host = platform_entry.make_entry_host(platform_entry.BackEnds(), None)
     await host.gossip._process(b'{"zz":' + b"[" * 50_000)
     await host.gossip._process(b"\xff\xfe")
+
+
+class Socket:
+    """Datagram socket that checks ports as a real one does."""
+
+    async def sendto(self, data, address):
+        if not 0 <= address[1] < 2**16:
+            raise OverflowError("port must be 0-65535.")
+
+
+@pytest.mark.parametrize("address", ["nowhere", "10.0.0.2:x", "10.0.0.2:99999", ""])
+async def test_datagram_from_an_unusable_address_ends_no_process(
+    autojump_clock, address
+):
+    """The answer to one malformed datagram raised in the task that receives."""
+    time = fakes.SteppedClock()
+    view = membership.Membership(time, platform_entry.SETTINGS, "0" * 12)
+    gossip = datagrams.DatagramGossip(time, view)
+    gossip.socket = Socket()
+    sender = messages.MemberRow(address, address, "a", "1" * 12, 0)
+    exchange = messages.Exchange(sender=sender, asks=True)
+    await gossip._process(msgspec.json.encode(exchange))
+    await gossip._process(msgspec.json.encode(exchange))
