Have a resumed stream go on only at the version that began it

Callers who resumed a stream got it joined from two software versions: the header that names the attempt which brought the first event was ignored, and any server of the pool got the request. Which version began a stream is now recorded by that attempt's id before its first event is passed on, and told to three other hosts in a datagram each. A host that has to resume a stream it does not know asks them, for at most 0.2 s. The request is then bound to that version, or refused as not run if none of it is in service. Where no host knows, it goes on only if no other version can have begun it; else it is refused as not run. Requests that resume nothing ask nothing, and routes that can't be resumed record nothing.

--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -56,6 +56,9 @@
         Called with each ``messages.StageRelease`` that a peer sends.
     crash_guard : crashguard.CrashGuard or None
         Takes what other hosts say about servers that ended.
+    on_origins : callable
+        Awaited with the sender's address and the ``messages.StreamOrigin`` rows that a
+        peer sends.
     fleet : fleet.Fleet or None
         Backend servers; hosts tell each other which of them have said that they leave.
     known_nonces : dict of str to str
@@ -70,6 +73,7 @@
         "unanswered",
         "known_nonces",
         "on_release",
+        "on_origins",
         "fleet",
         "crash_guard",
     )
@@ -80,6 +84,7 @@
         self.digests = {}
         self.unanswered = {}
         self.on_release = _ignore_release
+        self.on_origins = _ignore_origins
         self.fleet = None
         self.crash_guard = None
         self.known_nonces = {}
@@ -140,6 +145,16 @@
         me = self.membership.me.row()
         await self._send(address, messages.Exchange(sender=me, **fields))
 
+    async def tell_each(self, addresses, **fields):
+        """Send several peers the same exchange without a view; see ``tell``."""
+        if self.socket is None:
+            return
+        me = self.membership.me.row()
+        parts = encoded_parts(messages.Exchange(sender=me, **fields))
+        for address in addresses:
+            for data in parts:
+                await self._send_datagram(address, data)
+
     async def tell_all(self, **fields):
         """Send all known members an exchange without a view; see ``tell``."""
         for member in self.membership.alive():
@@ -200,6 +215,8 @@
         self.membership.merge(exchange)
         for release in exchange.released:
             self.on_release(release)
+        if exchange.origins:
+            await self.on_origins(sender.address, exchange.origins)
         if exchange.servers_leaving and self.fleet is not None:
             self.fleet.record_leaving(exchange.servers_leaving)
         if self.crash_guard is not None:
@@ -313,6 +330,7 @@
         rows=message.rows[n_rows:],
         summaries=message.summaries[n_summaries:],
         released=[],
+        origins=[],
         asks=False,
     )
     return encoded_parts(first) + encoded_parts(rest)
@@ -322,6 +340,10 @@
     """Ignore a release, as this process does no stage work."""
 
 
+async def _ignore_origins(sender, origins):
+    """Ignore origins of streams, as this process passes no streams on."""
+
+
 def _host_and_port(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -35,6 +35,7 @@
     serverregistry,
     sharedreads,
     stagework,
+    streamorigins,
     streamversions,
     traces,
 )
@@ -110,6 +111,7 @@
         "server_registry",
         "servers",
         "server_choices",
+        "stream_versions",
         "forwarder",
         "data_centre_groups",
         "stage_work",
@@ -238,7 +240,15 @@
         self.gossip.crash_guard = self.crash_guard
 
     def _add_forwarder(self):
-        stream_versions = streamversions.StreamVersions(self.fleet, self.metrics)
+        self.stream_versions = streamversions.StreamVersions(
+            self.clock,
+            self.fleet,
+            streamorigins.StreamOrigins(self.clock, self.membership, self.gossip),
+            self.server_registry,
+            self.servers,
+            self.operator_state.pool,
+            self.metrics,
+        )
         attempts = serverattempts.ServerAttempts(
             self.clock,
             self.transport,
@@ -246,7 +256,7 @@
             self.server_choices,
             self.tracer,
             self.crash_guard,
-            stream_versions,
+            self.stream_versions,
         )
         self.forwarder = forwarders.Forwarder(
             self.clock,
@@ -255,7 +265,7 @@
             retries.RetryWindow(self.clock, self.settings.bounds, self.n_hosts),
             self.metrics,
             self.crash_guard,
-            stream_versions,
+            self.stream_versions,
         )
 
     def n_hosts(self):
@@ -309,6 +319,7 @@
                 self.stage_work.wait_estimates.longest_ms()
             )
             self.server_registry.remove_missing()
+            self.server_registry.history.check_gap(self.servers.age_ms())
             for server in self.fleet.servers_in_use():
                 self.fleet.ejections.readmit_if_due(server)
             self.server_choices.engines.forget(
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -245,6 +245,9 @@
         limit_ms = max(0.0, call.deadline.remaining_ms() - REPLY_MARGIN_MS)
         with trio.move_on_after(limit_ms / 1000) as limit:
             reply.add_limit(limit, REPLY_MARGIN_MS / 1000)
+            bound = await self.entry.stream_versions.bind_resumption(call)
+            if bound.is_error():
+                return bound
             for run in range(MAX_STAGE_RUNS):
                 result = await self._run_stages_and_forward(call, reply, run)
                 if not (result.is_error() and _inputs_gone(result.error)):
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -33,6 +33,7 @@
             access_key=_access_key(_header_text(by_name, names.AUTHORIZATION)),
             caller_timeout_ms=_header_number(by_name, names.DEADLINE_MS),
             last_event=_header_text(by_name, names.LAST_EVENT_ID),
+            resumed=_header_text(by_name, names.RESUMES),
             prompt_parts=_prompt_parts(_header_text(by_name, names.PROMPT_PREFIX)),
             n_pieces=_piece_counts(_header_text(by_name, names.PIECES)),
             stage_key=_header_text(by_name, names.PIECE_KEY),
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -39,6 +39,9 @@
         How long the caller waits; None if the request does not say.
     last_event : str
         Id of the last event of the stream that the caller received; empty for none.
+    resumed : str
+        Id of the caller's attempt that brought the first event of the stream that the
+        request resumes; empty if it names none.
     prompt_parts : tuple of PromptPart
         Parts that the prompt begins with, in order.
     n_pieces : tuple of int
@@ -57,6 +60,7 @@
     access_key: str
     caller_timeout_ms: float | None
     last_event: str
+    resumed: str
     prompt_parts: tuple
     n_pieces: tuple
     stage_key: str
--- a/teaselwall/rendezvous.py
+++ b/teaselwall/rendezvous.py
@@ -1,5 +1,7 @@
 """Ranks the delegates for a task, by rendezvous hashing."""
 
+import heapq
+
 import xxhash
 
 
@@ -25,5 +27,44 @@
     return sum(_weight(address, purpose) > mine for address in addresses)
 
 
+class Candidates:
+    """Addresses that can be ranked for many tasks at a low cost.
+
+    Parameters
+    ----------
+    addresses : iterable of str
+
+    Attributes
+    ----------
+    tokens : list of tuple of (str, int)
+        Each address with its hash.
+    """
+
+    __slots__ = ("tokens",)
+
+    def __init__(self, addresses):
+        self.tokens = [
+            (address, xxhash.xxh3_64_intdigest(address.encode()))
+            for address in addresses
+        ]
+
+    def best(self, task, n_best):
+        """Return the addresses that rank first for a task.
+
+        Parameters
+        ----------
+        task : str
+        n_best : int
+
+        Returns
+        -------
+        list of str
+        """
+        name = task.encode()
+        digest = xxhash.xxh3_64_intdigest
+        weights = [(digest(name, token), address) for address, token in self.tokens]
+        return [address for _, address in heapq.nlargest(n_best, weights)]
+
+
 def _weight(address, purpose):
     return xxhash.xxh3_64_intdigest(f"{purpose}/{address}".encode())
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -254,7 +254,9 @@
             complete = splitter.feed(data)
             if complete:
                 event_ms = self.call.waiting_since_ms = self.received.received_ms
-                self.attempts.stream_versions.record_event(self.call, self.server)
+                if not self.reply.started:
+                    stream_versions = self.attempts.stream_versions
+                    await stream_versions.record_first_event(self.call, self.server)
                 await self.reply.write(complete)
             else:
                 self._check_progress(self.received.received_ms - event_ms)
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 
-from teaselwall import events
+from teaselwall import events, softwarehistory
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -96,6 +96,7 @@
         End of the grace period.
     is_loaded : bool
         Whether the whole topic has been read at least once.
+    history : softwarehistory.SoftwareHistory
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         "missing",
         "grace_until_ms",
         "is_loaded",
+        "history",
     )
 
     def __init__(self, clock, fleet, decode, cold_starts):
@@ -122,6 +124,7 @@
         self.missing = set()
         self.grace_until_ms = float("-inf")
         self.is_loaded = False
+        self.history = softwarehistory.SoftwareHistory(clock)
 
     def record_recovery(self, elapsed_ms):
         """Start the grace period, as the store has recovered from an outage.
@@ -141,6 +144,7 @@
         records : dict of str to bytes
         """
         self.is_loaded = True
+        self.history.restart()
         for key, value in records.items():
             self._put(key, value)
         for key in set(self.registrations) - set(records):
@@ -158,6 +162,7 @@
         records : dict of str to bytes
         """
         self.is_loaded = True
+        self.history.restart()
         for key, value in records.items():
             self._put(key, value)
         self.publish()
@@ -184,6 +189,25 @@
         self.missing = set()
         self.publish()
 
+    def software_versions(self, pool, window_ms):
+        """Return the software versions that a pool's servers have had within a time.
+
+        Parameters
+        ----------
+        pool : str
+        window_ms : float
+
+        Returns
+        -------
+        set of str or None
+            None if this host may have missed some.
+        """
+        departed = self.history.departed(pool, window_ms)
+        if departed is None:
+            return None
+        listed = {r.software for r in self.registrations.values() if r.pool == pool}
+        return listed | departed
+
     def publish(self):
         """Give the fleet the registered servers, one for each address.
 
@@ -220,6 +244,8 @@
             return False
         self.missing.discard(key)
         self.registrations[key] = new
+        if old is not None and _software_key(old) != _software_key(new):
+            self.history.record_departed(old)
         self.newest_start_ms[key] = new.started_ms
         self.cold_starts.record(new)
         if old is not None and old.entry() == new.entry():
@@ -250,6 +276,7 @@
         dropped = self.registrations.pop(key, None)
         if dropped is None:
             return
+        self.history.record_departed(dropped)
         self.dropped.pop(key, None)
         self.dropped[key] = (dropped.started_ms, dropped.sequence)
         while len(self.dropped) > MAX_DROPPED:
@@ -265,5 +292,9 @@
         )
 
 
+def _software_key(registration):
+    return registration.pool, registration.software
+
+
 def _is_older(new, old):
     return new.started_ms == old.started_ms and new.sequence < old.sequence
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -325,6 +325,14 @@
     assert head.stage_key == "pk"
 
 
+def test_attempt_that_a_request_resumes_is_decoded_and_passed_on():
+    """Streams that callers resumed went to servers of any version."""
+    head = read(**{"Resumes": "r0", "Last-Event-Id": "3"})
+    assert (head.resumed, head.last_event) == ("r0", "3")
+    assert dict(sent(head))[b"resumes"] == b"r0"
+    assert read().resumed == ""
+
+
 def test_the_query_is_passed_on_unchanged():
     head = heads.UsersProtocol().read_request(scope(HEAD, query=b"a=%20&b"))
     assert head.target == b"/x/1?a=%20&b"
--- a/teaselwall/tests/test_streamversions.py
+++ b/teaselwall/tests/test_streamversions.py
@@ -6,25 +6,17 @@
 import trio
 
 from teaselwall import replies
-from teaselwall.tests import platform_entry
+from teaselwall.tests.fake_engines import (
+    EVENTS,
+    NEW,
+    OLD,
+    OTHER_NEW,
+    OTHER_OLD,
+    VERSION_OF,
+    list_engines,
+)
 from teaselwall.tests.platform_entry import BROKEN, REFUSED, Caller, Script
 
-EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 5)]
-OLD, OTHER_OLD, NEW, OTHER_NEW = (f"10.0.2.{n}:80" for n in range(1, 5))
-VERSION_OF = {OLD: "1", OTHER_OLD: "1", NEW: "2", OTHER_NEW: "2"}
-
-
-def list_engines(host, *addresses):
-    """Have a host know just these engines."""
-    host.server_registry.replace(
-        {
-            f"engine-{address}": platform_entry.registration(
-                "llm", address=address, version=VERSION_OF[address]
-            )
-            for address in addresses
-        }
-    )
-
 
 def servers_called(back_ends):
     return [address for address, _ in back_ends.calls]
