Doubt software versions at hosts whose registrations are out of date

A server may start again under its id, with other software; the instance header does not show it. A host that had not read the registrations for some seconds took the new process for the old one: it told the wrong version as a stream's origin, and let broken streams go on at servers of another version. While its registrations are older than 3 s, a host now asks engines for the start of their process, before a begun stream goes on and within half a second after a stream has begun. Streams whose first server can't be confirmed are told as doubted, and resumed only once a fresh read of the registrations shows that nothing of other software has had the server's id.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -45,6 +45,8 @@
     software : str or None
         Software version of the servers that may get the request, as its stream began
         at one of them; None while it may go to any.
+    doubted : servers.Server or None
+        Server that began the stream, while its software version is not certain.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "waiting_since_ms",
         "on_trial",
         "software",
+        "doubted",
         "_suspects",
     )
 
@@ -88,6 +91,7 @@
         self.waiting_since_ms = due_ms - route.target_ms
         self.on_trial = False
         self.software = None
+        self.doubted = None
         self._suspects = None
 
     @property
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -1,5 +1,6 @@
 """Assembles the components of an entry host that forwards callers' requests."""
 
+import functools
 import logging
 import secrets
 import time as system_time
@@ -248,6 +249,7 @@
             self.servers,
             self.operator_state.pool,
             self.metrics,
+            functools.partial(self.platform.read_start, self.transport),
         )
         attempts = serverattempts.ServerAttempts(
             self.clock,
@@ -307,6 +309,7 @@
             nursery.start_soon(self.servers.run)
             nursery.start_soon(self.stage_work.run)
             nursery.start_soon(self.coordination.run)
+            nursery.start_soon(self.stream_versions.run)
             nursery.start_soon(self.crash_guard.run)
             nursery.start_soon(self._update_derived_state)
             nursery.start_soon(self._join_members)
--- a/teaselwall/platform/adapter.py
+++ b/teaselwall/platform/adapter.py
@@ -5,6 +5,7 @@
     documents,
     heads,
     registrations,
+    reports,
     stagecalls,
     store,
 )
@@ -46,6 +47,10 @@
         """Return the client of stage servers."""
         return stagecalls.HttpStageClient(transport, on_notice)
 
+    async def read_start(self, transport, server):
+        """Return the start of a process; see ``platforms.Platform.read_start``."""
+        return await reports.read_start(transport, server.address)
+
     def decode_table(self, value):
         """Decode a configuration; see ``platforms.Platform.decode_table``."""
         return documents.read(value)
--- a/teaselwall/platforms.py
+++ b/teaselwall/platforms.py
@@ -35,6 +35,21 @@
             ``on_notice(server, notice)`` takes a ``protocols.Notice``.
         """
 
+    @abc.abstractmethod
+    async def read_start(self, transport, server):
+        """Return when the process that now serves at a server's address started.
+
+        Parameters
+        ----------
+        transport : httpcalls.HttpCalls
+        server : servers.Server
+
+        Returns
+        -------
+        int or None
+            On the server's own clock, as in its incarnation; None if it is not known.
+        """
+
     @abc.abstractmethod
     def decode_table(self, value):
         """Return a result with the ``routes.RouteTable`` of a configuration record."""
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -192,6 +192,9 @@
         try:
             with trio.fail_after(max(0.0, remaining_ms) / 1000) as limit:
                 self.reply.add_limit(limit)
+                if not await self.attempts.stream_versions.is_safe(call, server):
+                    detail = f"{server.address} may have other software by now."
+                    raise errors.ServerFailed(detail, outcome=errors.Outcome.NOT_RUN)
                 async with transport.forward(
                     call.head.method,
                     server.address,
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -205,8 +205,27 @@
         departed = self.history.departed(pool, window_ms)
         if departed is None:
             return None
-        listed = {r.software for r in self.registrations.values() if r.pool == pool}
-        return listed | departed
+        return self.listed_software(pool) | departed
+
+    def listed_software(self, pool):
+        """Return the software versions of a pool's registered servers as a set."""
+        return {r.software for r in self.registrations.values() if r.pool == pool}
+
+    def may_be_replaced(self, incarnation, software):
+        """Return whether a server of other software may have had the id of another one.
+
+        Parameters
+        ----------
+        incarnation : str
+            The server that was believed to have the id.
+        software : str
+            Its software version.
+        """
+        key, _, started_ms = incarnation.rpartition("@")
+        if str(self.newest_start_ms.get(key)) == started_ms:
+            return False
+        newest = self.registrations.get(key)
+        return newest is None or newest.software != software
 
     def publish(self):
         """Give the fleet the registered servers, one for each address.
--- a/teaselwall/streamorigins.py
+++ b/teaselwall/streamorigins.py
@@ -44,10 +44,20 @@
         Pool of the server that sent its first event.
     software : str
         Software version of that server.
+    unconfirmed : str
+        Incarnation of that server if its registration was out of date: another process
+        may have had its id already. Empty if the version is certain.
     """
 
     pool: str
     software: str
+    unconfirmed: str = ""
+
+    def merged(self, other):
+        """Return what two hosts together know of the origin of one stream."""
+        if (self.pool, self.software) != (other.pool, other.software):
+            return AMBIGUOUS
+        return other if self.unconfirmed else self
 
 
 # Two servers of different software are named as the origin of one stream.
@@ -89,8 +99,8 @@
         now_ms = self.clock.now_ms()
         lapse_ms = now_ms + min(kept_ms, MAX_KEPT_MS)
         known, known_lapse_ms = self.entries.pop(name, (origin, lapse_ms))
-        if known != origin and known_lapse_ms > now_ms:
-            origin = AMBIGUOUS
+        if known_lapse_ms > now_ms:
+            origin = known.merged(origin)
         self.entries[name] = (origin, max(lapse_ms, known_lapse_ms))
         self._drop_oldest(now_ms)
 
@@ -289,7 +299,8 @@
                 answers.append(self._answer(row.request))
                 continue
             if row.kind == "told":
-                self.table.put(row.request, Origin(row.pool, row.software), row.kept_ms)
+                origin = Origin(row.pool, row.software, row.unconfirmed)
+                self.table.put(row.request, origin, row.kept_ms)
             for question in self.questions.get(row.request, ()):
                 if row.kind == "told":
                     question.settled.set()
@@ -322,4 +333,5 @@
         pool=origin.pool,
         software=origin.software,
         kept_ms=int(kept_ms),
+        unconfirmed=origin.unconfirmed,
     )
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -7,8 +7,9 @@
 import logging
 
 import expression
+import trio
 
-from teaselwall import calls, errors, events, streamorigins
+from teaselwall import calls, errors, events, softwarehistory, streamorigins
 
 logger = logging.getLogger(__name__)
 
@@ -21,6 +22,8 @@
 ORIGIN_MARGIN_MS = 10_000.0
 # Time limits of the route for which a caller may have been taking up one stream.
 MAX_STREAM_TIMEOUTS = 2
+# Pause between two rounds of asking servers whose registrations are out of date.
+CONFIRM_INTERVAL_MS = 500.0
 # Longest wait for a read of the registrations, which are read about every 0.8 s.
 FRESH_READ_WAIT_MS = 1500.0
 
@@ -39,6 +42,13 @@
     pool : callable
         ``pool(name)`` returns the ``routes.Pool`` of the configuration, or None.
     metrics : metrics.Metrics
+    read_start : callable
+        ``await read_start(server)``; see ``platforms.Platform.read_start``.
+
+    Attributes
+    ----------
+    doubts : dict of servers.Server to list of calls.Call
+        Streams that servers have begun while their registrations were out of date.
     """
 
     __slots__ = (
@@ -49,9 +59,13 @@
         "follower",
         "pool",
         "metrics",
+        "read_start",
+        "doubts",
     )
 
-    def __init__(self, clock, fleet, origins, registry, follower, pool, metrics):
+    def __init__(
+        self, clock, fleet, origins, registry, follower, pool, metrics, read_start
+    ):
         self.clock = clock
         self.fleet = fleet
         self.origins = origins
@@ -59,6 +73,24 @@
         self.follower = follower
         self.pool = pool
         self.metrics = metrics
+        self.read_start = read_start
+        self.doubts = {}
+
+    async def run(self):
+        """Confirm the software versions of doubted servers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self.clock.sleep_ms(CONFIRM_INTERVAL_MS)
+                doubts, self.doubts = self.doubts, {}
+                for server, doubted_calls in doubts.items():
+                    nursery.start_soon(self._confirm, server, doubted_calls)
+
+    async def _confirm(self, server, doubted_calls):
+        if not await self._is_same_process(server):
+            return
+        for call in doubted_calls:
+            call.doubted = None
+            await self._tell(call)
 
     async def record_first_event(self, call, server):
         """Bind a request to a server's software, before its first event is passed on.
@@ -70,15 +102,52 @@
             return
         if call.software is None:
             call.software = server.software
-            self._log_bound(call, "first_event")
+            if self._is_out_of_date():
+                call.doubted = server
+                self.doubts.setdefault(server, []).append(call)
+            self._log_bound(call, server)
+        await self._tell(call)
+
+    async def _tell(self, call):
+        """Tell the keepers of a stream which version began it."""
         # Names the caller's attempt that brought the first event of the whole stream.
         request = call.head.resumed
         if not request and not call.head.last_event:
             request = call.head.id
-        if request:
-            origin = streamorigins.Origin(call.pool.name, call.software)
-            kept_ms = call.route.timeout_ms + ORIGIN_MARGIN_MS
-            await self.origins.tell(request, origin, kept_ms)
+        if not request:
+            return
+        unconfirmed = call.doubted.incarnation if call.doubted is not None else ""
+        origin = streamorigins.Origin(call.pool.name, call.software, unconfirmed)
+        kept_ms = call.route.timeout_ms + ORIGIN_MARGIN_MS
+        await self.origins.tell(request, origin, kept_ms)
+
+    async def is_safe(self, call, server):
+        """Return whether a server has the software version that began a stream.
+
+        Registrations that are out of date don't show it: another process may have
+        started under a server's id since.
+        """
+        if call.software is None:
+            return True
+        if call.doubted is not None and not await self._is_certain(call):
+            return False
+        return not self._is_out_of_date() or await self._is_same_process(server)
+
+    async def _is_certain(self, call):
+        """Return whether a doubted server has the version that it was believed to."""
+        if self._is_out_of_date():
+            return await self._is_same_process(call.doubted)
+        return not self.registry.may_be_replaced(
+            call.doubted.incarnation, call.software
+        )
+
+    async def _is_same_process(self, server):
+        """Ask a server whether its process is still the one that was registered."""
+        started_ms = await self.read_start(server)
+        if started_ms is None:
+            # Servers of plain services don't say it.
+            return len(self.registry.listed_software(server.pool)) == 1
+        return server.incarnation.endswith(f"@{started_ms}")
 
     def refusal(self, call):
         """Return why no server can get a request that is bound to a version, or None.
@@ -114,7 +183,7 @@
         if head.resumed:
             origin = await self.origins.find(head.resumed)
         if origin is not None:
-            refusal = self._bind_to_origin(call, origin)
+            refusal = await self._bind_to_origin(call, origin, arrived_ms)
         else:
             refusal = await self._bind_to_only_version(call, arrived_ms)
         if refusal is None:
@@ -124,7 +193,7 @@
             return expression.Error(refusal)
         return expression.Ok(None)
 
-    def _bind_to_origin(self, call, origin):
+    async def _bind_to_origin(self, call, origin, arrived_ms):
         """Bind a request to a known origin; return why it must not be sent, or None."""
         pools = [name for name, _ in call.route.shares]
         pool = self.pool(origin.pool) if origin.pool in pools else None
@@ -136,10 +205,36 @@
             return errors.SoftwareUnavailable(
                 detail, retry_after_ms=GONE_RETRY_AFTER_MS
             )
+        if origin.unconfirmed and not await self._is_confirmed(origin, arrived_ms):
+            detail = (
+                "The stream began while its host could not read the servers' "
+                "registrations, so which software version began it is not certain."
+            )
+            return errors.SoftwareUnavailable(
+                detail, retry_after_ms=UNKNOWN_RETRY_AFTER_MS
+            )
         call.pool = pool
         call.software = origin.software
         return None
 
+    async def _is_confirmed(self, origin, arrived_ms):
+        """Return whether the registrations show which version began a stream."""
+        return await self._has_read_since(
+            arrived_ms
+        ) and not self.registry.may_be_replaced(origin.unconfirmed, origin.software)
+
+    async def _has_read_since(self, since_ms):
+        """Wait for a read of the registrations; return whether one was sent in time."""
+        if self._is_out_of_date():
+            return False
+        with self.clock.timeout_ms(FRESH_READ_WAIT_MS):
+            while self.follower.current_as_of_ms < since_ms:
+                await self.follower.read_done.wait()
+        return self.follower.current_as_of_ms >= since_ms
+
+    def _is_out_of_date(self):
+        return self.follower.age_ms() > softwarehistory.MAX_GAP_MS
+
     async def _bind_to_only_version(self, call, arrived_ms):
         """Bind a request of unknown origin to the only version that may have begun it.
 
@@ -147,13 +242,13 @@
         -------
         errors.SoftwareUnavailable or None
         """
-        if self._only_version(call) is not None:
-            # A server may have registered, and begun the stream, since the last read.
-            with self.clock.timeout_ms(FRESH_READ_WAIT_MS):
-                while self.follower.current_as_of_ms < arrived_ms:
-                    await self.follower.read_done.wait()
         software = self._only_version(call)
-        if software is None or self.follower.current_as_of_ms < arrived_ms:
+        # A server may have registered, and begun the stream, since the last read.
+        if software is not None and await self._has_read_since(arrived_ms):
+            software = self._only_version(call)
+        else:
+            software = None
+        if software is None:
             detail = (
                 "No host knows which software version began the stream, and more than "
                 "one may have."
@@ -178,15 +273,16 @@
         ((_, software),) = found
         return software
 
-    def _log_bound(self, call, reason):
+    def _log_bound(self, call, server):
         events.log(
             logger,
             logging.INFO,
             "stream_bound",
             request=call.head.id,
+            server=server.address,
             pool=call.pool.name,
             software=call.software,
-            reason=reason,
+            certain=call.doubted is None,
         )
 
     def _log_resumption(self, call, origin, refusal, arrived_ms):
--- a/teaselwall/tests/conftest.py
+++ b/teaselwall/tests/conftest.py
@@ -9,7 +9,12 @@
 from trio._core import _run
 
 from teaselwall import gateway
-from teaselwall.tests import fake_stages, platform_entry
+from teaselwall.tests import (
+    datagram_network,
+    fake_engines,
+    fake_stages,
+    platform_entry,
+)
 
 hypothesis.settings.register_profile("fixed", derandomize=True, deadline=None)
 hypothesis.settings.load_profile("fixed")
@@ -85,3 +90,14 @@
 def application(host):
     """Return the gateway of ``host`` as an ASGI application."""
     return gateway.Gateway(host)
+
+
+@pytest.fixture
+async def network(autojump_clock, nursery, back_ends):
+    """Return three hosts of data centre a and two of data centre b."""
+    made = datagram_network.Network(nursery, back_ends)
+    for number in range(1, 6):
+        made.start(number, "a" if number <= 3 else "b")
+    fake_engines.list_everywhere(made, *fake_engines.ALL)
+    await made.settle()
+    return made
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from teaselwall import errors, httpcalls, keyedtopics, protocols, routes, stagecalls
-from teaselwall.platform import documents, heads, names, registrations, store
+from teaselwall.platform import documents, heads, names, registrations, reports, store
 from teaselwall.platform import stagecalls as platform_stagecalls
 
 CONFIG = {
@@ -190,6 +190,25 @@
     assert b"after=a" in replies.calls[1][1]
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "started_ms"),
+    [
+        (200, b'{"born":17,"waiting":1}', 17),
+        (200, b'{"waiting":1}', None),
+        (200, b'{"born":"17"}', None),
+        (200, b"[", None),
+        (503, b'{"born":17}', None),
+    ],
+)
+async def test_start_of_an_engine_is_read_from_its_report(
+    autojump_clock, status, body, started_ms
+):
+    """A process that had taken over a server's id was taken for it."""
+    transport = ScriptedTransport(httpcalls.Reply(status, {}, body))
+    assert await reports.read_start(transport, "10.0.0.1:80") == started_ms
+    assert transport.calls[0][0] == "/v1/report"
+
+
 async def test_pages_of_different_eras_are_not_mixed(autojump_clock):
     before = newest({"a": b"1"}, 5, more=True)
     after = newest({"b": b"2"}, 3)
