Leave empty fields out of datagrams

Most fields of an exchange are empty in most datagrams, but each was sent by name. They are left out now; decoding fills in the same defaults.

--- a/teaselwall/structs.py
+++ b/teaselwall/structs.py
@@ -14,6 +14,10 @@
     """
 
 
+class Sparse(Open, omit_defaults=True):
+    """Struct for messages most of whose fields are empty; these are not sent."""
+
+
 class Row(msgspec.Struct, array_like=True):
     """Struct for frequently sent rows, encoded as a JSON array without field names.
 
--- a/teaselwall/tests/test_origintable.py
+++ b/teaselwall/tests/test_origintable.py
@@ -92,6 +92,12 @@
     assert origins.table.entries == {}
 
 
+def test_fields_that_are_empty_are_not_sent():
+    """Each stream's datagrams were mostly names of fields without a value."""
+    data = msgspec.json.decode(datagram(messages.StreamOrigin("asked", "r")))
+    assert sorted(data) == ["origins", "sender"]
+
+
 async def test_time_for_which_a_peer_wants_an_origin_kept_is_limited(
     autojump_clock, origins, time
 ):
