--- a/teaselwall/streamorigins.py
+++ b/teaselwall/streamorigins.py
@@ -19,7 +19,7 @@
 N_KEEPERS = 3
 # More hosts are asked than were told, as the views of two hosts may differ.
 N_ASKED_FIRST = 6
-MAX_ASKED = 60
+MAX_ASKED = 24
 # In a fleet of up to this many hosts, all of them are asked at once.
 SMALL_FLEET = 16
 # A question is sent again after this time, as datagrams may be lost.
--- a/teaselwall/tests/test_origintable.py
+++ b/teaselwall/tests/test_origintable.py
@@ -25,6 +25,16 @@
     return streamorigins.StreamOrigins(time, view, gossip)
 
 
+class Socket:
+    """Datagram socket that keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    async def sendto(self, data, address):
+        self.sent.append(data)
+
+
 def datagram(*rows, sender=PEER):
     return msgspec.json.encode(messages.Exchange(sender=sender, origins=list(rows)))
 
@@ -78,6 +88,8 @@
         ["told", "r", "llm", 7, 1000],
         ["told", "r", "llm", "1", -1],
         ["told", "r" * 65, "llm", "1", 1000],
+        ["told", "r", "l" * 300, "1", 1000],
+        ["told", "r", "llm", "1" * 300, 1000],
         ["told"],
         ["lost", "r"],
         {"kind": "told", "request": "r"},
@@ -92,6 +104,19 @@
     assert origins.table.entries == {}
 
 
+async def test_questions_without_end_in_one_datagram_end_no_process(
+    autojump_clock, origins
+):
+    """Their answers exceeded a datagram and could not be split into parts."""
+    origins.gossip.socket = Socket()
+    for n_questions in (1, 16, 1500):
+        rows = [messages.StreamOrigin("asked", "r" * 30)] * n_questions
+        await origins.gossip._process(datagram(*rows))
+    exchanges = [msgspec.json.decode(data) for data in origins.gossip.socket.sent]
+    n_answers = [len(e["origins"]) for e in exchanges if "origins" in e]
+    assert n_answers == [1, 16]
+
+
 def test_fields_that_are_empty_are_not_sent():
     """Each stream's datagrams were mostly names of fields without a value."""
     data = msgspec.json.decode(datagram(messages.StreamOrigin("asked", "r")))
