--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -145,6 +145,8 @@
             name = path.removeprefix(platform_results.PATH_PREFIX)
             is_kept = self.results.has(f"{self.options.public}/{name}")
             await responses.send_json(send, {}, 200 if is_kept else 404)
+        elif path == "/v1/report":
+            await responses.send_json(send, {"born": self.started_ms})
         elif path == "/v1/stage-free":
             self.results.free(json.loads(body)["handles"])
             await responses.send_json(send, {})
