--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -1,5 +1,6 @@
 """Assembles the components of an entry host that forwards callers' requests."""
 
+import functools
 import logging
 import secrets
 import time as system_time
@@ -35,6 +36,8 @@
     serverregistry,
     sharedreads,
     stagework,
+    streamorigins,
+    streamversions,
     traces,
 )
 
@@ -109,6 +112,7 @@
         "server_registry",
         "servers",
         "server_choices",
+        "stream_versions",
         "forwarder",
         "data_centre_groups",
         "stage_work",
@@ -237,6 +241,16 @@
         self.gossip.crash_guard = self.crash_guard
 
     def _add_forwarder(self):
+        self.stream_versions = streamversions.StreamVersions(
+            self.clock,
+            self.fleet,
+            streamorigins.StreamOrigins(self.clock, self.membership, self.gossip),
+            self.server_registry,
+            self.servers,
+            self.operator_state.pool,
+            self.metrics,
+            functools.partial(self.platform.read_start, self.transport),
+        )
         attempts = serverattempts.ServerAttempts(
             self.clock,
             self.transport,
@@ -244,6 +258,7 @@
             self.server_choices,
             self.tracer,
             self.crash_guard,
+            self.stream_versions,
         )
         self.forwarder = forwarders.Forwarder(
             self.clock,
@@ -252,6 +267,7 @@
             retries.RetryWindow(self.clock, self.settings.bounds, self.n_hosts),
             self.metrics,
             self.crash_guard,
+            self.stream_versions,
         )
 
     def n_hosts(self):
@@ -293,6 +309,7 @@
             nursery.start_soon(self.servers.run)
             nursery.start_soon(self.stage_work.run)
             nursery.start_soon(self.coordination.run)
+            nursery.start_soon(self.stream_versions.run)
             nursery.start_soon(self.crash_guard.run)
             nursery.start_soon(self._update_derived_state)
             nursery.start_soon(self._join_members)
@@ -305,6 +322,7 @@
                 self.stage_work.wait_estimates.longest_ms()
             )
             self.server_registry.remove_missing()
+            self.server_registry.history.check_gap(self.servers.age_ms())
             for server in self.fleet.servers_in_use():
                 self.fleet.ejections.readmit_if_due(server)
             self.server_choices.engines.forget(
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -53,6 +53,7 @@
     server_choices : serverchoices.ServerChoices
     tracer : traces.Tracer
     crash_guard : crashguard.CrashGuard
+    stream_versions : streamversions.StreamVersions
     """
 
     __slots__ = (
@@ -62,15 +63,26 @@
         "server_choices",
         "tracer",
         "crash_guard",
+        "stream_versions",
     )
 
-    def __init__(self, clock, transport, protocol, server_choices, tracer, crash_guard):
+    def __init__(
+        self,
+        clock,
+        transport,
+        protocol,
+        server_choices,
+        tracer,
+        crash_guard,
+        stream_versions,
+    ):
         self.clock = clock
         self.transport = transport
         self.protocol = protocol
         self.server_choices = server_choices
         self.tracer = tracer
         self.crash_guard = crash_guard
+        self.stream_versions = stream_versions
 
     async def make(self, call, server, reply, inputs, on_head, may_give_up):
         """Make one attempt; return its error, or None on success.
@@ -180,6 +192,9 @@
         try:
             with trio.fail_after(max(0.0, remaining_ms) / 1000) as limit:
                 self.reply.add_limit(limit)
+                if not await self.attempts.stream_versions.is_safe(call, server):
+                    detail = f"{server.address} may have other software by now."
+                    raise errors.ServerFailed(detail, outcome=errors.Outcome.NOT_RUN)
                 async with transport.forward(
                     call.head.method,
                     server.address,
@@ -242,6 +257,9 @@
             complete = splitter.feed(data)
             if complete:
                 event_ms = self.call.waiting_since_ms = self.received.received_ms
+                if not self.reply.started:
+                    stream_versions = self.attempts.stream_versions
+                    await stream_versions.record_first_event(self.call, self.server)
                 await self.reply.write(complete)
             else:
                 self._check_progress(self.received.received_ms - event_ms)
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 
-from teaselwall import events
+from teaselwall import events, softwarehistory
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -36,6 +36,8 @@
         Time for which the server is still cold.
     sequence : int
         Incremented with each report of the process.
+    software : str
+        Version of the server's software; empty if it states none.
     """
 
     id: str
@@ -46,6 +48,7 @@
     leaving: bool
     cold_ms: float
     sequence: int
+    software: str = ""
 
     @property
     def incarnation(self):
@@ -60,6 +63,7 @@
             data_centre=self.data_centre,
             incarnation=self.incarnation,
             state="leaving" if self.leaving else "live",
+            software=self.software,
         )
 
 
@@ -92,6 +96,7 @@
         End of the grace period.
     is_loaded : bool
         Whether the whole topic has been read at least once.
+    history : softwarehistory.SoftwareHistory
     """
 
     __slots__ = (
@@ -105,6 +110,7 @@
         "missing",
         "grace_until_ms",
         "is_loaded",
+        "history",
     )
 
     def __init__(self, clock, fleet, decode, cold_starts):
@@ -118,6 +124,7 @@
         self.missing = set()
         self.grace_until_ms = float("-inf")
         self.is_loaded = False
+        self.history = softwarehistory.SoftwareHistory(clock)
 
     def record_recovery(self, elapsed_ms):
         """Start the grace period, as the store has recovered from an outage.
@@ -137,6 +144,7 @@
         records : dict of str to bytes
         """
         self.is_loaded = True
+        self.history.restart()
         for key, value in records.items():
             self._put(key, value)
         for key in set(self.registrations) - set(records):
@@ -154,6 +162,7 @@
         records : dict of str to bytes
         """
         self.is_loaded = True
+        self.history.restart()
         for key, value in records.items():
             self._put(key, value)
         self.publish()
@@ -180,6 +189,44 @@
         self.missing = set()
         self.publish()
 
+    def software_versions(self, pool, window_ms):
+        """Return the software versions that a pool's servers have had within a time.
+
+        Parameters
+        ----------
+        pool : str
+        window_ms : float
+
+        Returns
+        -------
+        set of str or None
+            None if this host may have missed some.
+        """
+        departed = self.history.departed(pool, window_ms)
+        if departed is None:
+            return None
+        return self.listed_software(pool) | departed
+
+    def listed_software(self, pool):
+        """Return the software versions of a pool's registered servers as a set."""
+        return {r.software for r in self.registrations.values() if r.pool == pool}
+
+    def may_be_replaced(self, incarnation, software):
+        """Return whether a server of other software may have had the id of another one.
+
+        Parameters
+        ----------
+        incarnation : str
+            The server that was believed to have the id.
+        software : str
+            Its software version.
+        """
+        key, _, started_ms = incarnation.rpartition("@")
+        if str(self.newest_start_ms.get(key)) == started_ms:
+            return False
+        newest = self.registrations.get(key)
+        return newest is None or newest.software != software
+
     def publish(self):
         """Give the fleet the registered servers, one for each address.
 
@@ -216,6 +263,8 @@
             return False
         self.missing.discard(key)
         self.registrations[key] = new
+        if old is not None and _software_key(old) != _software_key(new):
+            self.history.record_departed(old)
         self.newest_start_ms[key] = new.started_ms
         self.cold_starts.record(new)
         if old is not None and old.entry() == new.entry():
@@ -229,6 +278,7 @@
             pool=new.pool,
             data_centre=new.data_centre,
             leaving=new.leaving,
+            software=new.software,
             cold_ms=new.cold_ms,
         )
         return True
@@ -245,6 +295,7 @@
         dropped = self.registrations.pop(key, None)
         if dropped is None:
             return
+        self.history.record_departed(dropped)
         self.dropped.pop(key, None)
         self.dropped[key] = (dropped.started_ms, dropped.sequence)
         while len(self.dropped) > MAX_DROPPED:
@@ -260,5 +311,9 @@
         )
 
 
+def _software_key(registration):
+    return registration.pool, registration.software
+
+
 def _is_older(new, old):
     return new.started_ms == old.started_ms and new.sequence < old.sequence
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from teaselwall import errors, httpcalls, keyedtopics, protocols, routes, stagecalls
-from teaselwall.platform import documents, heads, names, registrations, store
+from teaselwall.platform import documents, heads, names, registrations, reports, store
 from teaselwall.platform import stagecalls as platform_stagecalls
 
 CONFIG = {
@@ -122,6 +122,17 @@
     assert registrations.read("i-1", value).ok.leaving
 
 
+@pytest.mark.parametrize(
+    ("fields", "software"),
+    [({"version": "2.1"}, "2.1"), ({"version": ""}, ""), ({}, "")],
+)
+def test_servers_of_different_software_are_told_apart(fields, software):
+    """Streams went on at servers whose software writes them differently."""
+    without = {name: value for name, value in ENTRY.items() if name != "version"}
+    found = registrations.read("i-1", json.dumps(without | fields).encode()).ok
+    assert found.software == found.entry().software == software
+
+
 @pytest.mark.parametrize(
     "change",
     [
@@ -131,6 +142,8 @@
         {"service": 3},
         {"sequence": "4"},
         {"coldRemainingMs": None},
+        {"version": 7},
+        {"version": None},
     ],
 )
 def test_a_malformed_registration_record_is_an_error(change):
@@ -177,6 +190,25 @@
     assert b"after=a" in replies.calls[1][1]
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "started_ms"),
+    [
+        (200, b'{"born":17,"waiting":1}', 17),
+        (200, b'{"waiting":1}', None),
+        (200, b'{"born":"17"}', None),
+        (200, b"[", None),
+        (503, b'{"born":17}', None),
+    ],
+)
+async def test_start_of_an_engine_is_read_from_its_report(
+    autojump_clock, status, body, started_ms
+):
+    """A process that had taken over a server's id was taken for it."""
+    transport = ScriptedTransport(httpcalls.Reply(status, {}, body))
+    assert await reports.read_start(transport, "10.0.0.1:80") == started_ms
+    assert transport.calls[0][0] == "/v1/report"
+
+
 async def test_pages_of_different_eras_are_not_mixed(autojump_clock):
     before = newest({"a": b"1"}, 5, more=True)
     after = newest({"b": b"2"}, 3)
@@ -312,6 +344,14 @@
     assert head.stage_key == "pk"
 
 
+def test_attempt_that_a_request_resumes_is_decoded_and_passed_on():
+    """Streams that callers resumed went to servers of any version."""
+    head = read(**{"Resumes": "r0", "Last-Event-Id": "3"})
+    assert (head.resumed, head.last_event) == ("r0", "3")
+    assert dict(sent(head))[b"resumes"] == b"r0"
+    assert read().resumed == ""
+
+
 def test_the_query_is_passed_on_unchanged():
     head = heads.UsersProtocol().read_request(scope(HEAD, query=b"a=%20&b"))
     assert head.target == b"/x/1?a=%20&b"
