--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -14,6 +14,7 @@
     responses,
     routes,
     serverattempts,
+    serverchoices,
     traces,
 )
 from teaselwall.generated import messages
@@ -33,6 +34,9 @@
 # Time from the end of the stages to an engine's first event: the engine fetches inputs
 # and processes a prompt of some thousand tokens.
 ENGINE_FIRST_EVENT_MS = 200.0
+# Larger results of a request's stages are made again if another server needs them, as
+# the space of stage servers is scarce.
+MAX_KEPT_RESULT_BYTES = 200_000
 # If stage results are lost, the stages run a second time; a third run would leave too
 # little time.
 MAX_STAGE_RUNS = 2
@@ -271,8 +275,7 @@
         if stage_result.is_error():
             return expression.Error(call.overall_error(stage_result.error))
         inputs, release = stage_result.ok
-        # Another server that takes the request over fetches the same results.
-        on_head = _release_nothing if call.route.repeatable else release
+        on_head = _release_nothing if _keeps_results(call) else release
         try:
             return await self.entry.forwarder.run(call, reply, inputs, on_head)
         finally:
@@ -340,6 +343,12 @@
         cancel_scope.cancel()
 
 
+def _keeps_results(call):
+    """Return whether stage results stay for another server that takes over."""
+    n_bytes = serverchoices.n_input_bytes(call)
+    return call.route.repeatable and n_bytes <= MAX_KEPT_RESULT_BYTES
+
+
 def _inputs_gone(error):
     return isinstance(error, serverattempts.InputsGone)
 
--- a/teaselwall/tests/test_continued_streams.py
+++ b/teaselwall/tests/test_continued_streams.py
@@ -189,3 +189,25 @@
     started_s = trio.current_time()
     assert_whole(await stream_caller().send_request(application))
     assert trio.current_time() - started_s < 3.0
+
+
+async def test_large_stage_results_are_freed_with_the_head_and_made_again(
+    autojump_clock, application, host, back_ends
+):
+    """Large results that were kept to the end filled the stage servers."""
+    config = json.loads(json.dumps(platform_entry.CONFIG)) | {"version": 2}
+    (route,) = [r for r in config["routes"] if r["name"] == "continued"]
+    route["stages"][0]["bytes"] = 300_000
+    host.operator_state.replace({"config": json.dumps(config).encode()})
+    back_ends.scripts = [
+        Script(body=[EVENTS[0], 0.4, BROKEN]),
+        GONE,
+        Script(body=EVENTS[1:]),
+    ]
+    caller = stream_caller()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.send_request, application)
+        await trio.sleep(0.3)
+        assert not host.platform.stages.live["10.0.3.1:80"]
+    assert_whole(caller)
+    assert len(host.platform.stages.calls) == 2
