--- a/teaselwall/tools/soak_proxy.py
+++ b/teaselwall/tools/soak_proxy.py
@@ -69,18 +69,16 @@
         self.listeners = await trio.open_tcp_listeners(port, host=LOOPBACK)
         self.listening.set()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._accept, handlers)
+            nursery.start_soon(self._accept, self.listeners, handlers)
             with contextlib.suppress(trio.BrokenResourceError):
                 while await watched.receive_some(CHUNK_BYTES):
                     pass
             self._stop_listening()
         await trio.aclose_forcefully(watched)
 
-    async def _accept(self, handlers):
+    async def _accept(self, listeners, handlers):
         try:
-            await trio.serve_listeners(
-                self._serve, self.listeners, handler_nursery=handlers
-            )
+            await trio.serve_listeners(self._serve, listeners, handler_nursery=handlers)
         except* trio.ClosedResourceError:
             # The target has ended, see _stop_listening.
             pass
