Refuse a part again on new evidence, also shortly after its lift

A part that was lifted, by an operator or in error, could end servers for another minute, as judgements of it were ignored for that long; only what other hosts tell has to be. And hosts tell each other whether a part was refused along with others, so that all wait for its trial alike. Evidence: both new tests failed before.

--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -222,8 +222,7 @@
         await self.clock.sleep_ms(REPORT_MS)
         self.is_judging = False
         for suspect, conviction in self.evidence.convicted().items():
-            if not self.quarantine.was_lifted(suspect):
-                self._refuse(suspect, conviction)
+            self._refuse(suspect, conviction)
 
     def _refuse(self, suspect, conviction):
         n_events, tied = conviction.n_events, conviction.tied
@@ -301,7 +300,9 @@
         """Return the newest refused suspects, for exchanges with other hosts."""
         newest = list(self.quarantine.entries.values())[-MAX_NOTICES:]
         return [
-            messages.QuarantineNotice(suspect=entry.suspect, n_events=entry.n_events)
+            messages.QuarantineNotice(
+                suspect=entry.suspect, n_events=entry.n_events, tied=entry.tied
+            )
             for entry in newest
         ]
 
--- a/teaselwall/crashquarantine.py
+++ b/teaselwall/crashquarantine.py
@@ -25,6 +25,8 @@
     suspect : str
     n_events : int
         Ends of servers that it explains, as far as known here.
+    tied : bool
+        See ``crashevidence.Conviction``.
     added_ms : float
     used_ms : float
         When a request with it came last, or its entry was added.
@@ -41,6 +43,7 @@
     __slots__ = (
         "suspect",
         "n_events",
+        "tied",
         "added_ms",
         "used_ms",
         "n_trials",
@@ -52,6 +55,7 @@
     def __init__(self, suspect, n_events, tied, now_ms):
         self.suspect = suspect
         self.n_events = n_events
+        self.tied = tied
         self.added_ms = now_ms
         self.used_ms = now_ms
         self.n_trials = 0
--- a/teaselwall/tests/test_crashguard.py
+++ b/teaselwall/tests/test_crashguard.py
@@ -257,6 +257,32 @@
     assert guard.notices() == [notice]
 
 
+async def test_part_that_was_lifted_in_error_is_refused_again_on_new_evidence(
+    autojump_clock, guarded_host
+):
+    """It could end servers for a minute after its lift."""
+    guard = guarded_host.crash_guard
+    guard.restore([BAD])
+    guard.lift(BAD, "operator")
+    for number in range(3):
+        report = messages.CrashReport(server=f"e{number}", begun=[BAD])
+        guard.receive(
+            messages.Exchange(sender=guarded_host.membership.me.row(), crashes=[report])
+        )
+        await trio.sleep(1.0)
+    assert BAD in guard.quarantine.entries
+
+
+async def test_hosts_tell_each_other_how_soon_a_part_is_tried(
+    autojump_clock, guarded_host
+):
+    guard = guarded_host.crash_guard
+    notice = messages.QuarantineNotice(suspect=BAD, n_events=4, tied=True)
+    sender = guarded_host.membership.me.row()
+    guard.receive(messages.Exchange(sender=sender, quarantined=[notice]))
+    assert guard.notices() == [notice]
+
+
 async def test_operators_list_and_lift_refused_parts(autojump_clock, guarded_host):
     guarded_host.crash_guard.restore([BAD])
     handlers = guarded_host.control.handlers
