--- a/teaselwall/tests/crashing_engines.py
+++ b/teaselwall/tests/crashing_engines.py
@@ -50,6 +50,10 @@
     is_fatal : callable
         ``is_fatal(headers)`` returns whether a request ends the engine that begins to
         answer it.
+    n_events : int, optional
+        Events of a stream.
+    ends_before_head : bool, optional
+        Whether such a request ends the engine before the head of its reply.
 
     Attributes
     ----------
@@ -63,8 +67,12 @@
     failures = httpcalls.FAILURES
     to_error = httpcalls.HttpCalls.to_error
 
-    def __init__(self, nursery, addresses, is_fatal):
+    def __init__(
+        self, nursery, addresses, is_fatal, n_events=N_EVENTS, ends_before_head=False
+    ):
         self.nursery = nursery
+        self.n_events = n_events
+        self.ends_before_head = ends_before_head
         self.engines = {address: Engine(address) for address in addresses}
         self.is_fatal = is_fatal
         self.hosts = []
@@ -140,11 +148,14 @@
         ]
 
     async def begin(self):
+        if self.is_fatal and self.engines.ends_before_head:
+            await self._work(FATAL_S)
+            self.engines.crash(self.engine)
         await self._work(HEAD_S)
         return self
 
     async def aiter_stream(self):
-        for number in range(self.first, N_EVENTS + 1):
+        for number in range(self.first, self.engines.n_events + 1):
             await self._work(EVENT_S)
             yield b"id: %d\ndata: x\n\n" % number
             if self.is_fatal:
