Log what waited where a server ended, and servers that were found running

server_ended named the suspects whose answers had begun, but only the number of those that waited, and not which ends count as one event; a broken answer whose server still runs left no line. So the hypotheses on contents that end servers could not be told apart.

--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -26,6 +26,7 @@
 # Time in which the reports of all hosts on a server's end arrive.
 REPORT_MS = 80.0
 MAX_SUSPECTS_PER_REPORT = 128
+MAX_SUSPECTS_LOGGED = 8
 # Refused suspects named in each exchange of views, newest first.
 MAX_NOTICES = 32
 # Longest time after which callers are asked to come back.
@@ -192,21 +193,33 @@
         crash = await self.prober.find_crash(server)
         await self.clock.sleep_ms(GATHER_MS)
         attempts = self.broken.pop(incarnation)
+        requests = [attempt.call.head.id for attempt in attempts]
         if not crash:
+            events.log(
+                logger,
+                logging.INFO,
+                "server_runs",
+                server=server.address,
+                id=incarnation,
+                elapsed_ms=round(self.clock.now_ms() - broken_ms),
+                requests=requests,
+            )
             return
         attempts |= self.running.get(incarnation, set())
         report = _report(incarnation, attempts, broken_ms)
+        self._take_report(report)
         events.log(
             logger,
             logging.WARNING,
             "server_ended",
             server=server.address,
             id=incarnation,
+            crash=self.evidence.crashes[incarnation].event,
             begun=report.begun,
+            waiting=report.waiting[:MAX_SUSPECTS_LOGGED],
             n_waiting=len(report.waiting),
-            requests=[attempt.call.head.id for attempt in attempts],
+            requests=requests,
         )
-        self._take_report(report)
         await self.gossip.tell_all(crashes=[report])
 
     def _take_report(self, report):
