Suspect requests that wait where servers end, also beside answers that had begun

What callers saw: one content that ended each server before the head of its reply was sent on again and again (BUDGET). Cause: of a report, the suspects whose answers had begun hid all those that waited, so a content beside any stream that had just begun was never suspected; class: evidence that is dropped because other evidence exists. Why it works: whole contents are considered wherever they were in progress, prompt parts that waited only for ends that nothing likelier explains, after the fourth event; answers exonerate both as before.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -60,9 +60,20 @@
         self.waiting = set()
         self.cleared = set()
 
-    def candidates(self):
-        """Return the suspects that may have ended the server."""
-        return (self.begun or self.waiting) - self.cleared
+    def in_progress(self):
+        """Return the suspects in progress there that were not answered later."""
+        return (self.begun | self.waiting) - self.cleared
+
+    def likely(self):
+        """Return the suspects that may have ended the server.
+
+        Beside answers that had begun, of the requests that waited only whole contents
+        are likely: prompt parts may be shared by many of them.
+        """
+        if not self.begun:
+            return self.in_progress()
+        waiting = {suspect for suspect in self.waiting if is_content(suspect)}
+        return (self.begun | waiting) - self.cleared
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -152,7 +163,7 @@
         return [
             crash.server
             for crash in self.crashes.values()
-            if crash.seen_ms <= begun_ms and suspect in crash.candidates()
+            if crash.seen_ms <= begun_ms and suspect in crash.in_progress()
         ]
 
     def clear(self, suspect, servers):
@@ -172,41 +183,74 @@
         """Return the suspects that end servers.
 
         The suspect that explains most events is convicted first, and the others are
-        not blamed for these. Of suspects that explain the same number, whole contents
-        go before prompt parts, which may be shared with sound requests.
+        not blamed for these. Of suspects that explain the same number, those whose
+        answers had begun go first, then whole contents, as prompt parts may be shared
+        with sound requests. What the likely suspects leave unexplained may be due to
+        prompt parts of requests that waited.
 
         Returns
         -------
         dict of str to Conviction
         """
-        unexplained = [c for c in self.crashes.values() if c.candidates()]
-        found = {}
-        while unexplained:
-            events = _events_by_suspect(unexplained)
-            n_most = max(len(numbers) for numbers in events.values())
-            best = [s for s, numbers in events.items() if len(numbers) == n_most]
-            n_needed = _n_events_needed(unexplained, best)
-            best = [s for s in best if is_content(s)] or best
-            if n_most < n_needed:
-                return found
-            found.update(dict.fromkeys(best, Conviction(n_most, len(best) > 1)))
-            explained = set().union(*(events[suspect] for suspect in best))
-            unexplained = [c for c in unexplained if c.event not in explained]
-        return found
+        crashes = self.crashes.values()
+        found, explained = _convict(crashes, Crash.likely, 0)
+        crashes = [crash for crash in crashes if crash.event not in explained]
+        others, _ = _convict(crashes, Crash.in_progress, MIN_EVENTS_TIED)
+        return found | others
+
+
+def _convict(crashes, suspects_of_crash, n_least):
+    """Convict suspects one after the other, those that explain most events first.
+
+    Parameters
+    ----------
+    crashes : iterable of Crash
+    suspects_of_crash : callable
+        Gives the suspects of a crash that are considered.
+    n_least : int
+        Events that convict any of them at the least.
+
+    Returns
+    -------
+    tuple of (dict of str to Conviction, set of int)
+        The suspects, and the events that they explain.
+    """
+    found, explained = {}, set()
+    unexplained = [c for c in crashes if suspects_of_crash(c)]
+    while unexplained:
+        events = _events_by_suspect(unexplained, suspects_of_crash)
+        n_most = max(len(numbers) for numbers in events.values())
+        best = [s for s, numbers in events.items() if len(numbers) == n_most]
+        best = _most_often_begun(unexplained, best)
+        n_needed = max(n_least, _n_events_needed(unexplained, best))
+        best = [s for s in best if is_content(s)] or best
+        if n_most < n_needed:
+            break
+        found.update(dict.fromkeys(best, Conviction(n_most, len(best) > 1)))
+        explained.update(*(events[suspect] for suspect in best))
+        unexplained = [c for c in unexplained if c.event not in explained]
+    return found, explained
+
+
+def _most_often_begun(crashes, suspects):
+    """Return those of some suspects whose answers had begun at most of the crashes."""
+    n_begun = {s: sum(s in crash.begun for crash in crashes) for s in suspects}
+    n_most = max(n_begun.values())
+    return [suspect for suspect in suspects if n_begun[suspect] == n_most]
 
 
 def _n_events_needed(crashes, best):
     """Return how many events convict the suspects that explain most of them."""
     if len(best) > 1:
         return MIN_EVENTS if any(map(is_content, best)) else MIN_EVENTS_TIED
-    sizes = [len(c.candidates()) for c in crashes if best[0] in c.candidates()]
+    sizes = [len(c.in_progress()) for c in crashes if best[0] in c.in_progress()]
     return MIN_EVENTS_AMONG_FEW if max(sizes) <= N_FEW else MIN_EVENTS
 
 
-def _events_by_suspect(crashes):
+def _events_by_suspect(crashes, suspects_of_crash):
     events = {}
     for crash in crashes:
-        for suspect in crash.candidates():
+        for suspect in suspects_of_crash(crash):
             events.setdefault(suspect, set()).add(crash.event)
     return events
 
--- a/teaselwall/tests/test_crashevidence.py
+++ b/teaselwall/tests/test_crashevidence.py
@@ -116,6 +116,32 @@
     assert n_events(evidence) == {BAD: 4}
 
 
+# Guards against a content that ends servers while answers to others begin there.
+def test_content_that_waits_wherever_servers_end_is_blamed(evidence):
+    """Any other answer that had just begun at each end hid the content."""
+    for number in range(3):
+        assert not evidence.convicted()
+        crash(evidence, *(part(f"{number}{n}") for n in range(9)), waiting=[CONTENT])
+    assert n_events(evidence) == {CONTENT: 3}
+
+
+# Guards against a part that ends servers before the first byte of an answer arrives.
+def test_part_that_waits_wherever_servers_end_is_blamed_later(evidence):
+    for number in range(4):
+        assert not evidence.convicted()
+        crash(evidence, part(f"{number}"), waiting=[BAD])
+    assert n_events(evidence) == {BAD: 4}
+
+
+def test_waiting_request_with_an_answer_in_between_is_not_blamed(evidence):
+    for number in range(9):
+        crash(evidence, part(f"{number}"), waiting=[CONTENT])
+        evidence.clock.at_ms += 10
+        servers = evidence.answered(CONTENT, evidence.clock.at_ms)
+        evidence.clear(CONTENT, servers)
+    assert not evidence.convicted()
+
+
 def test_request_to_a_plain_service_is_blamed_without_any_answer(evidence):
     for number in range(3):
         crash(evidence, waiting=[CONTENT, *(part(f"{number}{n}") for n in range(9))])
