Blame a content that waits before the parts that begun answers share with it

Cause: a part whose answers had begun went before the content that waited, though it was in progress there as a part of that content, too. A part that also waited at an end counts there as waiting, so the content goes first where both explain the same ends.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -233,8 +233,14 @@
 
 
 def _most_often_begun(crashes, suspects):
-    """Return those of some suspects whose answers had begun at most of the crashes."""
-    n_begun = {s: sum(s in crash.begun for crash in crashes) for s in suspects}
+    """Return those of some suspects whose answers had begun at most of the crashes.
+
+    A part that also waited at a crash may be that of a content that waited there.
+    """
+    n_begun = {
+        suspect: sum(suspect in crash.begun - crash.waiting for crash in crashes)
+        for suspect in suspects
+    }
     n_most = max(n_begun.values())
     return [suspect for suspect in suspects if n_begun[suspect] == n_most]
 
--- a/teaselwall/tests/test_crashevidence.py
+++ b/teaselwall/tests/test_crashevidence.py
@@ -125,6 +125,13 @@
     assert n_events(evidence) == {CONTENT: 3}
 
 
+# Guards against blaming what other requests share with a content that ends servers.
+def test_part_that_answers_share_with_a_waiting_content_is_not_blamed(evidence):
+    for _ in range(3):
+        crash(evidence, part("shared"), waiting=[CONTENT, part("shared")])
+    assert n_events(evidence) == {CONTENT: 3}
+
+
 # Guards against a part that ends servers before the first byte of an answer arrives.
 def test_part_that_waits_wherever_servers_end_is_blamed_later(evidence):
     for number in range(4):
