Count ends of servers as one event only within 0.1 s of the first of them

What callers saw: copies of one content at several hosts ended servers one after the other without being refused. Cause: each end within 0.1 s of the one before was the same event, so a series of ends that follow one another by 90 ms never was a second one; class: a window that each new event extends without a limit. With the window counted from its first end, five such ends are three events; a rack whose servers end within 0.1 s still blames none.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -19,8 +19,8 @@
 MAX_CRASHES = 256
 CRASH_KEPT_MS = 600_000.0
 MAX_SUSPECTS_PER_CRASH = 256
-# Servers that end within this time of one another may have one cause, such as a rack
-# that lost its power, and count as one event.
+# Servers that end within this time of the first of them may have one cause, such as a
+# rack that lost its power, and count as one event.
 SAME_EVENT_MS = 100.0
 # Events that convict a suspect: alone among few, alone or a whole content, and along
 # with other prompt parts. Sound parts are exonerated in the time that the last takes.
@@ -104,14 +104,17 @@
     crashes : collections.OrderedDict of str to Crash
         By the incarnation of the server, oldest first.
     n_events : int
+    event_ms : float
+        Time on the clock at which the newest event began.
     """
 
-    __slots__ = ("clock", "crashes", "n_events")
+    __slots__ = ("clock", "crashes", "n_events", "event_ms")
 
     def __init__(self, clock):
         self.clock = clock
         self.crashes = collections.OrderedDict()
         self.n_events = 0
+        self.event_ms = float("-inf")
 
     def record(self, server, begun, waiting):
         """Add one host's report of a server's end.
@@ -132,9 +135,9 @@
     def _add(self, server):
         now_ms = self.clock.now_ms()
         self._forget_old(now_ms)
-        newest = next(reversed(self.crashes.values()), None)
-        if newest is None or now_ms - newest.seen_ms > SAME_EVENT_MS:
+        if now_ms - self.event_ms > SAME_EVENT_MS:
             self.n_events += 1
+            self.event_ms = now_ms
         crash = self.crashes[server] = Crash(server, self.n_events, now_ms)
         return crash
 
--- a/teaselwall/tests/test_crashevidence.py
+++ b/teaselwall/tests/test_crashevidence.py
@@ -80,6 +80,14 @@
     assert not evidence.convicted()
 
 
+# Guards against copies of a content whose ends follow one another closely.
+def test_ends_that_follow_one_another_for_long_are_several_events(evidence):
+    """Each end within 0.1 s of the one before was the same event, without a limit."""
+    for _ in range(5):
+        crash(evidence, waiting=[CONTENT], after_ms=90.0)
+    assert n_events(evidence) == {CONTENT: 3}
+
+
 def test_what_is_explained_by_one_suspect_is_not_blamed_on_another(evidence):
     for number in range(4):
         others = [part("unlucky")] if number < 3 else []
