Convict a whole content that was in progress at the ends of three servers

Cause: ends at once are one event, and three events were asked for, where users count servers. Three servers in two events convict a content now; servers that all end within 0.1 s still blame none, which a test for contents as well as parts shows. What remains: copies that end a whole pool within 0.1 s, each time, give one event each time.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -27,6 +27,10 @@
 MIN_EVENTS_AMONG_FEW = 2
 MIN_EVENTS = 3
 MIN_EVENTS_TIED = 4
+# Servers whose ends, in two events or more, convict a whole content: copies of it may
+# end several servers at once, and hardly ever is it elsewhere by chance.
+MIN_SERVERS = 3
+MIN_EVENTS_CONTENT = 2
 # Candidates of a server's end that count as few.
 N_FEW = 6
 
@@ -250,12 +254,20 @@
 
 def _n_events_needed(crashes, best):
     """Return how many events convict the suspects that explain most of them."""
+    contents = [suspect for suspect in best if is_content(suspect)]
+    if any(_n_servers(crashes, content) >= MIN_SERVERS for content in contents):
+        return MIN_EVENTS_CONTENT
     if len(best) > 1:
-        return MIN_EVENTS if any(map(is_content, best)) else MIN_EVENTS_TIED
+        return MIN_EVENTS if contents else MIN_EVENTS_TIED
     sizes = [len(c.in_progress()) for c in crashes if best[0] in c.in_progress()]
     return MIN_EVENTS_AMONG_FEW if max(sizes) <= N_FEW else MIN_EVENTS
 
 
+def _n_servers(crashes, suspect):
+    """Return at how many of some crashes a suspect was in progress."""
+    return sum(suspect in crash.in_progress() for crash in crashes)
+
+
 def _events_by_suspect(crashes, suspects_of_crash):
     events = {}
     for crash in crashes:
--- a/teaselwall/tests/test_crashevidence.py
+++ b/teaselwall/tests/test_crashevidence.py
@@ -88,6 +88,26 @@
     assert n_events(evidence) == {CONTENT: 3}
 
 
+# Guards against copies of a content that end several servers at once, twice.
+def test_content_that_ends_several_servers_at_once_is_blamed_the_second_time(evidence):
+    """Users allow three ends, however close to one another."""
+    for event in range(2):
+        assert not evidence.convicted()
+        for server in range(3):
+            others = [part(f"{event}{server}{n}") for n in range(9)]
+            crash(evidence, waiting=[CONTENT, *others], after_ms=20.0)
+        evidence.clock.at_ms += 3000.0
+    assert n_events(evidence) == {CONTENT: 2}
+
+
+@pytest.mark.parametrize("suspect", [BAD, CONTENT])
+def test_all_servers_that_end_at_once_blame_nothing(evidence, suspect):
+    """A rack that lost its power while copies of a sound request were in progress."""
+    for _ in range(12):
+        crash(evidence, suspect, part("a"), after_ms=8.0)
+    assert not evidence.convicted()
+
+
 def test_what_is_explained_by_one_suspect_is_not_blamed_on_another(evidence):
     for number in range(4):
         others = [part("unlucky")] if number < 3 else []
