Bound what the trials of a refused suspect end: two servers in all, one a trial

What callers saw: a request that is refused reached up to five more servers in trials, where users allow three in all; a trial of a request that may be repeated went on to the next server when the first had ended, and each start of a host began the count anew; class: a bound that is held for one process's life, or one attempt, in place of the request's. Found by reading, while the cause of further ends was sought elsewhere; the changed and the new tests failed before. A trial is one attempt, and the number of trials that ended a server travels with notices and is kept in the store beside the suspect.

--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -27,6 +27,7 @@
 REPORT_MS = 80.0
 MAX_SUSPECTS_PER_REPORT = 128
 MAX_SUSPECTS_LOGGED = 8
+NOT_RUN = errors.Outcome.NOT_RUN
 # Refused suspects named in each exchange of views, newest first.
 MAX_NOTICES = 32
 # Longest time after which callers are asked to come back.
@@ -166,6 +167,9 @@
         running.add(attempt)
         try:
             yield attempt
+            if attempt.error is not None and attempt.error.outcome is not NOT_RUN:
+                # A trial is one attempt; another server must not end with it.
+                call.on_trial = False
             if attempt.error is None:
                 self._record_answer(attempt)
             elif isinstance(attempt.error, errors.ConnectionBroken):
@@ -224,8 +228,9 @@
 
     def _take_report(self, report):
         self.evidence.record(report.server, report.begun, report.waiting)
-        for suspect in report.begun or report.waiting:
-            self.quarantine.record_crash(suspect)
+        for suspect in {*report.begun, *report.waiting}:
+            if self.quarantine.record_crash(suspect) and self._tries(suspect):
+                self.archive.save(suspect, self.quarantine.entries[suspect].n_trials)
         if not self.is_judging and self.nursery is not None:
             self.is_judging = True
             self.nursery.start_soon(self._judge)
@@ -243,11 +248,8 @@
             return
         self._log("quarantined", suspect, n_events=n_events, tied=tied)
         if self._tries(suspect):
-            self.archive.save(suspect)
-        notice = messages.QuarantineNotice(
-            suspect=suspect, n_events=n_events, tied=tied
-        )
-        self._tell(quarantined=[notice])
+            self.archive.save(suspect, 0)
+        self._tell(quarantined=[_notice(self.quarantine.entries[suspect])])
 
     def _record_answer(self, attempt):
         """Exonerate the suspects of a request whose answer went on or ended."""
@@ -308,22 +310,25 @@
                 self._tell(exchange.sender.address, lifted=[notice.suspect])
             elif self.quarantine.add(notice.suspect, notice.n_events, notice.tied):
                 self._log("quarantined", notice.suspect, n_events=notice.n_events)
+            self.quarantine.record_trials(notice.suspect, notice.n_trials)
 
     def notices(self):
         """Return the newest refused suspects, for exchanges with other hosts."""
         newest = list(self.quarantine.entries.values())[-MAX_NOTICES:]
-        return [
-            messages.QuarantineNotice(
-                suspect=entry.suspect, n_events=entry.n_events, tied=entry.tied
-            )
-            for entry in newest
-        ]
+        return [_notice(entry) for entry in newest]
 
     def restore(self, suspects):
-        """Refuse suspects that were refused before this host started."""
-        for suspect in suspects:
+        """Refuse suspects that were refused before this host started.
+
+        Parameters
+        ----------
+        suspects : dict of str to int
+            Number of trials that have ended a server, by suspect.
+        """
+        for suspect, n_trials in suspects.items():
             if self.quarantine.add(suspect, 0):
-                self._log("quarantined", suspect, n_events=0)
+                self._log("quarantined", suspect, n_events=0, n_trials=n_trials)
+            self.quarantine.record_trials(suspect, n_trials)
 
     def _review(self):
         now_ms = self.clock.now_ms()
@@ -351,6 +356,16 @@
         events.log(logger, logging.WARNING, event, suspect=suspect, **fields)
 
 
+def _notice(entry):
+    """Return what other hosts are told of a refused suspect."""
+    return messages.QuarantineNotice(
+        suspect=entry.suspect,
+        n_events=entry.n_events,
+        n_trials=entry.n_trials,
+        tied=entry.tied,
+    )
+
+
 def _report(incarnation, attempts, broken_ms):
     """Return the report of what was in progress at a server that ended."""
     begun, waiting = set(), set()
--- a/teaselwall/crashquarantine.py
+++ b/teaselwall/crashquarantine.py
@@ -8,7 +8,7 @@
 # The same for suspects that explain the same ends as another one, mostly sound parts.
 TIED_TRIAL_MS = 1000.0
 # Trials of a suspect, which may each end a server.
-MAX_TRIALS = 5
+MAX_TRIALS = 2
 # A trial that has not ended by then counts as over.
 TRIAL_MS = 10_000.0
 # An entry for which no request has come for this long is dropped.
@@ -142,16 +142,30 @@
         """Put off the next trial of a refused suspect that has ended one more server.
 
         Nothing changes before its first trial is due.
+
+        Returns
+        -------
+        bool
+            Whether a trial of it counts as having ended the server.
         """
         entry = self.entries.get(suspect)
-        now_ms = self.clock.now_ms()
-        if entry is None or now_ms < entry.trial_ms:
-            return
+        if entry is None or self.clock.now_ms() < entry.trial_ms:
+            return False
         entry.n_events += 1
-        entry.n_trials += 1
+        self._count_trials(entry, entry.n_trials + 1)
+        return True
+
+    def record_trials(self, suspect, n_trials):
+        """Count the trials of a refused suspect that ended servers, known elsewhere."""
+        entry = self.entries.get(suspect)
+        if entry is not None and n_trials > entry.n_trials:
+            self._count_trials(entry, n_trials)
+
+    def _count_trials(self, entry, n_trials):
+        entry.n_trials = n_trials
         entry.interval_ms = max(FIRST_TRIAL_MS, 2 * entry.interval_ms)
-        entry.trial_ms = now_ms + entry.interval_ms
-        if entry.n_trials >= MAX_TRIALS:
+        entry.trial_ms = self.clock.now_ms() + entry.interval_ms
+        if n_trials >= MAX_TRIALS:
             entry.trial_ms = float("inf")
         entry.trial_until_ms = float("-inf")
 
--- a/teaselwall/quarantinearchive.py
+++ b/teaselwall/quarantinearchive.py
@@ -12,8 +12,10 @@
 RETRY_MS = 1000.0
 # Changes that wait to be written; the oldest are dropped.
 MAX_PENDING = 256
+# Value of a refused suspect: one more than the trials of it that have ended a server.
 REFUSED = b"1"
 DELETED = b""
+MAX_DIGITS = 4
 
 
 class QuarantineArchive:
@@ -44,9 +46,9 @@
         self.pending = collections.deque(maxlen=MAX_PENDING)
         self.has_pending = trio.Event()
 
-    def save(self, suspect):
-        """Have a refused suspect written."""
-        self._add(suspect, REFUSED)
+    def save(self, suspect, n_trials):
+        """Have a refused suspect written, with its trials that have ended a server."""
+        self._add(suspect, b"%d" % (n_trials + 1))
 
     def delete(self, suspect):
         """Have a suspect removed that is refused no longer."""
@@ -79,7 +81,7 @@
         if result.is_error():
             self._log_failure("read", result.error)
             return False
-        guard.restore([record.key for record in result.ok.records if record.value])
+        guard.restore({r.key: _n_trials(r.value) for r in result.ok.records if r.value})
         return True
 
     async def _write(self, suspect, value):
@@ -97,3 +99,9 @@
             n_pending=len(self.pending),
             detail=str(error),
         )
+
+
+def _n_trials(value):
+    """Return the number of trials in a stored value; 0 for an unreadable one."""
+    is_count = value.isdigit() and len(value) <= MAX_DIGITS
+    return max(0, int(value) - 1) if is_count else 0
--- a/teaselwall/tests/test_crashguard.py
+++ b/teaselwall/tests/test_crashguard.py
@@ -27,6 +27,8 @@
 
 BAD = "llm/part/bad"
 BAD_PROMPT = "a0:900,bad:200,1:50"
+# By the users' rules, so many arrivals are allowed once servers have ended a few times.
+MAX_MORE = 3
 
 
 class MemoryStore(keyedtopics.Store):
@@ -90,8 +92,8 @@
     return platform_entry.gateway_of(guarded_host)
 
 
-async def send(application, parts=BAD_PROMPT, body=b"x"):
-    caller = platform_entry.Caller("/stream/1", Prompt_Prefix=parts, body=body)
+async def send(application, parts=BAD_PROMPT, body=b"x", path="/stream/1"):
+    caller = platform_entry.Caller(path, Prompt_Prefix=parts, body=body)
     with platform_entry.cut_answers_allowed():
         await caller.send_request(application)
     return caller
@@ -100,7 +102,7 @@
 async def test_refused_request_gets_503_and_a_time_to_come_back(
     autojump_clock, guarded_host, guarded_application, engines
 ):
-    guarded_host.crash_guard.restore([BAD])
+    guarded_host.crash_guard.restore({BAD: 0})
     caller = await send(guarded_application)
     assert caller.status == 503
     assert 0 < float(caller.headers[b"retry-after"]) <= 60
@@ -112,7 +114,7 @@
     autojump_clock, guarded_host, guarded_application, engines
 ):
     """More than a few trials would end servers for as long as requests come."""
-    guarded_host.crash_guard.restore([BAD])
+    guarded_host.crash_guard.restore({BAD: 0})
     for number in range(2000):
         guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
         parts = f"a{number}:900,bad:200,1:50"
@@ -120,14 +122,66 @@
         await trio.sleep(1.0)
     times_s = [at_s for at_s, _ in engines.arrivals]
     assert len(times_s) == crashquarantine.MAX_TRIALS
+    assert len(times_s) < MAX_MORE
     pauses_s = [b - a for a, b in zip(times_s, times_s[1:], strict=False)]
     assert all(b > 1.9 * a for a, b in zip(pauses_s, pauses_s[1:], strict=False))
 
 
+# Guards against a trial that goes on to the next server when the first has ended.
+async def test_trial_ends_one_server_at_most(
+    autojump_clock, guarded_host, guarded_application, engines
+):
+    guarded_host.crash_guard.restore({BAD: 0})
+    await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
+    guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
+    await send(guarded_application, path="/resumed/1")
+    assert len(engines.arrivals) == 1
+
+
+# Guards against trials that begin anew with each start of a host.
+async def test_trials_count_over_restarts_of_hosts(
+    autojump_clock, nursery, guarded_host, guarded_application, engines, store
+):
+    guarded_host.crash_guard.restore({BAD: 0})
+    await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
+    guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
+    await send(guarded_application)
+    await trio.sleep(1.0)
+    assert store.values == {BAD: b"2"}
+    restarted = crashguard.CrashGuard(
+        guarded_host.clock,
+        guarded_host.membership,
+        guarded_host.gossip,
+        engines,
+        quarantinearchive.QuarantineArchive(guarded_host.clock, store, "q"),
+    )
+    nursery.start_soon(restarted.run)
+    await trio.sleep(0.1)
+    assert restarted.notices()[0].n_trials == 1
+
+
+async def test_hosts_tell_each_other_of_trials(autojump_clock, guarded_host):
+    guard = guarded_host.crash_guard
+    guard.restore({BAD: 0})
+    notice = messages.QuarantineNotice(suspect=BAD, n_trials=2)
+    sender = guarded_host.membership.me.row()
+    guard.receive(messages.Exchange(sender=sender, quarantined=[notice]))
+    assert guard.quarantine.entries[BAD].trial_ms == float("inf")
+
+
+async def test_unreadable_number_of_trials_counts_as_none(
+    autojump_clock, guarded_host, store
+):
+    guard = guarded_host.crash_guard
+    store.values = {BAD: b"\xff", "llm/part/b": b"9" * 5000, "llm/part/c": b"0"}
+    assert await guard.archive._read(guard)
+    assert [notice.n_trials for notice in guard.notices()] == [0, 0, 0]
+
+
 async def test_part_that_ends_servers_no_longer_is_lifted_by_its_trial(
     autojump_clock, guarded_host, guarded_application, engines, store
 ):
-    guarded_host.crash_guard.restore([BAD])
+    guarded_host.crash_guard.restore({BAD: 0})
     store.values[BAD] = quarantinearchive.REFUSED
     engines.is_fatal = lambda headers: False
     await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
@@ -142,7 +196,7 @@
     autojump_clock, guarded_host, guarded_application, engines
 ):
     """Its trial was made with a request that held the bad part, too."""
-    guarded_host.crash_guard.restore([BAD, "llm/part/a0"])
+    guarded_host.crash_guard.restore({BAD: 0, "llm/part/a0": 0})
     await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
     guarded_host.orders.current_as_of_ms = guarded_host.clock.now_ms()
     assert (await send(guarded_application, "a0:900,bad:200,1:50")).status == 503
@@ -171,7 +225,7 @@
     autojump_clock, guarded_host, guarded_application, engines
 ):
     """A trial without a result must not keep a sound part refused for good."""
-    guarded_host.crash_guard.restore([BAD])
+    guarded_host.crash_guard.restore({BAD: 0})
     quarantine = guarded_host.crash_guard.quarantine
     (entry,) = quarantine.find([BAD])
     await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
@@ -262,7 +316,7 @@
 ):
     """It could end servers for a minute after its lift."""
     guard = guarded_host.crash_guard
-    guard.restore([BAD])
+    guard.restore({BAD: 0})
     guard.lift(BAD, "operator")
     for number in range(3):
         report = messages.CrashReport(server=f"e{number}", begun=[BAD])
@@ -284,7 +338,7 @@
 
 
 async def test_operators_list_and_lift_refused_parts(autojump_clock, guarded_host):
-    guarded_host.crash_guard.restore([BAD])
+    guarded_host.crash_guard.restore({BAD: 0})
     handlers = guarded_host.control.handlers
     listing = await handlers[gatewayviews.QUARANTINE_PATH]({})
     assert [entry.content for entry in listing.entries] == [BAD]
@@ -295,7 +349,7 @@
 
 
 async def test_unused_entries_are_dropped(autojump_clock, guarded_host):
-    guarded_host.crash_guard.restore([BAD])
+    guarded_host.crash_guard.restore({BAD: 0})
     await trio.sleep(crashquarantine.UNUSED_MS / 1000 + 1)
     assert not guarded_host.crash_guard.quarantine.entries
 
