Probe a server more than once before it counts as running

Cause: the probe opened one connection, and a process that ends closes its connections before its listener, so the probe could be accepted by a process that was about to end; class: one sample where the state is changing.

--- a/teaselwall/probes.py
+++ b/teaselwall/probes.py
@@ -46,25 +46,37 @@
 
 
 class ConnectProber(Prober):
-    """Opens a connection, for servers whose reports cost a place or a price."""
+    """Opens connections, for servers whose reports cost a place or a price."""
 
     __slots__ = ()
 
     async def find_crash(self, server):
-        """Return the server's incarnation if its address refuses connections."""
-        stream = None
-        with trio.move_on_after(CONNECT_TIMEOUT_MS / MS_PER_S):
-            try:
-                stream = await sockets.connect(server.address)
-            except OSError:
-                # Refused or unreachable: no process listens there.
+        """Return the server's incarnation if its address refuses connections.
+
+        A process that ends closes its connections before its listening socket, so a
+        first connection that is accepted shows nothing. The server counts as running
+        if it accepts ``N_PROBES`` of them.
+        """
+        for number in range(N_PROBES):
+            if number:
+                await trio.sleep(PROBE_PAUSE_MS / MS_PER_S)
+            if not await _accepts_connections(server.address):
                 return server.incarnation
-        if stream is None:
-            return server.incarnation
-        stream.close()
         return ""
 
 
+async def _accepts_connections(address):
+    with trio.move_on_after(CONNECT_TIMEOUT_MS / MS_PER_S):
+        try:
+            stream = await sockets.connect(address)
+        except OSError:
+            # Refused or unreachable: no process listens there.
+            return False
+        stream.close()
+        return True
+    return False
+
+
 class HttpProber(Prober):
     """Fetches the load report over a new connection.
 
