--- a/teaselwall/tests/crashing_engines.py
+++ b/teaselwall/tests/crashing_engines.py
@@ -23,16 +23,23 @@
     ----------
     ended : trio.Event
         Set at the end of the process.
+    limit : str or None
+        Limit of requests a second that it names in its replies.
+    arrivals_s : list of float
+        Times of the requests that reached it.
     """
 
     def __init__(self, address):
         self.address = address
         self.n_starts = 0
         self.ended = None
+        self.limit = None
+        self.arrivals_s = []
         self.start()
 
     def start(self):
         self.n_starts += 1
+        self.limit = None
         self.ended = trio.Event()
 
     @property
@@ -116,6 +123,7 @@
         progress.sent = True
         is_fatal = self.is_fatal(given)
         self.arrivals.append((trio.current_time(), is_fatal))
+        engine.arrivals_s.append(trio.current_time())
         yield await EngineReply(self, engine, given, is_fatal).begin()
 
     def crash(self, engine):
@@ -146,6 +154,8 @@
             (b"Request-Id", given[b"request-id"]),
             (b"Server-Stamp", b"s"),
         ]
+        if engine.limit is not None:
+            self.headers.append((b"Server-Limit", engine.limit.encode()))
 
     async def begin(self):
         if self.is_fatal and self.engines.ends_before_head:
