Blame what was at more of the servers that ended before what was at fewer

Cause: of suspects that explain the same events, those whose answers had begun most often went first, also where the content was in progress at a server of an event and the part was not; and a content that had begun and waited at one server, in copies, counted as waiting there. Both new tests failed before. Suspects that explain the same events are now told apart by the servers first.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -190,9 +190,10 @@
         """Return the suspects that end servers.
 
         The suspect that explains most events is convicted first, and the others are
-        not blamed for these. Of suspects that explain the same number, those whose
-        answers had begun go first, then whole contents, as prompt parts may be shared
-        with sound requests. What the likely suspects leave unexplained may be due to
+        not blamed for these. Of suspects that explain the same number, those that
+        were in progress at more servers go first, then those whose answers had begun
+        at more, then whole contents, as prompt parts may be shared with sound
+        requests. What the likely suspects leave unexplained may be due to
         prompt parts of requests that waited.
 
         Returns
@@ -228,7 +229,7 @@
         events = _events_by_suspect(unexplained, suspects_of_crash)
         n_most = max(len(numbers) for numbers in events.values())
         best = [s for s, numbers in events.items() if len(numbers) == n_most]
-        best = _most_often_begun(unexplained, best)
+        best = _most_often_there(unexplained, best)
         n_needed = max(n_least, _n_events_needed(unexplained, best))
         best = [s for s in best if is_content(s)] or best
         if n_most < n_needed:
@@ -239,17 +240,25 @@
     return found, explained
 
 
-def _most_often_begun(crashes, suspects):
-    """Return those of some suspects whose answers had begun at most of the crashes.
+def _most_often_there(crashes, suspects):
+    """Return those of some suspects that were in progress at most of the crashes.
 
-    A part that also waited at a crash may be that of a content that waited there.
+    Of these, the ones whose answers had begun there most often.
     """
-    n_begun = {
-        suspect: sum(suspect in crash.begun - crash.waiting for crash in crashes)
-        for suspect in suspects
-    }
-    n_most = max(n_begun.values())
-    return [suspect for suspect in suspects if n_begun[suspect] == n_most]
+    n_there = {suspect: _n_servers(crashes, suspect) for suspect in suspects}
+    n_begun = {s: sum(_had_begun(crash, s) for crash in crashes) for s in suspects}
+    best = max((n_there[suspect], n_begun[suspect]) for suspect in suspects)
+    return [s for s in suspects if (n_there[s], n_begun[s]) == best]
+
+
+def _had_begun(crash, suspect):
+    """Return whether an answer to a suspect had begun, and not only one beside it.
+
+    A part that waited, too, may be that of a content that waited.
+    """
+    if suspect not in crash.begun:
+        return False
+    return is_content(suspect) or suspect not in crash.waiting
 
 
 def _n_events_needed(crashes, best):
--- a/teaselwall/tests/test_crashevidence.py
+++ b/teaselwall/tests/test_crashevidence.py
@@ -160,6 +160,22 @@
     assert n_events(evidence) == {CONTENT: 3}
 
 
+# Guards against blaming a part for ends at which copies of a content waited, too.
+def test_content_with_copies_begun_and_waiting_is_blamed_before_a_shared_part(evidence):
+    for number in range(3):
+        waiting = [CONTENT] if number else []
+        crash(evidence, CONTENT, part("shared"), waiting=waiting)
+    assert n_events(evidence) == {CONTENT: 3}
+
+
+# Guards against blaming a part that was missing at one of the servers that ended.
+def test_content_at_more_servers_of_an_event_is_blamed_before_a_part(evidence):
+    for _ in range(3):
+        crash(evidence, part("shared"), waiting=[CONTENT])
+    crash(evidence, part("other"), waiting=[CONTENT], after_ms=20.0)
+    assert n_events(evidence) == {CONTENT: 3}
+
+
 # Guards against a part that ends servers before the first byte of an answer arrives.
 def test_part_that_waits_wherever_servers_end_is_blamed_later(evidence):
     for number in range(4):
