Keep to the limits of requests that servers name, on all hosts together

Cause: the reply's field was not read at all; class: a notice of a server that is passed on and not heeded. Why it works: the first host that reads a limit tells all; from then on each attempt, retry, resumption, stage call, free and report needs a permit, which one host for each server hands out from an empty start, so that shares never add up to more than the limit. Urgent requests and streams that go on get the next permit; what no limit leaves time for is refused at once, and callers come back one after the other.

--- a/teaselwall/backlogs.py
+++ b/teaselwall/backlogs.py
@@ -15,7 +15,8 @@
     ----------
     jobs : iterable of stagejobs.Job
     n_servers : callable
-        ``n_servers(pool)`` gives the number of servers in use.
+        ``n_servers(pool)`` gives the number of servers in use; a server that may get
+        only a part of its calls counts as this part.
     limits_of : callable
         ``limits_of(pool)`` gives ``routes.BatchLimits``, or None.
 
@@ -94,7 +95,7 @@
     if limits is None:
         return 0.0
     call_ms = limits.expected_ms(limits.n_pieces)
-    n_at_once = limits.n_pieces * limits.n_calls * max(1, n_servers(pool))
+    n_at_once = limits.n_pieces * limits.n_calls * n_servers(pool)
     return call_ms / (CALL_FILL_SHARE * n_at_once)
 
 
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -59,6 +59,8 @@
     on_origins : callable
         Awaited with the sender's address and the ``messages.StreamOrigin`` rows that a
         peer sends.
+    server_limits : serverlimits.ServerLimits or None
+        Takes what other hosts say about limits that servers name.
     fleet : fleet.Fleet or None
         Backend servers; hosts tell each other which of them have said that they leave.
     known_nonces : dict of str to str
@@ -76,6 +78,7 @@
         "on_origins",
         "fleet",
         "crash_guard",
+        "server_limits",
     )
 
     def __init__(self, clock, membership, seed=None):
@@ -87,6 +90,7 @@
         self.on_origins = _ignore_origins
         self.fleet = None
         self.crash_guard = None
+        self.server_limits = None
         self.known_nonces = {}
 
     async def run(self):
@@ -172,6 +176,8 @@
             message.servers_leaving = self.fleet.newly_leaving()
         if self.crash_guard is not None:
             message.quarantined = self.crash_guard.notices()
+        if self.server_limits is not None:
+            message.limits = self.server_limits.notices()
         await self._send(address, message)
 
     async def _send(self, address, message):
@@ -221,6 +227,8 @@
             self.fleet.record_leaving(exchange.servers_leaving)
         if self.crash_guard is not None:
             self.crash_guard.receive(exchange)
+        if self.server_limits is not None:
+            await self.server_limits.receive(exchange)
         is_new = self.known_nonces.get(sender.address) != sender.nonce
         if is_new:
             self.known_nonces[sender.address] = sender.nonce
@@ -331,6 +339,9 @@
         summaries=message.summaries[n_summaries:],
         released=[],
         origins=[],
+        limits=[],
+        limit_asks=[],
+        limit_grants=[],
         asks=False,
     )
     return encoded_parts(first) + encoded_parts(rest)
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -33,6 +33,7 @@
     retries,
     serverattempts,
     serverchoices,
+    serverlimits,
     serverregistry,
     sharedreads,
     stagework,
@@ -83,6 +84,8 @@
         Stage calls for which this host is the coordinator.
     crash_guard : crashguard.CrashGuard
         Refuses requests that end backend servers.
+    server_limits : serverlimits.ServerLimits
+        Limits of requests that servers name.
     stop : stops.Stop or None
         None until the process runs its listeners.
     members_known : bool
@@ -109,6 +112,7 @@
         "orders",
         "fleet",
         "cold_starts",
+        "server_limits",
         "server_registry",
         "servers",
         "server_choices",
@@ -189,7 +193,12 @@
             self.clock, self.membership, self.operator_state.pool
         )
         self.fleet.filters.append(self.cold_starts.has_capacity)
+        self.server_limits = serverlimits.ServerLimits(
+            self.clock, self.membership, self.gossip, self.n_hosts
+        )
+        self.fleet.limits = self.server_limits
         self.gossip.fleet = self.fleet
+        self.gossip.server_limits = self.server_limits
         self.server_registry = serverregistry.ServerRegistry(
             self.clock, self.fleet, self.platform.decode_registration, self.cold_starts
         )
@@ -311,6 +320,7 @@
             nursery.start_soon(self.coordination.run)
             nursery.start_soon(self.stream_versions.run)
             nursery.start_soon(self.crash_guard.run)
+            nursery.start_soon(self.server_limits.run)
             nursery.start_soon(self._update_derived_state)
             nursery.start_soon(self._join_members)
 
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from teaselwall import ejections, events, rings, servers
+from teaselwall import ejections, events, protocols, requestlimits, rings, servers
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -51,6 +51,8 @@
         Servers that were in service when the subsets were chosen.
     list_received : bool
         Whether a host list has been received.
+    limits : requestlimits.Limits
+        Limits of requests that servers name. Whoever sends a request asks them.
     leaving : dict of str to float
         Incarnations that have said that they leave, with the time on the clock at which
         this host learned it; oldest first. The host list may still show them as live.
@@ -71,6 +73,7 @@
         "last_hosts",
         "last_in_service",
         "list_received",
+        "limits",
         "leaving",
     )
 
@@ -89,16 +92,22 @@
         self.last_hosts = None
         self.last_in_service = set()
         self.list_received = False
+        self.limits = requestlimits.NoLimits()
         self.leaving = {}
 
-    def record_notice(self, server, notice):
+    def record_notice(self, server, notice, sent_ms):
         """Record what a server said about itself in a reply.
 
         Parameters
         ----------
         server : servers.Server
         notice : protocols.Notice
+        sent_ms : float
+            Time on the clock at which the request was sent.
         """
+        if notice is protocols.NO_NOTICE:
+            return
+        self.limits.record(server, notice.limit_per_s, sent_ms)
         if notice.rest_ms:
             until_ms = self.clock.now_ms() + notice.rest_ms
             server.rest_until_ms = max(server.rest_until_ms, until_ms)
@@ -143,14 +152,14 @@
         Returns
         -------
         float
-            0 if any server of the pool in service wants no rest, or there is none.
+            0 if a server in service wants no rest and has no limit that is reached, or
+            there is none.
         """
-        now_ms = self.clock.now_ms()
-        known = self.by_pool.get(pool, {}).values()
-        rests = [s.rest_until_ms - now_ms for s in known if self.in_service(s)]
-        return max(0.0, min(rests, default=0.0))
+        return requestlimits.wait_ms(
+            self.limits, self.serving(pool), self.clock.now_ms()
+        )
 
-    def choices(self, pool, prefix=None, software=None):
+    def choices(self, pool, prefix=None, software=None, urgency=None):
         """Return servers of a pool that may get new work.
 
         Only ``rings.WINDOW_SIZE`` servers of this host's subset are examined if
@@ -164,6 +173,9 @@
             servers.
         software : str, optional
             Only servers of this software version are returned.
+        urgency : int, optional
+            Leaves out servers whose limit allows no work of this urgency now; see
+            ``requestlimits.Limits``.
 
         Returns
         -------
@@ -174,24 +186,29 @@
         ring = self.chosen.get(pool)
         if ring is None:
             return []
-        found = self._available(self._current_window(ring, prefix), software)
+        window = self._current_window(ring, prefix)
+        found = self._available(window, software, urgency)
         if not found:
             self._review(ring)
-            found = self._available(ring.servers, software)
+            found = self._available(ring.servers, software, urgency)
         return found
 
-    def _available(self, candidates, software):
+    def _available(self, candidates, software, urgency):
         return [
             server
             for server in candidates
             if (software is None or server.software == software)
             and self.is_available(server)
+            and (urgency is None or self.limits.allows(server, urgency))
         ]
 
     def has_software(self, pool, software):
         """Return whether a server of a pool with a software version is in service."""
-        known = self.by_pool.get(pool, {}).values()
-        return any(s.software == software and self.in_service(s) for s in known)
+        return any(server.software == software for server in self.serving(pool))
+
+    def serving(self, pool):
+        """Return the servers of a pool that are in service, ejected or not."""
+        return [s for s in self.by_pool.get(pool, {}).values() if self.in_service(s)]
 
     def _current_window(self, ring, prefix):
         """Return a window of a ring with restarted servers replaced."""
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -1,11 +1,12 @@
 """Forwards callers' requests to back ends and retries failed attempts."""
 
+import collections
 import functools
 import logging
 
 import expression
 
-from teaselwall import errors, events, serverattempts
+from teaselwall import errors, events, returntimes, serverattempts, serverchoices
 
 logger = logging.getLogger(__name__)
 
@@ -37,6 +38,12 @@
     metrics : metrics.Metrics
     crash_guard : crashguard.CrashGuard
     stream_versions : streamversions.StreamVersions
+
+    Attributes
+    ----------
+    n_waiting : dict of str to collections.Counter
+        Requests that wait for a server, by pool and urgency.
+    returns : returntimes.ReturnTimes
     """
 
     __slots__ = (
@@ -47,6 +54,8 @@
         "metrics",
         "crash_guard",
         "stream_versions",
+        "n_waiting",
+        "returns",
     )
 
     def __init__(
@@ -66,6 +75,8 @@
         self.metrics = metrics
         self.crash_guard = crash_guard
         self.stream_versions = stream_versions
+        self.n_waiting = {}
+        self.returns = returntimes.ReturnTimes(clock)
 
     async def run(self, call, reply, inputs, on_head):
         """Attempt a request until it is answered or must not be retried.
@@ -136,10 +147,21 @@
         if not has_begun:
             limit_ms = min(SERVER_WAIT_MS, limit_ms)
         until_ms = self.clock.now_ms() + limit_ms
+        server = await self.server_choices.obtain(call, inputs)
+        if server is not None:
+            return expression.Ok(server)
+        waiting = self.n_waiting.setdefault(call.pool.name, collections.Counter())
+        urgency = serverchoices.urgency_of(call)
+        waiting[urgency] += 1
+        try:
+            return await self._poll_servers(call, inputs, has_begun, until_ms)
+        finally:
+            waiting[urgency] -= 1
+
+    async def _poll_servers(self, call, inputs, has_begun, until_ms):
+        waiting = self.n_waiting[call.pool.name]
+        urgency = serverchoices.urgency_of(call)
         while True:
-            server = self.server_choices.choose(call, inputs)
-            if server is not None:
-                return expression.Ok(server)
             refusal = self.stream_versions.refusal(call)
             if refusal is not None and not has_begun:
                 return expression.Error(refusal)
@@ -149,11 +171,22 @@
                 detail = (
                     f"No server of pool {call.pool.name} is available for the request."
                 )
-                retry_after_ms = max(RETRY_AFTER_MS, rest_ms)
+                retry_after_ms = max(
+                    RETRY_AFTER_MS, self._return_ms(call.pool.name, rest_ms)
+                )
                 return expression.Error(
                     errors.Unavailable(detail, retry_after_ms=retry_after_ms)
                 )
             await self.clock.sleep_ms(SERVER_POLL_MS)
+            server = await self.server_choices.obtain(call, inputs, waiting[urgency])
+            if server is not None:
+                return expression.Ok(server)
+
+    def _return_ms(self, pool, rest_ms):
+        """Return when a caller comes back that no server of a pool has a place for."""
+        fleet = self.server_choices.fleet
+        interval_ms = fleet.limits.interval_ms(fleet.serving(pool))
+        return self.returns.next_ms(pool, rest_ms, interval_ms)
 
     def _reason_to_end(self, call, error, has_begun):
         """Return why a failed request is not sent again; empty if it is."""
--- a/teaselwall/gatewayviews.py
+++ b/teaselwall/gatewayviews.py
@@ -133,4 +133,6 @@
             return "on trial with one call"
         if not self.entry.cold_starts.has_capacity(server):
             return "cold, this host's share is used"
+        if fleet.limits.wait_ms(server):
+            return "names a limit that is reached"
         return "" if fleet.is_available(server) else "replaced"
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -59,7 +59,7 @@
 
     def read_reply(self, status, headers, head):
         """Return the head of a reply; see ``protocols.Protocol``."""
-        by_name = {name.lower(): value for name, value in headers}
+        by_name = _by_name(headers)
         not_run = names.is_not_run(status, by_name)
         same_request = _header_text(by_name, names.REQUEST_ID) == head.id
         has_stamp = names.SERVER_STAMP in by_name or not 200 <= status < 300
@@ -84,6 +84,15 @@
         return headers
 
 
+def _by_name(headers):
+    """Return a reply's headers by name in lower case, all of its limits as one list."""
+    by_name = {name.lower(): value for name, value in headers}
+    if names.SERVER_LIMIT in by_name:
+        limits = [v for name, v in headers if name.lower() == names.SERVER_LIMIT]
+        by_name[names.SERVER_LIMIT] = b",".join(limits)
+    return by_name
+
+
 def _forwarded_headers(headers, internal):
     """Return the headers without those that are hop-by-hop or in ``internal``."""
     hop_by_hop = set(names.HOP_BY_HOP)
--- a/teaselwall/platform/names.py
+++ b/teaselwall/platform/names.py
@@ -1,5 +1,7 @@
 """Header names of the platform's protocol, in lower case."""
 
+import math
+
 from teaselwall import protocols
 
 REQUEST_ID = b"request-id"
@@ -19,6 +21,7 @@
 NOT_EXECUTED = b"not-executed"
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
+SERVER_LIMIT = b"server-limit"
 STORE_ERA = b"store-era"
 
 MISDIRECTED_STATUS = 421
@@ -97,7 +100,24 @@
     rest_ms = 0.0
     if status == UNAVAILABLE_STATUS:
         rest_ms = _rest_ms(headers.get(RETRY_AFTER, b""))
-    return protocols.Notice(leaving, rest_ms)
+    limit_per_s = (
+        _limit_per_s(headers[SERVER_LIMIT]) if SERVER_LIMIT in headers else None
+    )
+    return protocols.Notice(leaving, rest_ms, limit_per_s)
+
+
+def _limit_per_s(text):
+    """Return the lowest of the limits in a header, NaN if none can be read."""
+    limits = [_limit(part) for part in text.split(b",")]
+    return min((x for x in limits if not math.isnan(x)), default=math.nan)
+
+
+def _limit(text):
+    try:
+        limit = float(text)
+    except ValueError:
+        return math.nan
+    return limit if 0 <= limit < math.inf and b"_" not in text else math.nan
 
 
 def _rest_ms(text):
--- a/teaselwall/platform/stagecalls.py
+++ b/teaselwall/platform/stagecalls.py
@@ -30,7 +30,8 @@
     ----------
     transport : httpcalls.HttpCalls
     on_notice : callable
-        ``on_notice(server, notice)`` is called with what a server says about itself.
+        ``on_notice(server, notice, sent_ms)`` is called with what a server says about
+        itself in the reply to a call that was sent at that time.
     """
 
     __slots__ = ("transport", "on_notice")
@@ -41,6 +42,7 @@
 
     async def run(self, server, items, timeout_ms):
         """Run a batch on a server; see ``stagecalls.StageClient.run``."""
+        sent_ms = self.transport.clock.now_ms()
         headers = [(names.EXPECT_INSTANCE, names.instance_id(server.incarnation))]
         result = await self.transport.call(
             "POST",
@@ -51,21 +53,23 @@
             headers,
             fresh=True,
         )
-        self._pass_notice_on(server, result)
+        self._pass_notice_on(server, result, sent_ms)
         return result.bind(lambda reply: _decode_reply(reply, len(items)))
 
     async def free(self, server, handles, timeout_ms):
         """Free stored results; see ``stagecalls.StageClient.free``."""
+        sent_ms = self.transport.clock.now_ms()
         result = await self.transport.call(
             "POST", server.address, "/v1/stage-free", {"handles": handles}, timeout_ms
         )
-        self._pass_notice_on(server, result)
+        self._pass_notice_on(server, result, sent_ms)
         return result.bind(lambda reply: errors.require_ok(reply, SERVER_KIND))
 
-    def _pass_notice_on(self, server, result):
+    def _pass_notice_on(self, server, result, sent_ms):
         if result.is_ok():
             reply = result.ok
-            self.on_notice(server, names.notice(reply.status, reply.headers))
+            notice = names.notice(reply.status, reply.headers)
+            self.on_notice(server, notice, sent_ms)
 
 
 def _encode_item(item):
--- a/teaselwall/platforms.py
+++ b/teaselwall/platforms.py
@@ -32,7 +32,8 @@
         ----------
         transport : httpcalls.HttpCalls
         on_notice : callable
-            ``on_notice(server, notice)`` takes a ``protocols.Notice``.
+            ``on_notice(server, notice, sent_ms)`` takes a ``protocols.Notice`` and the
+            time on the clock at which the call was sent.
         """
 
     @abc.abstractmethod
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -117,10 +117,14 @@
         Whether the server is about to stop and wants no new calls.
     rest_ms : float
         Time for which the server wants no calls from this host.
+    limit_per_s : float or None
+        Requests a second that the server takes from all hosts together; None if it
+        names no limit, NaN if what it names can't be read.
     """
 
     leaving: bool = False
     rest_ms: float = 0.0
+    limit_per_s: float | None = None
 
 
 NO_NOTICE = Notice()
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -220,7 +220,9 @@
         )
         _record_load(server, head)
         if head.genuine or head.not_run:
-            self.attempts.server_choices.fleet.record_notice(server, head.notice)
+            self.attempts.server_choices.fleet.record_notice(
+                server, head.notice, self.received.started_ms
+            )
         if not head.genuine and not head.not_run:
             detail = (
                 f"The reply from {server.address} lacks the server's stamp or belongs "
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -2,7 +2,7 @@
 
 import math
 
-from teaselwall import calls, enginechoices
+from teaselwall import calls, enginechoices, requestlimits
 
 
 class ServerChoices:
@@ -38,7 +38,9 @@
         subset_token = None
         if call.pool.engine:
             subset_token = enginechoices.subset_token_of(call.head.prompt_parts)
-        servers = self.fleet.choices(call.pool.name, subset_token, call.software)
+        servers = self.fleet.choices(
+            call.pool.name, subset_token, call.software, urgency_of(call)
+        )
         regions = call.regions()
         if regions:
             servers = [
@@ -68,6 +70,27 @@
             )
         return self.picker.pick(untried, frozenset())
 
+    async def obtain(self, call, inputs, n_waiting=0):
+        """Return a server that a request may be sent to now, or None.
+
+        A server with a limit is chosen again once the request may be sent there, as it
+        may have become unavailable meanwhile.
+
+        Parameters
+        ----------
+        call, inputs
+            See ``choose``.
+        n_waiting : int
+            Requests like it that wait for a server of their pool here, itself included;
+            0 if it doesn't wait.
+        """
+        urgency = urgency_of(call)
+        while (server := self.choose(call, inputs)) is not None:
+            is_allowed = await self.fleet.limits.obtain(server, urgency, n_waiting)
+            if is_allowed and self.fleet.is_available(server):
+                return server
+        return None
+
     def has_untried(self, call):
         """Return whether a server without an earlier attempt may get the request."""
         return any(s.address not in call.tried for s in self.choices(call))
@@ -90,6 +113,14 @@
         return max(1, pool.max_connections // max(1, self.n_hosts()))
 
 
+def urgency_of(call):
+    """Return how urgent a request is, the most urgent lowest.
+
+    A stream that its caller has a part of goes first.
+    """
+    return requestlimits.BEGUN_URGENCY if call.splitter.last_id else call.priority
+
+
 def n_input_bytes(call):
     """Return the size of the stage results that the request's engine fetches."""
     stages = call.route.stages
--- a/teaselwall/stagecalls.py
+++ b/teaselwall/stagecalls.py
@@ -54,6 +54,24 @@
     inputs: tuple
 
 
+def item_of(piece):
+    """Return the item for a piece of a job.
+
+    Parameters
+    ----------
+    piece : stagejobs.Piece
+    """
+    job, inputs = piece.job, piece.stage.inputs()
+    return Item(
+        request=job.request,
+        stage=piece.stage.number,
+        piece=piece.index,
+        remaining_ms=job.remaining_ms(),
+        key="" if inputs else job.key,
+        inputs=inputs,
+    )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PieceResult:
     """Result of one piece: its handle, or the reason why there is none."""
--- a/teaselwall/stagecleanup.py
+++ b/teaselwall/stagecleanup.py
@@ -2,9 +2,10 @@
 
 import logging
 
+import expression
 import trio
 
-from teaselwall import events
+from teaselwall import errors, events, requestlimits
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +30,7 @@
         Space in use at each server; shared with ``stagework.StageWork``.
     on_freed : callable
         Called without arguments after results were freed.
+    fleet : fleet.Fleet
 
     Attributes
     ----------
@@ -45,16 +47,18 @@
         "client",
         "states",
         "on_freed",
+        "fleet",
         "waiting",
         "waiting_since_ms",
         "wake",
     )
 
-    def __init__(self, clock, client, states, on_freed):
+    def __init__(self, clock, client, states, on_freed, fleet):
         self.clock = clock
         self.client = client
         self.states = states
         self.on_freed = on_freed
+        self.fleet = fleet
         self.waiting = {}
         self.waiting_since_ms = {}
         self.wake = trio.Event()
@@ -78,11 +82,14 @@
                 self.wake = trio.Event()
                 await self.clock.sleep_ms(MIN_DELAY_MS)
                 for server in self._due_servers():
-                    del self.waiting_since_ms[server]
-                    nursery.start_soon(self._free_at, server, self.waiting.pop(server))
+                    nursery.start_soon(self._free_at, server, self._take(server))
                 if self.waiting:
                     self.wake.set()
 
+    def _take(self, server):
+        del self.waiting_since_ms[server]
+        return self.waiting.pop(server)
+
     def _due_servers(self):
         """Return the servers whose results are to be freed now."""
         latest_ms = self.clock.now_ms() - MAX_DELAY_MS
@@ -97,7 +104,11 @@
     async def _free_at(self, server, handles):
         # The results lapse by themselves if the server wants no calls for long.
         await self.clock.sleep_ms(server.rest_until_ms - self.clock.now_ms())
-        result = await self.client.free(server, handles, TIMEOUT_MS)
+        if await self.fleet.limits.obtain(server, requestlimits.LEAST_URGENCY):
+            result = await self.client.free(server, handles, TIMEOUT_MS)
+        else:
+            detail = f"{server.address} takes no more calls for now."
+            result = expression.Error(errors.Overloaded(detail))
         state = self.states.get(server)
         if result.is_error():
             events.log(
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -8,6 +8,7 @@
 from teaselwall import (
     backlogs,
     errors,
+    requestlimits,
     stageadmission,
     stagecalls,
     stagechoices,
@@ -84,14 +85,14 @@
         self.jobs = {}
         self.queues = {}
         self.wait_estimates = waitestimates.WaitEstimates(
-            self.queues, pool_of, self.servers_of
+            self.queues, pool_of, self.servers_of, fleet
         )
         self.admission = stageadmission.StageAdmission(self.wait_estimates, fleet)
         self.states = {}
         self.work_changed = trio.Event()
         self.job_submitted = trio.Event()
         self.cleanup = stagecleanup.StageCleanup(
-            clock, client, self.states, self._on_freed
+            clock, client, self.states, self._on_freed, fleet
         )
         self.nursery = None
 
@@ -207,7 +208,7 @@
     def _backlogs(self):
         return backlogs.Backlogs(
             self.jobs.values(),
-            lambda pool: len(self.servers_of(pool)),
+            self.wait_estimates.n_servers,
             self.wait_estimates.limits_of,
         )
 
@@ -233,7 +234,12 @@
             queue.sort(backlog)
             return
         states = self._states_of(pool, limits)
-        available = [state for state in states if state.is_available()]
+        limits_allow, urgency = self.fleet.limits.allows, requestlimits.STAGE_URGENCY
+        available = [
+            state
+            for state in states
+            if state.is_available() and limits_allow(state.server, urgency)
+        ]
         if not available:
             return
         all_slow = all(state.is_slow() for state in states)
@@ -286,12 +292,10 @@
 
     async def _call(self, state, batch):
         started_ms = self.clock.now_ms()
-        items = [_item(piece) for piece in batch]
+        items = [stagecalls.item_of(piece) for piece in batch]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._hedge, state, batch)
-            result = await self.client.run(
-                state.server, items, state.timeout_ms(len(batch))
-            )
+            result = await self._run(state, items)
             nursery.cancel_scope.cancel()
         elapsed_ms = self.clock.now_ms() - started_ms
         state.end_call(batch)
@@ -310,6 +314,13 @@
             self._advance(job)
         self.work_changed.set()
 
+    async def _run(self, state, items):
+        server = state.server
+        if not await self.fleet.limits.obtain(server, requestlimits.STAGE_URGENCY):
+            detail = f"{server.address} takes no more calls for now."
+            return expression.Error(errors.Overloaded(detail))
+        return await self.client.run(server, items, state.timeout_ms(len(items)))
+
     async def _hedge(self, state, batch):
         """Queue pieces for a second attempt if their call is slower than expected."""
         await self.clock.sleep_ms(state.hedge_delay_ms(len(batch)))
@@ -383,16 +394,3 @@
             self._end(job, errors.Unavailable("All attempts at a stage failed."))
             return
         self._queue_runnable(job)
-
-
-def _item(piece):
-    inputs = piece.stage.inputs()
-    job = piece.job
-    return stagecalls.Item(
-        request=job.request,
-        stage=piece.stage.number,
-        piece=piece.index,
-        remaining_ms=job.remaining_ms(),
-        key="" if inputs else job.key,
-        inputs=inputs,
-    )
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -9,7 +9,14 @@
 import expression
 import trio
 
-from teaselwall import calls, errors, events, softwarehistory, streamorigins
+from teaselwall import (
+    calls,
+    errors,
+    events,
+    requestlimits,
+    softwarehistory,
+    streamorigins,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -143,7 +150,9 @@
 
     async def _is_same_process(self, server):
         """Ask a server whether its process is still the one that was registered."""
-        started_ms = await self.read_start(server)
+        urgency = requestlimits.BEGUN_URGENCY
+        may_ask = await self.fleet.limits.obtain(server, urgency)
+        started_ms = await self.read_start(server) if may_ask else None
         if started_ms is None:
             # Servers of plain services don't say it.
             return len(self.registry.listed_software(server.pool)) == 1
--- a/teaselwall/tests/crashing_fleet.py
+++ b/teaselwall/tests/crashing_fleet.py
@@ -14,15 +14,25 @@
 
 
 class Network:
-    """Carries datagrams between hosts."""
+    """Carries datagrams between hosts.
+
+    Attributes
+    ----------
+    loses_every : int
+        Each datagram with a number that this divides is lost; 0 for none.
+    """
 
     def __init__(self, hosts):
+        self.loses_every = 0
+        self.n_sent = 0
         self.hosts = {host.membership.me.address: host for host in hosts}
 
     async def sendto(self, data, address):
         await trio.lowlevel.checkpoint()
         receiver = self.hosts.get(f"{address[0]}:{address[1]}")
-        if receiver is not None:
+        self.n_sent += 1
+        is_lost = self.loses_every and self.n_sent % self.loses_every == 0
+        if receiver is not None and not is_lost:
             await receiver.gossip._process(data)
 
 
@@ -60,6 +70,7 @@
         host.gossip.socket = network
         host.crash_guard.prober = engines
         nursery.start_soon(host.crash_guard.run)
+        nursery.start_soon(host.server_limits.run)
     for host in made:
         for other in made:
             await host.gossip.exchange(other.membership.me.address)
--- a/teaselwall/tests/limited_fleet.py
+++ b/teaselwall/tests/limited_fleet.py
@@ -32,6 +32,13 @@
         self.statuses = []
         self.n_requests = 0
 
+    def forget(self, host):
+        """Send no more requests or datagrams to a host, nor take any from it."""
+        host.gossip.socket.hosts.pop(host.membership.me.address)
+        host.gossip.socket = crashing_fleet.Network([])
+        self.hosts.remove(host)
+        self.applications = [platform_entry.gateway_of(host) for host in self.hosts]
+
     def engine(self, number):
         return self.engines.engines[f"10.0.2.{number}:80"]
 
--- a/teaselwall/tests/scripted_transport.py
+++ b/teaselwall/tests/scripted_transport.py
@@ -2,6 +2,8 @@
 
 import expression
 
+from teaselwall import clock
+
 
 class ScriptedTransport:
     """Transport that returns the replies that a test has queued."""
@@ -9,6 +11,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.calls = []
+        self.clock = clock.Clock()
 
     async def call_raw(self, method, address, target, body, timeout_ms):
         self.calls.append((method, target, body))
--- a/teaselwall/tests/test_platform_stagecalls.py
+++ b/teaselwall/tests/test_platform_stagecalls.py
@@ -19,7 +19,7 @@
 ]
 
 
-def ignore_notice(server, notice):
+def ignore_notice(server, notice, sent_ms):
     pass
 
 
--- a/teaselwall/tests/test_serverregistry.py
+++ b/teaselwall/tests/test_serverregistry.py
@@ -216,7 +216,7 @@
 ):
     registry.replace({"s": encoded("s"), "ss": encoded("ss")})
     (server,) = [s for s in server_fleet.choices("llm") if s.address == "10.0.0.1:80"]
-    server_fleet.record_notice(server, protocols.Notice(leaving=True))
+    server_fleet.record_notice(server, protocols.Notice(leaving=True), 0.0)
     registry.apply(Record("s", encoded("s", sequence=2)))
     assert addresses(server_fleet) == ["10.0.0.2:80"]
     registry.replace({"s": encoded("s", sequence=3), "ss": encoded("ss")})
@@ -230,8 +230,8 @@
 ):
     registry.replace({"s": encoded("s")})
     (server,) = server_fleet.choices("llm")
-    server_fleet.record_notice(server, protocols.Notice(rest_ms=700.0))
-    server_fleet.record_notice(server, protocols.Notice(rest_ms=100.0))
+    server_fleet.record_notice(server, protocols.Notice(rest_ms=700.0), 0.0)
+    server_fleet.record_notice(server, protocols.Notice(rest_ms=100.0), 0.0)
     assert not addresses(server_fleet)
     assert server_fleet.rest_ms("llm") == 700.0
     time.at_ms += 701.0
