Try a part soon that had begun wherever a content waited

Cause: the part's answers had begun at each server that the waiting content ended, so both explained the same ends, and the evidence can't tell them apart. The new test failed before.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -89,7 +89,7 @@
     n_events : int
         Events that it explains.
     tied : bool
-        Whether other suspects explain the same events.
+        Whether other suspects explain the same events and are as likely.
     """
 
     n_events: int
@@ -229,26 +229,33 @@
         events = _events_by_suspect(unexplained, suspects_of_crash)
         n_most = max(len(numbers) for numbers in events.values())
         best = [s for s, numbers in events.items() if len(numbers) == n_most]
-        best = _most_often_there(unexplained, best)
+        equal = _at_most_servers(unexplained, best)
+        best = _most_often_begun(unexplained, equal)
         n_needed = max(n_least, _n_events_needed(unexplained, best))
         best = [s for s in best if is_content(s)] or best
         if n_most < n_needed:
             break
-        found.update(dict.fromkeys(best, Conviction(n_most, len(best) > 1)))
+        # A content that waited wherever a part had begun is as likely as the part.
+        is_doubtful = not is_content(best[0]) and any(map(is_content, equal))
+        conviction = Conviction(n_most, len(best) > 1 or is_doubtful)
+        found.update(dict.fromkeys(best, conviction))
         explained.update(*(events[suspect] for suspect in best))
         unexplained = [c for c in unexplained if c.event not in explained]
     return found, explained
 
 
-def _most_often_there(crashes, suspects):
-    """Return those of some suspects that were in progress at most of the crashes.
-
-    Of these, the ones whose answers had begun there most often.
-    """
+def _at_most_servers(crashes, suspects):
+    """Return those of some suspects that were in progress at most of the crashes."""
     n_there = {suspect: _n_servers(crashes, suspect) for suspect in suspects}
+    n_most = max(n_there.values())
+    return [suspect for suspect in suspects if n_there[suspect] == n_most]
+
+
+def _most_often_begun(crashes, suspects):
+    """Return those of some suspects whose answers had begun at most of the crashes."""
     n_begun = {s: sum(_had_begun(crash, s) for crash in crashes) for s in suspects}
-    best = max((n_there[suspect], n_begun[suspect]) for suspect in suspects)
-    return [s for s in suspects if (n_there[s], n_begun[s]) == best]
+    n_most = max(n_begun.values())
+    return [suspect for suspect in suspects if n_begun[suspect] == n_most]
 
 
 def _had_begun(crash, suspect):
--- a/teaselwall/tests/test_crashevidence.py
+++ b/teaselwall/tests/test_crashevidence.py
@@ -176,6 +176,18 @@
     assert n_events(evidence) == {CONTENT: 3}
 
 
+# Guards against refusing a sound part for long that begins wherever a content waits.
+def test_part_is_in_doubt_while_a_waiting_content_explains_the_same_ends(evidence):
+    for _ in range(3):
+        crash(evidence, part("shared"), *map(part, "abcdefg"), waiting=[CONTENT])
+        for other in "abcdefg":
+            evidence.clear_all(part(other))
+    assert evidence.convicted()[part("shared")].tied
+    # Its trial's answer leaves the content.
+    evidence.clear_all(part("shared"))
+    assert n_events(evidence) == {CONTENT: 3}
+
+
 # Guards against a part that ends servers before the first byte of an answer arrives.
 def test_part_that_waits_wherever_servers_end_is_blamed_later(evidence):
     for number in range(4):
