Soak: servers that name limits, and a check that hosts keep to them

The stand-in of servers names a limit in its replies for a time and says so in its records; the check counts as the users' rule does, from 3 s after the naming on.

--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -45,32 +45,52 @@
         Until then nothing is run and every reply asks to come back at that time.
     leaving : bool
         Whether every reply says that the server leaves.
+    limit : float
+        Requests a second that every reply names until ``limited_until_s``.
+    limited_since_s : float
+        On the monotonic clock.
     """
 
     def __init__(self):
         self.silent_until_s = 0.0
         self.rest_until_s = 0.0
         self.leaving = False
+        self.limit = 0.0
+        self.limited_since_s = 0.0
+        self.limited_until_s = 0.0
 
-    def set(self, silent_s=0.0, rest_s=0.0, leaving=False):
+    def set(self, silent_s=0.0, rest_s=0.0, leaving=False, limit=0.0, limited_s=0.0):
         """Begin faults; times are counted from now on."""
         now_s = time.monotonic()
         self.silent_until_s = max(self.silent_until_s, now_s + silent_s)
         self.rest_until_s = max(self.rest_until_s, now_s + rest_s)
         self.leaving = self.leaving or leaving
+        if limited_s:
+            self.limit = limit
+            self.limited_since_s = now_s
+            self.limited_until_s = now_s + limited_s
 
     def rest_s(self):
         """Return for how long nothing is run."""
         return max(0.0, self.rest_until_s - time.monotonic())
 
+    def limit_fields(self):
+        """Return what a record says of the limit that is named now."""
+        if time.monotonic() >= self.limited_until_s:
+            return {}
+        return {"limit": self.limit, "limited_since_s": self.limited_since_s}
+
     def applied_to(self, send):
-        """Return an ASGI ``send`` with the silence and the notice of leaving."""
+        """Return an ASGI ``send`` with the silence and the notices."""
 
         async def send_with_faults(message):
             while (left_s := self.silent_until_s - time.monotonic()) > 0:
                 await trio.sleep(left_s)
             if self.leaving and message["type"] == "http.response.start":
                 message["headers"].append((b"server-leaving", b"1"))
+            if self.limit_fields() and message["type"] == "http.response.start":
+                limit = f"{self.limit:.3f}".encode()
+                message["headers"].append((b"server-limit", limit))
             await send(message)
 
         return send_with_faults
@@ -146,13 +166,16 @@
             is_kept = self.results.has(f"{self.options.public}/{name}")
             await responses.send_json(send, {}, 200 if is_kept else 404)
         elif path == "/v1/report":
+            self._print_call(path)
             await responses.send_json(send, {"born": self.started_ms})
         elif path == "/v1/stage-free":
+            self._print_call(path)
             self.results.free(json.loads(body)["handles"])
             await responses.send_json(send, {})
         elif self.server_faults.rest_s():
             await self._refuse(headers, send)
         elif path == "/v1/stage-run":
+            self._print_call(path)
             await self._run_pieces(json.loads(body), send)
         else:
             await self._run(scope, headers, send)
@@ -170,7 +193,14 @@
         await responses.start(send, 503, head)
         await send({"type": "http.response.body", "body": b""})
         told_s = time.monotonic()
-        self._print("refused", headers, rest_s=rest_s, at_s=arrived_s, told_s=told_s)
+        self._print(
+            "refused",
+            headers,
+            rest_s=rest_s,
+            at_s=arrived_s,
+            told_s=told_s,
+            **self.server_faults.limit_fields(),
+        )
 
     def _crashes(self, headers):
         """Return whether a request ends the server that begins to answer it."""
@@ -194,6 +224,7 @@
             tenant=headers.get("tenant", ""),
             key="authorization" in headers,
             leaving=self.server_faults.leaving,
+            **self.server_faults.limit_fields(),
         )
         if self.options.service == "engine":
             await self._stream_events(scope, headers, send)
@@ -267,6 +298,12 @@
         request = headers.get("request-id", "")
         print_record(**{event: request}, server=self.options.id, **fields)
 
+    def _print_call(self, path):
+        """Print a record about a call that is no caller's request."""
+        fields = self.server_faults.limit_fields()
+        if fields:
+            print_record(called=path, server=self.options.id, **fields)
+
     def _registration(self):
         self.sequence += 1
         return {
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -25,6 +25,7 @@
     soak_crashes,
     soak_faults,
     soak_fleet,
+    soak_limits,
     soak_losses,
     soak_notices,
     soak_targets,
@@ -118,6 +119,7 @@
     violations += soak_losses.find_overlaps(requests, records, fleet.disturbances)
     violations += soak_crashes.find_violations(requests, records, fleet.disturbances)
     violations += soak_notices.find_violations(requests, records, fleet)
+    violations += soak_limits.find_violations(requests, records, fleet.disturbances)
     return violations
 
 
--- a/teaselwall/tools/soak_serverfaults.py
+++ b/teaselwall/tools/soak_serverfaults.py
@@ -12,6 +12,9 @@
 LEAVING_S = 2.0
 # Range of the time for which servers ask for no requests.
 MIN_REST_S, MAX_REST_S = 0.8, 2.0
+# Ranges of the requests a second that servers name as their limit, and of how long.
+MIN_LIMIT, MAX_LIMIT = 0.5, 5.0
+MIN_LIMITED_S, MAX_LIMITED_S = 6.0, 10.0
 # Sound servers fall silent this often in one fault, each time for a time in this range.
 N_SILENCES = 3
 MIN_SILENCE_S, MAX_SILENCE_S = 1.0, 1.6
@@ -57,6 +60,7 @@
             self.silence_servers,
             self.leave_server,
             self.rest_servers,
+            self.limit_servers,
         )
 
     def _pick_server(self):
@@ -165,3 +169,15 @@
         rest_s = self.random.uniform(MIN_REST_S, MAX_REST_S)
         for server in self.random.sample(sound, n_resting):
             await self.fleet.set_server_faults(server, rest_s=rest_s)
+
+    async def limit_servers(self):
+        """Have some servers of a pool name how many requests a second they take."""
+        pool = self.random.choice(list(soak_configuration.POOL_SIZES))
+        servers = [s for s in self.fleet.servers if s.pool == pool]
+        sound = [s for s in servers if s not in self.targets.in_use]
+        n_limited = min(len(sound), self.random.randint(1, len(servers)))
+        limited_s = self.random.uniform(MIN_LIMITED_S, MAX_LIMITED_S)
+        for server in self.random.sample(sound, n_limited):
+            limit = round(self.random.uniform(MIN_LIMIT, MAX_LIMIT), 1)
+            await self.fleet.set_server_faults(server, limit=limit, limited_s=limited_s)
+        await trio.sleep(limited_s)
