--- a/teaselwall/tests/test_limitsharing.py
+++ b/teaselwall/tests/test_limitsharing.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from teaselwall import limitissuers, namedlimits, serverlimits
+from teaselwall import limitissuers, namedlimits, protocols, serverlimits
 from teaselwall.generated import messages
 from teaselwall.tests import fakes, limited_fleet
 
@@ -72,6 +72,14 @@
     assert server.incarnation in _named(host)
 
 
+async def test_reply_of_another_server_ends_nothing(
+    autojump_clock, fleet, host, server
+):
+    host.server_limits.record(server, 1.0, 0.0)
+    host.fleet.record_notice(server, protocols.NO_NOTICE, host.clock.now_ms())
+    assert server.incarnation in _named(host)
+
+
 async def test_host_that_missed_the_news_learns_from_views(
     autojump_clock, fleet, host, server
 ):
@@ -234,10 +242,14 @@
     address = fleet.hosts[0].server_limits._issuer_of(server.incarnation)
     gone = next(h for h in fleet.hosts if h.membership.me.address == address)
     fleet.forget(gone)
+    for member in fleet.hosts:
+        # The membership has yet to notice it.
+        member.membership.dead_after_ms = 60_000.0
     from_s = trio.current_time()
-    await fleet.send_for(15.0, 0.05)
+    await fleet.send_for(4.0, 0.02)
+    assert fleet.engine(1).arrivals_s[-1] > from_s + 2.0
+    await fleet.send_for(10.0, 0.05)
     assert fleet.n_most(1, from_s) <= limited_fleet.n_allowed(2)
-    assert fleet.engine(1).arrivals_s[-1] > from_s + 5.0
 
 
 async def test_most_of_what_servers_take_is_used(autojump_clock, fleet):
