Probe an issuer that leaves a question unanswered until it answers or is silent

What callers saw: nothing yet; found by leaving a guard out. A server's permits were asked of an issuer that had ended until the membership noticed it, as only further questions counted towards its silence, and requests went elsewhere after each of them. A question without an answer starts probes now, so a silent issuer is passed over after about a second.

--- a/teaselwall/serverlimits.py
+++ b/teaselwall/serverlimits.py
@@ -10,7 +10,13 @@
 
 import trio
 
-from teaselwall import limitissuers, namedlimits, rendezvous, requestlimits
+from teaselwall import (
+    datagrams,
+    limitissuers,
+    namedlimits,
+    rendezvous,
+    requestlimits,
+)
 from teaselwall.generated import messages
 
 # A permit is used within this time from its asking, or not at all: the issuer may hand
@@ -20,6 +26,7 @@
 # lost.
 ASK_TIMEOUT_MS = 50.0
 MAX_ASK_INTERVAL_MS = 1000.0
+PROBE_INTERVAL_MS = datagrams.PROBE_INTERVAL_MS
 MAX_PER_ASK = 64
 MS_PER_S = 1000.0
 DELEGATES_KEPT_MS = 250.0
@@ -73,6 +80,8 @@
         Questions to issuers so far; the number of the newest.
     questions : dict of int to Question
         Those without an answer, by number, oldest first.
+    probed : set of str
+        Addresses of issuers that left a question without an answer.
     delegates : rendezvous.Candidates
         Hosts that issue permits, as of ``delegates_ms``.
     peak : tuple of (int, float)
@@ -90,6 +99,7 @@
         "issuer",
         "n_asked",
         "questions",
+        "probed",
         "delegates",
         "delegates_ms",
         "peak",
@@ -105,6 +115,7 @@
         self.issuer = limitissuers.LimitIssuer(clock)
         self.n_asked = 0
         self.questions = {}
+        self.probed = set()
         self.delegates = rendezvous.Candidates([])
         self.delegates_ms = -math.inf
         self.peak = (0, -math.inf)
@@ -264,8 +275,23 @@
         if not question.answered.is_set():
             limit.refused_until_ms = self.clock.now_ms() + ASK_TIMEOUT_MS
             limit.refused_urgency = urgency
+            self._tell(self._probe, issuer)
         return question
 
+    async def _probe(self, issuer):
+        """Find out soon whether an issuer is silent, so that another one is asked."""
+        if issuer in self.probed:
+            return
+        self.probed.add(issuer)
+        try:
+            while issuer in self.gossip.unanswered:
+                if self.gossip.is_silent(issuer):
+                    return
+                await self.gossip.probe(issuer)
+                await self.clock.sleep_ms(PROBE_INTERVAL_MS)
+        finally:
+            self.probed.discard(issuer)
+
     def _forget_old_questions(self, now_ms):
         """Forget questions whose permits would have lapsed."""
         while self.questions:
