--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -183,9 +183,11 @@
                 return expression.Ok(server)
 
     def _return_ms(self, pool, rest_ms):
-        """Return when a caller comes back that no server of a pool has a place for."""
+        """Return when a caller comes back whom no server of a pool has a place for."""
         fleet = self.server_choices.fleet
         interval_ms = fleet.limits.interval_ms(fleet.serving(pool))
+        if not interval_ms:
+            return rest_ms
         return self.returns.next_ms(pool, rest_ms, interval_ms)
 
     def _reason_to_end(self, call, error, has_begun):
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -103,8 +103,8 @@
     ----------
     options : argparse.Namespace
         ``listen``, ``public``, ``store``, ``id``, ``service``, ``zone``, ``version``
-        and ``crash_part``: a request whose prompt has this part, but not as its last
-        one, ends the process.
+        and ``crash_part``: a request whose prompt has this part ends the process,
+        before the head of its answer if it is the last part.
 
     Attributes
     ----------
@@ -204,9 +204,9 @@
 
     def _crashes(self, headers):
         """Return whether a request ends the server that begins to answer it."""
-        entries = headers.get("prompt-prefix", "").split(",")
-        parts = [entry.partition(":")[0].strip() for entry in entries]
-        return bool(self.options.crash_part) and self.options.crash_part in parts[:-1]
+        return bool(self.options.crash_part) and self.options.crash_part in _parts(
+            headers
+        )
 
     async def _run(self, scope, headers, send):
         request = headers["request-id"]
@@ -226,6 +226,8 @@
             leaving=self.server_faults.leaving,
             **self.server_faults.limit_fields(),
         )
+        if self._crashes(headers) and _parts(headers)[-1] == self.options.crash_part:
+            await self._end_process(headers)
         if self.options.service == "engine":
             await self._stream_events(scope, headers, send)
         else:
@@ -260,6 +262,9 @@
     async def _crash(self, headers, send):
         """Send the head of the answer and end this process."""
         await send({"type": "http.response.body", "body": b"", "more_body": True})
+        await self._end_process(headers)
+
+    async def _end_process(self, headers):
         await trio.sleep(CRASH_DELAY_S)
         self._print("crashed", headers)
         os._exit(CRASH_EXIT_CODE)
@@ -335,6 +340,12 @@
                 await trio.sleep(HEARTBEAT_INTERVAL_S)
 
 
+def _parts(headers):
+    """Return the ids of the parts of a request's prompt."""
+    entries = headers.get("prompt-prefix", "").split(",")
+    return [entry.partition(":")[0].strip() for entry in entries]
+
+
 def print_record(**fields):
     """Print one line and flush it, so that it is not lost if this process is killed."""
     fields.setdefault("at_s", time.monotonic())
--- a/teaselwall/tools/soak_callers.py
+++ b/teaselwall/tools/soak_callers.py
@@ -131,6 +131,17 @@
         await self.send(request, stream)
         await trio.aclose_forcefully(stream)
 
+    async def send_crashing_content(self, host, key):
+        """Send a request that ends its server, the same one each time."""
+        stream = await connect(host.callers)
+        if stream is None:
+            return
+        request = self.new_request("resume", key, host)
+        request.content = "same"
+        request.parts = (FIRST_PARTS[0], "s0", soak_checks.CRASH_PART)
+        await self.send(request, stream)
+        await trio.aclose_forcefully(stream)
+
     def new_request(self, kind, key, host):
         """Return a request with an id of its own and add it to those sent."""
         request = soak_checks.Request(
@@ -162,7 +173,7 @@
                 headers["Resumes"] = request.origin.id
             if request.n_events == LONG_EVENTS:
                 query = f"?events={LONG_EVENTS}&interval_ms={LONG_INTERVAL_MS}"
-        head = f"POST /{request.kind}/{request.id}{query}"
+        head = f"POST /{request.kind}/{request.content or request.id}{query}"
         return await exchange(stream, request, head, headers, limit_s)
 
 
--- a/teaselwall/tools/soak_checks.py
+++ b/teaselwall/tools/soak_checks.py
@@ -18,8 +18,8 @@
 REPEATABLE_KINDS = ("safe", "resume")
 # Number of events of a stream whose caller asks for no other.
 N_EVENTS = 6
-# A server that begins to answer a request ends if this is a part of its prompt, other
-# than the last one.
+# A server that begins to answer a request ends if this is a part of its prompt; if it
+# is the last one, the server ends before the head of the answer.
 CRASH_PART = "c0de"
 
 
@@ -50,6 +50,8 @@
         Whether the caller gave up.
     parts : tuple of str
         Parts of its prompt.
+    content : str
+        Name in its path, if other requests are the same but for their id.
     n_events : int
         Number of events of a stream that it asks for.
     origin : Request or None
@@ -68,6 +70,7 @@
     written_s: float = 0.0
     timed_out: bool = False
     parts: tuple = ()
+    content: str = ""
     n_events: int = N_EVENTS
     origin: object = None
 
@@ -95,7 +98,7 @@
     @property
     def crashes(self):
         """Return whether a server that begins to answer this request ends."""
-        return CRASH_PART in self.parts[:-1]
+        return CRASH_PART in self.parts
 
 
 def read_records(servers):
--- a/teaselwall/tools/soak_crashes.py
+++ b/teaselwall/tools/soak_crashes.py
@@ -2,8 +2,10 @@
 
 from teaselwall.tools import soak_checks
 
-# The promises hold from the end of this many servers on.
+# The promises hold from the end of this many servers on: ends by requests that share a
+# part, or by the same content.
 N_ENDS = 5
+N_CONTENT_ENDS = 3
 # A host counts if nothing disturbed it for this long.
 CALM_S = 3.0
 # This long after that end, hosts let no more such requests through, but for a few.
@@ -31,31 +33,19 @@
         From ``soak_checks.read_records``.
     disturbances : soak_losses.Disturbances
     """
-    ends_s = end_times_s(records)
-    if len(ends_s) < N_ENDS:
-        return []
-    by_id = {request.id: request for request in requests}
     crashing = [request for request in requests if request.crashes]
-    from_s = ends_s[N_ENDS - 1] + BLOCK_DELAY_S
-    late = [
-        record["arrived"]
-        for record in records
-        if "arrived" in record
-        and record["at_s"] > from_s
-        and not disturbances.touch(
-            by_id[record["arrived"]].host, record["at_s"] - CALM_S, record["at_s"]
-        )
-    ]
-    violations = []
-    if len(late) > MAX_LATE_ARRIVALS:
-        violations.append(
-            f"{len(late)} requests that end servers reached servers over "
-            f"{BLOCK_DELAY_S} s after {N_ENDS} of {len(ends_s)} ends: {late[:9]}"
-        )
+    contents = [request for request in crashing if request.content]
+    parts = [request for request in crashing if not request.content]
+    violations = _check_arrivals(contents, N_CONTENT_ENDS, records, disturbances)
+    violations += _check_arrivals(parts, N_ENDS, records, disturbances)
+    ends_s = end_times_s(records)
+    n_ends = N_ENDS if parts else N_CONTENT_ENDS
+    if len(ends_s) < n_ends:
+        return violations
     sound = [
         r for r in requests if not r.crashes and r.kind in soak_checks.STREAM_KINDS
     ]
-    recovered_s = ends_s[N_ENDS - 1] + RECOVERY_DELAY_S
+    recovered_s = ends_s[n_ends - 1] + RECOVERY_DELAY_S
     before = [r for r in sound if r.sent_s < crashing[0].sent_s]
     after = [r for r in sound if r.sent_s > recovered_s and r.ended_s]
     for what, value_of in (("key", _key), ("first part", _first_part)):
@@ -68,6 +58,30 @@
     return violations
 
 
+def _check_arrivals(crashing, n_ends, records, disturbances):
+    """Check how many requests of one kind reach servers after several ends."""
+    by_id = {request.id: request for request in crashing}
+    ends_s = end_times_s(r for r in records if r.get("crashed") in by_id)
+    if len(ends_s) < n_ends:
+        return []
+    from_s = ends_s[n_ends - 1] + BLOCK_DELAY_S
+    late = [
+        record["arrived"]
+        for record in records
+        if record.get("arrived") in by_id
+        and record["at_s"] > from_s
+        and not disturbances.touch(
+            by_id[record["arrived"]].host, record["at_s"] - CALM_S, record["at_s"]
+        )
+    ]
+    if len(late) <= MAX_LATE_ARRIVALS:
+        return []
+    return [
+        f"{len(late)} requests that end servers reached servers over "
+        f"{BLOCK_DELAY_S} s after {n_ends} of {len(ends_s)} ends: {late[:9]}"
+    ]
+
+
 def _key(request):
     return request.key
 
--- a/teaselwall/tools/soak_faults.py
+++ b/teaselwall/tools/soak_faults.py
@@ -55,7 +55,7 @@
             fleet, callers, self.targets, self.store.change_routes
         )
         self.kinds = (*hosts.kinds(), *self.servers.kinds(), *self.store.kinds())
-        self.optional_kinds = (self.servers.crash_servers,)
+        self.optional_kinds = (self.servers.crash_servers, self.servers.crash_contents)
         self.played = ()
 
     def restrict(self, only, also):
--- a/teaselwall/tools/soak_serverfaults.py
+++ b/teaselwall/tools/soak_serverfaults.py
@@ -123,13 +123,20 @@
 
     async def crash_servers(self):
         """Send requests with a part that ends servers, at any host."""
+        await self._crash_servers(self.callers.send_crashing)
+
+    async def crash_contents(self):
+        """Send one request that ends servers again and again, at any host."""
+        await self._crash_servers(self.callers.send_crashing_content)
+
+    async def _crash_servers(self, send):
         await trio.sleep(CRASH_BASELINE_S)
         key = self.random.choice(self.callers.valid_keys())
         until_s = time.monotonic() + MAX_CRASH_S
         async with trio.open_nursery() as nursery:
             while time.monotonic() < until_s:
                 host = self.random.choice(self.fleet.hosts)
-                nursery.start_soon(self.callers.send_crashing, host, key)
+                nursery.start_soon(send, host, key)
                 ends_s = soak_crashes.end_times_s(self.fleet.records())
                 if len(ends_s) >= soak_crashes.N_ENDS:
                     last_s = ends_s[soak_crashes.N_ENDS - 1] + CRASH_AFTER_S
