Tell of a server's limit in views only for 5 s after a change

What callers could see: nothing; each exchange of views named up to 32 limits, ended ones too, for good: about 1.4 KB, four times every 250 ms, where control has 4 KB a second. A host that missed the news learns from its own replies or from the answer of an issuer. The new test fails without it.

--- a/teaselwall/namedlimits.py
+++ b/teaselwall/namedlimits.py
@@ -14,11 +14,12 @@
 
 # Servers whose limits are kept, ended ones included.
 MAX_LIMITS = 4096
-# Limits named in each exchange of views, newest first.
+# Limits named in each exchange of views, newest first, and for how long after a change.
 MAX_NOTICES = 32
+TOLD_MS = 5000.0
 NO_LIMIT = -1.0
 # Below the urgency of every request: nothing was refused.
-MOST_URGENCY = -100
+MOST_URGENT = -100
 
 
 class Limit:
@@ -62,7 +63,7 @@
         self.known_ms = -math.inf
         self.permits_ms = collections.deque()
         self.refused_until_ms = -math.inf
-        self.refused_urgency = MOST_URGENCY
+        self.refused_urgency = MOST_URGENT
         self.expected_ms = -math.inf
 
     @property
@@ -177,8 +178,9 @@
 
     def notices(self):
         """Return the limits that changed last, for exchanges with other hosts."""
+        since_ms = self.clock.now_ms() - TOLD_MS
         newest = list(self.by_server.values())[-MAX_NOTICES:]
-        return [limit.notice() for limit in newest]
+        return [limit.notice() for limit in newest if limit.known_ms > since_ms]
 
 
 def _is_stricter(rate_per_s, limit):
--- a/teaselwall/tests/test_limitsharing.py
+++ b/teaselwall/tests/test_limitsharing.py
@@ -125,6 +125,17 @@
     assert named.find("s").rate_per_s == 1.0
 
 
+def test_limits_are_told_for_a_while_after_a_change(named):
+    """Views would grow with each server that ever named a limit."""
+    named.clock.at_ms = 1000.0
+    named.record("s", 1.0, 0.0)
+    assert len(named.notices()) == 1
+    named.clock.at_ms += namedlimits.TOLD_MS
+    assert not named.notices()
+    named.record("s", None, named.clock.at_ms)
+    assert len(named.notices()) == 1
+
+
 def test_memory_is_bounded(named):
     for number in range(2 * namedlimits.MAX_LIMITS):
         named.record(f"s{number}", 1.0, 0.0)
