Hand out a server's limit only on the host that takes itself for its issuer

What callers could see: with views that differ, two hosts handed out the same limit to those that asked them, and views that go back and forth added what each had saved. Class: a role that is held by whoever is asked. A host that is not the issuer by its own view refuses, forgets what it has in hand and probes the one it takes for it, so that a silent issuer is replaced although only the asker knew. The three new tests fail without these.

--- a/teaselwall/limitissuers.py
+++ b/teaselwall/limitissuers.py
@@ -119,6 +119,10 @@
         self.clock = clock
         self.queues = collections.OrderedDict()
 
+    def forget(self, server):
+        """Start with nothing in hand when asked for a server again."""
+        self.queues.pop(server, None)
+
     def request(self, server, host, n_waiting, urgency, rate_per_s):
         """Take a permit for a request of a host.
 
--- a/teaselwall/serverlimits.py
+++ b/teaselwall/serverlimits.py
@@ -166,7 +166,13 @@
     def _answer(self, asker, limit, ask):
         """Return whether a host gets a permit, or when to ask again."""
         wait_ms = 0.0
-        if limit.is_named:
+        issuer = self._issuer_of(limit.server)
+        if limit.is_named and issuer != self.membership.me.address:
+            # Another host hands out the same limit, or the asker has found it silent.
+            self.issuer.forget(limit.server)
+            self._tell(self._probe, issuer)
+            wait_ms = ASK_TIMEOUT_MS
+        elif limit.is_named:
             wait_ms = self.issuer.request(
                 limit.server, asker, ask.n_waiting, ask.urgency, self._rate(limit)
             )
@@ -263,9 +269,9 @@
             n_waiting=min(n_waiting, MAX_PER_ASK),
             urgency=urgency,
         )
-        issuer, me = self._issuer_of(limit.server), self.membership.me.address
-        if issuer == me:
-            self._record_grant(self._answer(me, limit, ask))
+        issuer = self._issuer_of(limit.server)
+        if issuer == self.membership.me.address:
+            self._record_grant(self._answer(issuer, limit, ask))
             return question
         await self.gossip.tell(issuer, limit_asks=[ask])
         await self.gossip.probe(issuer)
@@ -284,6 +290,8 @@
             return
         self.probed.add(issuer)
         try:
+            await self.gossip.probe(issuer)
+            await self.clock.sleep_ms(PROBE_INTERVAL_MS)
             while issuer in self.gossip.unanswered:
                 if self.gossip.is_silent(issuer):
                     return
--- a/teaselwall/tests/test_limitsharing.py
+++ b/teaselwall/tests/test_limitsharing.py
@@ -232,6 +232,58 @@
     assert host.server_limits.notices() or not version
 
 
+# Guards against two hosts that hand out the same limit.
+async def test_host_that_is_not_the_issuer_hands_out_nothing(
+    autojump_clock, fleet, host, server
+):
+    host.server_limits.record(server, 4.0, 0.0)
+    await trio.sleep(0.05)
+    issuer = host.server_limits._issuer_of(server.incarnation)
+    asker, other = [h for h in fleet.hosts if h.membership.me.address != issuer][:2]
+    asker.server_limits._issuer_of = lambda server: other.membership.me.address
+    with trio.move_on_after(5.0):
+        while True:
+            assert not await asker.server_limits.obtain(server, 0, 1)
+            await trio.sleep(0.1)
+
+
+async def test_host_that_is_asked_in_place_of_a_silent_issuer_becomes_it(
+    autojump_clock, fleet, host, server
+):
+    """Only the host that asked knew that the issuer had ended."""
+    host.server_limits.record(server, 4.0, 0.0)
+    await trio.sleep(0.05)
+    address = host.server_limits._issuer_of(server.incarnation)
+    gone = next(h for h in fleet.hosts if h.membership.me.address == address)
+    fleet.forget(gone)
+    for member in fleet.hosts:
+        member.membership.dead_after_ms = 60_000.0
+    asker = fleet.hosts[0]
+    n_obtained = 0
+    for _ in range(40):
+        n_obtained += await asker.server_limits.obtain(server, 0, 1)
+        await trio.sleep(0.1)
+    assert n_obtained > 3
+
+
+async def test_issuer_that_lost_the_role_starts_with_nothing_again(
+    autojump_clock, fleet, host, server
+):
+    """Views that go back and forth would add what it saved to each of its turns."""
+    host.server_limits.record(server, 1.0, 0.0)
+    await trio.sleep(0.05)
+    address = host.server_limits._issuer_of(server.incarnation)
+    issuer = next(h for h in fleet.hosts if h.membership.me.address == address)
+    assert not await issuer.server_limits.obtain(server, 0)
+    await trio.sleep(1.5)
+    find = issuer.server_limits._issuer_of
+    issuer.server_limits._issuer_of = lambda server: "another"
+    asker = next(h for h in fleet.hosts if h is not issuer)
+    assert not await asker.server_limits.obtain(server, 0)
+    issuer.server_limits._issuer_of = find
+    assert not await issuer.server_limits.obtain(server, 0)
+
+
 async def test_issuer_that_knows_fewer_hosts_hands_out_its_part(
     autojump_clock, fleet, host, server
 ):
