Hand requests over to hosts with a path, and keep hosts without one out of the directory

Callers saw: at entry hosts that had lost their paths to all backend servers, nearly every request failed, for as long as the cut lasted, while other hosts could have served it.

Cause: a host knew only that single calls had failed. Ejection stops at half of a pool, the directory and the other hosts knew nothing of paths, and nothing carried a request from one entry host to another.

Change: a host counts failed connections to each server, probes the server and a few others of each pool, and sends nothing where they keep failing (serverpaths). It tells the others in its member row which pools it reaches no server of. Requests for such a pool go to a host that reaches it, once, over the peers' listener, with what was already tried (handovers); that host does all that a caller's request needs. The directory leaves out hosts that reach no pool. It works whatever the cause of the failures is, as nothing has to be decided about whose fault they are.

RequestAttempt is split from ServerAttempt so that both kinds of attempt relay replies with the same code; Member and Announcements moved to modules of their own.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -47,6 +47,10 @@
         at one of them; None while it may go to any.
     doubted : servers.Server or None
         Server that began the stream, while its software version is not certain.
+    handover : messages.Handover or None
+        What the entry host said that handed the request over to this one.
+    n_handovers : int
+        How often the request has been handed over to other entry hosts.
     """
 
     __slots__ = (
@@ -68,6 +72,8 @@
         "on_trial",
         "software",
         "doubted",
+        "handover",
+        "n_handovers",
         "_suspects",
     )
 
@@ -92,6 +98,8 @@
         self.on_trial = False
         self.software = None
         self.doubted = None
+        self.handover = None
+        self.n_handovers = 0
         self._suspects = None
 
     @property
--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -219,6 +219,8 @@
         if exchange.digest:
             self._record_digest(sender.address, exchange.digest)
         self.membership.merge(exchange)
+        if sender.unreachable and self.fleet is not None:
+            self.fleet.paths.check_soon()
         for release in exchange.released:
             self.on_release(release)
         if exchange.origins:
--- a/teaselwall/directories.py
+++ b/teaselwall/directories.py
@@ -45,7 +45,7 @@
             await responses.send_json(send, {"error": "not found"}, 404)
 
     async def _answer_directory(self, send):
-        found = addresses(self.entry.membership)
+        found = addresses(self.entry.membership, self.entry.fleet.pools_in_use())
         kept_s = self.entry.answer_kept_s()
         if not found:
             await responses.send_json(send, {"error": "no entry host"}, 503)
@@ -53,12 +53,20 @@
         await responses.send_json(send, self.encode(found, kept_s))
 
 
-def addresses(membership):
+def addresses(membership, pools):
     """Return the addresses at which entry hosts serve callers, without duplicates.
 
-    Draining hosts are listed only if there are no others.
+    Draining hosts are listed only if there are no others, and of these, hosts that
+    reach no server at all only if there are no others.
+
+    Parameters
+    ----------
+    membership : membership.Membership
+    pools : set of str
+        Pools that have servers.
     """
     alive = membership.alive()
-    serving = [member for member in alive if not member.draining]
-    found = dict.fromkeys(member.callers for member in serving or alive)
+    serving = [member for member in alive if not member.draining] or alive
+    reaching = [m for m in serving if not (pools and pools <= set(m.unreachable))]
+    found = dict.fromkeys(member.callers for member in reaching or serving)
     return list(found)[:MAX_ADDRESSES]
--- a/teaselwall/duties.py
+++ b/teaselwall/duties.py
@@ -330,11 +330,11 @@
     Parameters
     ----------
     name : str
-    members : list of membership.Member
+    members : list of members.Member
 
     Returns
     -------
-    membership.Member or None
+    members.Member or None
     """
     serving = [member for member in members if not member.draining]
     return max(
--- a/teaselwall/ejections.py
+++ b/teaselwall/ejections.py
@@ -93,6 +93,13 @@
             self._readmit(server)
             server.on_probation = True
 
+    def readmit_reached(self, server):
+        """Readmit a server, on probation, that can be reached again."""
+        server.n_failures = 0
+        if server.ejected:
+            self._readmit(server)
+            server.on_probation = True
+
     def _readmit(self, server):
         """End an ejection and forget the call times that were measured before it.
 
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -1,13 +1,13 @@
 """Assembles the components of an entry host that forwards callers' requests."""
 
 import functools
-import logging
 import secrets
 import time as system_time
 
 import trio
 
 from teaselwall import (
+    announcements,
     clock,
     coldstarts,
     control,
@@ -16,10 +16,10 @@
     datacentregroups,
     datagrams,
     enginechoices,
-    events,
     fleet,
     forwarders,
     gatewayviews,
+    handovers,
     httpclient,
     keyedtopics,
     membership,
@@ -42,13 +42,9 @@
     traces,
 )
 
-logger = logging.getLogger(__name__)
-
 # Readiness, expired registrations and ejections are updated four times between two
 # readiness checks, which are a second apart.
 UPDATE_INTERVAL_MS = 250.0
-# Pause between attempts to write this host's address to the store.
-ANNOUNCE_RETRY_MS = 1000.0
 # Access keys are accepted up to an age of this share of ``revocation_ms``, the time
 # within which a removed key must be refused. The rest of that time covers reading a
 # request.
@@ -88,10 +84,10 @@
         Limits of requests that servers name.
     stop : stops.Stop or None
         None until the process runs its listeners.
-    members_known : bool
-        Whether this host has written its address to the store and read the others.
-    address_lost : trio.Event
-        Set when the store may have lost this host's address.
+    announcements : announcements.Announcements
+        Writes this host's address to the store and finds the other hosts.
+    handovers : handovers.Handovers
+        Hands requests over to hosts that reach servers which this one does not.
     """
 
     __slots__ = (
@@ -123,8 +119,8 @@
         "coordination",
         "crash_guard",
         "stop",
-        "members_known",
-        "address_lost",
+        "announcements",
+        "handovers",
     )
 
     def __init__(self, settings, platform, time=None):
@@ -138,14 +134,13 @@
         self.control = control.Control(settings.access)
         self.peers = peers.Peers(self.transport, settings.access.peer_key)
         self.stop = None
-        self.members_known = False
-        self.address_lost = trio.Event()
         self._add_membership()
         self._add_store()
         self._add_servers()
         self._add_stages()
         self._add_crash_guard()
         self._add_forwarder()
+        self._add_handovers()
         gatewayviews.GatewayViews(self).register(self.control)
 
     def _add_membership(self):
@@ -162,7 +157,7 @@
         self.gossip = datagrams.DatagramGossip(self.clock, self.membership)
 
     def _add_store(self):
-        settings = self.settings.store
+        settings = self.settings
         self.store = self.platform.store(self.transport)
         self.shared_reads = sharedreads.SharedReads(
             self.clock, self.store, self.membership, self.peers
@@ -175,9 +170,20 @@
         )
         self.operator_state.on_data_centre_return = self._record_data_centre_return
         self.orders = self._follower(
-            self.platform.orders_topic, self.operator_state, settings.watch_ms, 0.0
+            self.platform.orders_topic,
+            self.operator_state,
+            settings.store.watch_ms,
+            0.0,
         )
-        self.orders.on_restore = self._announce_again
+        self.announcements = announcements.Announcements(
+            self.clock,
+            self.store,
+            self.membership,
+            self.gossip,
+            self.platform.members_topic,
+            settings.host.name,
+        )
+        self.orders.on_restore = self.announcements.repeat
 
     def _follower(self, topic, listener, wait_ms, pause_ms):
         follower = keyedtopics.TopicFollower(
@@ -197,6 +203,7 @@
             self.clock, self.membership, self.gossip, self.n_hosts
         )
         self.fleet.limits = self.server_limits
+        self.fleet.filters.append(self.fleet.paths.has_path)
         self.gossip.fleet = self.fleet
         self.gossip.server_limits = self.server_limits
         self.server_registry = serverregistry.ServerRegistry(
@@ -279,6 +286,18 @@
             self.stream_versions,
         )
 
+    def _add_handovers(self):
+        self.handovers = handovers.Handovers(
+            self.clock,
+            self.transport,
+            self.protocol,
+            self.membership,
+            self.gossip,
+            self.settings.access.peer_key,
+            self.settings.regions,
+            self.metrics,
+        )
+
     def n_hosts(self):
         """Return the number of entry hosts, at least 1."""
         return max(1, len(self.membership.alive()), self.membership.n_hosts())
@@ -322,7 +341,19 @@
             nursery.start_soon(self.crash_guard.run)
             nursery.start_soon(self.server_limits.run)
             nursery.start_soon(self._update_derived_state)
-            nursery.start_soon(self._join_members)
+            nursery.start_soon(self.announcements.run)
+            nursery.start_soon(self.fleet.paths.run)
+            nursery.start_soon(self._tell_changed_paths)
+
+    async def _tell_changed_paths(self):
+        """Tell the other hosts at once which pools this one no longer reaches."""
+        paths = self.fleet.paths
+        while True:
+            await paths.changed.wait()
+            paths.changed = trio.Event()
+            self.membership.me.unreachable = sorted(paths.unreachable)
+            self.membership.advance_heartbeat()
+            await self.gossip.tell_all()
 
     async def _update_derived_state(self):
         """Periodically update the state that changes with time alone."""
@@ -340,37 +371,6 @@
             )
             await self.clock.sleep_ms(UPDATE_INTERVAL_MS)
 
-    async def _join_members(self):
-        """Write this host's address to the store and contact the hosts listed there.
-
-        This is done again each time the store was restored from an older copy.
-        """
-        topic = self.platform.members_topic
-        me = self.membership.me
-        while True:
-            self.address_lost = trio.Event()
-            written = await self.store.put(
-                topic, me.address, self.settings.host.name.encode()
-            )
-            found = await self.store.newest(topic)
-            if written.is_ok() and found.is_ok():
-                self.members_known = True
-                addresses = [r.key for r in found.ok.records if r.key != me.address]
-                await self._exchange_with(addresses)
-                await self.address_lost.wait()
-            else:
-                await self.clock.sleep_ms(ANNOUNCE_RETRY_MS)
-
-    def _announce_again(self):
-        """Have this host's address written again, as the store was restored."""
-        self.address_lost.set()
-
-    async def _exchange_with(self, addresses):
-        events.log(logger, logging.INFO, "members_read", n_members=len(addresses))
-        async with trio.open_nursery() as nursery:
-            for address in addresses:
-                nursery.start_soon(self.gossip.exchange, address)
-
     def _record_data_centre_return(self, data_centre):
         returned = [
             s for s in self.fleet.servers_in_use() if s.data_centre == data_centre
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -16,6 +16,7 @@
     entry,
     events,
     gateway,
+    handovers,
     httpserver,
     logsinks,
     settings,
@@ -158,7 +159,9 @@
         listen.readiness: directory_application,
         listen.directory: directory_application,
         listen.metrics: directory_application,
-        listen.peers: host.control,
+        listen.peers: handovers.PeerApplication(
+            host.control, gateway_application, host.settings.access.peer_key
+        ),
     }
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -2,7 +2,15 @@
 
 import logging
 
-from teaselwall import ejections, events, protocols, requestlimits, rings, servers
+from teaselwall import (
+    ejections,
+    events,
+    protocols,
+    requestlimits,
+    rings,
+    serverpaths,
+    servers,
+)
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -56,6 +64,8 @@
     leaving : dict of str to float
         Incarnations that have said that they leave, with the time on the clock at which
         this host learned it; oldest first. The host list may still show them as live.
+    paths : serverpaths.ServerPaths
+        Servers that this host can't open connections to.
     """
 
     __slots__ = (
@@ -75,6 +85,7 @@
         "list_received",
         "limits",
         "leaving",
+        "paths",
     )
 
     def __init__(self, clock, host_list, state, interval_ms, timeout_ms, subsets=None):
@@ -94,6 +105,7 @@
         self.list_received = False
         self.limits = requestlimits.NoLimits()
         self.leaving = {}
+        self.paths = serverpaths.ServerPaths(clock, self)
 
     def record_notice(self, server, notice, sent_ms):
         """Record what a server said about itself in a reply.
@@ -210,6 +222,10 @@
         """Return the servers of a pool that are in service, ejected or not."""
         return [s for s in self.by_pool.get(pool, {}).values() if self.in_service(s)]
 
+    def pools_in_use(self):
+        """Return the names of the pools with servers in service."""
+        return {pool for pool in self.by_pool if self.serving(pool)}
+
     def _current_window(self, ring, prefix):
         """Return a window of a ring with restarted servers replaced."""
         window = ring.window(prefix)
--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -6,7 +6,14 @@
 
 import expression
 
-from teaselwall import errors, events, returntimes, serverattempts, serverchoices
+from teaselwall import (
+    errors,
+    events,
+    requestattempts,
+    returntimes,
+    serverchoices,
+    serverpaths,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -162,6 +169,9 @@
         waiting = self.n_waiting[call.pool.name]
         urgency = serverchoices.urgency_of(call)
         while True:
+            if call.pool.name in self.server_choices.fleet.paths.unreachable:
+                detail = f"This host reaches no server of pool {call.pool.name}."
+                return expression.Error(serverpaths.NoPath(detail))
             refusal = self.stream_versions.refusal(call)
             if refusal is not None and not has_begun:
                 return expression.Error(refusal)
@@ -192,7 +202,7 @@
 
     def _reason_to_end(self, call, error, has_begun):
         """Return why a failed request is not sent again; empty if it is."""
-        if isinstance(error, serverattempts.InputsGone):
+        if isinstance(error, requestattempts.InputsGone):
             return "inputs_gone"
         if call.n_sent >= MAX_SENDS:
             return "sends"
@@ -200,7 +210,7 @@
             return "deadline"
         if not call.may_run_again():
             return "attempts"
-        if isinstance(error, serverattempts.BadAnswer) and error.reply.status < 500:
+        if isinstance(error, requestattempts.BadAnswer) and error.reply.status < 500:
             return "answered"
         if call.n_retries_granted:
             call.n_retries_granted -= 1
@@ -257,14 +267,14 @@
     async def _finish_failed(self, call, reply, error):
         """Pass a server's error reply on to the caller, or return the error."""
         ran = error.outcome is not errors.Outcome.NOT_RUN
-        is_answer = isinstance(error, serverattempts.BadAnswer)
+        is_answer = isinstance(error, requestattempts.BadAnswer)
         if is_answer and ran and not reply.started:
             await reply.send_whole(error.reply.status, error.reply.headers, error.body)
             return expression.Ok(None)
         return self._error_result(call, error)
 
     def _error_result(self, call, error):
-        if isinstance(error, serverattempts.InputsGone) and call.may_run_again():
+        if isinstance(error, requestattempts.InputsGone) and call.may_run_again():
             # The gateway runs the stages again.
             return expression.Error(error)
         return expression.Error(call.overall_error(error))
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -8,12 +8,14 @@
 from teaselwall import (
     calls,
     clock,
+    crashguard,
     errors,
     events,
+    handovers,
     replies,
+    requestattempts,
     responses,
     routes,
-    serverattempts,
     serverchoices,
     traces,
 )
@@ -79,7 +81,8 @@
         self._add_in_flight(1)
         try:
             head = self.entry.protocol.read_request(scope)
-            await self._serve(head, receive, reply)
+            handover = scope.get(handovers.SCOPE_KEY)
+            await self._serve(head, receive, reply, handover)
         except errors.Error as error:
             await self._send_error(head, reply, error)
         except replies.AnswerBroken:
@@ -135,13 +138,15 @@
         table = self.entry.operator_state.table
         return table.version if table is not None else None
 
-    async def _serve(self, head, receive, reply):
+    async def _serve(self, head, receive, reply, handover):
         started_ms = self.entry.clock.now_ms()
         if self.n_in_flight > self.entry.settings.limits.max_requests_in_flight:
             detail = "This entry host has reached its limit of requests in flight."
             raise errors.Overloaded(detail, retry_after_ms=RETRY_AFTER_MS)
         body = await self._read_body(receive)
         call = self._match(head, body, started_ms)
+        if handover is not None:
+            handovers.accept(call, handover)
         refused = self.entry.crash_guard.refusal(call)
         if refused is not None:
             raise refused
@@ -253,7 +258,7 @@
             if bound.is_error():
                 return bound
             for run in range(MAX_STAGE_RUNS):
-                result = await self._run_stages_and_forward(call, reply, run)
+                result = await self._run_or_hand_over(call, reply, run)
                 if not (result.is_error() and _inputs_gone(result.error)):
                     return result
             return expression.Error(call.overall_error(result.error))
@@ -266,6 +271,22 @@
             errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
         )
 
+    async def _run_or_hand_over(self, call, reply, run):
+        """Serve a request here, or have another host do it if this one has no path."""
+        entry, pool = self.entry, call.pool.name
+        if pool not in entry.fleet.paths.unreachable:
+            result = await self._run_stages_and_forward(call, reply, run)
+            is_failed = result.is_error() and pool in entry.fleet.paths.unreachable
+            if not is_failed or isinstance(result.error, crashguard.Suspected):
+                return result
+            if not call.may_run_again():
+                return result
+        if call.handover is not None:
+            detail = f"This host doesn't reach pool {pool} either."
+            error = handovers.NotTaken(detail, retry_after_ms=RETRY_AFTER_MS)
+            return expression.Error(call.overall_error(error))
+        return await entry.handovers.run(call, reply)
+
     async def _run_stages_and_forward(self, call, reply, run):
         if not any(calls.piece_counts(call)):
             return await self.entry.forwarder.run(call, reply, None, _release_nothing)
@@ -287,7 +308,7 @@
         due_ms = call.waiting_since_ms + call.route.target_ms
         return messages.StageJob(
             request=call.head.id,
-            run=run,
+            run=_run_number(call, run),
             key=call.head.stage_key,
             remaining_ms=call.patience_ms() - ENGINE_FIRST_EVENT_MS,
             due_ms=due_ms - ENGINE_FIRST_EVENT_MS - now_ms,
@@ -343,6 +364,15 @@
         cancel_scope.cancel()
 
 
+def _run_number(call, run):
+    """Return the number of a run of the stages, different on each host that runs them.
+
+    Otherwise a host that releases its own results would release another's.
+    """
+    n_handovers = call.handover.number if call.handover is not None else 0
+    return n_handovers * MAX_STAGE_RUNS + run
+
+
 def _keeps_results(call):
     """Return whether stage results stay for another server that takes over."""
     n_bytes = serverchoices.n_input_bytes(call)
@@ -350,7 +380,7 @@
 
 
 def _inputs_gone(error):
-    return isinstance(error, serverattempts.InputsGone)
+    return isinstance(error, requestattempts.InputsGone)
 
 
 def _release_nothing():
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from teaselwall import members
 from teaselwall.generated import messages
 
 N_DELEGATES = 3
@@ -24,99 +25,6 @@
 REMOVAL_FACTOR = 10
 
 
-class Member:
-    """One entry host process.
-
-    Parameters
-    ----------
-    row : messages.MemberRow
-    seen_ms : float
-        When its heartbeat last advanced, on this host's clock.
-
-    Attributes
-    ----------
-    address : str
-        Address for peers.
-    callers : str
-        Address for callers.
-    nonce : str
-        Distinguishes two processes at one address.
-    heartbeat : int
-        Counter that the process increments in each round of exchanges.
-    draining : bool
-        Whether the member should get no new requests.
-    n_requests : int
-        Requests in flight as last reported.
-    n_cores : float
-        Processor speed in reference cores.
-    backlog_ms : int
-        Expected time that the stage work queued on the member takes.
-    """
-
-    __slots__ = (
-        "address",
-        "callers",
-        "data_centre",
-        "nonce",
-        "heartbeat",
-        "draining",
-        "n_requests",
-        "n_cores",
-        "backlog_ms",
-        "seen_ms",
-    )
-
-    def __init__(self, row, seen_ms):
-        self.address = row.address
-        self.callers = row.callers
-        self.data_centre = row.data_centre
-        self.nonce = row.nonce
-        self.heartbeat = row.heartbeat
-        self.draining = row.draining
-        self.n_requests = row.n_requests
-        self.n_cores = row.n_cores
-        self.backlog_ms = row.backlog_ms
-        self.seen_ms = seen_ms
-
-    def row(self):
-        """Return the member as a message row."""
-        return messages.MemberRow(
-            address=self.address,
-            callers=self.callers,
-            data_centre=self.data_centre,
-            nonce=self.nonce,
-            heartbeat=self.heartbeat,
-            draining=self.draining,
-            n_requests=self.n_requests,
-            n_cores=self.n_cores,
-            backlog_ms=self.backlog_ms,
-        )
-
-
-class Summary:
-    """Summary of one data centre, as its hosts exchange it with the others.
-
-    Parameters
-    ----------
-    counter : int
-        Grows with each new version; of two summaries the higher counter wins.
-    members : list of Member
-        Delegates of the data centre.
-    n_members : int
-        Members of the data centre that are not draining.
-    seen_ms : float
-        When the counter last advanced, on this host's clock.
-    """
-
-    __slots__ = ("counter", "members", "n_members", "seen_ms")
-
-    def __init__(self, counter, members, n_members, seen_ms):
-        self.counter = counter
-        self.members = members
-        self.n_members = n_members
-        self.seen_ms = seen_ms
-
-
 class Membership:
     """Membership view of this host.
 
@@ -131,11 +39,11 @@
 
     Attributes
     ----------
-    me : Member
+    me : members.Member
         This host.
-    members_by_nonce : dict of str to Member
+    members_by_nonce : dict of str to members.Member
         Members of this data centre by nonce, dead ones included for a while.
-    summaries : dict of str to Summary
+    summaries : dict of str to members.Summary
         By data centre, this one included.
     dead_after_ms : float
         A member whose heartbeat has not advanced for this long counts as dead.
@@ -161,7 +69,7 @@
             nonce=nonce or secrets.token_hex(NONCE_BYTES),
             heartbeat=0,
         )
-        self.me = Member(row, 0)
+        self.me = members.Member(row, 0)
         self.members_by_nonce = {self.me.nonce: self.me}
         self.summaries = {}
         self.dead_after_ms = settings.membership.dead_after_ms
@@ -184,8 +92,8 @@
     def neighbours(self):
         """Return the live members of this data centre, this host included."""
         since_ms = self.clock.now_ms() - self.dead_after_ms
-        members = self.members_by_nonce.values()
-        return [m for m in members if m is self.me or m.seen_ms > since_ms]
+        known = self.members_by_nonce.values()
+        return [m for m in known if m is self.me or m.seen_ms > since_ms]
 
     def remote_delegates(self):
         """Return the known live members of the other data centres."""
@@ -296,13 +204,9 @@
             return
         known = self.members_by_nonce.get(row.nonce)
         if known is None:
-            self.members_by_nonce[row.nonce] = Member(row, self.clock.now_ms())
+            self.members_by_nonce[row.nonce] = members.Member(row, self.clock.now_ms())
         elif row.heartbeat > known.heartbeat:
-            known.heartbeat = row.heartbeat
-            known.draining = row.draining
-            known.n_requests = row.n_requests
-            known.backlog_ms = row.backlog_ms
-            known.seen_ms = self.clock.now_ms()
+            known.update(row, self.clock.now_ms())
 
     def _merge_sender(self, row, leaving):
         """Merge the sender's own row and count other processes at its address as dead.
@@ -310,6 +214,7 @@
         A sender that is leaving counts as dead itself.
         """
         if row.data_centre != self.me.data_centre:
+            self._update_delegate(row)
             return
         self._merge_row(row)
         for nonce, member in list(self.members_by_nonce.items()):
@@ -318,6 +223,13 @@
             if leaving or nonce != row.nonce:
                 member.seen_ms = self.clock.now_ms() - self.dead_after_ms
 
+    def _update_delegate(self, row):
+        """Take over what a delegate of another data centre says about itself."""
+        summary = self.summaries.get(row.data_centre)
+        for member in summary.members if summary is not None else ():
+            if member.nonce == row.nonce and row.heartbeat > member.heartbeat:
+                member.update(row, member.seen_ms)
+
     def _merge_summary(self, row):
         known = self.summaries.get(row.data_centre)
         if known is not None and known.counter >= row.counter:
@@ -325,9 +237,11 @@
         if row.data_centre == self.me.data_centre:
             self._add_unknown_neighbours(row.members)
         now_ms = self.clock.now_ms()
-        members = [Member(member, now_ms) for member in row.members[:N_DELEGATES]]
-        self.summaries[row.data_centre] = Summary(
-            row.counter, members, row.n_members, now_ms
+        found = [members.Member(member, now_ms) for member in row.members[:N_DELEGATES]]
+        if known is not None:
+            _keep_newer(found, known.members)
+        self.summaries[row.data_centre] = members.Summary(
+            row.counter, found, row.n_members, now_ms
         )
 
     def _add_unknown_neighbours(self, rows):
@@ -347,15 +261,15 @@
     def _issue_summary(self):
         known = self.summaries.get(self.me.data_centre)
         neighbours = self.neighbours()
-        members = delegates_of(neighbours)
+        delegates = delegates_of(neighbours)
         n_members = sum(not member.draining for member in neighbours)
-        if known is not None and not self._is_summary_due(known, members, n_members):
+        if known is not None and not self._is_summary_due(known, delegates, n_members):
             return
         counter = known.counter if known is not None else 0
         counter += self._counter_step()
         now_ms = self.clock.now_ms()
-        copies = [Member(member.row(), now_ms) for member in members]
-        self.summaries[self.me.data_centre] = Summary(
+        copies = [members.Member(member.row(), now_ms) for member in delegates]
+        self.summaries[self.me.data_centre] = members.Summary(
             counter, copies, n_members, now_ms
         )
 
@@ -367,11 +281,11 @@
         """
         return 1 + xxhash.xxh32_intdigest(self.me.nonce.encode()) % N_COUNTER_STEPS
 
-    def _is_summary_due(self, known, members, n_members):
+    def _is_summary_due(self, known, delegates, n_members):
         if n_members != known.n_members:
             return True
-        old = [(member.nonce, member.draining) for member in known.members]
-        new = [(member.nonce, member.draining) for member in members]
+        old = [member.duties() for member in known.members]
+        new = [member.duties() for member in delegates]
         elapsed_ms = self.clock.now_ms() - known.seen_ms
         return old != new or elapsed_ms >= self.summary_interval_ms
 
@@ -383,11 +297,20 @@
                 del self.members_by_nonce[nonce]
 
 
-def delegates_of(members):
+def _keep_newer(found, known):
+    """Keep what members have said themselves since a summary was written."""
+    by_nonce = {member.nonce: member for member in known}
+    for member in found:
+        old = by_nonce.get(member.nonce)
+        if old is not None and old.heartbeat > member.heartbeat:
+            member.update(old, member.seen_ms)
+
+
+def delegates_of(candidates):
     """Return up to ``N_DELEGATES`` members, the same on every host with this view.
 
     The fastest come first, as duties cost processor time, then those that have run
     longest. Draining members stay in the list, so that others learn that they drain.
     """
-    ordered = sorted(members, key=lambda member: (-member.n_cores, member.nonce))
+    ordered = sorted(candidates, key=lambda member: (-member.n_cores, member.nonce))
     return ordered[:N_DELEGATES]
--- a/teaselwall/ownerships.py
+++ b/teaselwall/ownerships.py
@@ -155,7 +155,7 @@
 
     Parameters
     ----------
-    members : list of membership.Member
+    members : list of members.Member
     purpose : object
         Name or number that is hashed with each address.
 
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -8,6 +8,7 @@
 BEARER_PREFIX = "bearer "
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000
+BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE")
 MAX_COUNT_DIGITS = 9
 # Pieces of all stages of one request; each takes memory at the coordinator.
 MAX_PIECES = 10_000
@@ -38,6 +39,7 @@
             n_pieces=_piece_counts(_header_text(by_name, names.PIECES)),
             stage_key=_header_text(by_name, names.PIECE_KEY),
             headers=_forwarded_headers(scope["headers"], names.INTERNAL),
+            received=_forwarded_headers(scope["headers"], names.SET_ANEW),
         )
 
     def request_headers(self, head, attempt):
@@ -53,10 +55,22 @@
             headers.append((names.INPUTS, ",".join(attempt.inputs).encode()))
         if attempt.last_event:
             headers.append((names.LAST_EVENT_ID, attempt.last_event.encode()))
-        if attempt.n_body_bytes or head.method not in (b"GET", b"HEAD", b"DELETE"):
+        if attempt.n_body_bytes or head.method not in BODILESS_METHODS:
             headers.append((b"content-length", b"%d" % attempt.n_body_bytes))
         return headers
 
+    def handover_headers(self, head, handed):
+        """Return the headers for another host; see ``protocols.Protocol``."""
+        headers = list(head.received)
+        headers.append((names.DEADLINE_MS, b"%d" % max(1, handed.remaining_ms)))
+        if handed.last_event:
+            headers.append((names.LAST_EVENT_ID, handed.last_event.encode()))
+        if handed.resumed:
+            headers.append((names.RESUMES, handed.resumed.encode()))
+        if handed.n_body_bytes or head.method not in BODILESS_METHODS:
+            headers.append((b"content-length", b"%d" % handed.n_body_bytes))
+        return headers
+
     def read_reply(self, status, headers, head):
         """Return the head of a reply; see ``protocols.Protocol``."""
         by_name = _by_name(headers)
--- a/teaselwall/platform/names.py
+++ b/teaselwall/platform/names.py
@@ -65,6 +65,8 @@
         b"kv-fetch",
     )
 )
+# Headers that a host sets anew on a request that it hands over to another host.
+SET_ANEW = frozenset((DEADLINE_MS, LAST_EVENT_ID, RESUMES))
 
 
 def instance_id(incarnation):
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -50,6 +50,8 @@
         Identifies the input from which the first stages make their pieces.
     headers : tuple of (bytes, bytes)
         Headers to pass on to the back end.
+    received : tuple of (bytes, bytes)
+        Headers to pass on to another entry host.
     """
 
     id: str
@@ -65,6 +67,7 @@
     n_pieces: tuple
     stage_key: str
     headers: tuple
+    received: tuple = ()
 
     def shared_parts(self):
         """Return the ids of the prompt parts that other requests may share.
@@ -107,6 +110,28 @@
     streams: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class HandedOver:
+    """What changes in a request that another entry host takes over.
+
+    Attributes
+    ----------
+    remaining_ms : float
+        Time left until the request's deadline.
+    last_event : str
+        Id of the last event of its stream that the caller has; empty for none.
+    resumed : str
+        Id of the caller's attempt that brought the stream's first event; empty if there
+        is none.
+    n_body_bytes : int
+    """
+
+    remaining_ms: float
+    last_event: str
+    resumed: str
+    n_body_bytes: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Notice:
     """What a server says about itself in a reply.
@@ -185,6 +210,20 @@
         attempt : Attempt
         """
 
+    @abc.abstractmethod
+    def handover_headers(self, head, handed):
+        """Return the headers of a request for another entry host.
+
+        Parameters
+        ----------
+        head : RequestHead
+        handed : HandedOver
+
+        Returns
+        -------
+        list of (bytes, bytes)
+        """
+
     @abc.abstractmethod
     def read_reply(self, status, headers, head):
         """Return the ``ReplyHead`` of a back end's reply.
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -319,7 +319,10 @@
         if not await self.fleet.limits.obtain(server, requestlimits.STAGE_URGENCY):
             detail = f"{server.address} takes no more calls for now."
             return expression.Error(errors.Overloaded(detail))
-        return await self.client.run(server, items, state.timeout_ms(len(items)))
+        started_ms = self.clock.now_ms()
+        result = await self.client.run(server, items, state.timeout_ms(len(items)))
+        self.fleet.paths.record_call(server, result, started_ms)
+        return result
 
     async def _hedge(self, state, batch):
         """Queue pieces for a second attempt if their call is slower than expected."""
--- a/teaselwall/submissions.py
+++ b/teaselwall/submissions.py
@@ -33,7 +33,7 @@
 
     Attributes
     ----------
-    coordinator : membership.Member
+    coordinator : members.Member
     lost_ms : float or None
         Since when the coordinator has seemed lost.
     """
@@ -61,11 +61,11 @@
     ----------
     calls : list of Call
         Calls in progress.
-    asked : list of membership.Member
+    asked : list of members.Member
         Coordinators of all calls so far.
     results : messages.StageResults or None
         The first results.
-    winner : membership.Member or None
+    winner : members.Member or None
         The coordinator that returned them.
     refusal : errors.Error or None
         A coordinator's refusal; after it no other coordinator is asked.
--- a/teaselwall/tests/cut_callers.py
+++ b/teaselwall/tests/cut_callers.py
@@ -87,7 +87,7 @@
 
 def directory_of(host):
     """Return the addresses that a host's directory names."""
-    return directories.addresses(host.membership)
+    return directories.addresses(host.membership, host.fleet.pools_in_use())
 
 
 def check_recovery(outcomes, cut_hosts, began_s, ended_s):
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -2,13 +2,14 @@
 
 import contextlib
 import dataclasses
+import functools
 import random
 
 import expression
 import msgspec
 import trio
 
-from teaselwall import gossip, httpcalls, httpclient, stagecalls
+from teaselwall import gossip, handovers, httpcalls, httpclient, stagecalls
 from teaselwall.tests import crashing_fleet, platform_entry
 
 DATA_CENTRES = ("a", "b", "c")
@@ -109,7 +110,14 @@
 
     def connect_parts(self, host):
         """Connect the parts of a host that use the network."""
-        self.applications[host.membership.me.address] = host.control
+        address = host.membership.me.address
+        host.fleet.paths.connect = functools.partial(self._probe, address)
+        host.handovers.transport = host.transport
+        self.applications[address] = handovers.PeerApplication(
+            host.control,
+            self.applications[host.membership.me.callers],
+            host.settings.access.peer_key,
+        )
 
     def _run(self, host):
         start = self.nursery.start_soon
@@ -123,6 +131,8 @@
         ):
             start(part.run)
         start(host._update_derived_state)
+        start(host._tell_changed_paths)
+        start(host.fleet.paths.run)
         start(self._keep_current, host)
 
     async def _keep_current(self, host):
@@ -152,6 +162,11 @@
         if cut is not None or server in self.silent:
             await trio.sleep_forever()
 
+    async def _probe(self, host, server):
+        """Open a connection as ``sockets.connect`` does, and return it."""
+        await self.connect(host, server)
+        return NoStream()
+
     async def work(self, host, server, duration_s):
         """Wait for a server's work as seen over an open connection.
 
@@ -169,6 +184,13 @@
                 await trio.sleep_forever()
 
 
+class NoStream:
+    """A connection that is only closed."""
+
+    def close(self):
+        """Do nothing."""
+
+
 class Transport(httpclient.Client):
     """HTTP client of one host, to servers and to the other hosts."""
 
--- a/teaselwall/tests/fakes.py
+++ b/teaselwall/tests/fakes.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from teaselwall import clock, errors, logservice, membership
+from teaselwall import clock, errors, logservice, members
 from teaselwall.generated import messages
 from teaselwall.tools import log
 
@@ -18,7 +18,7 @@
 def member(address, data_centre="a", nonce=""):
     """Return the member that stands for an entry host; its name is its address."""
     row = messages.MemberRow(address, address, data_centre, nonce or address, 0)
-    return membership.Member(row, 0)
+    return members.Member(row, 0)
 
 
 class View:
@@ -26,8 +26,8 @@
 
     Attributes
     ----------
-    me : membership.Member
-    members : dict of str to membership.Member
+    me : members.Member
+    members : dict of str to members.Member
         Members in the view, by address.
     hidden : dict of str to int
         Number of further members by data centre; ``sizes`` counts them, although
--- a/teaselwall/tests/races.py
+++ b/teaselwall/tests/races.py
@@ -12,7 +12,7 @@
     control,
     errors,
     followers,
-    membership,
+    members,
     publications,
     snapshots,
 )
@@ -56,7 +56,7 @@
             nonce=address,
             heartbeat=0,
         )
-        self.me = membership.Member(row, 0)
+        self.me = members.Member(row, 0)
 
     def alive(self):
         """Return the members of all running hosts."""
--- a/teaselwall/tests/test_gateway.py
+++ b/teaselwall/tests/test_gateway.py
@@ -345,9 +345,9 @@
     other = fakes.member("10.0.0.2:1")
     view.members[other.address] = other
     view.me.draining = True
-    assert directories.addresses(view) == ["10.0.0.2:1"]
+    assert directories.addresses(view, {"core"}) == ["10.0.0.2:1"]
     other.draining = True
-    assert directories.addresses(view) == ["10.0.0.1:1", "10.0.0.2:1"]
+    assert directories.addresses(view, {"core"}) == ["10.0.0.1:1", "10.0.0.2:1"]
 
 
 def test_settings_error_names_the_missing_key(tmp_path):
--- a/teaselwall/tools/policies.py
+++ b/teaselwall/tools/policies.py
@@ -145,8 +145,8 @@
 
     Parameters
     ----------
-    me : membership.Member
-    members : list of membership.Member
+    me : members.Member
+    members : list of members.Member
     servers : list of ModelServer
     policy : str
         ``ours`` (admission control, subsets of servers, choice by expected time), or
