Choose a coordinator of the stages that reaches the stage servers

Callers saw: requests with stages were refused with 429 at all hosts, also at those with a path to every server.

Cause: the coordinator is the fastest delegate, and whether it reaches the stage servers had no part in the choice. It took the jobs of all hosts and could run none.

Change: among the candidates, hosts that reach every stage pool go first. The jobs that have not started are handed over as at any change of the role.

--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -123,7 +123,8 @@
             if not self.gossip.is_silent(member.address)
         ]
         # Hosts that start together are all not ready yet, and must agree as well.
-        candidates = [m for m in reachable if not m.draining] or reachable
+        serving = [m for m in reachable if not m.draining] or reachable
+        candidates = [m for m in serving if self._reaches_stages(m)] or serving
         in_group = [m for m in candidates if not group or m.data_centre in group]
         coordinator = min(
             in_group or candidates or [self.membership.me],
@@ -142,6 +143,11 @@
             self.coordinators[group] = coordinator.nonce
         return coordinator
 
+    def _reaches_stages(self, member):
+        """Return whether a member reaches servers of every pool that runs stages."""
+        stage_pools = self.data_centre_groups.stage_pools()
+        return not any(pool in stage_pools for pool in member.unreachable)
+
     def coordinator_for(self, message):
         """Return the coordinator for the stages of a request.
 
