Tell servers that have ended from servers that a host has lost its path to

Callers would have seen sound contents refused as ones that end servers: a host whose connections to a server are reset and then refused took it that the server's process had ended, and reported what was in progress there. Three such moments at one host were enough, also with every server sound.

Cause: the probe after a broken connection asks only the same server over the same path.

Change: a host reports an end only if it reaches another server that is not known to have ended (crashwitnesses); hosts that get a report probe the server themselves and refute it if it takes connections. Ends of servers that nobody reaches are reported as before.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -153,6 +153,21 @@
                 return
             del self.crashes[oldest.server]
 
+    def drop(self, server):
+        """Forget the end of a server that runs; return its suspects.
+
+        Parameters
+        ----------
+        server : str
+            Incarnation.
+
+        Returns
+        -------
+        set of str
+        """
+        crash = self.crashes.pop(server, None)
+        return crash.in_progress() if crash is not None else set()
+
     def answered(self, suspect, begun_ms):
         """Return the crashes that an answer to a suspect exonerates it from.
 
--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -9,6 +9,7 @@
 from teaselwall import (
     crashevidence,
     crashquarantine,
+    crashreports,
     errors,
     events,
     rendezvous,
@@ -17,15 +18,12 @@
 
 logger = logging.getLogger(__name__)
 
-# An answer that began longer ago than this did not end its server.
-BEGUN_MS = 1000.0
 # Time between two looks for answers that have gone on for that long.
 REVIEW_INTERVAL_MS = 250.0
 # Time in which the other requests at a server that ended break off too.
 GATHER_MS = 10.0
 # Time in which the reports of all hosts on a server's end arrive.
 REPORT_MS = 80.0
-MAX_SUSPECTS_PER_REPORT = 128
 MAX_SUSPECTS_LOGGED = 8
 NOT_RUN = errors.Outcome.NOT_RUN
 # Refused suspects named in each exchange of views, newest first.
@@ -41,33 +39,6 @@
     remedy = "Change the input, or ask the operators to lift the quarantine."
 
 
-class RunningAttempt:
-    """One attempt in progress.
-
-    Parameters
-    ----------
-    call : calls.Call
-    server : servers.Server
-    received : progress.AttemptProgress
-
-    Attributes
-    ----------
-    error : errors.Error or None
-        Error that it ended with.
-    is_trial : bool
-        Whether it tries a refused suspect.
-    """
-
-    __slots__ = ("call", "server", "received", "error", "is_trial")
-
-    def __init__(self, call, server, received):
-        self.call = call
-        self.server = server
-        self.received = received
-        self.error = None
-        self.is_trial = call.on_trial
-
-
 class CrashGuard:
     """Watches attempts for servers that end, and refuses what ends them.
 
@@ -77,7 +48,7 @@
     membership : membership.Membership
     gossip : datagrams.DatagramGossip
         Carries the evidence to the other hosts.
-    prober : probes.Prober
+    witness : crashwitnesses.CrashWitness
     archive : quarantinearchive.QuarantineArchive
         Keeps the refused suspects for hosts that start.
 
@@ -85,9 +56,9 @@
     ----------
     evidence : crashevidence.CrashEvidence
     quarantine : crashquarantine.CrashQuarantine
-    running : dict of str to set of RunningAttempt
+    running : dict of str to set of crashreports.RunningAttempt
         Attempts in progress by the incarnation of their server.
-    broken : dict of str to set of RunningAttempt
+    broken : dict of str to set of crashreports.RunningAttempt
         Attempts that broke off at servers that are being probed.
     nursery : trio.Nursery or None
         None before ``run``.
@@ -99,7 +70,7 @@
         "clock",
         "membership",
         "gossip",
-        "prober",
+        "witness",
         "archive",
         "evidence",
         "quarantine",
@@ -109,11 +80,11 @@
         "is_judging",
     )
 
-    def __init__(self, clock, membership, gossip, prober, archive):
+    def __init__(self, clock, membership, gossip, witness, archive):
         self.clock = clock
         self.membership = membership
         self.gossip = gossip
-        self.prober = prober
+        self.witness = witness
         self.archive = archive
         self.evidence = crashevidence.CrashEvidence(clock)
         self.quarantine = crashquarantine.CrashQuarantine(clock)
@@ -165,7 +136,7 @@
 
         If the block is cancelled, nothing is known of the attempt.
         """
-        attempt = RunningAttempt(call, server, received)
+        attempt = crashreports.RunningAttempt(call, server, received)
         running = self.running[server.incarnation]
         running.add(attempt)
         try:
@@ -197,11 +168,11 @@
         """Report a server's end if its process no longer runs."""
         incarnation = server.incarnation
         broken_ms = self.clock.now_ms()
-        crash = await self.prober.find_crash(server)
+        has_ended = await self.witness.has_ended(server, self.evidence.crashes)
         await self.clock.sleep_ms(GATHER_MS)
         attempts = self.broken.pop(incarnation)
         requests = [attempt.call.head.id for attempt in attempts]
-        if not crash:
+        if not has_ended:
             events.log(
                 logger,
                 logging.INFO,
@@ -213,7 +184,7 @@
             )
             return
         attempts |= self.running.get(incarnation, set())
-        report = _report(incarnation, attempts, broken_ms)
+        report = crashreports.report_of(incarnation, attempts, broken_ms)
         self._take_report(report)
         for attempt in attempts:
             if attempt.is_trial:
@@ -310,6 +281,10 @@
         """
         for report in exchange.crashes:
             self._take_report(report)
+            if self.nursery is not None:
+                self.nursery.start_soon(self._check_report, report)
+        for server in exchange.refuted:
+            self._drop(server)
         for clearance in exchange.cleared:
             self.evidence.clear(clearance.suspect, clearance.servers)
         for suspect in exchange.lifted:
@@ -322,6 +297,19 @@
                 self._log("quarantined", notice.suspect, n_events=notice.n_events)
             self.quarantine.record_trials(notice.suspect, notice.n_trials)
 
+    async def _check_report(self, report):
+        """Refute the report of a host that has only lost its path to a server."""
+        if await self.witness.still_runs(report.server):
+            self._drop(report.server)
+            await self.gossip.tell_all(refuted=[report.server])
+
+    def _drop(self, server):
+        """Take back the end of a server that runs, and what it alone convicts."""
+        suspects = self.evidence.drop(server)
+        if suspects:
+            events.log(logger, logging.WARNING, "server_end_refuted", id=server)
+            self._lift_unconvicted(suspects)
+
     def notices(self):
         """Return the newest refused suspects, for exchanges with other hosts."""
         newest = list(self.quarantine.entries.values())[-MAX_NOTICES:]
@@ -345,7 +333,7 @@
         if self.evidence.crashes or self.quarantine.entries:
             for attempt in [a for known in self.running.values() for a in known]:
                 head_ms = attempt.received.head_ms
-                if head_ms is not None and now_ms - head_ms > BEGUN_MS:
+                if head_ms is not None and now_ms - head_ms > crashreports.BEGUN_MS:
                     self._record_answer(attempt)
         for suspect in self.quarantine.drop_unused():
             self._log("quarantine_lifted", suspect, reason="unused")
@@ -374,19 +362,3 @@
         n_trials=entry.n_trials,
         tied=entry.tied,
     )
-
-
-def _report(incarnation, attempts, broken_ms):
-    """Return the report of what was in progress at a server that ended."""
-    begun, waiting = set(), set()
-    for attempt in attempts:
-        head_ms = attempt.received.head_ms
-        if head_ms is None:
-            waiting.update(attempt.call.suspects())
-        elif broken_ms - head_ms <= BEGUN_MS:
-            begun.update(attempt.call.suspects())
-    return messages.CrashReport(
-        server=incarnation,
-        begun=sorted(begun)[:MAX_SUSPECTS_PER_REPORT],
-        waiting=sorted(waiting)[:MAX_SUSPECTS_PER_REPORT],
-    )
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -13,6 +13,7 @@
     control,
     coordination,
     crashguard,
+    crashwitnesses,
     datacentregroups,
     datagrams,
     enginechoices,
@@ -252,7 +253,11 @@
             self.clock, self.store, self.platform.quarantine_topic
         )
         self.crash_guard = crashguard.CrashGuard(
-            self.clock, self.membership, self.gossip, probes.ConnectProber(), archive
+            self.clock,
+            self.membership,
+            self.gossip,
+            crashwitnesses.CrashWitness(self.clock, probes.ConnectProber(), self.fleet),
+            archive,
         )
         self.gossip.crash_guard = self.crash_guard
 
--- a/teaselwall/probes.py
+++ b/teaselwall/probes.py
@@ -46,9 +46,18 @@
 
 
 class ConnectProber(Prober):
-    """Opens connections, for servers whose reports cost a place or a price."""
+    """Opens connections, for servers whose reports cost a place or a price.
 
-    __slots__ = ()
+    Parameters
+    ----------
+    connect : callable, optional
+        ``await connect(address)`` opens a connection; see ``sockets.connect``.
+    """
+
+    __slots__ = ("connect",)
+
+    def __init__(self, connect=sockets.connect):
+        self.connect = connect
 
     async def find_crash(self, server):
         """Return the server's incarnation if its address refuses connections.
@@ -60,15 +69,23 @@
         for number in range(N_PROBES):
             if number:
                 await trio.sleep(PROBE_PAUSE_MS / MS_PER_S)
-            if not await _accepts_connections(server.address):
+            if not await accepts_connections(self.connect, server.address):
                 return server.incarnation
         return ""
 
 
-async def _accepts_connections(address):
+async def accepts_connections(connect, address):
+    """Return whether a connection to an address can be opened within a time limit.
+
+    Parameters
+    ----------
+    connect : callable
+        See ``sockets.connect``.
+    address : str
+    """
     with trio.move_on_after(CONNECT_TIMEOUT_MS / MS_PER_S):
         try:
-            stream = await sockets.connect(address)
+            stream = await connect(address)
         except OSError:
             # Refused or unreachable: no process listens there.
             return False
--- a/teaselwall/serverpaths.py
+++ b/teaselwall/serverpaths.py
@@ -10,13 +10,12 @@
 
 import trio
 
-from teaselwall import errors, events, sockets
+from teaselwall import errors, events, probes, sockets
 
 logger = logging.getLogger(__name__)
 
 # Time between two probes of a server that could not be reached.
 PROBE_INTERVAL_MS = 500.0
-CONNECT_TIMEOUT_MS = 300.0
 # Failed connections in a row, the first of which may be a request's, until a server
 # counts as unreachable. A single packet may be lost.
 N_FAILURES = 2
@@ -218,23 +217,13 @@
     async def _probe(self, server):
         while True:
             started_ms = self.clock.now_ms()
-            if await self._connects(server):
+            if await probes.accepts_connections(self.connect, server.address):
                 self._record_reached(server, started_ms)
                 return
             self._record_failed(server)
             if self.is_lost(server):
                 return
 
-    async def _connects(self, server):
-        with trio.move_on_after(CONNECT_TIMEOUT_MS / MS_PER_S):
-            try:
-                stream = await self.connect(server.address)
-            except OSError:
-                return False
-            stream.close()
-            return True
-        return False
-
     def _forget_removed(self):
         """Drop the servers that have left the list or have started again."""
         known = {
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -9,7 +9,14 @@
 import msgspec
 import trio
 
-from teaselwall import gossip, handovers, httpcalls, httpclient, stagecalls
+from teaselwall import (
+    gossip,
+    handovers,
+    httpcalls,
+    httpclient,
+    probes,
+    stagecalls,
+)
 from teaselwall.tests import crashing_fleet, platform_entry
 
 DATA_CENTRES = ("a", "b", "c")
@@ -111,7 +118,9 @@
     def connect_parts(self, host):
         """Connect the parts of a host that use the network."""
         address = host.membership.me.address
-        host.fleet.paths.connect = functools.partial(self._probe, address)
+        connect = functools.partial(self._probe, address)
+        host.fleet.paths.connect = connect
+        host.crash_guard.witness.prober = probes.ConnectProber(connect)
         host.handovers.transport = host.transport
         self.applications[address] = handovers.PeerApplication(
             host.control,
