--- a/teaselwall/coordination.py
+++ b/teaselwall/coordination.py
@@ -2,10 +2,11 @@
 
 import logging
 
+import expression
 import trio
 import xxhash
 
-from teaselwall import control, events, submissions
+from teaselwall import control, errors, events, submissions
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -88,9 +89,22 @@
             self.nursery = nursery
             while True:
                 await self.stage_work.job_submitted.wait()
+                self._give_up_unreachable()
                 await self._hand_over()
                 await self.clock.sleep_ms(HAND_OVER_CHECK_MS)
 
+    def _give_up_unreachable(self):
+        """Give up the jobs that need a pool of which this host reaches no server."""
+        unreachable = self.stage_work.fleet.paths.unreachable
+        if unreachable:
+            self.stage_work.give_up(
+                lambda job: any(
+                    stage.pool in unreachable and not stage.done()
+                    for stage in job.stages
+                ),
+                _unreachable_detail(unreachable),
+            )
+
     async def _hand_over(self):
         """Give up the jobs that have not started if this host lost its role.
 
@@ -102,7 +116,10 @@
         lost_ms = self.clock.now_ms()
         await self.clock.sleep_ms(ROLE_LOSS_MS)
         if not self._is_coordinator():
-            self.stage_work.give_up_waiting(lost_ms)
+            self.stage_work.give_up(
+                lambda job: not job.started and job.submitted_ms < lost_ms,
+                "Another entry host coordinates the stages now.",
+            )
 
     def _is_coordinator(self):
         group = self.data_centre_groups.group_of(self.membership.me.data_centre)
@@ -192,6 +209,11 @@
         expression.Result
             ``messages.StageResults``.
         """
+        unreachable = self.stage_work.fleet.paths.unreachable
+        if any(stage.pool in unreachable for stage in message.stages):
+            detail = _unreachable_detail(unreachable)
+            outcome = errors.Outcome.NOT_RUN
+            return expression.Error(errors.NotCoordinator(detail, outcome=outcome))
         result = await self.stage_work.submit(message)
         return result.map(_results)
 
@@ -215,6 +237,10 @@
     return ",".join(sorted(group)) or "all"
 
 
+def _unreachable_detail(pools):
+    return f"This host reaches no server of {', '.join(sorted(pools))}."
+
+
 def _results(job):
     """Return the results of a job, with the data centre that holds most bytes."""
     outputs = job.outputs()
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -156,20 +156,20 @@
                 if piece.handle and not stage.freed:
                     self.cleanup.add(piece.handle, piece.server)
 
-    def give_up_waiting(self, before_ms):
-        """End the jobs that have not started, as another host coordinates them now.
+    def give_up(self, applies, detail):
+        """End jobs, so that their hosts send them to another coordinator.
 
         Parameters
         ----------
-        before_ms : float
-            Time on the clock; jobs submitted later stay.
+        applies : callable
+            ``applies(job)`` returns whether to end a ``stagejobs.Job``.
+        detail : str
+            Why, for the error's text.
         """
+        outcome = errors.Outcome.NOT_RUN
         for job in list(self.jobs.values()):
-            if not job.started and not job.ended() and job.submitted_ms < before_ms:
-                detail = "Another entry host coordinates the stages now."
-                self._end(
-                    job, errors.NotCoordinator(detail, outcome=errors.Outcome.NOT_RUN)
-                )
+            if not job.ended() and applies(job):
+                self._end(job, errors.NotCoordinator(detail, outcome=outcome))
 
     def _on_freed(self):
         self.work_changed.set()
--- a/teaselwall/submissions.py
+++ b/teaselwall/submissions.py
@@ -20,6 +20,8 @@
 # One attempt each at the coordinator, the next two hosts and one more host.
 MAX_ATTEMPTS = 4
 RETRY_DELAY_MS = 50.0
+# A coordinator is found again within some hundred milliseconds.
+RETRY_AFTER_MS = 300.0
 # A coordinator that seems lost may still return results for this long after no other
 # can be asked.
 LOST_CALL_GRACE_MS = 1000.0
@@ -122,7 +124,8 @@
         if self.results is not None:
             return expression.Ok(self.results)
         detail = "No coordinator returned the results of the stages in time."
-        return expression.Error(self.refusal or errors.Unavailable(detail))
+        failed = errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
+        return expression.Error(self.refusal or failed)
 
     def _release_others(self):
         """Have the other coordinators end the job; one may have finished it by now."""
--- a/teaselwall/tests/cut_callers.py
+++ b/teaselwall/tests/cut_callers.py
@@ -24,13 +24,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Outcome:
-    """One first attempt: when and at which host it was made, and whether served."""
+    """One first attempt: when and at which host it was made, and how it ended."""
 
     at_s: float
     host: str
     served: bool
     path: str
     status: int | None
+    request: str
+    took_s: float
 
 
 class Traffic:
@@ -69,10 +71,11 @@
 
     async def _send(self, address):
         self.n_requests += 1
+        request = f"q{self.n_requests}"
         path = self.random.choice(PATHS)
         caller = platform_entry.Caller(
             path,
-            Request_Id=f"q{self.n_requests}",
+            Request_Id=request,
             Prompt_Prefix=f"a:100,{self.n_requests:x}:50",
             Pieces="2",
             Piece_Key=f"{self.n_requests:x}",
@@ -82,7 +85,10 @@
             await caller.send_request(self.world.applications[address])
         host = address.rpartition(":")[0] + ":4"
         served = caller.status == 200 and caller.ended
-        self.outcomes.append(Outcome(at_s, host, served, path, caller.status))
+        took_s = trio.current_time() - at_s
+        self.outcomes.append(
+            Outcome(at_s, host, served, path, caller.status, request, took_s)
+        )
 
 
 def directory_of(host):
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -58,6 +58,8 @@
         Cuts in force.
     silent : set of str
         Servers that answer nothing for now.
+    network : crashing_fleet.Network
+        Carries datagrams between the hosts.
     arrivals : list of (str, bytes, str)
         Server, request id and host of each request that reached a server.
     """
@@ -69,6 +71,7 @@
         self.silent = set()
         self.arrivals = []
         self.hosts = {}
+        self.network = None
         self.applications = {}
         self.servers = {}
         for number, (pool, size) in enumerate(POOL_SIZES.items(), 1):
@@ -86,7 +89,7 @@
     async def start(self, n_hosts=N_HOSTS):
         """Start the hosts and let them get to know each other."""
         made = [self._make_host(index) for index in range(n_hosts)]
-        network = crashing_fleet.Network(made)
+        self.network = network = crashing_fleet.Network(made)
         for host in made:
             host.gossip.socket = network
             host.gossip.random = random.Random(host.membership.me.address)
--- a/teaselwall/tests/test_stageload.py
+++ b/teaselwall/tests/test_stageload.py
@@ -126,7 +126,7 @@
         for message in burst(12):
             nursery.start_soon(run, message)
         await trio.sleep(0.1)
-        work.give_up_waiting(work.clock.now_ms())
+        work.give_up(lambda job: not job.started, "handed over")
         await trio.sleep(0.01)
         handed_over = [r.error for r in results.values() if r.is_error()]
         assert len(handed_over) == 12 - 4
