Find out with one connection to each of three servers that a pool can't be reached

A host took two failed connects in a row to each server before it told the others, 0.6 s where they hang, and so did each host that was told. Failed connects to three servers of a pool at once say as much.

--- a/teaselwall/serverpaths.py
+++ b/teaselwall/serverpaths.py
@@ -188,11 +188,20 @@
     async def _check(self):
         """Probe servers that can't be reached, and a few others of each pool."""
         self.checked_ms = self.clock.now_ms()
-        async with trio.open_nursery() as nursery:
-            for server in self._to_probe():
-                nursery.start_soon(self._probe, server)
-        self._forget_removed()
-        self._review()
+        servers = self._to_probe()
+        while servers:
+            async with trio.open_nursery() as nursery:
+                for server in servers:
+                    nursery.start_soon(self._probe, server)
+            self._forget_removed()
+            self._review()
+            servers = [s for s in servers if self._is_doubtful(s)]
+
+    def _is_doubtful(self, server):
+        """Return whether a further connection decides whether a server is lost."""
+        if server.pool in self.unreachable or not self.fleet.in_service(server):
+            return False
+        return 0 < self.failed.get(_key(server), 0) < N_FAILURES
 
     def _to_probe(self):
         since_ms = self.clock.now_ms() - RECENT_MS
@@ -215,14 +224,11 @@
         return by_turn[:MAX_PROBES]
 
     async def _probe(self, server):
-        while True:
-            started_ms = self.clock.now_ms()
-            if await probes.accepts_connections(self.connect, server.address):
-                self._record_reached(server, started_ms)
-                return
+        started_ms = self.clock.now_ms()
+        if await probes.accepts_connections(self.connect, server.address):
+            self._record_reached(server, started_ms)
+        else:
             self._record_failed(server)
-            if self.is_lost(server):
-                return
 
     def _forget_removed(self):
         """Drop the servers that have left the list or have started again."""
@@ -253,13 +259,19 @@
             self.changed.set()
 
     def _is_unreachable(self, pool):
-        """Return whether all probed servers of a pool failed, and none was reached."""
+        """Return whether all probed servers of a pool failed, and none was reached.
+
+        Failed connections to ``N_SAMPLED`` servers are enough, as one to each of them
+        says as much as several to one.
+        """
         serving = self.fleet.serving(pool)
-        n_lost = sum(map(self.is_lost, serving))
-        if not n_lost or n_lost < min(len(serving), N_SAMPLED):
+        n_failed = sum(_key(server) in self.failed for server in serving)
+        if not serving or n_failed < min(len(serving), N_SAMPLED):
+            return False
+        if n_failed < N_SAMPLED and not all(map(self.is_lost, serving)):
             return False
         reached_ms = self.reached_pool_ms.get(pool, NEVER_MS)
-        return n_lost == len(serving) or reached_ms < self.checked_ms
+        return n_failed == len(serving) or reached_ms < self.checked_ms
 
 
 def _key(server):
