Keep brittle servers from having more requests turned away than they bear

Callers would have seen servers fall over one after the other: nothing read Server-Brittle, so that several hosts that each had a few requests turned away went over the number together (LIMIT). It is a notice of a server that was passed on and not heeded, as Server-Limit was.

Change: while a pool is brittle, the places of its servers are dealt out to the hosts, so that together they never send a server more than it has room for without a queue. Rejections that there are all the same are told to all hosts; at half of the number that the server bears, none sends to it for a second or more. A stage pool gets its calls from one host, so only the second part holds there. LeavingServers moved to a module of its own, the update of a listed server to servers.py.

--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -173,11 +173,13 @@
         """Send this host's view to a peer."""
         message = self._message(self.digests.get(address, {}), leaving)
         if self.fleet is not None:
-            message.servers_leaving = self.fleet.newly_leaving()
+            message.servers_leaving = self.fleet.leaving.newly()
         if self.crash_guard is not None:
             message.quarantined = self.crash_guard.notices()
         if self.server_limits is not None:
             message.limits = self.server_limits.notices()
+        if self.fleet is not None and self.fleet.brittle is not None:
+            message.brittle = self.fleet.brittle.notices()
         await self._send(address, message)
 
     async def _send(self, address, message):
@@ -227,6 +229,8 @@
             await self.on_origins(sender.address, exchange.origins)
         if exchange.servers_leaving and self.fleet is not None:
             self.fleet.record_leaving(exchange.servers_leaving)
+        if self.fleet is not None and self.fleet.brittle is not None:
+            self.fleet.brittle.receive(exchange)
         if self.crash_guard is not None:
             self.crash_guard.receive(exchange)
         if self.server_limits is not None:
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -8,6 +8,7 @@
 
 from teaselwall import (
     announcements,
+    brittleservers,
     clock,
     coldstarts,
     control,
@@ -205,6 +206,10 @@
         )
         self.fleet.limits = self.server_limits
         self.fleet.filters.append(self.fleet.paths.has_path)
+        self.fleet.brittle = brittleservers.BrittleServers(
+            self.clock, self.membership, self.fleet, self.operator_state, self.gossip
+        )
+        self.fleet.filters.append(self.fleet.brittle.allows)
         self.gossip.fleet = self.fleet
         self.gossip.server_limits = self.server_limits
         self.server_registry = serverregistry.ServerRegistry(
@@ -336,6 +341,7 @@
 
     async def run(self):
         """Run the background tasks until cancelled."""
+        paths = self.fleet.paths
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.orders.run)
@@ -347,18 +353,9 @@
             nursery.start_soon(self.server_limits.run)
             nursery.start_soon(self._update_derived_state)
             nursery.start_soon(self.announcements.run)
-            nursery.start_soon(self.fleet.paths.run)
-            nursery.start_soon(self._tell_changed_paths)
-
-    async def _tell_changed_paths(self):
-        """Tell the other hosts at once which pools this one no longer reaches."""
-        paths = self.fleet.paths
-        while True:
-            await paths.changed.wait()
-            paths.changed = trio.Event()
-            self.membership.me.unreachable = sorted(paths.unreachable)
-            self.membership.advance_heartbeat()
-            await self.gossip.tell_all()
+            nursery.start_soon(paths.run)
+            nursery.start_soon(paths.tell_changes, self.membership, self.gossip)
+            nursery.start_soon(self.fleet.brittle.run)
 
     async def _update_derived_state(self):
         """Periodically update the state that changes with time alone."""
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -5,6 +5,7 @@
 from teaselwall import (
     ejections,
     events,
+    leavingservers,
     protocols,
     requestlimits,
     rings,
@@ -17,10 +18,6 @@
 
 # Least time between two reviews of a pool's ejections during choices of servers.
 REVIEW_INTERVAL_MS = 20
-# Incarnations kept that have said that they leave; the oldest are dropped.
-MAX_LEAVING = 4096
-# Time for which other hosts are told of a server that leaves.
-LEAVING_TOLD_MS = 5000.0
 
 
 class Fleet:
@@ -61,11 +58,13 @@
         Whether a host list has been received.
     limits : requestlimits.Limits
         Limits of requests that servers name. Whoever sends a request asks them.
-    leaving : dict of str to float
-        Incarnations that have said that they leave, with the time on the clock at which
-        this host learned it; oldest first. The host list may still show them as live.
+    leaving : leavingservers.LeavingServers
+        Servers that have said that they leave. The host list may still show them as
+        live.
     paths : serverpaths.ServerPaths
         Servers that this host can't open connections to.
+    brittle : brittleservers.BrittleServers or None
+        Limits what brittle servers get, if any may be.
     """
 
     __slots__ = (
@@ -86,6 +85,7 @@
         "limits",
         "leaving",
         "paths",
+        "brittle",
     )
 
     def __init__(self, clock, host_list, state, interval_ms, timeout_ms, subsets=None):
@@ -104,8 +104,9 @@
         self.last_in_service = set()
         self.list_received = False
         self.limits = requestlimits.NoLimits()
-        self.leaving = {}
+        self.leaving = leavingservers.LeavingServers(clock)
         self.paths = serverpaths.ServerPaths(clock, self)
+        self.brittle = None
 
     def record_notice(self, server, notice, sent_ms):
         """Record what a server said about itself in a reply.
@@ -120,6 +121,8 @@
         if notice is protocols.NO_NOTICE:
             return
         self.limits.record(server, notice.limit_per_s, sent_ms)
+        if self.brittle is not None:
+            self.brittle.record(server, notice.max_rejected, sent_ms)
         if notice.rest_ms:
             until_ms = self.clock.now_ms() + notice.rest_ms
             server.rest_until_ms = max(server.rest_until_ms, until_ms)
@@ -134,6 +137,11 @@
         if notice.leaving:
             self.record_leaving([server.incarnation])
 
+    def record_rejection(self, server, error):
+        """Record a call's error, which may be that the server had no room for it."""
+        if self.brittle is not None:
+            self.brittle.record_error(server, error)
+
     def record_leaving(self, incarnations):
         """Send no new work to servers that have said that they leave.
 
@@ -141,23 +149,15 @@
         ----------
         incarnations : iterable of str
         """
-        new = [i for i in incarnations if i and i not in self.leaving]
+        new = self.leaving.add(incarnations)
         if not new:
             return
-        self.leaving.update(dict.fromkeys(new, self.clock.now_ms()))
-        while len(self.leaving) > MAX_LEAVING:
-            del self.leaving[next(iter(self.leaving))]
         for servers_by_address in self.by_pool.values():
             for server in servers_by_address.values():
                 server.leaving = server.leaving or server.incarnation in self.leaving
         events.log(logger, logging.INFO, "servers_leaving", ids=new)
         self.choose()
 
-    def newly_leaving(self):
-        """Return the incarnations that other hosts should be told of."""
-        since_ms = self.clock.now_ms() - LEAVING_TOLD_MS
-        return [i for i, learned_ms in self.leaving.items() if learned_ms > since_ms]
-
     def rest_ms(self, pool):
         """Return the time until a server of a pool accepts calls from this host again.
 
@@ -339,7 +339,7 @@
         by_pool = {}
         for entry in listing.hosts:
             server = self.by_pool.get(entry.pool, {}).get(entry.address)
-            server = _updated_server(server, entry, self.clock)
+            server = servers.updated(server, entry, self.clock)
             server.leaving = server.leaving or server.incarnation in self.leaving
             by_pool.setdefault(entry.pool, {})[entry.address] = server
         self.by_pool = by_pool
@@ -396,20 +396,3 @@
         ring = self.chosen.get(old.pool)
         if ring is not None:
             ring.replace(old, server)
-
-
-def _updated_server(server, entry, clock):
-    """Return the known server of a host list entry, or a new one if it restarted.
-
-    The host list lags behind the servers. The incarnation that it showed last time
-    does not replace a newer one that the server itself has reported.
-    """
-    is_known = server is not None and entry.software == server.software
-    if not is_known or entry.incarnation not in (
-        server.incarnation,
-        server.listed_incarnation,
-    ):
-        server = servers.Server(entry, clock)
-    server.listed_incarnation = entry.incarnation
-    server.leaving = entry.state == "leaving"
-    return server
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -9,7 +9,6 @@
 INPUTS_GONE_STATUS = 409
 MS_PER_S = 1000
 BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE")
-MAX_COUNT_DIGITS = 9
 # Pieces of all stages of one request; each takes memory at the coordinator.
 MAX_PIECES = 10_000
 
@@ -184,4 +183,4 @@
 
 def _is_count(text):
     """Return whether a text is a whole number of a size that can be computed with."""
-    return text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
+    return text.isdecimal() and len(text) <= names.MAX_COUNT_DIGITS
--- a/teaselwall/platform/names.py
+++ b/teaselwall/platform/names.py
@@ -22,6 +22,7 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LEAVING = b"server-leaving"
 SERVER_LIMIT = b"server-limit"
+SERVER_BRITTLE = b"server-brittle"
 STORE_ERA = b"store-era"
 
 MISDIRECTED_STATUS = 421
@@ -29,6 +30,8 @@
 # A server that asks for a longer rest is tried again after this time.
 MAX_REST_MS = 600_000.0
 MS_PER_S = 1000.0
+MAX_COUNT_DIGITS = 9
+MAX_REJECTED = 1_000_000
 
 # Headers that apply to one connection only.
 HOP_BY_HOP = frozenset(
@@ -105,7 +108,22 @@
     limit_per_s = (
         _limit_per_s(headers[SERVER_LIMIT]) if SERVER_LIMIT in headers else None
     )
-    return protocols.Notice(leaving, rest_ms, limit_per_s)
+    max_rejected = _max_rejected(headers.get(SERVER_BRITTLE))
+    return protocols.Notice(leaving, rest_ms, limit_per_s, max_rejected)
+
+
+def _max_rejected(text):
+    """Return how many requests a brittle server may reject in a second.
+
+    None without the header. A value that can't be read still says that the server is
+    brittle, so it counts as the least.
+    """
+    if text is None:
+        return None
+    text = text.strip()
+    if not text.isdigit() or len(text) > MAX_COUNT_DIGITS:
+        return 0
+    return min(int(text), MAX_REJECTED)
 
 
 def _limit_per_s(text):
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -145,11 +145,15 @@
     limit_per_s : float or None
         Requests a second that the server takes from all hosts together; None if it
         names no limit, NaN if what it names can't be read.
+    max_rejected : int or None
+        Requests that the server may turn away in a second without falling over; None
+        if it does not say that it is brittle.
     """
 
     leaving: bool = False
     rest_ms: float = 0.0
     limit_per_s: float | None = None
+    max_rejected: int | None = None
 
 
 NO_NOTICE = Notice()
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -97,7 +97,10 @@
                 tracked.fail(error)
                 traces.record_failure(span, error)
                 _record_failure(server, error)
-        self.server_choices.fleet.paths.record_attempt(server, error, attempt.received)
+        fleet = self.server_choices.fleet
+        fleet.paths.record_attempt(server, error, attempt.received)
+        if attempt.received.head_ms is not None:
+            fleet.record_rejection(server, error)
         span.end()
         if error is None or error.outcome is not errors.Outcome.NOT_RUN:
             call.n_ran += 1
--- a/teaselwall/serverpaths.py
+++ b/teaselwall/serverpaths.py
@@ -185,6 +185,21 @@
                 self.wake = trio.Event()
                 await self._check()
 
+    async def tell_changes(self, membership, gossip):
+        """Tell the other hosts at once which pools this one doesn't reach.
+
+        Parameters
+        ----------
+        membership : membership.Membership
+        gossip : datagrams.DatagramGossip
+        """
+        while True:
+            await self.changed.wait()
+            self.changed = trio.Event()
+            membership.me.unreachable = sorted(self.unreachable)
+            membership.advance_heartbeat()
+            await gossip.tell_all()
+
     async def _check(self):
         """Probe servers that can't be reached, and a few others of each pool."""
         self.checked_ms = self.clock.now_ms()
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -286,6 +286,23 @@
             server.on_probation = False
 
 
+def updated(server, entry, clock):
+    """Return the known server of a host list entry, or a new one if it restarted.
+
+    The host list lags behind the servers. The incarnation that it showed last time
+    does not replace a newer one that the server itself has reported.
+    """
+    is_known = server is not None and entry.software == server.software
+    if not is_known or entry.incarnation not in (
+        server.incarnation,
+        server.listed_incarnation,
+    ):
+        server = Server(entry, clock)
+    server.listed_incarnation = entry.incarnation
+    server.leaving = entry.state == "leaving"
+    return server
+
+
 def record_reply(server, reply):
     """Record the load report in a reply's headers and return the reply."""
     record_headers(server, reply.headers)
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -322,6 +322,7 @@
         started_ms = self.clock.now_ms()
         result = await self.client.run(server, items, state.timeout_ms(len(items)))
         self.fleet.paths.record_call(server, result, started_ms)
+        self.fleet.record_rejection(server, result.swap().default_value(None))
         return result
 
     async def _hedge(self, state, batch):
--- a/teaselwall/tests/crashing_fleet.py
+++ b/teaselwall/tests/crashing_fleet.py
@@ -71,6 +71,7 @@
         host.crash_guard.witness.prober = engines
         nursery.start_soon(host.crash_guard.run)
         nursery.start_soon(host.server_limits.run)
+        nursery.start_soon(host.fleet.brittle.run)
     for host in made:
         for other in made:
             await host.gossip.exchange(other.membership.me.address)
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -143,8 +143,10 @@
         ):
             start(part.run)
         start(host._update_derived_state)
-        start(host._tell_changed_paths)
-        start(host.fleet.paths.run)
+        paths = host.fleet.paths
+        start(paths.run)
+        start(paths.tell_changes, host.membership, host.gossip)
+        start(host.fleet.brittle.run)
         start(self._keep_current, host)
 
     async def _keep_current(self, host):
