--- a/teaselwall/handovers.py
+++ b/teaselwall/handovers.py
@@ -36,7 +36,8 @@
 # The other host replies this long before this one has to.
 DEADLINE_MARGIN_MS = 10.0
 PROBE_INTERVAL_MS = 260.0
-RETRY_AFTER_MS = 300.0
+# In this time the servers are probed twice.
+RETRY_AFTER_MS = 1000.0
 
 
 class NotTaken(serverpaths.NoPath):
--- a/teaselwall/tests/test_cuts_drawn.py
+++ b/teaselwall/tests/test_cuts_drawn.py
@@ -122,3 +122,28 @@
     await traffic.run(2.0)
     await trio.sleep(2.5)
     assert [o for o in traffic.outcomes if not o.served] == []
+
+
+@pytest.mark.parametrize("seed", range(3))
+async def test_servers_silent_for_a_second_cut_no_stream_and_are_used_again_at_once(
+    autojump_clock, nursery, seed
+):
+    """A sound server may answer nothing for a second or so, and all of a pool may."""
+    draws = random.Random(seed)
+    world = cut_fleet.World(nursery, seed)
+    await world.start()
+    traffic = cut_callers.Traffic(world, seed)
+    nursery.start_soon(traffic.run, 6.0)
+    await trio.sleep(2.0)
+    began_s = trio.current_time()
+    world.silent.update(draws.sample(sorted(world.servers), draws.choice([1, 6, 12])))
+    await trio.sleep(draws.uniform(0.8, 1.3))
+    world.silent.clear()
+    back_s = trio.current_time() + 0.6
+    await trio.sleep(8.0)
+    assert check_attempts(world, traffic.outcomes) == {}
+    # What had begun by then went on; what could not begin was refused as not run.
+    begun = [o for o in traffic.outcomes if o.at_s < began_s - 0.1]
+    assert [o for o in begun if not o.served] == []
+    assert {o.status for o in traffic.outcomes} <= {200, 429, 503}
+    assert [o for o in traffic.outcomes if o.at_s > back_s and not o.served] == []
