Say that the outcome is unknown where a handed-over request was not answered in time

A caller could be told "not run" (503) of a request that another host was working on when its time was over: only attempts of this host counted. test_handovers.py shows it with a host that is paused (503 before, 504 now). Further tests of handovers: at most once with an answer lost between hosts, the attempts of all hosts together, events as they come, a caller that leaves, a begun stream that goes on, one hop, wrong and forged peer keys, regions.

--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -263,7 +263,7 @@
                     return result
             return expression.Error(call.overall_error(result.error))
         detail = "The request was not answered within its timeout."
-        if call.n_ran or call.n_sent:
+        if call.n_ran or call.n_sent or call.n_handovers:
             return expression.Error(
                 errors.DeadlineExceeded(detail, outcome=errors.Outcome.UNKNOWN)
             )
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -58,6 +58,10 @@
         Cuts in force.
     silent : set of str
         Servers that answer nothing for now.
+    paused : set of str
+        Hosts that take connections and do nothing.
+    loses_answers : bool
+        Whether what one host answers another is lost.
     network : crashing_fleet.Network
         Carries datagrams between the hosts.
     arrivals : list of (str, bytes, str)
@@ -72,6 +76,8 @@
         self.arrivals = []
         self.hosts = {}
         self.network = None
+        self.paused = set()
+        self.loses_answers = False
         self.applications = {}
         self.servers = {}
         for number, (pool, size) in enumerate(POOL_SIZES.items(), 1):
@@ -229,7 +235,8 @@
         progress = progress or httpcalls.CallProgress()
         if address in self.world.servers:
             return self._ask_server(address, dict(headers), progress, timeout_ms)
-        return self._ask_host(method, address, target, headers, body, progress)
+        message = (method, target, headers, body)
+        return self._ask_host(message, address, progress, timeout_ms, may_give_up)
 
     @contextlib.asynccontextmanager
     async def _ask_server(self, address, given, progress, timeout_ms):
@@ -244,15 +251,21 @@
         yield ServerReply(self.world, self.host, address, given)
 
     @contextlib.asynccontextmanager
-    async def _ask_host(self, method, address, target, headers, body, progress):
+    async def _ask_host(self, message, address, progress, timeout_ms, may_give_up):
         await trio.sleep(NETWORK_S)
         application = self.world.applications[address]
         progress.sent = True
-        reply = HostReply(method, target, headers, body)
-        self.world.nursery.start_soon(reply.serve, application)
+        reply = HostReply(*message)
+        if address not in self.world.paused:
+            self.world.nursery.start_soon(reply.serve, application)
         try:
-            await reply.head.wait()
-            if not reply.status:
+            with trio.move_on_after(timeout_ms / 1000) as limit:
+                await reply.head.wait()
+            while limit.cancelled_caught and not reply.head.is_set():
+                if may_give_up is None or may_give_up():
+                    raise httpcalls.ReplyTimeout("nothing received")
+                await trio.sleep(0.05)
+            if not reply.status or self.world.loses_answers:
                 raise httpcalls.Disconnected("no reply")
             yield reply
         finally:
--- /dev/null
+++ b/teaselwall/tests/test_handovers.py
@@ -0,0 +1,173 @@
+"""Requests that one entry host hands over to another."""
+
+import pytest
+import trio
+
+from teaselwall import calls, handovers
+from teaselwall.tests import cut_fleet, platform_entry
+
+KNOWN_S = 1.5
+
+
+@pytest.fixture
+async def world(autojump_clock, nursery):
+    """Return three hosts, of which the first has no path to any server and knows it."""
+    made = cut_fleet.World(nursery)
+    await made.start(3)
+    made.cuts.append(cut_fleet.Cut({"10.0.0.1:4"}, set(made.servers), "refuse"))
+    await send(made, "/safe/1", "first")
+    await trio.sleep(KNOWN_S)
+    made.arrivals.clear()
+    return made
+
+
+async def send(world, path, request="r1", caller=None, address="10.0.0.1:1"):
+    """Send a request to the host without a path; return its caller."""
+    caller = caller or platform_entry.Caller(
+        path,
+        Request_Id=request,
+        Prompt_Prefix="a:100,b:50",
+        Pieces="2",
+        Piece_Key="k",
+    )
+    with platform_entry.cut_answers_allowed():
+        await caller.send_request(world.applications[address])
+    return caller
+
+
+@pytest.mark.parametrize("path", ["/safe/1", "/once/1", "/stream/1", "/staged/1"])
+async def test_request_is_answered_by_a_host_with_a_path(autojump_clock, world, path):
+    """Requests to a host without a path failed, whatever the others could do."""
+    caller = await send(world, path)
+    assert (caller.status, caller.ended) == (200, True)
+    ((server, _, host),) = world.arrivals
+    assert host != "10.0.0.1:4"
+    assert caller.headers[b"Server-Stamp"] == server.encode()
+
+
+async def test_request_runs_once_where_the_answer_between_the_hosts_is_lost(
+    autojump_clock, world
+):
+    """The caller must not be told that it has not run, and nobody may run it again."""
+    world.loses_answers = True
+    caller = await send(world, "/once/1")
+    assert caller.status == 502
+    assert len(world.arrivals) == 1
+
+
+async def test_repeatable_request_runs_at_most_as_often_as_its_route_allows(
+    autojump_clock, world
+):
+    """Attempts of all hosts count together."""
+    world.loses_answers = True
+    caller = await send(world, "/safe/1")
+    assert caller.status == 502
+    assert len(world.arrivals) == 2
+
+
+async def test_events_of_a_stream_are_passed_on_as_they_come(autojump_clock, world):
+    """A relay that collects the answer makes each event late."""
+    caller = platform_entry.Caller("/stream/1", Prompt_Prefix="a:100,b:50")
+    times_s = []
+    pass_on = caller.send
+
+    async def record(message):
+        times_s.append(trio.current_time())
+        await pass_on(message)
+
+    caller.send = record
+    await send(world, "", caller=caller)
+    assert times_s[-1] - times_s[1] > (cut_fleet.N_EVENTS - 2) * cut_fleet.EVENT_S
+
+
+async def test_caller_that_leaves_ends_the_request_at_both_hosts(
+    autojump_clock, nursery, world
+):
+    """The other host went on working for nobody."""
+    caller = platform_entry.Caller("/stream/1", Prompt_Prefix="a:100,b:50")
+    nursery.start_soon(send, world, "", "r1", caller)
+    await trio.sleep(0.07)
+    assert len(world.arrivals) == 1
+    caller.disconnected.set()
+    await trio.sleep(0.05)
+    assert [a.n_in_flight for a in gateways(world)] == [0, 0, 0]
+
+
+def gateways(world):
+    return [world.applications[f"10.0.0.{n}:1"] for n in (1, 2, 3)]
+
+
+async def test_begun_stream_goes_on_at_a_host_with_a_path(autojump_clock, world):
+    """A stream whose engine was lost on the way was cut for good."""
+    world.cuts[0].servers = set()
+    await trio.sleep(2.0)
+    caller = platform_entry.Caller("/resumed/1", Prompt_Prefix="a:100,b:50")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send, world, "", "r1", caller)
+        await trio.sleep(0.05 + 1.5 * cut_fleet.EVENT_S)
+        world.cuts[0] = cut_fleet.Cut({"10.0.0.1:4"}, set(world.servers), "reset")
+    numbers = range(1, cut_fleet.N_EVENTS + 1)
+    assert b"".join(caller.parts) == b"".join(
+        b"id: %d\ndata: x\n\n" % n for n in numbers
+    )
+    assert caller.ended
+    assert [host for _, _, host in world.arrivals][0] == "10.0.0.1:4"
+
+
+async def test_request_takes_one_hop_between_hosts_that_take_each_other_for_sound(
+    autojump_clock, world
+):
+    """Two hosts without a path could hand a request to each other for ever."""
+    world.cuts.append(cut_fleet.Cut(set(world.hosts), set(world.servers), "refuse"))
+    for host in world.hosts.values():
+        for member in host.membership.alive():
+            member.unreachable = []
+    before_s = trio.current_time()
+    caller = await send(world, "/once/1")
+    assert caller.status == 503
+    assert float(caller.headers[b"retry-after"]) > 0
+    assert world.arrivals == []
+    assert trio.current_time() - before_s < 1.0
+
+
+async def test_request_at_a_paused_host_is_not_said_not_to_have_run(
+    autojump_clock, world
+):
+    """The host may go on later with what it was handed."""
+    world.paused.update(["10.0.0.2:4", "10.0.0.3:4"])
+    caller = await send(world, "/once/1")
+    assert caller.status == 504
+    assert world.arrivals == []
+
+
+@pytest.mark.parametrize("key", ["x" * 16, "", "é"])
+async def test_request_with_a_wrong_peer_key_is_not_taken_over(
+    autojump_clock, world, key
+):
+    """Only hosts may say how often a request has run."""
+    caller = platform_entry.Caller("/once/1")
+    message = b'{"peer_key":"%s","sender":"x:1"}' % key.encode()
+    caller.scope["headers"].append((handovers.HEADER, message))
+    await send(world, "", caller=caller, address="10.0.0.2:4")
+    assert caller.status == 403
+    assert world.arrivals == []
+
+
+async def test_callers_header_of_a_handover_means_nothing(autojump_clock, world):
+    """A caller could have its request count as one that has run."""
+    caller = platform_entry.Caller("/once/1")
+    message = b'{"peer_key":"%s","sender":"x:1","n_ran":1}' % (b"p" * 16)
+    caller.scope["headers"].append((handovers.HEADER, message))
+    await send(world, "", caller=caller, address="10.0.0.2:1")
+    assert (caller.status, len(world.arrivals)) == (200, 1)
+
+
+async def test_request_bound_to_regions_stays_there(autojump_clock, world, monkeypatch):
+    """Its body must not be sent to a host elsewhere."""
+    monkeypatch.setattr(calls.Call, "regions", lambda call: {"r"})
+    world.hosts["10.0.0.1:4"].handovers.region_of = {"a": "r", "b": "r", "c": "q"}
+    for host in world.hosts.values():
+        host.server_choices.region_of = dict.fromkeys("abc", "r")
+    for number in range(8):
+        assert (await send(world, "/once/1", f"b{number}")).status == 200
+    assert {h for _, _, h in world.arrivals} == {"10.0.0.2:4"}
