Soak: cuts between hosts and servers, brittle servers, and checks of both

Both kinds are drawn with the rest.

The stand-in host of test_stops.py gets the peers' key, which the listeners read now; without it nine of its tests failed.

--- a/teaselwall/tests/test_stops.py
+++ b/teaselwall/tests/test_stops.py
@@ -68,6 +68,7 @@
                 answer_kept_ms=100, exchange_interval_ms=1000 * EXPIRY_S - 100
             ),
             stop=types.SimpleNamespace(limit_ms=LIMIT_MS),
+            access=types.SimpleNamespace(peer_key="p"),
         )
         self.platform = types.SimpleNamespace(
             directory_path="/d", readiness_path="/r", encode_address_answer=None
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -18,7 +18,7 @@
 import trio
 
 from teaselwall import listeners, responses
-from teaselwall.tools import platform_results, platform_store, standins
+from teaselwall.tools import platform_faults, platform_results, platform_store, standins
 
 HEARTBEAT_INTERVAL_S = 0.4
 # The users' servers also serve for this long after they report that they drain.
@@ -34,68 +34,6 @@
 NOT_EXECUTED = (b"not-executed", b"1")
 
 
-class ServerFaults:
-    """Faults of one server; ``POST /faults`` sets those in its body.
-
-    Attributes
-    ----------
-    silent_until_s : float
-        Until then nothing is sent; on the monotonic clock.
-    rest_until_s : float
-        Until then nothing is run and every reply asks to come back at that time.
-    leaving : bool
-        Whether every reply says that the server leaves.
-    limit : float
-        Requests a second that every reply names until ``limited_until_s``.
-    limited_since_s : float
-        On the monotonic clock.
-    """
-
-    def __init__(self):
-        self.silent_until_s = 0.0
-        self.rest_until_s = 0.0
-        self.leaving = False
-        self.limit = 0.0
-        self.limited_since_s = 0.0
-        self.limited_until_s = 0.0
-
-    def set(self, silent_s=0.0, rest_s=0.0, leaving=False, limit=0.0, limited_s=0.0):
-        """Begin faults; times are counted from now on."""
-        now_s = time.monotonic()
-        self.silent_until_s = max(self.silent_until_s, now_s + silent_s)
-        self.rest_until_s = max(self.rest_until_s, now_s + rest_s)
-        self.leaving = self.leaving or leaving
-        if limited_s:
-            self.limit = limit
-            self.limited_since_s = now_s
-            self.limited_until_s = now_s + limited_s
-
-    def rest_s(self):
-        """Return for how long nothing is run."""
-        return max(0.0, self.rest_until_s - time.monotonic())
-
-    def limit_fields(self):
-        """Return what a record says of the limit that is named now."""
-        if time.monotonic() >= self.limited_until_s:
-            return {}
-        return {"limit": self.limit, "limited_since_s": self.limited_since_s}
-
-    def applied_to(self, send):
-        """Return an ASGI ``send`` with the silence and the notices."""
-
-        async def send_with_faults(message):
-            while (left_s := self.silent_until_s - time.monotonic()) > 0:
-                await trio.sleep(left_s)
-            if self.leaving and message["type"] == "http.response.start":
-                message["headers"].append((b"server-leaving", b"1"))
-            if self.limit_fields() and message["type"] == "http.response.start":
-                limit = f"{self.limit:.3f}".encode()
-                message["headers"].append((b"server-limit", limit))
-            await send(message)
-
-        return send_with_faults
-
-
 class PlatformServer(standins.StandIn):
     """A back end that can act as plain service, engine or stage server.
 
@@ -115,7 +53,9 @@
     sequence : int
         Number of registrations written so far.
     results : platform_results.Results
-    server_faults : ServerFaults
+    server_faults : platform_faults.ServerFaults
+    n_present : int
+        Requests and stage calls in progress.
     """
 
     def __init__(self, options):
@@ -125,7 +65,8 @@
         self.state = "ready"
         self.sequence = 0
         self.results = platform_results.Results()
-        self.server_faults = ServerFaults()
+        self.server_faults = platform_faults.ServerFaults()
+        self.n_present = 0
 
     async def handle(self, method, path, query, body, send):
         """Not used: ``__call__`` is overridden, because it needs the headers."""
@@ -174,11 +115,26 @@
             await responses.send_json(send, {})
         elif self.server_faults.rest_s():
             await self._refuse(headers, send)
-        elif path == "/v1/stage-run":
-            self._print_call(path)
-            await self._run_pieces(json.loads(body), send)
+        elif self.server_faults.is_full(self.n_present):
+            await self._reject(headers, send)
         else:
-            await self._run(scope, headers, send)
+            self.n_present += 1
+            try:
+                if path == "/v1/stage-run":
+                    self._print_call(path)
+                    await self._run_pieces(json.loads(body), send)
+                else:
+                    await self._run(scope, headers, send)
+            finally:
+                self.n_present -= 1
+
+    async def _reject(self, headers, send):
+        """Reject a request for want of room; a brittle server may fall over."""
+        if self.server_faults.count_rejection():
+            until_s = self.server_faults.brittle_until_s
+            self._print("fell", headers, brittle_time=until_s)
+            os._exit(CRASH_EXIT_CODE)
+        await self._send(send, 503, headers, b"full")
 
     async def _refuse(self, headers, send):
         """Ask for a rest; the request is not run."""
@@ -293,9 +249,14 @@
         await send({"type": "http.response.body", "body": body})
 
     def _headers(self, headers):
+        load = b"%d,0,%d" % (
+            min(self.n_present, platform_faults.N_SLOTS),
+            platform_faults.N_SLOTS,
+        )
         return [
             (b"request-id", headers.get("request-id", "").encode()),
             (b"server-stamp", self.options.id.encode()),
+            *([(b"server-load", load)] if self.server_faults.is_brittle() else []),
         ]
 
     def _print(self, event, headers, **fields):
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -19,10 +19,12 @@
 import trio
 
 from teaselwall.tools import (
+    soak_brittle,
     soak_callers,
     soak_checks,
     soak_configuration,
     soak_crashes,
+    soak_cuts,
     soak_faults,
     soak_fleet,
     soak_limits,
@@ -120,6 +122,8 @@
     violations += soak_crashes.find_violations(requests, records, fleet.disturbances)
     violations += soak_notices.find_violations(requests, records, fleet)
     violations += soak_limits.find_violations(requests, records, fleet.disturbances)
+    violations += soak_cuts.find_violations(requests, fleet.cuts, fleet.disturbances)
+    violations += soak_brittle.find_violations(records, fleet.servers)
     return violations
 
 
--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -19,6 +19,8 @@
     platform_store,
     soak_checks,
     soak_configuration,
+    soak_cuts,
+    soak_host,
     soak_losses,
     soak_proxy,
 )
@@ -177,6 +179,7 @@
         They keep the addresses of the processes while these don't run.
     operator_records : dict of str to bytes
         What operators wrote last under each key; empty for a deleted key.
+    cuts : soak_cuts.Cuts
     write_lock : trio.Lock
         Held during a write, so that writes arrive in order.
     """
@@ -186,6 +189,7 @@
         self.hosts = []
         self.servers = []
         self.disturbances = soak_losses.Disturbances()
+        self.cuts = soak_cuts.Cuts(self.folder)
         self.operator_records = {}
         self.write_lock = trio.Lock()
         self.config = {"version": 1, **soak_configuration.first_configuration()}
@@ -233,6 +237,7 @@
                 process.popen.wait()
         for reserved in self.reserved:
             reserved.close()
+        self.cuts.close()
 
     async def publish(self, **changes):
         """Write a new version of the configuration to the store."""
@@ -333,9 +338,12 @@
         zone = soak_configuration.ZONES[index % len(soak_configuration.ZONES)]
         settings = soak_configuration.settings(name, zone, ports, proxy.address)
         path.write_text(tomli_w.dumps(settings))
-        environment = {"TEASELWALL_NODE_FILE": str(path)}
+        environment = {
+            "TEASELWALL_NODE_FILE": str(path),
+            soak_host.PATHS_VARIABLE: str(self.cuts.path_of(name)),
+        }
         process = Process(
-            ["-m", "teaselwall.platform"], self.folder / f"{name}.log", environment
+            ["-m", soak_host.__name__], self.folder / f"{name}.log", environment
         )
         self.hosts.append(EntryHost(name, ports, zone, proxy, process))
 
--- a/teaselwall/tools/soak_hostfaults.py
+++ b/teaselwall/tools/soak_hostfaults.py
@@ -4,9 +4,12 @@
 
 import trio
 
-from teaselwall.tools import soak_configuration, soak_targets
+from teaselwall.tools import soak_configuration, soak_cuts, soak_targets
 
 RESTART_DELAY_S = 0.5
+# Share of the cuts that take the paths to all servers, and how long a cut lasts.
+WHOLE_SHARE = 0.7
+MIN_CUT_S, MAX_CUT_S = 3.0, 9.0
 
 
 class HostFaults:
@@ -30,6 +33,7 @@
             self.pause_host,
             self.reload_host,
             self.harm_host,
+            self.cut_hosts,
         )
 
     async def kill_host(self):
@@ -69,6 +73,22 @@
 
     async def harm_host(self):
         """Harm the connections between a host and the store."""
-        await self.targets.harm_connections(
-            self.targets.random.choice(self.fleet.hosts).proxy
-        )
+        host = self.targets.random.choice(self.fleet.hosts)
+        with self.fleet.cuts.out_of_touch.during(host.name):
+            await self.targets.harm_connections(host.proxy)
+
+    async def cut_hosts(self):
+        """Take the paths from some hosts to all or some servers away for a while."""
+        draws, fleet = self.targets.random, self.fleet
+        hosts = draws.sample(fleet.hosts, draws.randint(1, len(fleet.hosts)))
+        is_whole = draws.random() < WHOLE_SHARE
+        n_servers = len(fleet.servers) if is_whole else len(fleet.servers) // 2
+        servers = draws.sample(fleet.servers, n_servers)
+        how = draws.choice(soak_cuts.HOWS)
+        if how == "reset":
+            for server in servers:
+                # The proxies don't know which host a connection is from.
+                self.targets.disturbances.add(server.name, 0.0)
+                server.proxy.reset()
+        with fleet.cuts.during(hosts, servers, how, is_whole):
+            await trio.sleep(draws.uniform(MIN_CUT_S, MAX_CUT_S))
--- a/teaselwall/tools/soak_serverfaults.py
+++ b/teaselwall/tools/soak_serverfaults.py
@@ -15,6 +15,9 @@
 # Ranges of the requests a second that servers name as their limit, and of how long.
 MIN_LIMIT, MAX_LIMIT = 0.5, 5.0
 MIN_LIMITED_S, MAX_LIMITED_S = 6.0, 10.0
+# Ranges of the requests that a brittle server may reject in a second, and of how long.
+MIN_REJECTED, MAX_REJECTED = 2, 8
+MIN_BRITTLE_S, MAX_BRITTLE_S = 8.0, 12.0
 # Sound servers fall silent this often in one fault, each time for a time in this range.
 N_SILENCES = 3
 MIN_SILENCE_S, MAX_SILENCE_S = 1.0, 1.6
@@ -61,6 +64,7 @@
             self.leave_server,
             self.rest_servers,
             self.limit_servers,
+            self.make_brittle,
         )
 
     def _pick_server(self):
@@ -177,6 +181,19 @@
         for server in self.random.sample(sound, n_resting):
             await self.fleet.set_server_faults(server, rest_s=rest_s)
 
+    async def make_brittle(self):
+        """Have the servers of a pool say that they fall over if they reject much."""
+        pool = self.random.choice(list(soak_configuration.POOL_SIZES))
+        brittle_s = self.random.uniform(MIN_BRITTLE_S, MAX_BRITTLE_S)
+        max_rejected = self.random.randint(MIN_REJECTED, MAX_REJECTED)
+        until_s = time.monotonic() + brittle_s
+        for server in self.fleet.servers:
+            if server.pool == pool:
+                await self.fleet.set_server_faults(
+                    server, brittle=max_rejected, brittle_until_s=until_s
+                )
+        await trio.sleep(brittle_s)
+
     async def limit_servers(self):
         """Have some servers of a pool name how many requests a second they take."""
         pool = self.random.choice(list(soak_configuration.POOL_SIZES))
