Leave hosts that no server answers out of the address answers of the own interface

The same cause as on the platform's path: a host polls every server, and its address answers, and those of the others, went on listing it when none answered. Two tests failed before (the host says nothing; its address stays listed). A host whose servers of a pool have all missed two polls names the pool in its member row; answers leave out the hosts that reach no pool, while others do. Requests are not handed over on this interface.

--- a/teaselwall/addresses.py
+++ b/teaselwall/addresses.py
@@ -1,5 +1,6 @@
 """The list of weighted entry hosts that callers distribute their requests over."""
 
+from teaselwall import members
 from teaselwall.generated import messages
 
 FREE_HOST_WEIGHT = 100
@@ -7,7 +8,7 @@
 MAX_ENTRY_HOSTS = 16
 
 
-def answer(membership, state, max_requests, keep_ms):
+def answer(membership, state, max_requests, keep_ms, pools):
     """Return the entry hosts that a caller may use, with their weights.
 
     Parameters
@@ -18,22 +19,29 @@
         Requests in flight at which an entry host is full.
     keep_ms : int
         How long the caller may cache the answer.
+    pools : set of str
+        Pools that have servers.
 
     Returns
     -------
     messages.AddressAnswer
         At most ``MAX_ENTRY_HOSTS`` entry hosts, the highest weight first. Draining
-        hosts and hosts in data centres taken out of service are not listed. Callers
-        choose among the hosts in proportion to the weights.
+        hosts and hosts in data centres taken out of service are not listed, nor hosts
+        that reach no server while others do. Callers choose among the hosts in
+        proportion to the weights.
     """
+    serving = [
+        member
+        for member in membership.alive()
+        if not member.draining and member.data_centre not in state.data_centres_out
+    ]
     hosts = [
         messages.EntryHost(
             address=member.callers,
             data_centre=member.data_centre,
             weight=_member_weight(member, membership.me.data_centre, max_requests),
         )
-        for member in membership.alive()
-        if not member.draining and member.data_centre not in state.data_centres_out
+        for member in members.reaching(serving, pools)
     ]
     hosts.sort(key=lambda host: (-host.weight, host.address))
     return messages.AddressAnswer(
--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -102,6 +102,7 @@
             self.host.state,
             settings.limits.max_requests_in_flight,
             settings.membership.answer_kept_ms,
+            self.host.fleet.pools_in_use(),
         )
 
     async def _serve(self, service, scope, receive, send):
--- a/teaselwall/directories.py
+++ b/teaselwall/directories.py
@@ -1,6 +1,6 @@
 """Serves the directory of entry hosts, the readiness check and the metrics."""
 
-from teaselwall import responses
+from teaselwall import members, responses
 
 # Callers use at most this many addresses of one answer.
 MAX_ADDRESSES = 64
@@ -67,6 +67,5 @@
     """
     alive = membership.alive()
     serving = [member for member in alive if not member.draining] or alive
-    reaching = [m for m in serving if not (pools and pools <= set(m.unreachable))]
-    found = dict.fromkeys(member.callers for member in reaching or serving)
+    found = dict.fromkeys(m.callers for m in members.reaching(serving, pools))
     return list(found)[:MAX_ADDRESSES]
--- a/teaselwall/hosts.py
+++ b/teaselwall/hosts.py
@@ -173,6 +173,7 @@
             self.fleet,
             loads.HttpLoadReports(self.transport),
             settings.routing.load_interval_ms,
+            self.membership.me,
         )
         self.admission = admission.Admission(
             self.clock,
--- a/teaselwall/loads.py
+++ b/teaselwall/loads.py
@@ -1,12 +1,15 @@
 """Polling of backend servers for their load reports."""
 
 import abc
+import logging
 
 import trio
 
-from teaselwall import errors
+from teaselwall import ejections, errors, events
 from teaselwall.generated import messages
 
+logger = logging.getLogger(__name__)
+
 LOAD_PATH = "/v1/load"
 # Intervals between two polls of a warm and idle server.
 IDLE_POLL_ROUNDS = 8
@@ -61,6 +64,8 @@
     reports : LoadReports
     interval_ms : float
         Time between two polls of a server; also the timeout of a poll.
+    me : members.Member
+        This host in its membership view.
 
     Attributes
     ----------
@@ -68,13 +73,14 @@
         Servers that have a polling task.
     """
 
-    __slots__ = ("clock", "fleet", "reports", "interval_ms", "polled")
+    __slots__ = ("clock", "fleet", "reports", "interval_ms", "me", "polled")
 
-    def __init__(self, clock, fleet, reports, interval_ms):
+    def __init__(self, clock, fleet, reports, interval_ms, me):
         self.clock = clock
         self.fleet = fleet
         self.reports = reports
         self.interval_ms = interval_ms
+        self.me = me
         self.polled = set()
 
     async def run(self):
@@ -87,6 +93,26 @@
                         nursery.start_soon(self._poll, server)
                 await self.clock.sleep_ms(self.interval_ms)
 
+    def _review(self):
+        """Tell the other hosts with the next view which pools this one can't reach.
+
+        That is, all of whose servers in use have missed polls.
+        """
+        missed, answered = set(), set()
+        for server in self.fleet.servers_in_use():
+            is_missed = server.n_missed_polls >= ejections.MAX_MISSED
+            (missed if is_missed else answered).add(server.pool)
+        unreachable = sorted(missed - answered)
+        if unreachable != self.me.unreachable:
+            events.log(
+                logger,
+                logging.WARNING,
+                "unreachable_pools",
+                pools=unreachable,
+                before=self.me.unreachable,
+            )
+            self.me.unreachable = unreachable
+
     async def _poll(self, server):
         n_reports = server.n_reports
         n_rounds = 0
@@ -105,8 +131,10 @@
         result = await self.reports.fetch(server, self.interval_ms)
         if result.is_ok():
             self.fleet.record_polled(server, result.ok)
+            self._review()
             return
         server.n_missed_polls += 1
+        self._review()
         if result.error.outcome is errors.Outcome.NOT_RUN:
             server.warmth.invalidate()
 
--- a/teaselwall/members.py
+++ b/teaselwall/members.py
@@ -118,3 +118,16 @@
         self.members = members
         self.n_members = n_members
         self.seen_ms = seen_ms
+
+
+def reaching(candidates, pools):
+    """Return the members that reach a backend server, or all if none does.
+
+    Parameters
+    ----------
+    candidates : list of Member
+    pools : set of str
+        Pools that have servers.
+    """
+    found = [m for m in candidates if not pools or pools - set(m.unreachable)]
+    return found or candidates
--- a/teaselwall/tests/test_fleet.py
+++ b/teaselwall/tests/test_fleet.py
@@ -173,10 +173,24 @@
 async def polled(nursery):
     tested = new_fleet([entry(address) for address in ADDRESSES])
     reports = FakeReports()
-    nursery.start_soon(loads.Poller(clock.Clock(), tested, reports, 500).run)
+    me = fakes.View("h1").me
+    poller = loads.Poller(clock.Clock(), tested, reports, 500, me)
+    nursery.start_soon(poller.run)
+    reports.me = me
     return tested, reports
 
 
+async def test_host_that_no_server_answers_says_so(polled, autojump_clock):
+    """Other hosts took it for one that can serve."""
+    _, reports = polled
+    reports.dead.update(ADDRESSES)
+    await trio.sleep(6)
+    assert reports.me.unreachable == ["pool"]
+    reports.dead.discard(ADDRESSES[0])
+    await trio.sleep(2)
+    assert reports.me.unreachable == []
+
+
 async def test_dead_server_is_ejected_and_returns_with_one_call_at_a_time(
     polled, autojump_clock
 ):
--- a/teaselwall/tests/test_membership.py
+++ b/teaselwall/tests/test_membership.py
@@ -167,7 +167,7 @@
     assert trio.current_time() - started >= max(8, ANSWER_KEPT_MS / 1000)
     state = configuration.State()
     for other in fleet.hosts:
-        answer = addresses.answer(other.membership, state, 100, ANSWER_KEPT_MS)
+        answer = addresses.answer(other.membership, state, 100, ANSWER_KEPT_MS, {"p"})
         listed = {entry.address for entry in answer.entry_hosts}
         assert host.membership.me.callers not in listed
 
@@ -189,10 +189,36 @@
 async def test_data_centre_taken_out_leaves_the_address_answers(fleet, autojump_clock):
     state = configuration.State()
     state.data_centres_out.add("b")
-    answer = addresses.answer(fleet.hosts[0].membership, state, 100, ANSWER_KEPT_MS)
+    answer = addresses.answer(
+        fleet.hosts[0].membership, state, 100, ANSWER_KEPT_MS, {"p"}
+    )
     assert {entry.data_centre for entry in answer.entry_hosts} == {"a", "c"}
 
 
 async def _end_after(in_flight, duration_s):
     await trio.sleep(duration_s)
     in_flight.clear()
+
+
+async def test_hosts_that_reach_no_server_leave_the_address_answers(
+    fleet, autojump_clock
+):
+    """Callers were sent to hosts that had lost their paths to every server."""
+    cut_off = [fleet.hosts[0], fleet.hosts[3]]
+    for host in cut_off:
+        host.membership.me.unreachable = ["p", "q"]
+    fleet.hosts[1].membership.me.unreachable = ["p"]
+    await trio.sleep(8)
+    state = configuration.State()
+    for host in fleet.hosts:
+        answer = addresses.answer(
+            host.membership, state, 100, ANSWER_KEPT_MS, {"p", "q"}
+        )
+        listed = {entry.address for entry in answer.entry_hosts}
+        assert not {h.membership.me.callers for h in cut_off} & listed
+        assert listed
+    for host in fleet.hosts:
+        host.membership.me.unreachable = ["p", "q"]
+    await trio.sleep(8)
+    answer = addresses.answer(host.membership, state, 100, ANSWER_KEPT_MS, {"p", "q"})
+    assert len(answer.entry_hosts) > len(listed)
