--- a/teaselwall/brittleservers.py
+++ b/teaselwall/brittleservers.py
@@ -29,6 +29,8 @@
 BORNE_DIVISOR = 2
 JITTER_SHARE = 0.5
 MAX_REJECTIONS = 64
+# Hosts and loads are heard of several times a second.
+REFRESH_MS = 250.0
 
 
 class Brittleness:
@@ -73,6 +75,8 @@
         Times of the rejections of each server, at all hosts, by incarnation.
     closed_until_ms : dict of str to float
         Servers that get no requests, by incarnation.
+    dealt : dict of str to tuple of (float, dict of str to int)
+        Places of this host at the servers of each pool, and when they were dealt.
     nursery : trio.Nursery or None
         Sends what the other hosts are told; None before ``run``.
     """
@@ -87,6 +91,7 @@
         "pools",
         "rejected_ms",
         "closed_until_ms",
+        "dealt",
         "nursery",
     )
 
@@ -100,6 +105,7 @@
         self.pools = {}
         self.rejected_ms = {}
         self.closed_until_ms = {}
+        self.dealt = {}
         self.nursery = None
 
     async def run(self):
@@ -211,14 +217,26 @@
         All places of a pool's servers are dealt out to the hosts in turn. Hosts with
         the same view of servers and hosts never use one place twice.
         """
-        serving = self.fleet.serving(server.pool)
-        n_before = sum(
-            other.capacity() for other in serving if other.address < server.address
-        )
+        now_ms = self.clock.now_ms()
+        dealt_ms, dealt = self.dealt.get(server.pool, (float("-inf"), {}))
+        if now_ms - dealt_ms >= REFRESH_MS or server.incarnation not in dealt:
+            dealt = self._deal(server.pool)
+            self.dealt[server.pool] = now_ms, dealt
+        return dealt.get(server.incarnation, 0)
+
+    def _deal(self, pool):
+        """Return this host's places at each server of a pool, by incarnation."""
         nonces = sorted(member.nonce for member in self.membership.alive())
         index = nonces.index(self.membership.me.nonce)
-        first = (index - n_before) % len(nonces)
-        return max(0, server.capacity() - first + len(nonces) - 1) // len(nonces)
+        n_before, dealt = 0, {}
+        for server in sorted(self.fleet.serving(pool), key=lambda s: s.address):
+            n_places = server.capacity()
+            first = (index - n_before) % len(nonces)
+            dealt[server.incarnation] = max(
+                0, n_places - first + len(nonces) - 1
+            ) // len(nonces)
+            n_before += n_places
+        return dealt
 
     def receive(self, exchange):
         """Take over what another host says.
