Have a begun stream wait for a path where no host has one

The decision where a request is served moved from the gateway to handovers, and a host that was handed a request and made no attempt says so also where others had made some, so that the first host asks another one.

--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -301,6 +301,7 @@
             self.clock,
             self.transport,
             self.protocol,
+            self.fleet.paths,
             self.membership,
             self.gossip,
             self.settings.access.peer_key,
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -1,5 +1,6 @@
 """ASGI application of a gateway that forwards callers' requests to back ends."""
 
+import functools
 import logging
 
 import expression
@@ -8,7 +9,6 @@
 from teaselwall import (
     calls,
     clock,
-    crashguard,
     errors,
     events,
     handovers,
@@ -258,7 +258,10 @@
             if bound.is_error():
                 return bound
             for run in range(MAX_STAGE_RUNS):
-                result = await self._run_or_hand_over(call, reply, run)
+                run_here = functools.partial(
+                    self._run_stages_and_forward, call, reply, run
+                )
+                result = await self.entry.handovers.serve(call, reply, run_here)
                 if not (result.is_error() and _inputs_gone(result.error)):
                     return result
             return expression.Error(call.overall_error(result.error))
@@ -271,22 +274,6 @@
             errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
         )
 
-    async def _run_or_hand_over(self, call, reply, run):
-        """Serve a request here, or have another host do it if this one has no path."""
-        entry, pool = self.entry, call.pool.name
-        if pool not in entry.fleet.paths.unreachable:
-            result = await self._run_stages_and_forward(call, reply, run)
-            is_failed = result.is_error() and pool in entry.fleet.paths.unreachable
-            if not is_failed or isinstance(result.error, crashguard.Suspected):
-                return result
-            if not call.may_run_again():
-                return result
-        if call.handover is not None:
-            detail = f"This host doesn't reach pool {pool} either."
-            error = handovers.NotTaken(detail, retry_after_ms=RETRY_AFTER_MS)
-            return expression.Error(call.overall_error(error))
-        return await entry.handovers.run(call, reply)
-
     async def _run_stages_and_forward(self, call, reply, run):
         if not any(calls.piece_counts(call)):
             return await self.entry.forwarder.run(call, reply, None, _release_nothing)
--- a/teaselwall/handovers.py
+++ b/teaselwall/handovers.py
@@ -15,6 +15,7 @@
 
 from teaselwall import (
     calls,
+    crashguard,
     errors,
     events,
     progress,
@@ -36,6 +37,8 @@
 # The other host replies this long before this one has to.
 DEADLINE_MARGIN_MS = 10.0
 PROBE_INTERVAL_MS = 260.0
+# Time after which a stream that has begun looks again for a host with a path.
+PATH_POLL_MS = 100.0
 # In this time the servers are probed twice.
 RETRY_AFTER_MS = 1000.0
 
@@ -54,6 +57,7 @@
     clock : clock.Clock
     transport : httpcalls.HttpCalls
     protocol : protocols.Protocol
+    paths : serverpaths.ServerPaths
     membership : membership.Membership
     gossip : datagrams.DatagramGossip
     peer_key : str
@@ -73,6 +77,7 @@
         "clock",
         "transport",
         "protocol",
+        "paths",
         "membership",
         "gossip",
         "peer_key",
@@ -87,6 +92,7 @@
         clock,
         transport,
         protocol,
+        paths,
         membership,
         gossip,
         peer_key,
@@ -97,6 +103,7 @@
         self.clock = clock
         self.transport = transport
         self.protocol = protocol
+        self.paths = paths
         self.membership = membership
         self.gossip = gossip
         self.peer_key = peer_key
@@ -105,6 +112,45 @@
         self.random = random.Random(seed)
         self.in_progress = {}
 
+    async def serve(self, call, reply, run_here):
+        """Serve a request here, or have another host do it if this one has no path.
+
+        A stream that has begun waits for a path as long as its caller waits.
+
+        Parameters
+        ----------
+        call : calls.Call
+        reply : replies.Reply
+        run_here : callable
+            ``await run_here()`` serves the request here; returns as this method does.
+
+        Returns
+        -------
+        expression.Result
+            None once the reply has been sent.
+        """
+        while True:
+            result = await self._serve_where_reachable(call, reply, run_here)
+            if result.is_ok() or not isinstance(result.error, serverpaths.NoPath):
+                return result
+            if not reply.started or call.patience_ms() <= PATH_POLL_MS:
+                return result.map_error(lambda error: _overall_error(call, error))
+            await self.clock.sleep_ms(PATH_POLL_MS)
+
+    async def _serve_where_reachable(self, call, reply, run_here):
+        pool = call.pool.name
+        if pool not in self.paths.unreachable:
+            result = await run_here()
+            is_failed = result.is_error() and pool in self.paths.unreachable
+            if not is_failed or isinstance(result.error, crashguard.Suspected):
+                return result
+            if not call.may_run_again():
+                return result
+        if call.handover is not None:
+            detail = f"This host doesn't reach pool {pool} either."
+            return expression.Error(NotTaken(detail, retry_after_ms=RETRY_AFTER_MS))
+        return await self.run(call, reply)
+
     async def run(self, call, reply):
         """Have another host answer a request, and relay its answer.
 
@@ -116,7 +162,8 @@
         Returns
         -------
         expression.Result
-            None once the reply has been sent.
+            None once the reply has been sent; ``serverpaths.NoPath`` if no other host
+            could take the request.
         """
         asked = set()
         while len(asked) < MAX_PEERS:
@@ -138,7 +185,7 @@
                     return expression.Error(call.overall_error(error))
         detail = f"Neither this host nor another one reaches pool {call.pool.name}."
         error = serverpaths.NoPath(detail, retry_after_ms=RETRY_AFTER_MS)
-        return expression.Error(call.overall_error(error))
+        return expression.Error(error)
 
     def _choose(self, call, asked):
         """Return the less busy one of two random hosts that have a path, or None."""
@@ -332,6 +379,15 @@
     )
 
 
+def _overall_error(call, error):
+    """Return the error for the caller, or for the host that handed a request over.
+
+    That host knows of its own attempts; it may ask another host if this one made none.
+    """
+    made_none = call.handover is not None and call.n_ran == call.handover.n_ran
+    return error if made_none else call.overall_error(error)
+
+
 def _is_refusal(error):
     """Return whether a host has not taken a request, as it has no path either."""
     return any(name.lower() == REFUSED_HEADER for name, _ in error.reply.headers)
--- a/teaselwall/tests/test_handovers.py
+++ b/teaselwall/tests/test_handovers.py
@@ -114,6 +114,27 @@
     assert [host for _, _, host in world.arrivals][0] == "10.0.0.1:4"
 
 
+async def test_begun_stream_waits_for_a_path_where_no_host_has_one(
+    autojump_clock, world
+):
+    """It was cut at once where all hosts had lost their paths for a second."""
+    world.cuts[0].servers = set()
+    await trio.sleep(2.0)
+    caller = platform_entry.Caller("/resumed/1", Prompt_Prefix="a:100,b:50")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send, world, "", "r1", caller)
+        await trio.sleep(0.05 + 1.5 * cut_fleet.EVENT_S)
+        everywhere = cut_fleet.Cut(set(world.hosts), set(world.servers), "reset")
+        world.cuts[0] = everywhere
+        await trio.sleep(0.8)
+        world.cuts.clear()
+    numbers = range(1, cut_fleet.N_EVENTS + 1)
+    assert b"".join(caller.parts) == b"".join(
+        b"id: %d\ndata: x\n\n" % n for n in numbers
+    )
+    assert caller.ended
+
+
 async def test_request_takes_one_hop_between_hosts_that_take_each_other_for_sound(
     autojump_clock, world
 ):
