Probe other servers of a pool before it counts as unreachable

Three failed servers of a pool were enough for a host to refuse or hand over all requests for it, also where it reached the others: these were not probed once three had failed, nor if they had been reached in the half second before. Others are probed beside failed servers now, in turn of the pools, which come in any order.

--- a/teaselwall/serverpaths.py
+++ b/teaselwall/serverpaths.py
@@ -204,13 +204,15 @@
         """Probe servers that can't be reached, and a few others of each pool."""
         self.checked_ms = self.clock.now_ms()
         servers = self._to_probe()
-        while servers:
+        while True:
             async with trio.open_nursery() as nursery:
                 for server in servers:
                     nursery.start_soon(self._probe, server)
             self._forget_removed()
             self._review()
             servers = [s for s in servers if self._is_doubtful(s)]
+            if not servers:
+                return
 
     def _is_doubtful(self, server):
         """Return whether a further connection decides whether a server is lost."""
@@ -219,6 +221,11 @@
         return 0 < self.failed.get(_key(server), 0) < N_FAILURES
 
     def _to_probe(self):
+        """Return the servers to probe, in turn of the pools, which come in any order.
+
+        Beside servers that can't be reached, others of their pool are probed even if
+        they were reached just before, as the path may have been lost since.
+        """
         since_ms = self.clock.now_ms() - RECENT_MS
         found = []
         for pool in self.fleet.by_pool:
@@ -229,11 +236,10 @@
                 s
                 for s in serving
                 if _key(s) not in self.failed
-                and self.reached_ms.get(_key(s), NEVER_MS) < since_ms
+                and (failed or self.reached_ms.get(_key(s), NEVER_MS) < since_ms)
             ]
-            n_others = max(0, N_SAMPLED - len(failed))
-            found.append([*failed, *others[:n_others]])
-        # Each pool gets its share of the probes.
+            found.append([*others[:N_SAMPLED], *failed])
+        self.random.shuffle(found)
         longest = max(map(len, found), default=0)
         by_turn = [s[n] for n in range(longest) for s in found if n < len(s)]
         return by_turn[:MAX_PROBES]
