Take over requests however often they have been handed over

The number of a hand-over was refused as malformed above 16; a begun stream that waits for a path may look for a host more often.

--- a/teaselwall/handovers.py
+++ b/teaselwall/handovers.py
@@ -34,6 +34,8 @@
 SCOPE_KEY = "teaselwall.handover"
 # Hosts that are asked to take one request.
 MAX_PEERS = 4
+# Largest number of a hand-over; a begun stream may look for a host more often.
+MAX_NUMBER = 16
 # The other host replies this long before this one has to.
 DEADLINE_MARGIN_MS = 10.0
 PROBE_INTERVAL_MS = 260.0
@@ -296,7 +298,7 @@
         message = messages.Handover(
             peer_key=self.handovers.peer_key,
             sender=self.handovers.membership.me.address,
-            number=call.n_handovers,
+            number=min(call.n_handovers, MAX_NUMBER),
             n_ran=call.n_ran,
         )
         handed = protocols.HandedOver(
--- a/teaselwall/tests/test_handovers.py
+++ b/teaselwall/tests/test_handovers.py
@@ -135,6 +135,21 @@
     assert caller.ended
 
 
+async def test_request_may_have_been_handed_over_any_number_of_times(
+    autojump_clock, world, monkeypatch
+):
+    """A host refused the seventeenth hand-over of a request as malformed."""
+    init = calls.Call.__init__
+
+    def init_with_handovers(call, *args, **options):
+        init(call, *args, **options)
+        call.n_handovers = 40
+
+    monkeypatch.setattr(calls.Call, "__init__", init_with_handovers)
+    caller = await send(world, "/stream/1")
+    assert (caller.status, caller.ended) == (200, True)
+
+
 async def test_request_takes_one_hop_between_hosts_that_take_each_other_for_sound(
     autojump_clock, world
 ):
