Have a coordinator hear of its first job

Callers saw: requests whose stages were at a coordinator that had lost its paths, or its role, were refused with 429 once their time was over, though another host could have run the stages.

Cause: a host looks for jobs to hand over once it has any, and waits for the first one. The event that it waited for was replaced before it was ever set, at each start of a host, so that no host on the platform's path has ever handed a job over.

Two tests failed before.

Change: the event is replaced only after it was set.

--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -166,10 +166,9 @@
         detail : str
             Why, for the error's text.
         """
-        outcome = errors.Outcome.NOT_RUN
         for job in list(self.jobs.values()):
             if not job.ended() and applies(job):
-                self._end(job, errors.NotCoordinator(detail, outcome=outcome))
+                self._end(job, errors.NotCoordinator(detail))
 
     def _on_freed(self):
         self.work_changed.set()
@@ -186,7 +185,8 @@
     async def _recheck_periodically(self):
         while True:
             if not self.jobs:
-                self.job_submitted = trio.Event()
+                if self.job_submitted.is_set():
+                    self.job_submitted = trio.Event()
                 await self.job_submitted.wait()
             await self.clock.sleep_ms(RECHECK_MS)
             backlog = self._backlogs()
--- a/teaselwall/tests/test_cut_hosts.py
+++ b/teaselwall/tests/test_cut_hosts.py
@@ -58,3 +58,18 @@
     staged = [o for o in outcomes if o.path.startswith("/staged")]
     settled_s = began_s + cut_callers.CONTACT_S
     assert cut_callers.failed_share(staged, settled_s, ended_s) < 0.1
+
+
+async def test_jobs_of_a_coordinator_that_loses_its_paths_go_elsewhere_at_once(
+    autojump_clock, world
+):
+    """They waited at the coordinator until their time was over."""
+    host = next(iter(world.hosts.values()))
+    coordinator = host.coordination.coordinator().address
+    cut = cut_fleet.Cut({coordinator}, set(world.servers), "hang")
+    outcomes, began_s, _ = await play(world, cut)
+    staged = [o for o in outcomes if o.path.startswith("/staged")]
+    waited = [o for o in staged if began_s - 0.2 <= o.at_s < began_s + 1.0]
+    assert len(waited) > 4
+    # Its route allows 2 s; the coordinator knows within 0.7 s.
+    assert [o for o in waited if not o.served] == []
--- a/teaselwall/tests/test_stageload.py
+++ b/teaselwall/tests/test_stageload.py
@@ -134,3 +134,29 @@
     assert {error.outcome for error in handed_over} == {errors.Outcome.NOT_RUN}
     assert sum(result.is_ok() for result in results.values()) == 4
     assert servers.n_made == 4
+
+
+@pytest.mark.parametrize("waits_first", [True, False])
+async def test_first_job_is_heard_of_by_whoever_waits_for_one(
+    autojump_clock, nursery, servers, pool, waits_first
+):
+    """A coordinator that had waited since its start never handed a job over."""
+    pool.apply(messages.HostList(hosts=[fake_stages.entry("e1", "encode")]))
+    work = stagework.StageWork(clock.Clock(), pool, servers, pool_of, metrics.Metrics())
+    heard = []
+
+    async def wait():
+        await work.job_submitted.wait()
+        heard.append(trio.current_time())
+
+    if waits_first:
+        nursery.start_soon(wait)
+        await trio.sleep(0.1)
+    nursery.start_soon(work.run)
+    await trio.sleep(0.1)
+    if not waits_first:
+        nursery.start_soon(wait)
+        await trio.sleep(0.1)
+    nursery.start_soon(work.submit, burst(1)[0])
+    await trio.sleep(0.1)
+    assert heard
