--- a/teaselwall/gatewayviews.py
+++ b/teaselwall/gatewayviews.py
@@ -102,6 +102,7 @@
             n_cores=member.n_cores,
             n_requests=member.n_requests,
             backlog_ms=member.backlog_ms,
+            unreachable=member.unreachable,
         )
 
     def _servers(self):
@@ -126,6 +127,10 @@
             return "leaving"
         if server.data_centre in self.entry.operator_state.data_centres_out:
             return "its data centre is out"
+        if not fleet.paths.has_path(server):
+            return "this host can't open connections to it"
+        if not fleet.brittle.allows(server):
+            return "brittle, this host's places are used or it is left alone"
         if server.ejected:
             left_ms = server.eject_until_ms - self.entry.clock.now_ms()
             return f"failed {server.n_failures} times, back in {max(0, left_ms):.0f} ms"
--- a/teaselwall/tests/test_gatewayviews.py
+++ b/teaselwall/tests/test_gatewayviews.py
@@ -76,3 +76,19 @@
         "core 10.0.1.1:80 a c1@1: 0 of this host, load 0, in use",
     ):
         assert part in text
+
+
+async def test_view_tells_of_lost_paths_and_brittle_servers(autojump_clock, host):
+    """An operator could not see why a sound server got no work."""
+    (lost,) = host.fleet.serving("enc")
+    brittle = host.fleet.by_pool["core"]["10.0.1.1:80"]
+    host.fleet.paths.unreachable = frozenset({"enc"})
+    host.membership.me.unreachable = ["enc"]
+    host.fleet.brittle.record(brittle, 2, host.clock.now_ms())
+    brittle.in_flight = brittle.capacity()
+    view = await host.control.handlers[gatewayviews.PATH]({})
+    reasons = {server.address: server.left_out for server in view.servers}
+    assert reasons[lost.address] == "this host can't open connections to it"
+    assert reasons[brittle.address].startswith("brittle")
+    lines = "\n".join(view_commands.gateway_lines(view))
+    assert "reaches no server of enc" in lines
--- a/teaselwall/view_commands.py
+++ b/teaselwall/view_commands.py
@@ -182,6 +182,7 @@
             f"  {member.address} {member.data_centre}: {state}, "
             f"{member.n_requests} requests, {member.n_cores:g} cores, "
             f"stage backlog {member.backlog_ms} ms, heard {member.age_ms} ms ago"
+            f"{_unreachable_text(member)}"
         )
     yield "Stage coordinators:"
     yield from (f"  {g}: {address}" for g, address in view.coordinators.items())
@@ -199,3 +200,9 @@
         f"for {entry.age_ms / 1000:.0f} s)"
         for entry in view.quarantined
     )
+
+
+def _unreachable_text(member):
+    if not member.unreachable:
+        return ""
+    return f", reaches no server of {', '.join(member.unreachable)}"
