--- a/teaselwall/brittleservers.py
+++ b/teaselwall/brittleservers.py
@@ -1,8 +1,8 @@
-"""Keeps brittle servers from having many requests turned away.
+"""Keeps brittle servers from rejecting more requests than they tolerate.
 
-A brittle server falls over when it has to reject more than a number of requests in a
+A brittle server crashes when it has to reject more than a number of requests in a
 second, whichever hosts they come from. While the servers of a pool say that they are
-brittle, the hosts split the places of each server among them, so that none has to
+brittle, the hosts divide the slots of each server among them, so that none has to
 reject a request, and tell each other of the rejections that there are all the same.
 """
 
@@ -24,9 +24,11 @@
 TOLD_MS = 1000.0
 # Rejections are counted over this time.
 WINDOW_MS = 1000.0
-# A server gets no requests for the window and up to this share more once half of the
-# rejections that it bears have been counted: others may be on their way.
-BORNE_DIVISOR = 2
+# A server gets no requests for a time once this share of the rejections that it
+# tolerates has been counted: others may be on their way.
+TOLERATED_SHARE = 0.5
+# That time is the window and up to this share of it more, so that not all hosts send
+# to the server again at once.
 JITTER_SHARE = 0.5
 MAX_REJECTIONS = 64
 # Hosts and loads are heard of several times a second.
@@ -39,7 +41,7 @@
     Attributes
     ----------
     max_rejected : int
-        Requests that a server may reject in a second without falling over.
+        Requests that a server may reject in a second without crashing.
     heard_ms : float
         When this was last heard, on the clock.
     told_until_ms : float
@@ -75,8 +77,8 @@
         Times of the rejections of each server, at all hosts, by incarnation.
     closed_until_ms : dict of str to float
         Servers that get no requests, by incarnation.
-    dealt : dict of str to tuple of (float, dict of str to int)
-        Places of this host at the servers of each pool, and when they were dealt.
+    slot_shares : dict of str to tuple of (float, dict of str to int)
+        When the slots of each pool were last divided, and this host's by incarnation.
     nursery : trio.Nursery or None
         Sends what the other hosts are told; None before ``run``.
     """
@@ -91,7 +93,7 @@
         "pools",
         "rejected_ms",
         "closed_until_ms",
-        "dealt",
+        "slot_shares",
         "nursery",
     )
 
@@ -105,7 +107,7 @@
         self.pools = {}
         self.rejected_ms = {}
         self.closed_until_ms = {}
-        self.dealt = {}
+        self.slot_shares = {}
         self.nursery = None
 
     async def run(self):
@@ -180,7 +182,7 @@
             self.rejected_ms[incarnation] = times
         times.append(now_ms)
         n_recent = sum(at_ms > now_ms - WINDOW_MS for at_ms in times)
-        if n_recent < max(1, self.pools[pool].max_rejected // BORNE_DIVISOR):
+        if n_recent < max(1, int(TOLERATED_SHARE * self.pools[pool].max_rejected)):
             return
         pause_ms = WINDOW_MS * (1.0 + JITTER_SHARE * self.random.random())
         self.closed_until_ms[incarnation] = now_ms + pause_ms
@@ -209,34 +211,34 @@
             return False
         if server.pool in self.operator_state.stage_pools():
             return True
-        return server.in_flight < self.places(server)
+        return server.in_flight < self.slot_share(server)
 
-    def places(self, server):
+    def slot_share(self, server):
         """Return how many requests of this host may be at a server at once.
 
-        All places of a pool's servers are dealt out to the hosts in turn. Hosts with
-        the same view of servers and hosts never use one place twice.
+        The slots of a pool's servers are assigned to the hosts in turn. Hosts with the
+        same view of servers and hosts never use one slot twice.
         """
         now_ms = self.clock.now_ms()
-        dealt_ms, dealt = self.dealt.get(server.pool, (float("-inf"), {}))
-        if now_ms - dealt_ms >= REFRESH_MS or server.incarnation not in dealt:
-            dealt = self._deal(server.pool)
-            self.dealt[server.pool] = now_ms, dealt
-        return dealt.get(server.incarnation, 0)
-
-    def _deal(self, pool):
-        """Return this host's places at each server of a pool, by incarnation."""
+        since_ms, shares = self.slot_shares.get(server.pool, (float("-inf"), {}))
+        if now_ms - since_ms >= REFRESH_MS or server.incarnation not in shares:
+            shares = self._slot_shares(server.pool)
+            self.slot_shares[server.pool] = now_ms, shares
+        return shares.get(server.incarnation, 0)
+
+    def _slot_shares(self, pool):
+        """Return this host's slots of each server of a pool, by incarnation."""
         nonces = sorted(member.nonce for member in self.membership.alive())
         index = nonces.index(self.membership.me.nonce)
-        n_before, dealt = 0, {}
+        n_before, shares = 0, {}
         for server in sorted(self.fleet.serving(pool), key=lambda s: s.address):
-            n_places = server.capacity()
+            n_slots = server.capacity()
             first = (index - n_before) % len(nonces)
-            dealt[server.incarnation] = max(
-                0, n_places - first + len(nonces) - 1
+            shares[server.incarnation] = max(
+                0, n_slots - first + len(nonces) - 1
             ) // len(nonces)
-            n_before += n_places
-        return dealt
+            n_before += n_slots
+        return shares
 
     def receive(self, exchange):
         """Take over what another host says.
--- a/teaselwall/crashguard.py
+++ b/teaselwall/crashguard.py
@@ -48,7 +48,7 @@
     membership : membership.Membership
     gossip : datagrams.DatagramGossip
         Carries the evidence to the other hosts.
-    witness : crashwitnesses.CrashWitness
+    verifier : crashverifiers.CrashVerifier
     archive : quarantinearchive.QuarantineArchive
         Keeps the refused suspects for hosts that start.
 
@@ -70,7 +70,7 @@
         "clock",
         "membership",
         "gossip",
-        "witness",
+        "verifier",
         "archive",
         "evidence",
         "quarantine",
@@ -80,11 +80,11 @@
         "is_judging",
     )
 
-    def __init__(self, clock, membership, gossip, witness, archive):
+    def __init__(self, clock, membership, gossip, verifier, archive):
         self.clock = clock
         self.membership = membership
         self.gossip = gossip
-        self.witness = witness
+        self.verifier = verifier
         self.archive = archive
         self.evidence = crashevidence.CrashEvidence(clock)
         self.quarantine = crashquarantine.CrashQuarantine(clock)
@@ -168,7 +168,7 @@
         """Report a server's end if its process no longer runs."""
         incarnation = server.incarnation
         broken_ms = self.clock.now_ms()
-        has_ended = await self.witness.has_ended(server, self.evidence.crashes)
+        has_ended = await self.verifier.has_ended(server, self.evidence.crashes)
         await self.clock.sleep_ms(GATHER_MS)
         attempts = self.broken.pop(incarnation)
         requests = [attempt.call.head.id for attempt in attempts]
@@ -299,7 +299,7 @@
 
     async def _check_report(self, report):
         """Refute the report of a host that has only lost its path to a server."""
-        if await self.witness.still_runs(report.server):
+        if await self.verifier.still_runs(report.server):
             self._drop(report.server)
             await self.gossip.tell_all(refuted=[report.server])
 
--- a/teaselwall/crashwitnesses.py
+++ b/teaselwall/crashverifiers.py
@@ -14,7 +14,7 @@
 PROBE_INTERVAL_MS = 500.0
 
 
-class CrashWitness:
+class CrashVerifier:
     """Checks this host's own suspicions and the reports of other hosts.
 
     Parameters
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -14,7 +14,7 @@
     control,
     coordination,
     crashguard,
-    crashwitnesses,
+    crashverifiers,
     datacentregroups,
     datagrams,
     enginechoices,
@@ -261,7 +261,9 @@
             self.clock,
             self.membership,
             self.gossip,
-            crashwitnesses.CrashWitness(self.clock, probes.ConnectProber(), self.fleet),
+            crashverifiers.CrashVerifier(
+                self.clock, probes.ConnectProber(), self.fleet
+            ),
             archive,
         )
         self.gossip.crash_guard = self.crash_guard
--- a/teaselwall/gatewayviews.py
+++ b/teaselwall/gatewayviews.py
@@ -130,7 +130,7 @@
         if not fleet.paths.has_path(server):
             return "this host can't open connections to it"
         if not fleet.brittle.allows(server):
-            return "brittle, this host's places are used or it is left alone"
+            return "brittle: this host's slots are used, or it has rejected too much"
         if server.ejected:
             left_ms = server.eject_until_ms - self.entry.clock.now_ms()
             return f"failed {server.n_failures} times, back in {max(0, left_ms):.0f} ms"
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -146,7 +146,7 @@
         Requests a second that the server takes from all hosts together; None if it
         names no limit, NaN if what it names can't be read.
     max_rejected : int or None
-        Requests that the server may turn away in a second without falling over; None
+        Requests that the server may turn away in a second without crashing; None
         if it does not say that it is brittle.
     """
 
--- a/teaselwall/tests/crashing_fleet.py
+++ b/teaselwall/tests/crashing_fleet.py
@@ -68,7 +68,7 @@
     network = Network(made)
     for host in made:
         host.gossip.socket = network
-        host.crash_guard.witness.prober = engines
+        host.crash_guard.verifier.prober = engines
         nursery.start_soon(host.crash_guard.run)
         nursery.start_soon(host.server_limits.run)
         nursery.start_soon(host.fleet.brittle.run)
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -129,7 +129,7 @@
         address = host.membership.me.address
         connect = functools.partial(self._probe, address)
         host.fleet.paths.connect = connect
-        host.crash_guard.witness.prober = probes.ConnectProber(connect)
+        host.crash_guard.verifier.prober = probes.ConnectProber(connect)
         host.handovers.transport = host.transport
         self.applications[address] = handovers.PeerApplication(
             host.control,
--- a/teaselwall/tests/test_brittle.py
+++ b/teaselwall/tests/test_brittle.py
@@ -91,11 +91,11 @@
     await trio.sleep(1.5)
     for host in others:
         assert host.fleet.brittle.pools["llm"].max_rejected == 2
-    places = [
-        sum(host.fleet.brittle.places(s) for host in hosts)
+    shares = [
+        sum(host.fleet.brittle.slot_share(s) for host in hosts)
         for s in first.fleet.serving("llm")
     ]
-    assert places == [s.capacity() for s in first.fleet.serving("llm")]
+    assert shares == [s.capacity() for s in first.fleet.serving("llm")]
 
 
 async def test_pool_is_no_longer_brittle_after_an_answer_that_does_not_say_so(
@@ -128,5 +128,5 @@
         assert not host.fleet.brittle.allows(server)
     await trio.sleep(2.0)
     assert first.fleet.brittle.allows(server) == (
-        first.fleet.brittle.places(server) > 0
+        first.fleet.brittle.slot_share(server) > 0
     )
--- a/teaselwall/tests/test_crashguard.py
+++ b/teaselwall/tests/test_crashguard.py
@@ -74,7 +74,7 @@
     made = platform_entry.make_entry_host(
         engines, fake_stages.FakeServers(), servers=engines.registrations()
     )
-    made.crash_guard.witness.prober = engines
+    made.crash_guard.verifier.prober = engines
     made.crash_guard.archive.store = store
     nursery.start_soon(made.crash_guard.run)
     engines.hosts = [made]
@@ -147,7 +147,7 @@
         guarded_host.clock,
         guarded_host.membership,
         guarded_host.gossip,
-        guarded_host.crash_guard.witness,
+        guarded_host.crash_guard.verifier,
         quarantinearchive.QuarantineArchive(guarded_host.clock, store, "q"),
     )
     nursery.start_soon(restarted.run)
