Hand a resumed stream over with the origin that its caller named, if any

A caller that resumes a stream without naming the attempt that began it had its own attempt named to the next host, which then looked for an origin that nobody has. The rule which attempt that is stands once, in calls.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -118,6 +118,15 @@
             )
         return self._suspects
 
+    def origin_request(self):
+        """Return the id of the caller's attempt that brings the stream's first event.
+
+        Empty if the request resumes a stream without naming that attempt.
+        """
+        if self.head.resumed or self.head.last_event:
+            return self.head.resumed
+        return self.head.id
+
     def may_run_again(self):
         """Return whether another server may run the request."""
         return not self.n_ran or self._may_run_more(self.n_ran)
--- a/teaselwall/handovers.py
+++ b/teaselwall/handovers.py
@@ -304,7 +304,7 @@
         handed = protocols.HandedOver(
             remaining_ms=remaining_ms - DEADLINE_MARGIN_MS,
             last_event=call.splitter.last_id,
-            resumed=call.head.resumed or (call.splitter.last_id and call.head.id),
+            resumed=call.origin_request() if call.splitter.last_id else "",
             n_body_bytes=len(call.body),
         )
         headers = self.protocol.handover_headers(call.head, handed)
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -118,9 +118,7 @@
     async def _tell(self, call):
         """Tell the keepers of a stream which version began it."""
         # Names the caller's attempt that brought the first event of the whole stream.
-        request = call.head.resumed
-        if not request and not call.head.last_event:
-            request = call.head.id
+        request = call.origin_request()
         if not request:
             return
         unconfirmed = call.doubted.incarnation if call.doubted is not None else ""
--- a/teaselwall/tests/test_handovers.py
+++ b/teaselwall/tests/test_handovers.py
@@ -1,9 +1,11 @@
 """Requests that one entry host hands over to another."""
 
+import expression
 import pytest
 import trio
 
-from teaselwall import calls, handovers
+from teaselwall import calls, handovers, streamversions
+from teaselwall.platform import heads
 from teaselwall.tests import cut_fleet, platform_entry
 
 KNOWN_S = 1.5
@@ -114,6 +116,35 @@
     assert [host for _, _, host in world.arrivals][0] == "10.0.0.1:4"
 
 
+@pytest.mark.parametrize(
+    ("headers", "resumed"),
+    [
+        ({"Last_Event_Id": "1", "Resumes": "r0"}, "r0"),
+        ({"Last_Event_Id": "1"}, ""),
+        ({}, ""),
+    ],
+)
+async def test_stream_that_its_caller_resumes_keeps_its_origin(
+    autojump_clock, world, monkeypatch, headers, resumed
+):
+    """The next host looked for the origin under the id of the request itself."""
+    handed = []
+    pass_on = heads.UsersProtocol.handover_headers
+
+    def record(protocol, head, change):
+        handed.append(change)
+        return pass_on(protocol, head, change)
+
+    async def allow(versions, call):
+        return expression.Ok(None)
+
+    monkeypatch.setattr(heads.UsersProtocol, "handover_headers", record)
+    monkeypatch.setattr(streamversions.StreamVersions, "bind_resumption", allow)
+    await send(world, "", caller=platform_entry.Caller("/resumed/1", **headers))
+    assert {change.resumed for change in handed} == {resumed}
+    assert {c.last_event for c in handed} == {headers.get("Last_Event_Id", "")}
+
+
 async def test_begun_stream_waits_for_a_path_where_no_host_has_one(
     autojump_clock, world
 ):
