--- a/teaselwall/brittleservers.py
+++ b/teaselwall/brittleservers.py
@@ -228,7 +228,7 @@
 
     def _slot_shares(self, pool):
         """Return this host's slots of each server of a pool, by incarnation."""
-        nonces = sorted(member.nonce for member in self.membership.alive())
+        nonces = sorted(member.nonce for member in self.membership.heard_lately())
         index = nonces.index(self.membership.me.nonce)
         n_before, shares = 0, {}
         for server in sorted(self.fleet.serving(pool), key=lambda s: s.address):
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -82,6 +82,14 @@
         """Return the known live members, draining ones included."""
         return self.neighbours() + self.remote_delegates()
 
+    def heard_lately(self):
+        """Return the known members, those of this data centre also if just silent.
+
+        A member's heartbeat may spread more slowly than it counts as dead. Hosts agree
+        on this list more often than on ``alive``.
+        """
+        return [*self.members_by_nonce.values(), *self.remote_delegates()]
+
     def sizes(self):
         """Return the number of members that are not draining, by data centre."""
         sizes = {name: summary.n_members for name, summary in self._live_summaries()}
