Go on reading a server while its caller reads slowly

Callers on the new deployments may read slowly, and servers cut off an answer that stays unread for some seconds. The relay waited for the caller after each part, so it stopped reading the server and the caller lost an answer that was already made; also, a caller had to take the whole rest of a part within 10 s, however slowly it read.

A caller that takes no byte for 10 s is still cut off. Without the setting the relay waits as before.

--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -21,6 +21,7 @@
     logsinks,
     settings,
     stops,
+    unreadreplies,
 )
 from teaselwall.generated import gateway as schema
 
@@ -154,7 +155,12 @@
         host.platform.readiness_path,
         host.platform.encode_address_answer,
     )
-    callers = httpserver.Server(gateway_application, listen.callers, CONNECTION_IDLE_S)
+    unread = unreadreplies.UnreadReplies(
+        lambda: host.settings.limits.max_unread_bytes, host.metrics
+    )
+    callers = httpserver.Server(
+        gateway_application, listen.callers, CONNECTION_IDLE_S, unread
+    )
     applications = {
         listen.readiness: directory_application,
         listen.directory: directory_application,
--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -13,7 +13,7 @@
 import h11
 import trio
 
-from teaselwall import acceptors, events, sockets
+from teaselwall import acceptors, events, sockets, unreadreplies
 
 logger = logging.getLogger(__name__)
 
@@ -23,9 +23,8 @@
 # The same from the time at which the server closes: the request has to end as well
 # before the process does.
 CLOSING_HEAD_TIMEOUT_S = 0.5
-# Time for the next bytes of a body, and for a caller to take the bytes sent.
+# Time for the next bytes of a body.
 BODY_TIMEOUT_S = 10.0
-SEND_TIMEOUT_S = 10.0
 # After an early reply, the rest of the request is read for this long, as closing with
 # unread bytes would reset the connection before the caller has the reply.
 LINGER_S = 1.0
@@ -34,10 +33,6 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class CallerStalled(Exception):
-    """The caller does not read the reply."""
-
-
 class Server:
     """Listens on one address.
 
@@ -49,23 +44,37 @@
         ``IP:port``.
     idle_s : float
         Time after which an idle connection is closed, also before its first request.
+    unread : unreadreplies.UnreadReplies, optional
+        Bounds what is kept for callers who read slowly; by default nothing is kept.
 
     Attributes
     ----------
     connections : set of Connection
         Open connections.
+    nursery : trio.Nursery or None
+        Runs the connections; None before ``run``.
     closing : bool
         Whether connections are closed once their request in progress has ended.
     """
 
-    __slots__ = ("application", "address", "idle_s", "connections", "closing")
+    __slots__ = (
+        "application",
+        "address",
+        "idle_s",
+        "unread",
+        "connections",
+        "closing",
+        "nursery",
+    )
 
-    def __init__(self, application, address, idle_s):
+    def __init__(self, application, address, idle_s, unread=None):
         self.application = application
         self.address = address
         self.idle_s = idle_s
+        self.unread = unread or unreadreplies.UnreadReplies(lambda: 0)
         self.connections = set()
         self.closing = False
+        self.nursery = None
 
     async def run(self, shutdown):
         """Serve until ``shutdown`` is set and the requests in progress have ended.
@@ -75,6 +84,7 @@
         shutdown : trio.Event
         """
         async with trio.open_nursery() as nursery:
+            self.nursery = nursery
             await acceptors.run(
                 self.address,
                 functools.partial(nursery.start_soon, self._handle),
@@ -91,7 +101,7 @@
             connection = Connection(self, sockets.Stream(sock))
             self.connections.add(connection)
             await connection.run()
-        except (OSError, CallerStalled, h11.ProtocolError) as error:
+        except (OSError, unreadreplies.CallerStalled, h11.ProtocolError) as error:
             _log_failure(logging.DEBUG, error)
         except Exception as error:
             _log_failure(logging.INFO, error)
@@ -111,6 +121,8 @@
     Attributes
     ----------
     protocol : h11.Connection
+    sender : unreadreplies.Sender or None
+        None before ``run``.
     idle_scope : trio.CancelScope or None
         Set while the connection waits for a request.
     head_scope : trio.CancelScope or None
@@ -127,6 +139,7 @@
         "server",
         "stream",
         "protocol",
+        "sender",
         "idle_scope",
         "head_scope",
         "caller_gone",
@@ -140,6 +153,7 @@
         self.protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self.sender = None
         self.idle_scope = None
         self.head_scope = None
         self.caller_gone = False
@@ -148,16 +162,23 @@
 
     async def run(self):
         """Serve the requests of the connection, one after the other."""
+        server = self.server
+        self.sender = unreadreplies.Sender(
+            self.stream, server.unread, server.nursery.start_soon
+        )
         try:
             while await self._serve_one():
                 pass
-        except BaseException:
+        except BaseException as error:
+            if isinstance(error, Exception):
+                await self.sender.finish(LINGER_S)
             if self._ends_body_by_close():
                 # Otherwise the cut reply would look complete.
                 self._reset_on_close()
             raise
         finally:
             self.stream.close()
+            self.sender.drop()
 
     def close_if_idle(self):
         """Close the connection if it waits for a request, or soon for its head."""
@@ -275,7 +296,7 @@
 
         Raises
         ------
-        CallerStalled
+        unreadreplies.CallerStalled
         """
         if message["type"] == "http.response.start":
             headers = list(message["headers"])
@@ -290,29 +311,23 @@
         body = message.get("body", b"")
         if body and self.method != b"HEAD":
             data += self.protocol.send(h11.Data(data=body))
-        if not message.get("more_body"):
+        is_last = not message.get("more_body")
+        if is_last:
             data += self.protocol.send(h11.EndOfMessage())
-        await self._send_bytes(data)
+        await self._send_bytes(data, is_last)
 
-    async def _send_bytes(self, data):
+    async def _send_bytes(self, data, is_last=True):
         """Send bytes; do nothing once the caller has closed its end."""
         if self.caller_gone:
             return
-        is_sent = False
         try:
-            rest = self.stream.send_now(data)
-            is_sent = not rest
-            if rest:
-                with trio.move_on_after(SEND_TIMEOUT_S):
-                    await self.stream.send(rest)
-                    is_sent = True
+            await self.sender.send(data, is_last)
         except OSError as error:
             _log_failure(logging.DEBUG, error)
             self.caller_gone = True
-            return
-        if not is_sent:
+        except unreadreplies.CallerStalled:
             self.caller_gone = True
-            raise CallerStalled(f"The caller read nothing for {SEND_TIMEOUT_S:.0f} s.")
+            raise
 
     async def _read_rest(self):
         """Read what is left of the request; return whether the connection is kept."""
--- a/teaselwall/tests/test_stops.py
+++ b/teaselwall/tests/test_stops.py
@@ -74,6 +74,7 @@
             directory_path="/d", readiness_path="/r", encode_address_answer=None
         )
         self.control = test_http.application
+        self.metrics = None
         self.stop = stops.Stop(
             clock.Clock(),
             self.settings,
