Don't take a server's reply for a host's refusal of a hand-over

The test shows it: one request to a route whose requests run once arrived at servers more than once. The host that relays a server's reply to another host now leaves that header out.

test_header_of_a_servers_own_reply_is_no_refusal_of_a_host failed before.

--- a/teaselwall/forwarders.py
+++ b/teaselwall/forwarders.py
@@ -9,6 +9,7 @@
 from teaselwall import (
     errors,
     events,
+    handovers,
     requestattempts,
     returntimes,
     serverchoices,
@@ -269,7 +270,8 @@
         ran = error.outcome is not errors.Outcome.NOT_RUN
         is_answer = isinstance(error, requestattempts.BadAnswer)
         if is_answer and ran and not reply.started:
-            await reply.send_whole(error.reply.status, error.reply.headers, error.body)
+            headers = handovers.without_refusal(error.reply.headers)
+            await reply.send_whole(error.reply.status, headers, error.body)
             return expression.Ok(None)
         return self._error_result(call, error)
 
--- a/teaselwall/handovers.py
+++ b/teaselwall/handovers.py
@@ -381,6 +381,15 @@
     )
 
 
+def without_refusal(headers):
+    """Return a server's headers without the one by which hosts refuse hand-overs.
+
+    The host that handed the request over would take the reply for a refusal, and have
+    the request run again.
+    """
+    return [header for header in headers if header[0].lower() != REFUSED_HEADER]
+
+
 def _overall_error(call, error):
     """Return the error for the caller, or for the host that handed a request over.
 
--- a/teaselwall/tests/test_handovers.py
+++ b/teaselwall/tests/test_handovers.py
@@ -238,3 +238,19 @@
     for number in range(8):
         assert (await send(world, "/once/1", f"b{number}")).status == 200
     assert {h for _, _, h in world.arrivals} == {"10.0.0.2:4"}
+
+
+async def test_header_of_a_servers_own_reply_is_no_refusal_of_a_host(
+    autojump_clock, world, monkeypatch
+):
+    """A request that had run was sent again, as its answer looked like a refusal."""
+    init = cut_fleet.ServerReply.__init__
+
+    def fail(self, *arguments):
+        init(self, *arguments)
+        self.status = 500
+        self.headers.append((handovers.REFUSED_HEADER, b"1"))
+
+    monkeypatch.setattr(cut_fleet.ServerReply, "__init__", fail)
+    caller = await send(world, "/once/1")
+    assert (caller.status, len(world.arrivals)) == (500, 1)
