Check a configuration before it is published

Operators had no way to see that a route is hidden by another one, that a key is given twice or what a version changes for callers before every entry host applied it.

`teaselwall configuration check FILE [--in-force FILE]` decodes the file with the platform's decoder in service, which now returns the entries as written (RouteConfiguration); the table that serves requests is made from these.

--- a/teaselwall/cli.py
+++ b/teaselwall/cli.py
@@ -11,6 +11,7 @@
 
 import teaselwall
 from teaselwall import (
+    configuration_commands,
     console,
     entrydaemon,
     fleet_commands,
@@ -37,6 +38,7 @@
     fleet_commands.QuarantineList,
     fleet_commands.QuarantineLift,
     fleet_commands.ConfigurationRestart,
+    configuration_commands.CheckConfiguration,
     view_commands.Status,
     view_commands.Trace,
     view_commands.GatewayStatus,
--- a/teaselwall/platform/adapter.py
+++ b/teaselwall/platform/adapter.py
@@ -51,8 +51,9 @@
         """Return the start of a process; see ``platforms.Platform.read_start``."""
         return await reports.read_start(transport, server.address)
 
-    def decode_table(self, value):
-        """Decode a configuration; see ``platforms.Platform.decode_table``."""
+    @staticmethod
+    def decode_configuration(value):
+        """Decode one; see ``platforms.Platform.decode_configuration``."""
         return documents.read(value)
 
     def decode_data_centre_out(self, key):
--- a/teaselwall/platform/documents.py
+++ b/teaselwall/platform/documents.py
@@ -5,7 +5,7 @@
 import expression
 import msgspec
 
-from teaselwall import errors, routes
+from teaselwall import errors, routeconfigurations, routes
 
 BYTES_PER_MB = 1_000_000
 MS_PER_S = 1000.0
@@ -103,29 +103,30 @@
     Returns
     -------
     expression.Result
-        ``routes.RouteTable``.
+        ``routeconfigurations.RouteConfiguration``.
     """
     try:
         config = msgspec.json.decode(value, type=_Config)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         return expression.Error(UnreadableConfiguration(f"{error}."))
-    return expression.Ok(_table(config))
+    return expression.Ok(_configuration(config))
 
 
-def _table(config):
-    organisations = {}
-    for tenant in config.tenants:
-        organisation = routes.Organisation(
-            tenant.name, tenant.priority, tuple(tenant.allowed_regions)
-        )
-        organisations.update(dict.fromkeys(tenant.api_keys, organisation))
-    return routes.RouteTable(
+def _configuration(config):
+    return routeconfigurations.RouteConfiguration(
         version=config.version,
-        routes=[_route(route) for route in config.routes],
-        pools=[_pool(service) for service in config.services],
-        organisations=organisations,
+        routes=tuple(_route(route) for route in config.routes),
+        pools=tuple(_pool(service) for service in config.services),
+        organisations=tuple(
+            (
+                routes.Organisation(
+                    tenant.name, tenant.priority, tuple(tenant.allowed_regions)
+                ),
+                tuple(tenant.api_keys),
+            )
+            for tenant in config.tenants
+        ),
         max_body_bytes=config.limits.max_body_bytes,
-        requires_keys=bool(config.tenants),
     )
 
 
--- a/teaselwall/platforms.py
+++ b/teaselwall/platforms.py
@@ -51,9 +51,22 @@
             On the server's own clock, as in its incarnation; None if it is not known.
         """
 
+    @staticmethod
     @abc.abstractmethod
+    def decode_configuration(value):
+        """Return a result with the entries of a configuration record.
+
+        Returns
+        -------
+        expression.Result
+            ``routeconfigurations.RouteConfiguration``.
+        """
+
     def decode_table(self, value):
         """Return a result with the ``routes.RouteTable`` of a configuration record."""
+        return self.decode_configuration(value).map(
+            lambda configuration: configuration.table()
+        )
 
     @abc.abstractmethod
     def decode_data_centre_out(self, key):
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -66,7 +66,7 @@
 
 
 def test_a_configuration_becomes_routes_pools_and_organisations():
-    table = documents.read(json.dumps(CONFIG).encode()).ok
+    table = documents.read(json.dumps(CONFIG).encode()).ok.table()
     stream = table.find("a.example", "/x/1")
     assert (stream.kind, stream.resumable) == (routes.Kind.STREAM, True)
     assert stream.shares == (("llm", 90.0), ("other", 10.0))
