Refuse streams of unknown origin by when they were first asked for

Cause: a host that is asked for a stream nobody remembers joins it if its route's pools have had one version within 2 x the route's time limit and 10 s before the request. After all hosts were killed, a caller that kept coming back (Retry-After 0.3 s) was refused only until that window had moved past the kill; then its stream went on at the version that was left. The same with a configuration in between: the window and the pools came from the route in force, not from the one under which the stream ran.

Change: hosts remember when a stream was first asked for (and tell each other with the questions and answers about origins); the window is counted back from then. Streams whose callers name no origin count as one for each route. Earlier routes count as long as their streams may run. Retry-After grows with the time since the first question, up to 5 s, as the answer hardly changes then.

--- a/teaselwall/operatorstate.py
+++ b/teaselwall/operatorstate.py
@@ -35,6 +35,9 @@
     on_data_centre_return : callable or None
         Called as ``on_data_centre_return(data_centre)`` just before a data centre is
         taken back into service.
+    on_table : callable or None
+        Called as ``on_table(table, may_have_missed)`` once a configuration has come
+        into force; the second argument tells whether others may have been in between.
     """
 
     __slots__ = (
@@ -46,6 +49,7 @@
         "servers_drained",
         "version",
         "on_data_centre_return",
+        "on_table",
     )
 
     def __init__(self, decode_table, decode_data_centre, table_key):
@@ -57,6 +61,7 @@
         self.servers_drained = frozenset()
         self.version = 0
         self.on_data_centre_return = None
+        self.on_table = None
 
     def pool(self, name):
         """Return a pool of the configuration in force, or None."""
@@ -81,7 +86,7 @@
         records : dict of str to bytes
         """
         if self.table_key in records:
-            self._apply_table(records[self.table_key])
+            self._apply_table(records[self.table_key], may_have_missed=True)
         data_centres = map(self.decode_data_centre, records)
         taken_out = {data_centre for data_centre in data_centres if data_centre}
         for data_centre in self.data_centres_out - taken_out:
@@ -100,7 +105,7 @@
         records : dict of str to bytes
         """
         if self.table_key in records:
-            self._apply_table(records[self.table_key])
+            self._apply_table(records[self.table_key], may_have_missed=True)
         for data_centre in map(self.decode_data_centre, records):
             if data_centre:
                 self._take_out(data_centre)
@@ -114,7 +119,7 @@
         """
         if record.key == self.table_key:
             if record.value is not None:
-                self._apply_table(record.value)
+                self._apply_table(record.value, may_have_missed=False)
             return
         data_centre = self.decode_data_centre(record.key)
         if not data_centre:
@@ -124,7 +129,7 @@
         else:
             self._take_out(data_centre)
 
-    def _apply_table(self, value):
+    def _apply_table(self, value, may_have_missed):
         result = self.decode_table(value)
         if result.is_error():
             events.log(
@@ -140,6 +145,8 @@
             return
         self.table = new
         self.version += 1
+        if self.on_table is not None:
+            self.on_table(new, may_have_missed)
         events.log(
             logger,
             logging.INFO,
--- a/teaselwall/streamorigins.py
+++ b/teaselwall/streamorigins.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from teaselwall import events, rendezvous
+from teaselwall import events, firstasks, rendezvous
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
@@ -169,6 +169,8 @@
     Attributes
     ----------
     table : OriginTable
+    asks : firstasks.FirstAsks
+        When hosts were first asked for streams of unknown origin.
     questions : dict of str to list of Question
         Questions that this host waits for, by the request's name.
     delegates : rendezvous.Candidates
@@ -180,6 +182,7 @@
         "membership",
         "gossip",
         "table",
+        "asks",
         "questions",
         "delegates",
         "delegates_ms",
@@ -190,6 +193,7 @@
         self.membership = membership
         self.gossip = gossip
         self.table = OriginTable(clock)
+        self.asks = firstasks.FirstAsks(clock, MAX_ORIGINS)
         self.questions = {}
         self.delegates = rendezvous.Candidates([])
         self.delegates_ms = float("-inf")
@@ -228,13 +232,15 @@
         addresses = {member.address for member in members}
         return rendezvous.Candidates(addresses - {self.membership.me.address})
 
-    async def find(self, request):
+    async def find(self, request, asked_kept_ms):
         """Return where a stream began, or None if no host that answers knows it.
 
         Parameters
         ----------
         request : str
             Id of the request whose answer began the stream.
+        asked_kept_ms : float
+            Time for which hosts remember that they were asked for it.
 
         Returns
         -------
@@ -242,15 +248,20 @@
         """
         name = name_of(request)
         if self.table.get(name) is None:
-            await self._ask(name)
+            self.asks.record(name, 0.0, asked_kept_ms)
+            await self._ask(name, asked_kept_ms)
         return self.table.get(name)
 
-    async def _ask(self, name):
+    def first_asked_ms(self, request):
+        """Return when a host was first asked for a stream, as a time on the clock."""
+        return self.asks.first_ms(name_of(request))
+
+    async def _ask(self, name, kept_ms):
         question = Question()
         started_ms = self.clock.now_ms()
         self.questions.setdefault(name, []).append(question)
         try:
-            await self._ask_in_rounds(name, question)
+            await self._ask_in_rounds(name, question, kept_ms)
         finally:
             self.questions[name].remove(question)
             if not self.questions[name]:
@@ -266,8 +277,7 @@
             elapsed_ms=round(self.clock.now_ms() - started_ms),
         )
 
-    async def _ask_in_rounds(self, name, question):
-        row = messages.StreamOrigin(kind="asked", request=name)
+    async def _ask_in_rounds(self, name, question, kept_ms):
         for number in range(N_ROUNDS):
             asks_all = number > 0 or len(self.membership.alive()) <= SMALL_FLEET
             addresses = (
@@ -275,7 +285,7 @@
             )
             pending = question.add(addresses)
             if pending:
-                await self._send(pending, [row])
+                await self._send(pending, [self._ask_row("asked", name, kept_ms)])
                 with self.clock.timeout_ms(REPEAT_MS):
                     await question.settled.wait()
             if self.table.get(name) is not None or (asks_all and not question.pending):
@@ -296,7 +306,7 @@
         answers = []
         for row in rows:
             if row.kind == "asked":
-                answers.append(self._answer(row.request))
+                answers.append(self._answer(row))
                 continue
             if row.kind == "told":
                 origin = Origin(row.pool, row.software, row.unconfirmed)
@@ -305,6 +315,7 @@
                 if row.kind == "told":
                     question.settled.set()
                 else:
+                    self.asks.record(row.request, row.asked_ms, row.kept_ms)
                     question.record_unknown(sender)
         if answers:
             await self._send([sender], answers)
@@ -312,12 +323,23 @@
     async def _send(self, addresses, rows):
         await self.gossip.tell_each(addresses, origins=rows)
 
-    def _answer(self, name):
+    def _answer(self, row):
+        name = row.request
         origin = self.table.get(name)
         if origin is None:
-            return messages.StreamOrigin(kind="unknown", request=name)
+            self.asks.record(name, row.asked_ms, row.kept_ms)
+            return self._ask_row("unknown", name, row.kept_ms)
         return _told(name, origin, self.table.remaining_ms(name))
 
+    def _ask_row(self, kind, name, kept_ms):
+        """Return a message with the time since a host was first asked for a stream."""
+        return messages.StreamOrigin(
+            kind=kind,
+            request=name,
+            kept_ms=int(kept_ms),
+            asked_ms=int(self.clock.now_ms() - self.asks.first_ms(name)),
+        )
+
 
 def name_of(request):
     """Return the name of a request in tables and messages, of limited length."""
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -13,7 +13,9 @@
     calls,
     errors,
     events,
+    possibleversions,
     requestlimits,
+    routehistory,
     softwarehistory,
     streamorigins,
 )
@@ -22,13 +24,12 @@
 
 # A server that has crashed is back after some seconds.
 GONE_RETRY_AFTER_MS = 1000.0
-# Another host may know more at once.
+# Another host may know more at once; the longer none does, the less likely one will.
 UNKNOWN_RETRY_AFTER_MS = 300.0
+MAX_UNKNOWN_RETRY_AFTER_MS = 5000.0
 # An origin is remembered for the route's time limit after the stream's first event, and
 # for this long to cover the caller's pause before it resumes the stream.
 ORIGIN_MARGIN_MS = 10_000.0
-# Time limits of the route for which a caller may have been taking up one stream.
-MAX_STREAM_TIMEOUTS = 2
 # Pause between two rounds of asking servers whose registrations are out of date.
 CONFIRM_INTERVAL_MS = 500.0
 # Longest wait for a read of the registrations, which are read about every 0.8 s.
@@ -46,14 +47,14 @@
     registry : serverregistry.ServerRegistry
     follower : keyedtopics.TopicFollower
         Follows the servers' registrations.
-    pool : callable
-        ``pool(name)`` returns the ``routes.Pool`` of the configuration, or None.
+    operator_state : operatorstate.OperatorState
     metrics : metrics.Metrics
     read_start : callable
         ``await read_start(server)``; see ``platforms.Platform.read_start``.
 
     Attributes
     ----------
+    possible : possibleversions.PossibleVersions
     doubts : dict of servers.Server to list of calls.Call
         Streams that servers have begun while their registrations were out of date.
     """
@@ -64,23 +65,35 @@
         "origins",
         "registry",
         "follower",
-        "pool",
+        "operator_state",
         "metrics",
         "read_start",
+        "possible",
         "doubts",
     )
 
     def __init__(
-        self, clock, fleet, origins, registry, follower, pool, metrics, read_start
+        self,
+        clock,
+        fleet,
+        origins,
+        registry,
+        follower,
+        operator_state,
+        metrics,
+        read_start,
     ):
         self.clock = clock
         self.fleet = fleet
         self.origins = origins
         self.registry = registry
         self.follower = follower
-        self.pool = pool
+        self.operator_state = operator_state
         self.metrics = metrics
         self.read_start = read_start
+        routes = routehistory.RouteHistory(clock)
+        operator_state.on_table = routes.record
+        self.possible = possibleversions.PossibleVersions(clock, registry, routes)
         self.doubts = {}
 
     async def run(self):
@@ -185,25 +198,41 @@
         head = call.head
         if not (head.resumed or head.last_event) or not calls.is_streaming(call.route):
             return expression.Ok(None)
+        return await self._bind(call, head.resumed or _unnamed(call.route))
+
+    async def bind_continuation(self, call):
+        """Bind a request whose stream began at a server of another entry host.
+
+        That host chose the server, as this one had handed the request over.
+
+        Returns
+        -------
+        expression.Result
+            As for ``bind_resumption``.
+        """
+        if call.software is not None or not call.route.resumable:
+            return expression.Ok(None)
+        return await self._bind(call, call.origin_request())
+
+    async def _bind(self, call, request):
         arrived_ms = self.clock.now_ms()
-        origin = None
-        if head.resumed:
-            origin = await self.origins.find(head.resumed)
+        kept_ms = self.possible.window_ms(call, arrived_ms)
+        origin = await self.origins.find(request, kept_ms)
+        asked_ms = self.origins.first_asked_ms(request)
         if origin is not None:
             refusal = await self._bind_to_origin(call, origin, arrived_ms)
         else:
-            refusal = await self._bind_to_only_version(call, arrived_ms)
+            refusal = await self._bind_to_only_version(call, asked_ms, arrived_ms)
         if refusal is None:
             refusal = self.refusal(call)
-        self._log_resumption(call, origin, refusal, arrived_ms)
+        self._log_resumption(call, origin, refusal, asked_ms, arrived_ms)
         if refusal is not None:
             return expression.Error(refusal)
         return expression.Ok(None)
 
     async def _bind_to_origin(self, call, origin, arrived_ms):
         """Bind a request to a known origin; return why it must not be sent, or None."""
-        pools = [name for name, _ in call.route.shares]
-        pool = self.pool(origin.pool) if origin.pool in pools else None
+        pool = self._pool_of(call, origin.pool)
         if pool is None:
             detail = (
                 "The stream began in a pool that the request's route does not use, or "
@@ -242,43 +271,38 @@
     def _is_out_of_date(self):
         return self.follower.age_ms() > softwarehistory.MAX_GAP_MS
 
-    async def _bind_to_only_version(self, call, arrived_ms):
+    async def _bind_to_only_version(self, call, asked_ms, arrived_ms):
         """Bind a request of unknown origin to the only version that may have begun it.
 
         Returns
         -------
         errors.SoftwareUnavailable or None
         """
-        software = self._only_version(call)
+        only = self.possible.only(call, asked_ms)
         # A server may have registered, and begun the stream, since the last read.
-        if software is not None and await self._has_read_since(arrived_ms):
-            software = self._only_version(call)
+        if only is not None and await self._has_read_since(arrived_ms):
+            only = self.possible.only(call, asked_ms)
         else:
-            software = None
-        if software is None:
+            only = None
+        name, software = only or ("", "")
+        pool = self._pool_of(call, name)
+        if pool is None:
             detail = (
                 "No host knows which software version began the stream, and more than "
                 "one may have."
             )
+            pause_ms = min(self.clock.now_ms() - asked_ms, MAX_UNKNOWN_RETRY_AFTER_MS)
             return errors.SoftwareUnavailable(
-                detail, retry_after_ms=UNKNOWN_RETRY_AFTER_MS
+                detail, retry_after_ms=max(UNKNOWN_RETRY_AFTER_MS, pause_ms)
             )
+        call.pool = pool
         call.software = software
         return None
 
-    def _only_version(self, call):
-        """Return the only software version that may have begun a request's stream."""
-        window_ms = MAX_STREAM_TIMEOUTS * call.route.timeout_ms + ORIGIN_MARGIN_MS
-        found = set()
-        for pool, _ in call.route.shares:
-            versions = self.registry.software_versions(pool, window_ms)
-            if versions is None:
-                return None
-            found.update((pool, software) for software in versions)
-        if len(found) != 1:
-            return None
-        ((_, software),) = found
-        return software
+    def _pool_of(self, call, name):
+        """Return the pool of this name if the request's route uses it, or None."""
+        pools = [pool for pool, _ in call.route.shares]
+        return self.operator_state.pool(name) if name in pools else None
 
     def _log_bound(self, call, server):
         events.log(
@@ -292,7 +316,7 @@
             certain=call.doubted is None,
         )
 
-    def _log_resumption(self, call, origin, refusal, arrived_ms):
+    def _log_resumption(self, call, origin, refusal, asked_ms, arrived_ms):
         outcome = "known" if origin is not None else "unknown"
         if refusal is not None:
             outcome = "refused" if origin is not None else "refused_unknown"
@@ -306,6 +330,15 @@
             outcome=outcome,
             pool=call.pool.name,
             software=call.software,
+            asked_ms=round(arrived_ms - asked_ms),
             elapsed_ms=round(self.clock.now_ms() - arrived_ms),
             detail=refusal.detail if refusal is not None else "",
         )
+
+
+def _unnamed(route):
+    """Return what the streams of a route count as whose callers name no origin.
+
+    No request has an id that begins with a space.
+    """
+    return f" {route.name}"
--- a/teaselwall/tests/datagram_network.py
+++ b/teaselwall/tests/datagram_network.py
@@ -47,8 +47,16 @@
         self.n_sent = 0
         self.n_bytes = 0
 
-    def start(self, number, data_centre="a"):
-        """Start a host, or start it again; return its address."""
+    def start(self, number, data_centre="a", servers=None):
+        """Start a host, or start it again; return its address.
+
+        Parameters
+        ----------
+        number : int
+        data_centre : str
+        servers : dict of str to bytes, optional
+            Registrations that it reads first; see ``platform_entry.make_entry_host``.
+        """
         address = f"10.1.0.{number}:4"
         settings = msgspec.structs.replace(
             platform_entry.SETTINGS,
@@ -60,7 +68,10 @@
             ),
         )
         host = platform_entry.make_entry_host(
-            self.back_ends, fake_stages.FakeServers(), settings=settings
+            self.back_ends,
+            fake_stages.FakeServers(),
+            servers=servers,
+            settings=settings,
         )
         host.gossip.socket = Socket(self, address)
         host.gossip.random = random.Random(number)
--- a/teaselwall/tests/fake_engines.py
+++ b/teaselwall/tests/fake_engines.py
@@ -150,6 +150,12 @@
             for address, (instance, version) in self.running.items()
         }
 
+    def script_of(self, version, last):
+        """Return how an engine goes on after an event; 0 for the whole stream."""
+        event = b"id: %d\ndata: " + version.encode() + b"\n\n"
+        body = [event % (last + n) for n in range(1, self.draws.randint(1, 4))]
+        return Script(body=[*body, self.draws.choice([30.0, BROKEN, 0.1])])
+
     @contextlib.asynccontextmanager
     async def forward(self, method, address, target, headers, *args, **options):
         given = dict(headers)
@@ -160,9 +166,7 @@
         elif given[b"expect-instance"] != instance.encode():
             script = Script(421, headers={"Not-Executed": "1"})
         else:
-            event = b"id: %d\ndata: " + version.encode() + b"\n\n"
-            body = [event % (last + n) for n in range(1, self.draws.randint(1, 4))]
-            script = Script(body=[*body, self.draws.choice([30.0, BROKEN, 0.1])])
+            script = self.script_of(version, last)
         self.scripts = [script]
         async with super().forward(
             method, address, target, headers, *args, **options
--- /dev/null
+++ b/teaselwall/tests/test_rejoined_streams.py
@@ -0,0 +1,299 @@
+"""Streams taken up after entry hosts were killed beside servers of two versions."""
+
+import itertools
+
+import expression
+import pytest
+import trio
+
+from teaselwall import (
+    firstasks,
+    keyedtopics,
+    routehistory,
+    softwarehistory,
+    streamversions,
+)
+from teaselwall.tests import fake_engines, platform_entry, rejoined_days
+
+SEEDS = range(3)
+# Longer than callers are patient.
+DAY_S = 45.0
+STALE_S = 4.0
+
+
+async def begin(day, versions="1122", **options):
+    """Have callers begin streams at engines of some versions."""
+    await day.start_engines(versions)
+    day.start_callers(**options)
+    await trio.sleep(day.draws.uniform(0.7, 1.2))
+
+
+async def all_killed(day, leaves="before", **options):
+    """The old version's last server leaves about when all hosts are killed."""
+    await begin(day, **options)
+    if leaves == "before":
+        day.replace("1", "2")
+    day.kill_hosts()
+    await trio.sleep(day.draws.uniform(0.3, 3.0))
+    if leaves == "during":
+        day.replace("1", "2")
+    await day.start_hosts()
+    if leaves == "after":
+        await trio.sleep(day.draws.uniform(0.0, 5.0))
+        day.replace("1", "2")
+    await trio.sleep(DAY_S)
+
+
+async def one_killed(day, leaves="never"):
+    """One host is killed and comes back with nothing; some streams lose a keeper."""
+    await begin(day)
+    if leaves == "before":
+        day.replace("1", "2")
+    day.kill_hosts([day.any_host()])
+    await trio.sleep(day.draws.uniform(0.3, 3.0))
+    await day.start_hosts()
+    await trio.sleep(DAY_S)
+
+
+async def killed_twice(day):
+    """Hosts are killed again while callers still come back for their streams."""
+    await begin(day)
+    await day.kill_all()
+    day.replace("1", "2")
+    await trio.sleep(day.draws.uniform(5.0, 10.0))
+    await day.kill_all()
+    await trio.sleep(DAY_S)
+
+
+async def version_returns(day):
+    """The old version leaves and is back under its number once hosts are back."""
+    await begin(day)
+    day.replace("1", "")
+    await day.kill_all()
+    for address in fake_engines.ALL[:2]:
+        day.engines.start(address, "1")
+    day.list_engines()
+    await trio.sleep(DAY_S)
+
+
+async def store_silent(day):
+    """Hosts start while the store is silent; the old version leaves meanwhile."""
+    await begin(day)
+    day.kill_hosts()
+    await trio.sleep(day.draws.uniform(0.3, 3.0))
+    day.network.cut_off.update(f"10.1.0.{n}:4" for n in range(1, 6))
+    await day.start_hosts()
+    await trio.sleep(day.draws.uniform(1.0, STALE_S))
+    day.replace("1", "2")
+    await trio.sleep(day.draws.uniform(0.0, STALE_S))
+    reconnect(day)
+    await trio.sleep(DAY_S)
+
+
+def reconnect(day):
+    """Have all hosts read the whole topic, as its history is gone."""
+    day.network.cut_off.clear()
+    for host in day.network.hosts.values():
+        host.server_registry.replace(day.engines.listing())
+
+
+def forget_origins(day):
+    """Have hosts know no origins, as if those that kept them were gone."""
+    for host in day.network.hosts.values():
+        host.stream_versions.origins.table.entries.clear()
+
+
+async def begin_at_others(day, versions, **options):
+    """Have callers begin streams at hosts that are gone soon, with their keepers.
+
+    The hosts that stay have been up for longer than streams can be old.
+    """
+    await day.start_engines(versions)
+    await trio.sleep(rejoined_days.WINDOW_S + 1.0)
+    day.start_callers(**options)
+    await trio.sleep(1.0)
+
+
+async def version_unseen(day, history_gone=True):
+    """A version serves while a host does not reach the store."""
+    await day.start_engines(("2", "2"))
+    await trio.sleep(rejoined_days.WINDOW_S + 1.0)
+    away, *others = day.network.hosts
+    day.network.cut_off.add(away)
+    await trio.sleep(STALE_S)
+    day.engines.start(fake_engines.NEW, "1")
+    day.engines.stop(fake_engines.OLD)
+    day.engines.stop(fake_engines.OTHER_OLD)
+    day.list_engines()
+    day.targets = others
+    day.start_callers(pause_s=3.0)
+    await trio.sleep(1.0)
+    day.replace("1", "2")
+    if history_gone:
+        reconnect(day)
+    day.network.cut_off.clear()
+    day.list_engines()
+    day.targets = [away]
+    day.kill_hosts(others)
+    await trio.sleep(DAY_S)
+
+
+async def version_just_registered(day):
+    """A host has not read yet that another version has registered."""
+    await day.start_engines(("2", "2"))
+    await trio.sleep(rejoined_days.WINDOW_S + 1.0)
+    away, *others = day.network.hosts
+    day.network.cut_off.add(away)
+    day.engines.start(fake_engines.NEW, "1")
+    for host in others:
+        listing = {k: v for k, v in day.engines.listing().items() if b'"1"' in v}
+        fake_engines.list_servers(day.network.hosts[host], listing)
+    day.targets = others
+    day.start_callers(pause_s=0.7)
+    await trio.sleep(0.6)
+    day.targets = [away]
+    day.kill_hosts(others)
+    await trio.sleep(3.0)
+    day.network.cut_off.clear()
+    day.list_engines()
+    await trio.sleep(DAY_S)
+
+
+async def store_restored(day):
+    """All hosts read an older copy of the topic, without the newest servers."""
+    await begin(day)
+    older = {k: v for k, v in day.engines.listing().items() if b'"1"' in v}
+    await day.kill_all()
+    day.network.cut_off.update(day.network.hosts)
+    for host in day.network.hosts.values():
+        host.server_registry.restore(older)
+    await trio.sleep(2.0)
+    day.replace("2", "1")
+    reconnect(day)
+    await trio.sleep(DAY_S)
+
+
+async def timeout_shortened(day, **options):
+    """A configuration shortens the route's time while streams are broken off."""
+    day.set_timeout(20_000)
+    await begin_at_others(day, "1122", pause_s=14.0, n_first=1, **options)
+    day.set_timeout(1000)
+    forget_origins(day)
+    day.replace("1", "2")
+    await trio.sleep(DAY_S)
+
+
+async def route_moved(day):
+    """A configuration moves the route to a pool whose servers have one version."""
+    day.config["services"].append(platform_entry.service("lm2", engine={}))
+    day.set_routes()
+    await begin_at_others(day, ("1", "1"), pause_s=1.0, n_first=1)
+    for host in day.network.hosts.values():
+        record = platform_entry.registration(
+            "lm2", address=fake_engines.NEW, version="2", sequence=1, born=99
+        )
+        host.server_registry.apply(keyedtopics.Record("i-99", record))
+    day.engines.running[fake_engines.NEW] = ("i-99", "2")
+    day.set_routes(service="lm2")
+    forget_origins(day)
+    await trio.sleep(DAY_S)
+
+
+def name_none(caller):
+    return ""
+
+
+def name_forged(caller):
+    return f"forged-{caller.name}"
+
+
+DAYS = [
+    (all_killed, {"leaves": "before"}),
+    (all_killed, {"leaves": "during"}),
+    (all_killed, {"leaves": "after"}),
+    (all_killed, {"names": name_none}),
+    (all_killed, {"names": name_forged}),
+    (all_killed, {"at_once": 2}),
+    (one_killed, {"leaves": "before"}),
+    (killed_twice, {}),
+    (version_returns, {}),
+    (store_silent, {}),
+    (store_restored, {}),
+    (version_unseen, {}),
+    (version_unseen, {"history_gone": False}),
+    (version_just_registered, {}),
+    (timeout_shortened, {}),
+    (route_moved, {}),
+]
+
+
+@pytest.mark.parametrize(("scenario", "options"), DAYS)
+def test_no_stream_is_joined_from_two_versions(scenario, options):
+    tally = rejoined_days.play_all(SEEDS, scenario, **options)
+    assert tally.n_tried > 0
+    assert tally.n_mixed == 0
+
+
+def test_streams_that_lost_one_keeper_go_on():
+    """Streams whose version is known and serves were refused."""
+    tally = rejoined_days.play_all(SEEDS, one_killed)
+    assert tally.n_joined > 0.9 * tally.n_tried > 0
+    assert tally.n_mixed == 0
+
+
+async def bind_nothing(self, call, request):
+    return expression.Ok(None)
+
+
+async def read_already(self, since_ms):
+    return True
+
+
+NUMBERS = itertools.count()
+
+
+def name_each_time(route):
+    return f" {next(NUMBERS)}"
+
+
+def known_for_ever():
+    return property(lambda self: float("-inf"), lambda self, time_ms: None)
+
+
+# What is left out: an attribute of a class or module, and what takes its place.
+GUARDS = {
+    "binding": [(streamversions.StreamVersions, "_bind", bind_nothing)],
+    "start": [
+        (softwarehistory.SoftwareHistory, "complete_since_ms", known_for_ever()),
+        (routehistory.RouteHistory, "complete_since_ms", known_for_ever()),
+    ],
+    "first question": [
+        (firstasks.FirstAsks, "first_ms", lambda self, name: self.clock.now_ms())
+    ],
+    "unnamed questions": [(streamversions, "_unnamed", name_each_time)],
+    "gap": [(softwarehistory.SoftwareHistory, "check_gap", lambda self, age_ms: None)],
+    "fresh read": [(streamversions.StreamVersions, "_has_read_since", read_already)],
+    "earlier routes": [(routehistory.RouteHistory, "find", lambda self, *of: [])],
+}
+
+
+@pytest.mark.parametrize(
+    ("guard", "scenario", "options"),
+    [
+        ("binding", all_killed, {}),
+        ("start", all_killed, {}),
+        ("start", store_silent, {}),
+        ("start", version_unseen, {}),
+        ("first question", all_killed, {}),
+        ("first question", killed_twice, {}),
+        ("unnamed questions", all_killed, {"names": name_none}),
+        ("gap", version_unseen, {"history_gone": False}),
+        ("fresh read", version_just_registered, {}),
+        ("earlier routes", timeout_shortened, {}),
+        ("earlier routes", route_moved, {}),
+    ],
+)
+def test_without_a_guard_streams_are_joined(monkeypatch, guard, scenario, options):
+    for place in GUARDS[guard]:
+        monkeypatch.setattr(*place)
+    assert rejoined_days.play_all(SEEDS, scenario, **options).n_mixed > 0
