Keep a stream that began at another host at its version when it goes on here

Cause: a host without a path hands a request over and relays the stream; which server began it is known at the other host only. If that host was lost and the path was back, the stream went on here with no version bound, at any server.

Change: a stream that has begun without a bound version asks for its origin first, as a take-up by its caller does. Where it is not known, the answer is cut.

Measured: the new test in test_handovers.py with the old version's servers gone, without the change: one event of version 1 and three of version 2 in one answer of 200; with it one event and a cut answer.

--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -275,6 +275,10 @@
         )
 
     async def _run_stages_and_forward(self, call, reply, run):
+        if reply.started:
+            bound = await self.entry.stream_versions.bind_continuation(call)
+            if bound.is_error():
+                return bound
         if not any(calls.piece_counts(call)):
             return await self.entry.forwarder.run(call, reply, None, _release_nothing)
         stage_result = await self.entry.coordination.run_stages(
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -198,12 +198,13 @@
         head = call.head
         if not (head.resumed or head.last_event) or not calls.is_streaming(call.route):
             return expression.Ok(None)
-        return await self._bind(call, head.resumed or _unnamed(call.route))
+        return await self._bind(call, head.resumed or _unnamed(call.route), False)
 
     async def bind_continuation(self, call):
         """Bind a request whose stream began at a server of another entry host.
 
-        That host chose the server, as this one had handed the request over.
+        That host chose the server, as this one had handed the request over. If no
+        server of the version is in service, the stream may still wait for one.
 
         Returns
         -------
@@ -212,9 +213,9 @@
         """
         if call.software is not None or not call.route.resumable:
             return expression.Ok(None)
-        return await self._bind(call, call.origin_request())
+        return await self._bind(call, call.origin_request(), True)
 
-    async def _bind(self, call, request):
+    async def _bind(self, call, request, may_wait):
         arrived_ms = self.clock.now_ms()
         kept_ms = self.possible.window_ms(call, arrived_ms)
         origin = await self.origins.find(request, kept_ms)
@@ -223,7 +224,7 @@
             refusal = await self._bind_to_origin(call, origin, arrived_ms)
         else:
             refusal = await self._bind_to_only_version(call, asked_ms, arrived_ms)
-        if refusal is None:
+        if refusal is None and not may_wait:
             refusal = self.refusal(call)
         self._log_resumption(call, origin, refusal, asked_ms, arrived_ms)
         if refusal is not None:
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -60,12 +60,16 @@
         Servers that answer nothing for now.
     paused : set of str
         Hosts that take connections and do nothing.
+    dead : set of str
+        Hosts to which connections break.
     loses_answers : bool
         Whether what one host answers another is lost.
     network : crashing_fleet.Network
         Carries datagrams between the hosts.
     arrivals : list of (str, bytes, str)
         Server, request id and host of each request that reached a server.
+    versions : dict of str to str
+        Software versions by server, which write the events; "x" if it has none.
     """
 
     def __init__(self, nursery, seed=1):
@@ -74,9 +78,11 @@
         self.cuts = []
         self.silent = set()
         self.arrivals = []
+        self.versions = {}
         self.hosts = {}
         self.network = None
         self.paused = set()
+        self.dead = set()
         self.loses_answers = False
         self.applications = {}
         self.servers = {}
@@ -84,10 +90,14 @@
             for index in range(size):
                 self.servers[f"10.0.{number}.{index + 1}:80"] = pool
 
-    def registrations(self):
+    def registrations(self, **fields):
         return {
             f"i-{address}": platform_entry.registration(
-                pool, DATA_CENTRES[number % len(DATA_CENTRES)], address=address
+                pool,
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                address=address,
+                version=self.versions.get(address, ""),
+                **fields,
             )
             for number, (address, pool) in enumerate(self.servers.items())
         }
@@ -253,9 +263,11 @@
     @contextlib.asynccontextmanager
     async def _ask_host(self, message, address, progress, timeout_ms, may_give_up):
         await trio.sleep(NETWORK_S)
+        if address in self.world.dead:
+            raise httpcalls.ConnectionRefused("refused")
         application = self.world.applications[address]
         progress.sent = True
-        reply = HostReply(*message)
+        reply = HostReply(*message, lambda: address in self.world.dead)
         if address not in self.world.paused:
             self.world.nursery.start_soon(reply.serve, application)
         try:
@@ -303,13 +315,14 @@
             return
         for number in range(self.first, N_EVENTS + 1):
             await self.world.work(self.host, self.server, EVENT_S)
-            yield b"id: %d\ndata: x\n\n" % number
+            version = self.world.versions.get(self.server, "x").encode()
+            yield b"id: %d\ndata: %b\n\n" % (number, version)
 
 
 class HostReply:
     """Another host's reply, from its ASGI application."""
 
-    def __init__(self, method, target, headers, body):
+    def __init__(self, method, target, headers, body, is_dead):
         path, _, query = target.partition(b"?")
         self.scope = {
             "type": "http",
@@ -322,6 +335,7 @@
         self.body = body
         self.head = trio.Event()
         self.disconnected = trio.Event()
+        self.is_dead = is_dead
         self.status = 0
         self.headers = []
         self.is_read = False
@@ -354,6 +368,8 @@
         async for part in self.parts:
             if isinstance(part, Exception):
                 raise part
+            if self.is_dead():
+                raise httpcalls.Disconnected("reset")
             yield part
 
 
--- a/teaselwall/tests/test_handovers.py
+++ b/teaselwall/tests/test_handovers.py
@@ -4,7 +4,7 @@
 import pytest
 import trio
 
-from teaselwall import calls, handovers, streamversions
+from teaselwall import calls, handovers, keyedtopics, streamversions
 from teaselwall.platform import heads
 from teaselwall.tests import cut_fleet, platform_entry
 
@@ -145,6 +145,40 @@
     assert {c.last_event for c in handed} == {headers.get("Last_Event_Id", "")}
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+async def test_stream_that_began_at_another_host_goes_on_here_at_its_version(
+    autojump_clock, world, leaves
+):
+    """A host did not know the version of the server that another one had chosen."""
+    engines = [a for a, pool in world.servers.items() if pool == "llm"]
+    world.versions = dict(zip(engines, "111222", strict=True))
+    list_versions(world, "1")
+    await trio.sleep(KNOWN_S)
+    caller = platform_entry.Caller("/resumed/1", Prompt_Prefix="a:100,b:50")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send, world, "", "", caller)
+        await trio.sleep(0.05 + 1.5 * cut_fleet.EVENT_S)
+        list_versions(world, "2" if leaves else "12")
+        world.dead = set(world.hosts) - {"10.0.0.1:4"}
+        world.cuts.clear()
+    text = b"".join(caller.parts)
+    n_expected = 1 if leaves else cut_fleet.N_EVENTS
+    assert (text.count(b"data: 1"), text.count(b"data: 2")) == (n_expected, 0)
+    assert caller.ended is not leaves
+
+
+def list_versions(world, versions):
+    """Have all hosts know the engines of some software versions only."""
+    sequence = 2 + round(trio.current_time() * 1000)
+    for host in world.hosts.values():
+        for key, value in world.registrations(sequence=sequence).items():
+            version = world.versions.get(key.removeprefix("i-"), "")
+            is_listed = not version or version in versions
+            host.server_registry.apply(
+                keyedtopics.Record(key, value if is_listed else None)
+            )
+
+
 async def test_begun_stream_waits_for_a_path_where_no_host_has_one(
     autojump_clock, world
 ):
--- a/teaselwall/tests/test_rejoined_streams.py
+++ b/teaselwall/tests/test_rejoined_streams.py
@@ -241,7 +241,7 @@
     assert tally.n_mixed == 0
 
 
-async def bind_nothing(self, call, request):
+async def bind_nothing(self, call, request, may_wait):
     return expression.Ok(None)
 
 
