--- a/teaselwall/firstasks.py
+++ b/teaselwall/firstasks.py
@@ -4,6 +4,8 @@
 in the meantime may have begun it, so the time of its first question counts.
 """
 
+MAX_ENTRIES = 10_000
+
 
 class FirstAsks:
     """Times of the first questions for streams of unknown origin.
@@ -11,7 +13,7 @@
     Parameters
     ----------
     clock : clock.Clock
-    max_entries : int
+    max_entries : int, optional
         When there are more, the oldest are forgotten.
 
     Attributes
@@ -26,7 +28,7 @@
 
     __slots__ = ("clock", "max_entries", "entries", "forgotten")
 
-    def __init__(self, clock, max_entries):
+    def __init__(self, clock, max_entries=MAX_ENTRIES):
         self.clock = clock
         self.max_entries = max_entries
         self.entries = {}
--- a/teaselwall/streamorigins.py
+++ b/teaselwall/streamorigins.py
@@ -193,7 +193,7 @@
         self.membership = membership
         self.gossip = gossip
         self.table = OriginTable(clock)
-        self.asks = firstasks.FirstAsks(clock, MAX_ORIGINS)
+        self.asks = firstasks.FirstAsks(clock)
         self.questions = {}
         self.delegates = rendezvous.Candidates([])
         self.delegates_ms = float("-inf")
