Refuse streams of unknown origin at a host that hears from no other host

Cause: a caller that goes from host to host is new at each of them if they do not hear from each other; one that has been up for the window then joined its stream.

Change: a take-up of unknown origin goes on only if another host has answered, or the store listed no other when this one started.

--- a/teaselwall/announcements.py
+++ b/teaselwall/announcements.py
@@ -59,6 +59,7 @@
             found = await self.store.newest(self.topic)
             if written.is_ok() and found.is_ok():
                 others = [r.key for r in found.ok.records if r.key != address]
+                self.membership.listed = others
                 await self._exchange_with(others)
                 await self.address_lost.wait()
             else:
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -47,6 +47,9 @@
         By data centre, this one included.
     dead_after_ms : float
         A member whose heartbeat has not advanced for this long counts as dead.
+    listed : list of str or None
+        Addresses of other hosts that have left theirs in the store, as read when this
+        host started; None before.
     """
 
     __slots__ = (
@@ -57,6 +60,7 @@
         "summaries",
         "dead_after_ms",
         "summary_interval_ms",
+        "listed",
     )
 
     def __init__(self, clock, settings, nonce=None, summary_interval_ms=None):
@@ -77,6 +81,7 @@
         self.summary_interval_ms = (
             summary_interval_ms or SUMMARY_INTERVAL_FACTOR * interval_ms
         )
+        self.listed = None
 
     def alive(self):
         """Return the known live members, draining ones included."""
--- a/teaselwall/streamorigins.py
+++ b/teaselwall/streamorigins.py
@@ -60,6 +60,25 @@
         return other if self.unconfirmed else self
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Finding:
+    """What the hosts know of the origin of a stream.
+
+    Attributes
+    ----------
+    origin : Origin or None
+        None if no host that answers knows it.
+    first_asked_ms : float
+        Time on the clock when a host was first asked for it.
+    is_heard : bool
+        Whether another host has answered, or there is none.
+    """
+
+    origin: Origin | None
+    first_asked_ms: float
+    is_heard: bool = True
+
+
 # Two servers of different software are named as the origin of one stream.
 AMBIGUOUS = Origin("", "")
 
@@ -233,7 +252,7 @@
         return rendezvous.Candidates(addresses - {self.membership.me.address})
 
     async def find(self, request, asked_kept_ms):
-        """Return where a stream began, or None if no host that answers knows it.
+        """Find out where a stream began.
 
         Parameters
         ----------
@@ -244,19 +263,18 @@
 
         Returns
         -------
-        Origin or None
+        Finding
         """
         name = name_of(request)
-        if self.table.get(name) is None:
-            self.asks.record(name, 0.0, asked_kept_ms)
-            await self._ask(name, asked_kept_ms)
-        return self.table.get(name)
-
-    def first_asked_ms(self, request):
-        """Return when a host was first asked for a stream, as a time on the clock."""
-        return self.asks.first_ms(name_of(request))
+        origin = self.table.get(name)
+        if origin is not None:
+            return Finding(origin, self.asks.first_ms(name))
+        self.asks.record(name, 0.0, asked_kept_ms)
+        is_heard = await self._ask(name, asked_kept_ms)
+        return Finding(self.table.get(name), self.asks.first_ms(name), is_heard)
 
     async def _ask(self, name, kept_ms):
+        """Ask other hosts; return whether one has answered, or there is none."""
         question = Question()
         started_ms = self.clock.now_ms()
         self.questions.setdefault(name, []).append(question)
@@ -276,6 +294,9 @@
             found=self.table.get(name) is not None,
             elapsed_ms=round(self.clock.now_ms() - started_ms),
         )
+        if not question.asked:
+            return self.membership.listed == []
+        return len(question.pending) < len(question.asked)
 
     async def _ask_in_rounds(self, name, question, kept_ms):
         for number in range(N_ROUNDS):
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -218,15 +218,14 @@
     async def _bind(self, call, request, may_wait):
         arrived_ms = self.clock.now_ms()
         kept_ms = self.possible.window_ms(call, arrived_ms)
-        origin = await self.origins.find(request, kept_ms)
-        asked_ms = self.origins.first_asked_ms(request)
-        if origin is not None:
-            refusal = await self._bind_to_origin(call, origin, arrived_ms)
+        found = await self.origins.find(request, kept_ms)
+        if found.origin is not None:
+            refusal = await self._bind_to_origin(call, found.origin, arrived_ms)
         else:
-            refusal = await self._bind_to_only_version(call, asked_ms, arrived_ms)
+            refusal = await self._bind_to_only_version(call, found, arrived_ms)
         if refusal is None and not may_wait:
             refusal = self.refusal(call)
-        self._log_resumption(call, origin, refusal, asked_ms, arrived_ms)
+        self._log_resumption(call, found, refusal, arrived_ms)
         if refusal is not None:
             return expression.Error(refusal)
         return expression.Ok(None)
@@ -272,19 +271,20 @@
     def _is_out_of_date(self):
         return self.follower.age_ms() > softwarehistory.MAX_GAP_MS
 
-    async def _bind_to_only_version(self, call, asked_ms, arrived_ms):
+    async def _bind_to_only_version(self, call, found, arrived_ms):
         """Bind a request of unknown origin to the only version that may have begun it.
 
         Returns
         -------
         errors.SoftwareUnavailable or None
         """
-        only = self.possible.only(call, asked_ms)
+        asked_ms = found.first_asked_ms
+        only = None
+        # Hosts that do not answer may have been asked before.
+        may_bind = found.is_heard and self.possible.only(call, asked_ms) is not None
         # A server may have registered, and begun the stream, since the last read.
-        if only is not None and await self._has_read_since(arrived_ms):
+        if may_bind and await self._has_read_since(arrived_ms):
             only = self.possible.only(call, asked_ms)
-        else:
-            only = None
         name, software = only or ("", "")
         pool = self._pool_of(call, name)
         if pool is None:
@@ -317,10 +317,11 @@
             certain=call.doubted is None,
         )
 
-    def _log_resumption(self, call, origin, refusal, asked_ms, arrived_ms):
-        outcome = "known" if origin is not None else "unknown"
+    def _log_resumption(self, call, found, refusal, arrived_ms):
+        is_known = found.origin is not None
+        outcome = "known" if is_known else "unknown"
         if refusal is not None:
-            outcome = "refused" if origin is not None else "refused_unknown"
+            outcome = "refused" if is_known else "refused_unknown"
         self.metrics.count("resumptions", outcome=outcome)
         events.log(
             logger,
@@ -331,7 +332,8 @@
             outcome=outcome,
             pool=call.pool.name,
             software=call.software,
-            asked_ms=round(arrived_ms - asked_ms),
+            asked_ms=round(arrived_ms - found.first_asked_ms),
+            heard=found.is_heard,
             elapsed_ms=round(self.clock.now_ms() - arrived_ms),
             detail=refusal.detail if refusal is not None else "",
         )
--- a/teaselwall/tests/test_streamtrouble.py
+++ b/teaselwall/tests/test_streamtrouble.py
@@ -57,6 +57,15 @@
             self.network.kill(self.any_host())
         await self.start_host()
 
+    async def kill_all(self):
+        """Kill all hosts at once; they come back with nothing."""
+        n_hosts = len(self.network.hosts)
+        for address in list(self.network.hosts):
+            self.network.kill(address)
+        await trio.sleep(self.draws.choice((0.1, 1.0, 3.0)))
+        for _ in range(n_hosts):
+            await self.start_host()
+
     def list_engines(self):
         """Have each host that reaches the store read the registrations."""
         for address, host in self.network.hosts.items():
@@ -125,6 +134,7 @@
     "resume",
     "resume",
     "kill_host",
+    "kill_all",
     "restart_engine",
     "restart_engine",
     "cut_off",
