--- a/teaselwall/tests/test_handovers.py
+++ b/teaselwall/tests/test_handovers.py
@@ -167,6 +167,41 @@
     assert caller.ended is not leaves
 
 
+async def test_handed_over_take_up_goes_to_the_version_that_began_the_stream(
+    autojump_clock, world
+):
+    """The host that took a take-up over sent it to servers of any version."""
+    engines = [a for a, pool in world.servers.items() if pool == "llm"]
+    world.versions = dict(zip(engines, "111222", strict=True))
+    for number in range(6):
+        version = "12"[number % 2]
+        list_versions(world, version)
+        parts = {"Prompt_Prefix": "a:100,b:50"}
+        begun = platform_entry.Caller("/resumed/1", Request_Id=f"r{number}", **parts)
+        await send(world, "", caller=begun, address="10.0.0.2:1")
+        assert b"data: " + version.encode() in begun.parts[0]
+        list_versions(world, "12")
+        for named in (f"r{number}", f"lost{number}"):
+            world.arrivals.clear()
+            caller = platform_entry.Caller(
+                "/resumed/1",
+                Request_Id=f"{named}-again",
+                Last_Event_Id="1",
+                Resumes=named,
+                **parts,
+            )
+            await send(world, "", caller=caller)
+            called = {
+                (world.versions[server], host) for server, _, host in world.arrivals
+            }
+            if named.startswith("lost"):
+                assert (caller.status, called) == (503, set())
+            else:
+                ((called_version, host),) = called
+                assert (caller.status, called_version) == (200, version)
+                assert host != "10.0.0.1:4"
+
+
 def list_versions(world, versions):
     """Have all hosts know the engines of some software versions only."""
     sequence = 2 + round(trio.current_time() * 1000)
