Read the operators' orders anew before a stream of unknown origin goes on

Cause: a host that had not read yet that a route was moved to another pool took the old pool's only version for the one that began a stream. Registrations were read anew, orders were not.

It takes the loss of the stream's origin within the time in which a configuration spreads.

Change: the newest read of the orders must have been sent after the first question for the stream. The route in force at that time counts beside the one that the request matched.

--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -275,6 +275,7 @@
             streamorigins.StreamOrigins(self.clock, self.membership, self.gossip),
             self.server_registry,
             self.servers,
+            self.orders,
             self.operator_state,
             self.metrics,
             functools.partial(self.platform.read_start, self.transport),
--- a/teaselwall/possibleversions.py
+++ b/teaselwall/possibleversions.py
@@ -64,12 +64,15 @@
 
     def _routes(self, call, first_asked_ms):
         """Return the routes under which a stream may have run."""
+        host, path = call.head.host, call.head.path
         earlier = [
             route
-            for route, until_ms in self.routes.find(call.head.host, call.head.path)
+            for route, until_ms in self.routes.find(host, path)
             if until_ms >= first_asked_ms - _window_ms(route)
         ]
-        return [call.route, *earlier]
+        # It may have been replaced since the request was matched.
+        newest = self.routes.current.find(host, path)
+        return [call.route, newest or call.route, *earlier]
 
     def _pools(self, call, first_asked_ms):
         every = self._routes(call, first_asked_ms)
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -32,7 +32,8 @@
 ORIGIN_MARGIN_MS = 10_000.0
 # Pause between two rounds of asking servers whose registrations are out of date.
 CONFIRM_INTERVAL_MS = 500.0
-# Longest wait for a read of the registrations, which are read about every 0.8 s.
+# Longest wait for a read of the registrations or orders, which are read about every
+# 0.8 s.
 FRESH_READ_WAIT_MS = 1500.0
 
 
@@ -47,6 +48,8 @@
     registry : serverregistry.ServerRegistry
     follower : keyedtopics.TopicFollower
         Follows the servers' registrations.
+    orders : keyedtopics.TopicFollower
+        Follows the operators' orders.
     operator_state : operatorstate.OperatorState
     metrics : metrics.Metrics
     read_start : callable
@@ -65,6 +68,7 @@
         "origins",
         "registry",
         "follower",
+        "orders",
         "operator_state",
         "metrics",
         "read_start",
@@ -79,6 +83,7 @@
         origins,
         registry,
         follower,
+        orders,
         operator_state,
         metrics,
         read_start,
@@ -88,6 +93,7 @@
         self.origins = origins
         self.registry = registry
         self.follower = follower
+        self.orders = orders
         self.operator_state = operator_state
         self.metrics = metrics
         self.read_start = read_start
@@ -263,10 +269,17 @@
         """Wait for a read of the registrations; return whether one was sent in time."""
         if self._is_out_of_date():
             return False
+        return await self._wait_for_read(self.follower, since_ms)
+
+    async def _has_orders_since(self, since_ms):
+        """Wait for a read of the orders; return whether one was sent in time."""
+        return await self._wait_for_read(self.orders, since_ms)
+
+    async def _wait_for_read(self, follower, since_ms):
         with self.clock.timeout_ms(FRESH_READ_WAIT_MS):
-            while self.follower.current_as_of_ms < since_ms:
-                await self.follower.read_done.wait()
-        return self.follower.current_as_of_ms >= since_ms
+            while follower.current_as_of_ms < since_ms:
+                await follower.read_done.wait()
+        return follower.current_as_of_ms >= since_ms
 
     def _is_out_of_date(self):
         return self.follower.age_ms() > softwarehistory.MAX_GAP_MS
@@ -282,8 +295,13 @@
         only = None
         # Hosts that do not answer may have been asked before.
         may_bind = found.is_heard and self.possible.only(call, asked_ms) is not None
-        # A server may have registered, and begun the stream, since the last read.
-        if may_bind and await self._has_read_since(arrived_ms):
+        # A server may have registered, and begun the stream, since the last read; the
+        # route may have been moved to its pool.
+        if (
+            may_bind
+            and await self._has_read_since(arrived_ms)
+            and await self._has_orders_since(asked_ms)
+        ):
             only = self.possible.only(call, asked_ms)
         name, software = only or ("", "")
         pool = self._pool_of(call, name)
--- a/teaselwall/tests/datagram_network.py
+++ b/teaselwall/tests/datagram_network.py
@@ -30,6 +30,8 @@
         What ends with a host.
     cut_off : set of str
         Hosts that do not reach the store.
+    without_orders : set of str
+        Hosts that do not read the operators' orders.
     loses : callable
         ``loses(sender, receiver)`` returns whether a datagram is lost.
     n_sent, n_bytes : int
@@ -43,6 +45,7 @@
         self.applications = {}
         self.scopes = {}
         self.cut_off = set()
+        self.without_orders = set()
         self.loses = lambda sender, receiver: False
         self.n_sent = 0
         self.n_bytes = 0
@@ -105,11 +108,10 @@
     async def _read_servers(self, host, address):
         """Keep a host's registrations up to date, as their test has set them."""
         while True:
-            host.orders.current_as_of_ms = host.clock.now_ms()
+            if address not in self.without_orders:
+                _complete_read(host, host.orders)
             if address not in self.cut_off:
-                host.servers.current_as_of_ms = host.clock.now_ms()
-                host.servers.read_done.set()
-                host.servers.read_done = trio.Event()
+                _complete_read(host, host.servers)
             host.server_registry.history.check_gap(host.servers.age_ms())
             await trio.sleep(0.5)
 
@@ -137,6 +139,12 @@
             await host.gossip._process(data)
 
 
+def _complete_read(host, follower):
+    follower.current_as_of_ms = host.clock.now_ms()
+    follower.read_done.set()
+    follower.read_done = trio.Event()
+
+
 class Socket:
     """Datagram socket of one host; see ``sockets.DatagramSocket``."""
 
--- a/teaselwall/tests/rejoined_days.py
+++ b/teaselwall/tests/rejoined_days.py
@@ -137,8 +137,9 @@
         for route in self.config["routes"]:
             if route["name"] == "resumed":
                 route.update(fields)
-        for host in self.network.hosts.values():
-            self._apply_config(host)
+        for address, host in self.network.hosts.items():
+            if address not in self.network.without_orders:
+                self._apply_config(host)
 
     def _apply_config(self, host):
         value = json.dumps(self.config).encode()
--- a/teaselwall/tests/test_rejoined_streams.py
+++ b/teaselwall/tests/test_rejoined_streams.py
@@ -188,18 +188,42 @@
 
 async def route_moved(day):
     """A configuration moves the route to a pool whose servers have one version."""
+    await begin_at_others(day, ("1", "1"), pause_s=1.0, n_first=1)
+    add_second_pool(day)
+    day.set_routes(service="lm2")
+    forget_origins(day)
+    await trio.sleep(DAY_S)
+
+
+async def route_just_moved(day):
+    """A host has not read yet that a configuration has moved the route."""
+    await day.start_engines(("1", "1"))
+    add_second_pool(day)
+    await trio.sleep(rejoined_days.WINDOW_S + 1.0)
+    away, *others = day.network.hosts
+    day.network.without_orders.add(away)
+    day.set_routes(service="lm2")
+    day.targets = others
+    day.start_callers(n_first=1, pause_s=1.0)
+    await trio.sleep(0.9)
+    day.targets = [away]
+    forget_origins(day)
+    await trio.sleep(1.0)
+    day.network.without_orders.clear()
+    day.set_routes()
+    await trio.sleep(DAY_S)
+
+
+def add_second_pool(day):
+    """Have all hosts know a pool with one engine, of version 2."""
     day.config["services"].append(platform_entry.service("lm2", engine={}))
     day.set_routes()
-    await begin_at_others(day, ("1", "1"), pause_s=1.0, n_first=1)
+    record = platform_entry.registration(
+        "lm2", address=fake_engines.NEW, version="2", sequence=1, born=99
+    )
     for host in day.network.hosts.values():
-        record = platform_entry.registration(
-            "lm2", address=fake_engines.NEW, version="2", sequence=1, born=99
-        )
         host.server_registry.apply(keyedtopics.Record("i-99", record))
     day.engines.running[fake_engines.NEW] = ("i-99", "2")
-    day.set_routes(service="lm2")
-    forget_origins(day)
-    await trio.sleep(DAY_S)
 
 
 async def anything(day, n_steps=14):
@@ -321,6 +345,7 @@
     (version_just_registered, {}),
     (timeout_shortened, {}),
     (route_moved, {}),
+    (route_just_moved, {}),
     (hosts_apart, {}),
     (anything, {}),
 ]
@@ -380,6 +405,9 @@
     "answers": [(streamorigins, "Finding", find_heard)],
     "gap": [(softwarehistory.SoftwareHistory, "check_gap", lambda self, age_ms: None)],
     "fresh read": [(streamversions.StreamVersions, "_has_read_since", read_already)],
+    "fresh orders": [
+        (streamversions.StreamVersions, "_has_orders_since", read_already)
+    ],
     "earlier routes": [(routehistory.RouteHistory, "find", lambda self, *of: [])],
 }
 
@@ -399,6 +427,7 @@
         ("fresh read", version_just_registered, {}),
         ("earlier routes", timeout_shortened, {}),
         ("earlier routes", route_moved, {}),
+        ("fresh orders", route_just_moved, {}),
     ],
 )
 def test_without_a_guard_streams_are_joined(monkeypatch, guard, scenario, options):
