--- a/teaselwall/tests/rejoined_days.py
+++ b/teaselwall/tests/rejoined_days.py
@@ -62,6 +62,8 @@
     ----------
     texts : dict of str to list of bytes
         Versions of the events that each caller got, in order.
+    origins : list of str
+        Requests that brought the first events of streams.
     targets : list of str
         Hosts that callers know; all if empty.
     tally : Tally
@@ -75,6 +77,7 @@
         self.numbers = itertools.count(1)
         self.config = copy.deepcopy(platform_entry.CONFIG)
         self.texts = {}
+        self.origins = []
         self.targets = []
         self.tally = Tally()
         self.set_timeout(TIMEOUT_MS)
@@ -212,6 +215,7 @@
                 sent = await self._send(request, left_ms)
                 if self._take(sent):
                     self.origin = request
+                    self.day.origins.append(request)
                     if self.pause_s is not None:
                         await trio.sleep(self.pause_s)
             else:
@@ -222,9 +226,10 @@
         sent = []
         tally = self.day.tally
 
+        named = self.names(self)
+
         async def send(name):
             more = {"Last_Event_Id": str(self.last)}
-            named = self.names(self)
             if named:
                 more["Resumes"] = named
             sent.append(await self._send(name, left_ms, **more))
@@ -240,7 +245,7 @@
                 tally.n_refused += 1
                 assert float(caller.headers[b"retry-after"]) > 0
                 assert json.loads(caller.parts[0])["outcome"] == "not_run"
-            self._take(caller, last)
+            self._take(caller, last, named)
         refusals = [c for c in sent if c.status == 503]
         if refusals:
             await trio.sleep(float(refusals[0].headers[b"retry-after"]))
@@ -254,15 +259,19 @@
             return caller
         return await self.day.network.send(self.day.any_host(), caller)
 
-    def _take(self, caller, last=0):
-        """Take the events of a reply; return whether there were any."""
+    def _take(self, caller, last=0, named=""):
+        """Take the events of a reply; return whether there were any.
+
+        They count for the stream that the request named.
+        """
         if caller.status != 200:
             return False
         events = read_events(caller)
+        versions = self.day.texts.get(named.partition("-")[0], self.versions)
         for number, version in events:
             assert number == last + 1
             last = number
-            self.versions.append(version)
+            versions.append(version)
         self.last = max(self.last, last)
         return bool(events)
 
--- a/teaselwall/tests/test_rejoined_streams.py
+++ b/teaselwall/tests/test_rejoined_streams.py
@@ -45,9 +45,9 @@
     await trio.sleep(DAY_S)
 
 
-async def one_killed(day, leaves="never"):
+async def one_killed(day, leaves="never", **options):
     """One host is killed and comes back with nothing; some streams lose a keeper."""
-    await begin(day)
+    await begin(day, **options)
     if leaves == "before":
         day.replace("1", "2")
     day.kill_hosts([day.any_host()])
@@ -233,7 +233,7 @@
     for _ in range(n_steps):
         day.start_callers(
             2,
-            names=pick([None, None, name_none, name_forged]),
+            names=pick([None, None, name_none, name_forged, name_other]),
             at_once=pick([1, 1, 2]),
             pause_s=pick([None, None, 1.0, 8.0]),
             n_first=pick([None, 1, 2]),
@@ -328,14 +328,21 @@
     return f"forged-{caller.name}"
 
 
+def name_other(caller):
+    """Return the origin of any stream, mostly another one."""
+    return caller.day.draws.choice(caller.day.origins)
+
+
 DAYS = [
     (all_killed, {"leaves": "before"}),
     (all_killed, {"leaves": "during"}),
     (all_killed, {"leaves": "after"}),
     (all_killed, {"names": name_none}),
     (all_killed, {"names": name_forged}),
+    (all_killed, {"names": name_other}),
     (all_killed, {"at_once": 2}),
     (one_killed, {"leaves": "before"}),
+    (one_killed, {"names": name_other, "n_first": 2}),
     (killed_twice, {}),
     (version_returns, {}),
     (store_silent, {}),
