--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -13,7 +13,9 @@
     calls,
     errors,
     events,
+    possibleversions,
     requestlimits,
+    routehistory,
     softwarehistory,
     streamorigins,
 )
@@ -22,16 +24,16 @@
 
 # A server that has crashed is back after some seconds.
 GONE_RETRY_AFTER_MS = 1000.0
-# Another host may know more at once.
+# Another host may know more at once; the longer none does, the less likely one will.
 UNKNOWN_RETRY_AFTER_MS = 300.0
+MAX_UNKNOWN_RETRY_AFTER_MS = 5000.0
 # An origin is remembered for the route's time limit after the stream's first event, and
 # for this long to cover the caller's pause before it resumes the stream.
 ORIGIN_MARGIN_MS = 10_000.0
-# Time limits of the route for which a caller may have been taking up one stream.
-MAX_STREAM_TIMEOUTS = 2
 # Pause between two rounds of asking servers whose registrations are out of date.
 CONFIRM_INTERVAL_MS = 500.0
-# Longest wait for a read of the registrations, which are read about every 0.8 s.
+# Longest wait for a read of the registrations or orders, which are read about every
+# 0.8 s.
 FRESH_READ_WAIT_MS = 1500.0
 
 
@@ -46,14 +48,16 @@
     registry : serverregistry.ServerRegistry
     follower : keyedtopics.TopicFollower
         Follows the servers' registrations.
-    pool : callable
-        ``pool(name)`` returns the ``routes.Pool`` of the configuration, or None.
+    orders : keyedtopics.TopicFollower
+        Follows the operators' orders.
+    operator_state : operatorstate.OperatorState
     metrics : metrics.Metrics
     read_start : callable
         ``await read_start(server)``; see ``platforms.Platform.read_start``.
 
     Attributes
     ----------
+    possible : possibleversions.PossibleVersions
     doubts : dict of servers.Server to list of calls.Call
         Streams that servers have begun while their registrations were out of date.
     """
@@ -64,23 +68,38 @@
         "origins",
         "registry",
         "follower",
-        "pool",
+        "orders",
+        "operator_state",
         "metrics",
         "read_start",
+        "possible",
         "doubts",
     )
 
     def __init__(
-        self, clock, fleet, origins, registry, follower, pool, metrics, read_start
+        self,
+        clock,
+        fleet,
+        origins,
+        registry,
+        follower,
+        orders,
+        operator_state,
+        metrics,
+        read_start,
     ):
         self.clock = clock
         self.fleet = fleet
         self.origins = origins
         self.registry = registry
         self.follower = follower
-        self.pool = pool
+        self.orders = orders
+        self.operator_state = operator_state
         self.metrics = metrics
         self.read_start = read_start
+        routes = routehistory.RouteHistory(clock)
+        operator_state.on_table = routes.record
+        self.possible = possibleversions.PossibleVersions(clock, registry, routes)
         self.doubts = {}
 
     async def run(self):
@@ -185,25 +204,41 @@
         head = call.head
         if not (head.resumed or head.last_event) or not calls.is_streaming(call.route):
             return expression.Ok(None)
+        return await self._bind(call, head.resumed or _unnamed(call.route), False)
+
+    async def bind_continuation(self, call):
+        """Bind a request whose stream began at a server of another entry host.
+
+        That host chose the server, as this one had handed the request over. If no
+        server of the version is in service, the stream may still wait for one.
+
+        Returns
+        -------
+        expression.Result
+            As for ``bind_resumption``.
+        """
+        if call.software is not None or not call.route.resumable:
+            return expression.Ok(None)
+        return await self._bind(call, call.origin_request(), True)
+
+    async def _bind(self, call, request, may_wait):
         arrived_ms = self.clock.now_ms()
-        origin = None
-        if head.resumed:
-            origin = await self.origins.find(head.resumed)
-        if origin is not None:
-            refusal = await self._bind_to_origin(call, origin, arrived_ms)
+        kept_ms = self.possible.window_ms(call, arrived_ms)
+        found = await self.origins.find(request, kept_ms)
+        if found.origin is not None:
+            refusal = await self._bind_to_origin(call, found.origin, arrived_ms)
         else:
-            refusal = await self._bind_to_only_version(call, arrived_ms)
-        if refusal is None:
+            refusal = await self._bind_to_only_version(call, found, arrived_ms)
+        if refusal is None and not may_wait:
             refusal = self.refusal(call)
-        self._log_resumption(call, origin, refusal, arrived_ms)
+        self._log_resumption(call, found, refusal, arrived_ms)
         if refusal is not None:
             return expression.Error(refusal)
         return expression.Ok(None)
 
     async def _bind_to_origin(self, call, origin, arrived_ms):
         """Bind a request to a known origin; return why it must not be sent, or None."""
-        pools = [name for name, _ in call.route.shares]
-        pool = self.pool(origin.pool) if origin.pool in pools else None
+        pool = self._pool_of(call, origin.pool)
         if pool is None:
             detail = (
                 "The stream began in a pool that the request's route does not use, or "
@@ -234,51 +269,59 @@
         """Wait for a read of the registrations; return whether one was sent in time."""
         if self._is_out_of_date():
             return False
+        return await self._wait_for_read(self.follower, since_ms)
+
+    async def _has_orders_since(self, since_ms):
+        """Wait for a read of the orders; return whether one was sent in time."""
+        return await self._wait_for_read(self.orders, since_ms)
+
+    async def _wait_for_read(self, follower, since_ms):
         with self.clock.timeout_ms(FRESH_READ_WAIT_MS):
-            while self.follower.current_as_of_ms < since_ms:
-                await self.follower.read_done.wait()
-        return self.follower.current_as_of_ms >= since_ms
+            while follower.current_as_of_ms < since_ms:
+                await follower.read_done.wait()
+        return follower.current_as_of_ms >= since_ms
 
     def _is_out_of_date(self):
         return self.follower.age_ms() > softwarehistory.MAX_GAP_MS
 
-    async def _bind_to_only_version(self, call, arrived_ms):
+    async def _bind_to_only_version(self, call, found, arrived_ms):
         """Bind a request of unknown origin to the only version that may have begun it.
 
         Returns
         -------
         errors.SoftwareUnavailable or None
         """
-        software = self._only_version(call)
-        # A server may have registered, and begun the stream, since the last read.
-        if software is not None and await self._has_read_since(arrived_ms):
-            software = self._only_version(call)
-        else:
-            software = None
-        if software is None:
+        asked_ms = found.first_asked_ms
+        only = None
+        # Hosts that do not answer may have been asked before.
+        may_bind = found.is_heard and self.possible.only(call, asked_ms) is not None
+        # A server may have registered, and begun the stream, since the last read; the
+        # route may have been moved to its pool.
+        if (
+            may_bind
+            and await self._has_read_since(arrived_ms)
+            and await self._has_orders_since(asked_ms)
+        ):
+            only = self.possible.only(call, asked_ms)
+        name, software = only or ("", "")
+        pool = self._pool_of(call, name)
+        if pool is None:
             detail = (
                 "No host knows which software version began the stream, and more than "
                 "one may have."
             )
+            pause_ms = min(self.clock.now_ms() - asked_ms, MAX_UNKNOWN_RETRY_AFTER_MS)
             return errors.SoftwareUnavailable(
-                detail, retry_after_ms=UNKNOWN_RETRY_AFTER_MS
+                detail, retry_after_ms=max(UNKNOWN_RETRY_AFTER_MS, pause_ms)
             )
+        call.pool = pool
         call.software = software
         return None
 
-    def _only_version(self, call):
-        """Return the only software version that may have begun a request's stream."""
-        window_ms = MAX_STREAM_TIMEOUTS * call.route.timeout_ms + ORIGIN_MARGIN_MS
-        found = set()
-        for pool, _ in call.route.shares:
-            versions = self.registry.software_versions(pool, window_ms)
-            if versions is None:
-                return None
-            found.update((pool, software) for software in versions)
-        if len(found) != 1:
-            return None
-        ((_, software),) = found
-        return software
+    def _pool_of(self, call, name):
+        """Return the pool of this name if the request's route uses it, or None."""
+        pools = [pool for pool, _ in call.route.shares]
+        return self.operator_state.pool(name) if name in pools else None
 
     def _log_bound(self, call, server):
         events.log(
@@ -292,10 +335,11 @@
             certain=call.doubted is None,
         )
 
-    def _log_resumption(self, call, origin, refusal, arrived_ms):
-        outcome = "known" if origin is not None else "unknown"
+    def _log_resumption(self, call, found, refusal, arrived_ms):
+        is_known = found.origin is not None
+        outcome = "known" if is_known else "unknown"
         if refusal is not None:
-            outcome = "refused" if origin is not None else "refused_unknown"
+            outcome = "refused" if is_known else "refused_unknown"
         self.metrics.count("resumptions", outcome=outcome)
         events.log(
             logger,
@@ -306,6 +350,16 @@
             outcome=outcome,
             pool=call.pool.name,
             software=call.software,
+            asked_ms=round(arrived_ms - found.first_asked_ms),
+            heard=found.is_heard,
             elapsed_ms=round(self.clock.now_ms() - arrived_ms),
             detail=refusal.detail if refusal is not None else "",
         )
+
+
+def _unnamed(route):
+    """Return what the streams of a route count as whose callers name no origin.
+
+    No request has an id that begins with a space.
+    """
+    return f" {route.name}"
--- a/teaselwall/tests/datagram_network.py
+++ b/teaselwall/tests/datagram_network.py
@@ -30,6 +30,8 @@
         What ends with a host.
     cut_off : set of str
         Hosts that do not reach the store.
+    without_orders : set of str
+        Hosts that do not read the operators' orders.
     loses : callable
         ``loses(sender, receiver)`` returns whether a datagram is lost.
     n_sent, n_bytes : int
@@ -43,12 +45,21 @@
         self.applications = {}
         self.scopes = {}
         self.cut_off = set()
+        self.without_orders = set()
         self.loses = lambda sender, receiver: False
         self.n_sent = 0
         self.n_bytes = 0
 
-    def start(self, number, data_centre="a"):
-        """Start a host, or start it again; return its address."""
+    def start(self, number, data_centre="a", servers=None):
+        """Start a host, or start it again; return its address.
+
+        Parameters
+        ----------
+        number : int
+        data_centre : str
+        servers : dict of str to bytes, optional
+            Registrations that it reads first; see ``platform_entry.make_entry_host``.
+        """
         address = f"10.1.0.{number}:4"
         settings = msgspec.structs.replace(
             platform_entry.SETTINGS,
@@ -60,7 +71,10 @@
             ),
         )
         host = platform_entry.make_entry_host(
-            self.back_ends, fake_stages.FakeServers(), settings=settings
+            self.back_ends,
+            fake_stages.FakeServers(),
+            servers=servers,
+            settings=settings,
         )
         host.gossip.socket = Socket(self, address)
         host.gossip.random = random.Random(number)
@@ -94,11 +108,10 @@
     async def _read_servers(self, host, address):
         """Keep a host's registrations up to date, as their test has set them."""
         while True:
-            host.orders.current_as_of_ms = host.clock.now_ms()
+            if address not in self.without_orders:
+                _complete_read(host, host.orders)
             if address not in self.cut_off:
-                host.servers.current_as_of_ms = host.clock.now_ms()
-                host.servers.read_done.set()
-                host.servers.read_done = trio.Event()
+                _complete_read(host, host.servers)
             host.server_registry.history.check_gap(host.servers.age_ms())
             await trio.sleep(0.5)
 
@@ -126,6 +139,12 @@
             await host.gossip._process(data)
 
 
+def _complete_read(host, follower):
+    follower.current_as_of_ms = host.clock.now_ms()
+    follower.read_done.set()
+    follower.read_done = trio.Event()
+
+
 class Socket:
     """Datagram socket of one host; see ``sockets.DatagramSocket``."""
 
