--- a/teaselwall/tests/test_firstasks.py
+++ b/teaselwall/tests/test_firstasks.py
@@ -71,7 +71,7 @@
             platform_entry.route("r", "/r/", "streaming", service="llm", **fields)
         ],
     }
-    return documents.read(msgspec.json.encode(config)).ok
+    return documents.read(msgspec.json.encode(config)).ok.table()
 
 
 def test_earlier_routes_are_found_with_the_time_of_their_end(time):
