--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -61,6 +61,8 @@
         peer sends.
     server_limits : serverlimits.ServerLimits or None
         Takes what other hosts say about limits that servers name.
+    rollouts : rolloutparts.RolloutParts or None
+        Takes what other hosts say about roll-outs.
     fleet : fleet.Fleet or None
         Backend servers; hosts tell each other which of them have said that they leave.
     known_nonces : dict of str to str
@@ -79,6 +81,7 @@
         "fleet",
         "crash_guard",
         "server_limits",
+        "rollouts",
     )
 
     def __init__(self, clock, membership, seed=None):
@@ -91,6 +94,7 @@
         self.fleet = None
         self.crash_guard = None
         self.server_limits = None
+        self.rollouts = None
         self.known_nonces = {}
 
     async def run(self):
@@ -235,6 +239,8 @@
             self.crash_guard.receive(exchange)
         if self.server_limits is not None:
             await self.server_limits.receive(exchange)
+        if self.rollouts is not None:
+            self.rollouts.receive(exchange)
         is_new = self.known_nonces.get(sender.address) != sender.nonce
         if is_new:
             self.known_nonces[sender.address] = sender.nonce
@@ -348,6 +354,9 @@
         limits=[],
         limit_asks=[],
         limit_grants=[],
+        rollout_plans=[],
+        rollouts_unwritten=[],
+        rollout_reports=[],
         asks=False,
     )
     return encoded_parts(first) + encoded_parts(rest)
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -33,6 +33,7 @@
     probes,
     quarantinearchive,
     retries,
+    rolloutparts,
     serverattempts,
     serverchoices,
     serverlimits,
@@ -90,6 +91,8 @@
         Writes this host's address to the store and finds the other hosts.
     handovers : handovers.Handovers
         Hands requests over to hosts that reach servers which this one does not.
+    rollout_parts : rolloutparts.RolloutParts or None
+        Takes part in roll-outs, if the settings give bounds of them.
     """
 
     __slots__ = (
@@ -123,6 +126,7 @@
         "stop",
         "announcements",
         "handovers",
+        "rollout_parts",
     )
 
     def __init__(self, settings, platform, time=None):
@@ -143,6 +147,7 @@
         self._add_crash_guard()
         self._add_forwarder()
         self._add_handovers()
+        self.rollout_parts = rolloutparts.parts_of(self)
         gatewayviews.GatewayViews(self).register(self.control)
 
     def _add_membership(self):
@@ -171,7 +176,7 @@
             self.platform.table_key,
         )
         self.operator_state.on_data_centre_return = self._record_data_centre_return
-        self.orders = self._follower(
+        self.orders = self.follow(
             self.platform.orders_topic,
             self.operator_state,
             settings.store.watch_ms,
@@ -187,7 +192,8 @@
         )
         self.orders.on_restore = self.announcements.repeat
 
-    def _follower(self, topic, listener, wait_ms, pause_ms):
+    def follow(self, topic, listener, wait_ms, pause_ms):
+        """Return a new ``keyedtopics.TopicFollower`` of a topic; see there."""
         follower = keyedtopics.TopicFollower(
             self.clock, self.shared_reads, topic, listener, wait_ms, pause_ms
         )
@@ -215,7 +221,7 @@
         self.server_registry = serverregistry.ServerRegistry(
             self.clock, self.fleet, self.platform.decode_registration, self.cold_starts
         )
-        self.servers = self._follower(
+        self.servers = self.follow(
             self.platform.servers_topic,
             self.server_registry,
             0.0,
@@ -359,6 +365,8 @@
             nursery.start_soon(paths.run)
             nursery.start_soon(paths.tell_changes, self.membership, self.gossip)
             nursery.start_soon(self.fleet.brittle.run)
+            if self.rollout_parts is not None:
+                nursery.start_soon(self.rollout_parts.run)
 
     async def _update_derived_state(self):
         """Periodically update the state that changes with time alone."""
@@ -377,16 +385,11 @@
             await self.clock.sleep_ms(UPDATE_INTERVAL_MS)
 
     def _record_data_centre_return(self, data_centre):
-        returned = [
-            s for s in self.fleet.servers_in_use() if s.data_centre == data_centre
-        ]
-        listed = [
-            server
-            for known in self.fleet.by_pool.values()
-            for server in known.values()
-            if server.data_centre == data_centre
-        ]
-        self.cold_starts.record_returned([*returned, *listed])
+        known = list(self.fleet.servers_in_use())
+        for servers in self.fleet.by_pool.values():
+            known.extend(servers.values())
+        returned = [server for server in known if server.data_centre == data_centre]
+        self.cold_starts.record_returned(returned)
 
 
 def _rounded_ms(age_ms):
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -65,6 +65,8 @@
         Servers that this host can't open connections to.
     brittle : brittleservers.BrittleServers or None
         Limits what brittle servers get, if any may be.
+    admits : callable
+        ``admits(server)`` returns whether its version may get anything in a roll-out.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         "leaving",
         "paths",
         "brittle",
+        "admits",
     )
 
     def __init__(self, clock, host_list, state, interval_ms, timeout_ms, subsets=None):
@@ -107,6 +110,7 @@
         self.leaving = leavingservers.LeavingServers(clock)
         self.paths = serverpaths.ServerPaths(clock, self)
         self.brittle = None
+        self.admits = _admit
 
     def record_notice(self, server, notice, sent_ms):
         """Record what a server said about itself in a reply.
@@ -171,7 +175,7 @@
             self.limits, self.serving(pool), self.clock.now_ms()
         )
 
-    def choices(self, pool, prefix=None, software=None, urgency=None):
+    def choices(self, pool, prefix=None, software=None, urgency=None, accepts=None):
         """Return servers of a pool that may get new work.
 
         Only ``rings.WINDOW_SIZE`` servers of this host's subset are examined if
@@ -188,6 +192,8 @@
         urgency : int, optional
             Leaves out servers whose limit allows no work of this urgency now; see
             ``requestlimits.Limits``.
+        accepts : callable, optional
+            Leaves out servers for which ``accepts(server)`` is false.
 
         Returns
         -------
@@ -199,24 +205,26 @@
         if ring is None:
             return []
         window = self._current_window(ring, prefix)
-        found = self._available(window, software, urgency)
+        found = self._available(window, software, urgency, accepts)
         if not found:
             self._review(ring)
-            found = self._available(ring.servers, software, urgency)
+            found = self._available(ring.servers, software, urgency, accepts)
         return found
 
-    def _available(self, candidates, software, urgency):
+    def _available(self, candidates, software, urgency, accepts):
         return [
             server
             for server in candidates
             if (software is None or server.software == software)
+            and (accepts is None or accepts(server))
             and self.is_available(server)
             and (urgency is None or self.limits.allows(server, urgency))
         ]
 
     def has_software(self, pool, software):
-        """Return whether a server of a pool with a software version is in service."""
-        return any(server.software == software for server in self.serving(pool))
+        """Return whether a server of a pool with a software version may get work."""
+        serving = self.serving(pool)
+        return any(s.software == software and self.admits(s) for s in serving)
 
     def serving(self, pool):
         """Return the servers of a pool that are in service, ejected or not."""
@@ -396,3 +404,7 @@
         ring = self.chosen.get(old.pool)
         if ring is not None:
             ring.replace(old, server)
+
+
+def _admit(server):
+    return True
--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -30,6 +30,14 @@
     remedy = "Read the newest record of each key, then go on from there."
 
 
+class ChangedMeanwhile(errors.Error):
+    """A topic had other records by the time of a conditional write."""
+
+    status = 409
+    title = "Changed meanwhile"
+    remedy = "Read the topic to its end and decide again."
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Record:
     """Newest value of a key; None if the key was deleted."""
@@ -107,8 +115,23 @@
         """
 
     @abc.abstractmethod
-    async def put(self, topic, key, value):
-        """Write the newest value of a key; return a result."""
+    async def put(self, topic, key, value, at=None):
+        """Write the newest value of a key.
+
+        Parameters
+        ----------
+        topic, key : str
+        value : bytes
+        at : int, optional
+            Write only if the topic ends at this offset.
+
+        Returns
+        -------
+        expression.Result
+            With ``at``, the offset at which the topic ends then, or the error
+            ``ChangedMeanwhile``. After any other error, the record may have been
+            written, or may be some seconds later.
+        """
 
 
 class TopicFollower:
--- a/teaselwall/platform/adapter.py
+++ b/teaselwall/platform/adapter.py
@@ -6,6 +6,7 @@
     heads,
     registrations,
     reports,
+    rolloutrecords,
     stagecalls,
     store,
 )
@@ -28,6 +29,8 @@
     servers_topic = "keyed.servers"
     members_topic = "keyed.teaselwall.members"
     quarantine_topic = "keyed.teaselwall.quarantine"
+    rollouts_topic = "keyed.teaselwall.rollouts"
+    status_topic = "keyed.status"
     table_key = "config"
     directory_path = "/v1/resolve"
     readiness_path = "/v1/readiness"
@@ -61,6 +64,18 @@
             return key.removeprefix(EVACUATION_PREFIX)
         return None
 
+    def rollout_pool(self, key):
+        """Return the pool of a roll-out's key; see ``platforms.Platform``."""
+        return rolloutrecords.pool_of(key)
+
+    def decode_rollout(self, pool, value):
+        """Decode an order; see ``platforms.Platform.decode_rollout``."""
+        return rolloutrecords.read(pool, value)
+
+    def encode_rollout_status(self, plan):
+        """Return a status record; see ``platforms.Platform``."""
+        return rolloutrecords.status(plan)
+
     def decode_registration(self, key, value):
         """Decode a registration; see ``platforms.Platform.decode_registration``."""
         return registrations.read(key, value)
--- a/teaselwall/platform/store.py
+++ b/teaselwall/platform/store.py
@@ -13,6 +13,7 @@
 
 COMPONENT = "store"
 HISTORY_GONE_STATUS = 410
+CONDITION_FAILED_STATUS = 412
 # Header before the records of a read: end offset of the log, first retained offset.
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
@@ -36,6 +37,10 @@
     end: int
 
 
+class _Appended(msgspec.Struct):
+    end: int
+
+
 class HttpStore(keyedtopics.Store):
     """Client of the store over HTTP, with a new connection for each call.
 
@@ -107,11 +112,14 @@
         result = await self._get("/v1/log-read", query, self.timeout_ms + wait_ms)
         return result.bind(lambda reply: _decode_records(reply, offset))
 
-    async def put(self, topic, key, value):
+    async def put(self, topic, key, value, at=None):
         """Write the newest value of a key; see ``keyedtopics.Store.put``."""
         key_bytes = key.encode()
         content = bytes([len(key_bytes)]) + key_bytes + value
-        target = "/v1/log-append?" + urllib.parse.urlencode({"topic": topic, "part": 0})
+        query = {"topic": topic, "part": 0}
+        if at is not None:
+            query["at"] = at
+        target = "/v1/log-append?" + urllib.parse.urlencode(query)
         result = await self.transport.call_raw(
             b"POST",
             self.address,
@@ -119,6 +127,8 @@
             RECORD_LENGTH.pack(len(content)) + content,
             self.timeout_ms,
         )
+        if at is not None:
+            return result.bind(_decode_appended)
         return result.bind(lambda reply: errors.require_ok(reply, COMPONENT))
 
     async def _get(self, path, query, timeout_ms):
@@ -136,6 +146,15 @@
     return errors.require_ok(reply, COMPONENT)
 
 
+def _decode_appended(reply):
+    """Return the end of a topic after a conditional write as a result."""
+    if reply.status == CONDITION_FAILED_STATUS:
+        detail = "The topic does not end at the given offset any more."
+        return expression.Error(keyedtopics.ChangedMeanwhile(detail))
+    result = errors.read_reply(reply, _Appended, COMPONENT)
+    return result.map(lambda appended: appended.end)
+
+
 def _era_of(reply):
     """Return the store's era as its reply states it, or None."""
     text = reply.headers.get(names.STORE_ERA, b"").strip()
--- a/teaselwall/platforms.py
+++ b/teaselwall/platforms.py
@@ -12,6 +12,9 @@
     orders_topic, servers_topic, members_topic, quarantine_topic : str
         Topics of the store with the operators' orders, the registrations of backend
         servers, the addresses of entry hosts and the suspects that they refuse.
+    rollouts_topic, status_topic : str
+        Topics with the entry hosts' plans of roll-outs and with what the operators
+        read of them.
     table_key : str
         Key of the configuration in the orders topic.
     directory_path, readiness_path : str
@@ -59,6 +62,35 @@
     def decode_data_centre_out(self, key):
         """Return the data centre that a key of the orders topic takes out, or None."""
 
+    @abc.abstractmethod
+    def rollout_pool(self, key):
+        """Return the pool that a key of the orders topic orders a roll-out of, or None.
+
+        Parameters
+        ----------
+        key : str
+        """
+
+    @abc.abstractmethod
+    def decode_rollout(self, pool, value):
+        """Return a result with the ``rolloutorders.Order`` of a record.
+
+        A duration that is no positive number is 0.
+        """
+
+    @abc.abstractmethod
+    def encode_rollout_status(self, plan):
+        """Return the key and the value that tell operators how a roll-out stands.
+
+        Parameters
+        ----------
+        plan : messages.RolloutPlan
+
+        Returns
+        -------
+        tuple of (str, bytes)
+        """
+
     @abc.abstractmethod
     def decode_registration(self, key, value):
         """Return a result with the ``serverregistry.Registration`` of a record."""
--- a/teaselwall/rendezvous.py
+++ b/teaselwall/rendezvous.py
@@ -27,6 +27,22 @@
     return sum(_weight(address, purpose) > mine for address in addresses)
 
 
+def ordered(task, members):
+    """Return members in an order that is the same on hosts with the same view.
+
+    Parameters
+    ----------
+    task : str
+        Name of the task; the order differs from task to task.
+    members : list of members.Member
+
+    Returns
+    -------
+    list of members.Member
+    """
+    return sorted(members, key=lambda m: _weight(m.nonce, task), reverse=True)
+
+
 class Candidates:
     """Addresses that can be ranked for many tasks at a low cost.
 
--- /dev/null
+++ b/teaselwall/rolloutparts.py
@@ -0,0 +1,121 @@
+"""Adds the parts that take part in roll-outs to an entry host."""
+
+import functools
+
+import trio
+
+from teaselwall import (
+    rolloutanswers,
+    rolloutdeciders,
+    rolloutleaders,
+    rolloutorders,
+    rolloutplans,
+    rolloutreports,
+    rollouts,
+    rolloutstatuses,
+    topiclisteners,
+)
+
+
+class RolloutParts:
+    """The parts of an entry host that take part in roll-outs.
+
+    Parameters
+    ----------
+    host : entry.Entry
+        All its other parts exist.
+
+    Attributes
+    ----------
+    follower : keyedtopics.TopicFollower
+        Follows the plans.
+    rollouts : rollouts.Rollouts
+    reports : rolloutreports.RolloutReports
+    leaders : rolloutleaders.RolloutLeaders
+    """
+
+    __slots__ = ("follower", "rollouts", "reports", "leaders")
+
+    def __init__(self, host):
+        platform, clock = host.platform, host.clock
+        orders = rolloutorders.Orders(
+            clock, platform.rollout_pool, platform.decode_rollout
+        )
+        host.orders.listener = topiclisteners.TopicListeners(
+            [host.operator_state, orders]
+        )
+        plans = rolloutplans.Plans(clock)
+        self.follower = host.follow(
+            platform.rollouts_topic, plans, host.settings.store.watch_ms, 0.0
+        )
+        self.rollouts = rollouts.Rollouts(
+            clock, host.fleet, orders, plans, host.orders, self.follower
+        )
+        self.reports = rolloutreports.RolloutReports(
+            clock, host.membership, host.gossip, self.rollouts
+        )
+        deciders = rolloutdeciders.Deciders(
+            clock,
+            self.rollouts,
+            self.reports,
+            host.cold_starts,
+            host.settings.bounds,
+        )
+        statuses = rolloutstatuses.RolloutStatuses(
+            clock,
+            host.store,
+            platform.status_topic,
+            platform.encode_rollout_status,
+            self.rollouts,
+        )
+        self.leaders = rolloutleaders.RolloutLeaders(
+            clock,
+            host.membership,
+            host.gossip,
+            host.store,
+            platform.rollouts_topic,
+            self.rollouts,
+            self.reports,
+            statuses,
+            deciders,
+            host.metrics,
+        )
+        self._attach(host)
+
+    def _attach(self, host):
+        """Have the host's parts ask which servers roll-outs leave to them."""
+        host.fleet.filters.append(self.rollouts.allows)
+        host.fleet.admits = self.rollouts.allows
+        host.server_choices.rollouts = self.rollouts
+        host.gossip.rollouts = self
+        stage_work = host.stage_work
+        servers_of = functools.partial(self._stage_servers, stage_work.servers_of)
+        stage_work.servers_of = stage_work.wait_estimates.servers_of = servers_of
+        stage_work.client = rolloutanswers.CountedStageClient(
+            host.clock, stage_work.client, self.rollouts, host.operator_state.pool
+        )
+
+    def _stage_servers(self, servers_of, pool):
+        return self.rollouts.stage_servers(pool, servers_of(pool))
+
+    def receive(self, exchange):
+        """Take over what another host says.
+
+        Parameters
+        ----------
+        exchange : messages.Exchange
+        """
+        self.reports.receive(exchange)
+        self.leaders.receive(exchange)
+
+    async def run(self):
+        """Run the background tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self.reports.run)
+            nursery.start_soon(self.leaders.run)
+
+
+def parts_of(host):
+    """Return an entry host's ``RolloutParts``, None if its settings give no bounds."""
+    return RolloutParts(host) if host.settings.bounds.rollback_ms else None
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -10,6 +10,7 @@
     progress,
     protocols,
     requestattempts,
+    rolloutanswers,
     traces,
 )
 from teaselwall.generated import messages
@@ -101,6 +102,11 @@
         fleet.paths.record_attempt(server, error, attempt.received)
         if attempt.received.head_ms is not None:
             fleet.record_rejection(server, error)
+        rollouts = self.server_choices.rollouts
+        if rollouts is not None:
+            rolloutanswers.record_attempt(
+                rollouts, call, server, error, attempt.received
+            )
         span.end()
         if error is None or error.outcome is not errors.Outcome.NOT_RUN:
             call.n_ran += 1
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -21,9 +21,22 @@
         Region of each data centre.
     n_hosts : callable
         Returns the number of entry hosts.
+
+    Attributes
+    ----------
+    rollouts : rollouts.Rollouts or None
+        Shares the requests of pools in roll-out among the versions of their servers.
     """
 
-    __slots__ = ("fleet", "picker", "engines", "cold_starts", "region_of", "n_hosts")
+    __slots__ = (
+        "fleet",
+        "picker",
+        "engines",
+        "cold_starts",
+        "region_of",
+        "n_hosts",
+        "rollouts",
+    )
 
     def __init__(self, fleet, picker, engines, cold_starts, region_of, n_hosts):
         self.fleet = fleet
@@ -32,14 +45,28 @@
         self.cold_starts = cold_starts
         self.region_of = region_of
         self.n_hosts = n_hosts
+        self.rollouts = None
 
     def choices(self, call):
         """Return the servers that may get a request now."""
+        for accepts in self._sides(call):
+            found = self._choices(call, accepts)
+            if found:
+                return found
+        return []
+
+    def _sides(self, call):
+        """Return which servers may get a request, as ``rollouts.Rollouts.sides``."""
+        if self.rollouts is None or call.software is not None:
+            return (None,)
+        return self.rollouts.sides(call.pool.name, call.head.id)
+
+    def _choices(self, call, accepts):
         subset_token = None
         if call.pool.engine:
             subset_token = enginechoices.subset_token_of(call.head.prompt_parts)
         servers = self.fleet.choices(
-            call.pool.name, subset_token, call.software, urgency_of(call)
+            call.pool.name, subset_token, call.software, urgency_of(call), accepts
         )
         regions = call.regions()
         if regions:
@@ -87,7 +114,10 @@
         urgency = urgency_of(call)
         while (server := self.choose(call, inputs)) is not None:
             is_allowed = await self.fleet.limits.obtain(server, urgency, n_waiting)
-            if is_allowed and self.fleet.is_available(server):
+            if not is_allowed or not self.fleet.is_available(server):
+                continue
+            sides = self._sides(call)
+            if any(accepts is None or accepts(server) for accepts in sides):
                 return server
         return None
 
--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -84,9 +84,9 @@
         """Read the newest record of each key; see ``keyedtopics.Store.newest``."""
         return await self.store.newest(topic)
 
-    async def put(self, topic, key, value):
+    async def put(self, topic, key, value, at=None):
         """Write the newest value of a key; see ``keyedtopics.Store.put``."""
-        return await self.store.put(topic, key, value)
+        return await self.store.put(topic, key, value, at)
 
     async def changes(self, topic, offset, wait_ms, era=None):
         """Read records from an offset on; see ``keyedtopics.Store.changes``."""
