--- /dev/null
+++ b/teaselwall/rolloutdecisions.py
@@ -0,0 +1,389 @@
+"""Decides when a new software version gets more traffic, and whether it is good.
+
+The leader of a roll-out calls ``Rollout.step`` with the evidence of all hosts. The
+method and its limits are described in ``docs/design/rollouts.md``.
+"""
+
+import math
+
+from teaselwall import rolloutcomparisons, rolloutmoments, rolloutschedules
+
+RUNNING = "running"
+COMPLETED = "completed"
+ROLLED_BACK = "rolled_back"
+# Shortest stretch of time in which the versions are compared.
+MOMENT_MS = 200.0
+# Probability of convicting a version that equals the old ones.
+FALSE_ALARM_PROBABILITY = 1e-3
+# Times of answers count from this long after the first answer of the target on, and
+# for this part of the duration not while target servers say that they are cold.
+WARM_UP_MS = 1_500.0
+MAX_COLD_PART = 0.5
+# Evidence from before and after a target server went away doesn't count.
+LOSS_BEFORE_MS = 1_000.0
+LOSS_AFTER_MS = 750.0
+MAX_LOSSES = 2
+# Time without a server of another version after which there is taken to be none.
+NO_OLD_MS = 1_000.0
+# A share that differs by less than this factor from the planned one is kept.
+MIN_CHANGE = 0.8
+MIN_REPORTING_SHARE = 0.5
+# Answers of the target without which a version isn't known at all.
+MIN_TARGET_ANSWERS = 3
+# Part of the old servers that the target needs in service to take all traffic.
+MIN_READY_PART = 0.5
+# Moments before all traffic moves that the moments after it are compared with.
+N_REFERENCE_MOMENTS = 8
+RATE_WINDOW_MS = 3_000.0
+
+
+class Limits:
+    """Bounds of the deployment on roll-outs.
+
+    Attributes
+    ----------
+    expose_share : float
+        Part of all requests until the deadline that a bad version may get.
+    expose_slack : int
+        Requests that it may get besides.
+    rollback_ms : float
+        Time from its 50th bad answer until it gets no more requests.
+    """
+
+    __slots__ = ("expose_share", "expose_slack", "rollback_ms")
+
+    def __init__(self, expose_share, expose_slack, rollback_ms):
+        self.expose_share = expose_share
+        self.expose_slack = expose_slack
+        self.rollback_ms = rollback_ms
+
+
+class Situation:
+    """What the leader knows besides the answers.
+
+    Attributes
+    ----------
+    n_target_ready, n_old_ready : int
+        Servers in service.
+    n_target_cold : int
+        Target servers among them that say they are cold.
+    n_slots_per_server : int
+    reporting_share : float
+        Hosts that reported lately, of all known.
+    n_old_streams : int
+        Requests in progress at old servers.
+    store_current : bool
+        Whether the plans in the store have been read lately.
+    """
+
+    __slots__ = (
+        "n_target_ready",
+        "n_old_ready",
+        "n_target_cold",
+        "n_slots_per_server",
+        "reporting_share",
+        "n_old_streams",
+        "store_current",
+    )
+
+    def __init__(
+        self,
+        n_target_ready,
+        n_old_ready,
+        n_target_cold=0,
+        n_slots_per_server=1,
+        reporting_share=1.0,
+        n_old_streams=0,
+        store_current=True,
+    ):
+        self.n_target_ready = n_target_ready
+        self.n_old_ready = n_old_ready
+        self.n_target_cold = n_target_cold
+        self.n_slots_per_server = n_slots_per_server
+        self.reporting_share = reporting_share
+        self.n_old_streams = n_old_streams
+        self.store_current = store_current
+
+
+class Step:
+    """What a roll-out does from now on.
+
+    Attributes
+    ----------
+    state : str
+        ``RUNNING``, ``COMPLETED`` or ``ROLLED_BACK``; the last two are final.
+    share : float
+        Part of the requests that go to the target.
+    n_servers : int
+        Target servers in use; 0 stands for all.
+    reason : str
+    evidence : dict of str to object
+        What the decision rests on, for the log and the view.
+    """
+
+    __slots__ = ("state", "share", "n_servers", "reason", "evidence")
+
+    def __init__(self, state, share, n_servers, reason, evidence):
+        self.state = state
+        self.share = share
+        self.n_servers = n_servers
+        self.reason = reason
+        self.evidence = evidence
+
+
+class Rollout:
+    """Decider of one roll-out.
+
+    Parameters
+    ----------
+    target : str
+        Software version that the order names.
+    duration_ms : float
+    limits : Limits
+    elapsed_ms : float
+        Time since the order, as the plan says from which this decider goes on.
+    share : float
+    n_servers : int
+
+    Attributes
+    ----------
+    start_ms : float or None
+        Clock reading at the order; None until the first step.
+    step_taken : Step or None
+        Newest step. A final one is returned again by each later step.
+    """
+
+    __slots__ = (
+        "target",
+        "duration_ms",
+        "limits",
+        "elapsed_ms",
+        "share",
+        "n_servers",
+        "schedule",
+        "demand",
+        "comparison",
+        "suspicion",
+        "start_ms",
+        "step_taken",
+        "last_moment_ms",
+        "answers",
+        "first_answer_ms",
+        "loss_ms",
+        "n_losses",
+        "old_seen",
+        "n_ready",
+        "rates",
+        "reference",
+    )
+
+    def __init__(
+        self, target, duration_ms, limits, elapsed_ms=0.0, share=0.0, n_servers=0
+    ):
+        self.target = target
+        self.duration_ms = duration_ms
+        self.limits = limits
+        self.elapsed_ms = elapsed_ms
+        self.share = share
+        self.n_servers = n_servers
+        self.schedule = rolloutschedules.Schedule(
+            duration_ms, limits.expose_share, limits.expose_slack
+        )
+        self.demand = rolloutschedules.Demand()
+        self.comparison = rolloutcomparisons.Comparison()
+        self.suspicion = rolloutcomparisons.Suspicion()
+        self.start_ms = None
+        self.step_taken = None
+        self.last_moment_ms = None
+        self.answers = rolloutmoments.Answers(target)
+        self.first_answer_ms = None
+        self.loss_ms = None
+        self.n_losses = 0
+        self.old_seen = elapsed_ms > 0.0
+        self.n_ready = 0
+        self.rates = []
+        self.reference = None
+
+    def step(self, now_ms, evidence, situation):
+        """Decide anew.
+
+        Parameters
+        ----------
+        now_ms : float
+            Reading of the leader's clock.
+        evidence : rolloutevidence.Evidence
+            Cumulative sum over all hosts.
+        situation : Situation
+
+        Returns
+        -------
+        Step
+        """
+        if self.step_taken is not None and self.step_taken.state != RUNNING:
+            return self.step_taken
+        if self.start_ms is None:
+            self.start_ms = now_ms - self.elapsed_ms
+            self.last_moment_ms = now_ms
+        self.elapsed_ms = now_ms - self.start_ms
+        self._record_losses(now_ms, situation)
+        if now_ms - self.last_moment_ms >= MOMENT_MS or self.step_taken is None:
+            self._add_moment(now_ms, evidence, situation)
+        state, share, reason = self._decide(situation)
+        if share > rolloutschedules.HALF_SHARE >= self.share:
+            self.reference = self.comparison.old_sides(N_REFERENCE_MOMENTS)
+        if state != RUNNING:
+            share = 1.0 if state == COMPLETED else 0.0
+        self.share = share
+        self.n_servers = rolloutschedules.n_loaded_servers(
+            share, situation.n_old_ready, situation.n_target_ready
+        )
+        self.step_taken = Step(
+            state, share, self.n_servers, reason, self._described(situation)
+        )
+        return self.step_taken
+
+    def _record_losses(self, now_ms, situation):
+        if situation.n_target_ready < self.n_ready and self.n_losses < MAX_LOSSES:
+            self.n_losses += 1
+            self.loss_ms = now_ms
+            self.comparison.forget(LOSS_BEFORE_MS)
+        self.n_ready = situation.n_target_ready
+        self.old_seen = self.old_seen or situation.n_old_ready > 0
+
+    def _add_moment(self, now_ms, evidence, situation):
+        """Count what was answered since the last moment, and compare."""
+        sides = self.answers.new_sides(evidence)
+        length_ms = max(1.0, now_ms - self.last_moment_ms)
+        self.last_moment_ms = now_ms
+        target, old = sides[rolloutmoments.ALL_ROUTES]
+        n_answers = target.n_answers + old.n_answers
+        self.demand.n_answers += n_answers
+        self.demand.n_target_answers += target.n_answers
+        self._record_rate(now_ms, length_ms, n_answers)
+        if target.n_answers and self.first_answer_ms is None:
+            self.first_answer_ms = now_ms
+        if self.loss_ms is not None and now_ms - self.loss_ms < LOSS_AFTER_MS:
+            return
+        if self.share > rolloutschedules.HALF_SHARE and self.reference is not None:
+            sides = self._with_reference(sides)
+        self.comparison.add(
+            rolloutmoments.Moment(
+                length_ms, sides, self._latency_counts(now_ms, situation)
+            )
+        )
+        self.suspicion = self.comparison.suspicion()
+
+    def _with_reference(self, sides):
+        return {
+            route: (target, old.plus(self.reference[route]))
+            if route in self.reference
+            else (target, old)
+            for route, (target, old) in sides.items()
+        }
+
+    def _record_rate(self, now_ms, length_ms, n_answers):
+        if self.demand.n_answers > n_answers or self.elapsed_ms <= length_ms:
+            self.rates.append((now_ms, length_ms, n_answers))
+        self.rates = [r for r in self.rates if now_ms - r[0] < RATE_WINDOW_MS]
+        total_ms = sum(row[1] for row in self.rates)
+        if total_ms:
+            self.demand.rate = sum(row[2] for row in self.rates) / total_ms
+
+    def _latency_counts(self, now_ms, situation):
+        if self.first_answer_ms is None:
+            return False
+        if now_ms - self.first_answer_ms < WARM_UP_MS:
+            return False
+        may_be_cold = self.elapsed_ms < MAX_COLD_PART * self.duration_ms
+        return not (situation.n_target_cold and may_be_cold)
+
+    def _threshold(self, n_looks):
+        n_routes = self.comparison.n_routes() + 1
+        n_tests = n_looks * n_routes * rolloutcomparisons.N_TESTS
+        return math.log(n_tests / FALSE_ALARM_PROBABILITY)
+
+    def _decide(self, situation):
+        """Return the state, the share and the reason."""
+        if not (math.isfinite(self.duration_ms) and self.duration_ms > 0.0):
+            return ROLLED_BACK, 0.0, "the duration is not positive: order it anew"
+        n_looks = max(1.0, self.duration_ms / MOMENT_MS)
+        is_bad = self.suspicion.nats >= self._threshold(n_looks)
+        if not situation.store_current:
+            share = 0.0 if is_bad else self.share
+            return RUNNING, share, "the store has not been read lately"
+        if is_bad:
+            return ROLLED_BACK, 0.0, f"the target is {self.suspicion.kind}"
+        if not self.old_seen and situation.n_target_ready:
+            if self.elapsed_ms >= NO_OLD_MS:
+                return COMPLETED, 1.0, "no other version has servers"
+            return RUNNING, self.share, "no other version has servers yet"
+        remaining_ms = self.duration_ms - self.elapsed_ms
+        obstacle = self._obstacle(situation)
+        if obstacle and remaining_ms <= 0.0:
+            return ROLLED_BACK, 0.0, f"deadline: {obstacle}"
+        if not situation.n_target_ready:
+            return RUNNING, 0.0, obstacle
+        if situation.reporting_share < MIN_REPORTING_SHARE:
+            return RUNNING, min(self.share, self._hold_share(situation)), obstacle
+        if obstacle:
+            return RUNNING, self._hold_share(situation), obstacle
+        return self._advance(remaining_ms, situation)
+
+    def _obstacle(self, situation):
+        """Return why the target can't take all traffic, or an empty string."""
+        n_needed = max(1, math.ceil(MIN_READY_PART * situation.n_old_ready))
+        if not situation.n_target_ready:
+            return "the target has no server in service"
+        if situation.reporting_share < MIN_REPORTING_SHARE:
+            return "few hosts report their answers"
+        if situation.n_target_ready < n_needed:
+            return f"the target has {situation.n_target_ready} of {n_needed} servers"
+        if self.demand.n_target_answers < MIN_TARGET_ANSWERS:
+            return "the target has given no answers yet"
+        return ""
+
+    def _advance(self, remaining_ms, situation):
+        """Return the state, share and reason if nothing but the time holds it up."""
+        half_ms, final_ms = self.schedule.phases(self.demand, self.elapsed_ms)
+        is_doubtful = self.suspicion.nats >= self._threshold(1.0)
+        due_ms = self.schedule.completion_ms()
+        if situation.n_old_streams:
+            due_ms = rolloutschedules.MIN_COMPLETION_MS
+        if remaining_ms <= due_ms:
+            if is_doubtful:
+                return ROLLED_BACK, 0.0, f"the target may be {self.suspicion.kind}"
+            return COMPLETED, 1.0, "the target is as good as the other versions"
+        if is_doubtful:
+            share = min(self.share, self._hold_share(situation))
+            return RUNNING, share, f"the target may be {self.suspicion.kind}"
+        if remaining_ms <= final_ms:
+            return RUNNING, 1.0, "all traffic before completion"
+        if remaining_ms <= final_ms + half_ms:
+            return RUNNING, rolloutschedules.HALF_SHARE, "half of the traffic"
+        return RUNNING, self._hold_share(situation), "evidence is gathered"
+
+    def _hold_share(self, situation):
+        share = self.schedule.hold_share(
+            self.demand, self.elapsed_ms, situation.n_old_ready
+        )
+        is_close = share * MIN_CHANGE <= self.share <= share / MIN_CHANGE
+        return self.share if is_close else share
+
+    def _described(self, situation):
+        """Return the inputs of the step for the log line and the view."""
+        return {
+            "elapsed_ms": round(self.elapsed_ms),
+            "n_answers": self.demand.n_answers,
+            "n_target_answers": self.demand.n_target_answers,
+            "rate_per_s": round(self.demand.rate * 1000.0, 1),
+            "n_target_ready": situation.n_target_ready,
+            "n_old_ready": situation.n_old_ready,
+            "n_old_streams": situation.n_old_streams,
+            "reporting_share": round(situation.reporting_share, 3),
+            "suspicion_nats": round(self.suspicion.nats, 2),
+            "suspicion_route": self.suspicion.route,
+            "suspicion_kind": self.suspicion.kind,
+            "suspicion_n_bad": self.suspicion.n_bad,
+            "suspicion_n_answers": self.suspicion.n_answers,
+            "suspicion_expected": round(self.suspicion.expected, 2),
+        }
--- /dev/null
+++ b/teaselwall/rolloutevidence.py
@@ -0,0 +1,148 @@
+"""Counts of the answers that each software version of a pool gave, route by route."""
+
+import bisect
+
+# Three buckets for each doubling of the time, from 1 ms to about 66 s.
+BUCKETS_PER_DOUBLING = 3
+N_LATENCY_BUCKETS = 16 * BUCKETS_PER_DOUBLING + 1
+BOUNDS_MS = tuple(2 ** (i / BUCKETS_PER_DOUBLING) for i in range(N_LATENCY_BUCKETS - 1))
+
+
+def bucket(latency_ms):
+    """Return the index of the latency bucket that holds a time in milliseconds."""
+    return bisect.bisect_right(BOUNDS_MS, latency_ms)
+
+
+class Counts:
+    """Answers of one software version on one route.
+
+    Attributes
+    ----------
+    n_answers : int
+    n_bad : int
+        Answers among them that were failures of the server.
+    latencies : list of int, shape (N_LATENCY_BUCKETS,)
+        Answers by the time until their head or first event.
+    """
+
+    __slots__ = ("n_answers", "n_bad", "latencies")
+
+    def __init__(self):
+        self.n_answers = 0
+        self.n_bad = 0
+        self.latencies = [0] * N_LATENCY_BUCKETS
+
+    def add(self, row):
+        """Add the counts of ``row``, whose latencies may lack their last zeros."""
+        self.n_answers += row.n_answers
+        self.n_bad += row.n_bad
+        for i, n in enumerate(row.latencies[:N_LATENCY_BUCKETS]):
+            self.latencies[i] += n
+
+
+class Row:
+    """Counts of one software version on one route, as they are sent.
+
+    Attributes
+    ----------
+    software : str
+    route : str
+    n_answers : int
+    n_bad : int
+    latencies : list of int
+        As in ``Counts``, without the zeros at its end.
+    """
+
+    __slots__ = ("software", "route", "n_answers", "n_bad", "latencies")
+
+    def __init__(self, software, route, n_answers, n_bad, latencies):
+        self.software = software
+        self.route = route
+        self.n_answers = n_answers
+        self.n_bad = n_bad
+        self.latencies = latencies
+
+
+class Evidence:
+    """Cumulative counts of one host, or their sum over hosts.
+
+    Attributes
+    ----------
+    rows : dict of (str, str) to Counts
+        By software version and route.
+    """
+
+    __slots__ = ("rows",)
+
+    def __init__(self):
+        self.rows = {}
+
+    def record(self, software, route, is_bad, latency_ms):
+        """Count one answer.
+
+        Parameters
+        ----------
+        software : str
+        route : str
+        is_bad : bool
+            Whether the server failed: 5xx, broken or reset connection, timeout.
+        latency_ms : float
+            Time until the head or first event of the answer, or until it failed.
+        """
+        counts = self._counts(software, route)
+        counts.n_answers += 1
+        counts.n_bad += bool(is_bad)
+        counts.latencies[bucket(latency_ms)] += 1
+
+    def _counts(self, software, route):
+        counts = self.rows.get((software, route))
+        if counts is None:
+            counts = self.rows[software, route] = Counts()
+        return counts
+
+    def to_rows(self, row_type=Row):
+        """Return the counts as rows to send.
+
+        Parameters
+        ----------
+        row_type : type
+            Takes the attributes of ``Row`` as named arguments.
+
+        Returns
+        -------
+        list of row_type
+        """
+        return [
+            row_type(
+                software=software,
+                route=route,
+                n_answers=counts.n_answers,
+                n_bad=counts.n_bad,
+                latencies=_without_last_zeros(counts.latencies),
+            )
+            for (software, route), counts in self.rows.items()
+        ]
+
+    @classmethod
+    def from_rows(cls, rows):
+        """Return the evidence that rows of ``to_rows`` describe."""
+        evidence = cls()
+        for row in rows:
+            evidence._counts(row.software, row.route).add(row)
+        return evidence
+
+    @classmethod
+    def summed(cls, evidences):
+        """Return the sum of the newest cumulative evidence of several hosts."""
+        total = cls()
+        for evidence in evidences:
+            for (software, route), counts in evidence.rows.items():
+                total._counts(software, route).add(counts)
+        return total
+
+
+def _without_last_zeros(latencies):
+    n_kept = len(latencies)
+    while n_kept and not latencies[n_kept - 1]:
+        n_kept -= 1
+    return latencies[:n_kept]
--- /dev/null
+++ b/teaselwall/rolloutschedules.py
@@ -0,0 +1,133 @@
+"""Plans how many requests a new version may get before it is known to be good."""
+
+import math
+
+# Part of the bound on exposure that is planned for; the rest is for chance and lag.
+PLANNED_PART = 0.85
+# Times before the deadline: all traffic goes to the target, at the latest; the
+# roll-out is completed, as a part of the duration and within bounds.
+MIN_FINAL_MS = 400.0
+MAX_FINAL_MS = 10_000.0
+FINAL_PART = 0.35
+COMPLETION_PART = 0.04
+MIN_COMPLETION_MS = 400.0
+# Parts of the planned requests that go into the phase at half of the traffic, and
+# of those held before it that go into the load trial.
+HALF_PART = 0.2
+TRIAL_PART = 0.5
+TRIAL_START = 0.3
+MAX_HOLD_SHARE = 0.4
+HALF_SHARE = 0.5
+MAX_TRIAL_SHARE = 0.35
+# How much of the load of an old server a target server has to see.
+LOADED_PART = 0.8
+# Time from sending a request until its answer is counted by the leader, at most.
+LAG_MS = 1_000.0
+
+
+class Demand:
+    """Requests that reached the service so far.
+
+    Attributes
+    ----------
+    n_answers : int
+        Answers of all versions since the order.
+    n_target_answers : int
+    rate : float
+        Answers per ms lately.
+    """
+
+    __slots__ = ("n_answers", "n_target_answers", "rate")
+
+    def __init__(self):
+        self.n_answers = 0
+        self.n_target_answers = 0
+        self.rate = 0.0
+
+
+class Schedule:
+    """Shares over the time of one roll-out.
+
+    Parameters
+    ----------
+    duration_ms : float
+    expose_share : float
+    expose_slack : int
+    """
+
+    __slots__ = ("duration_ms", "expose_share", "expose_slack")
+
+    def __init__(self, duration_ms, expose_share, expose_slack):
+        self.duration_ms = duration_ms
+        self.expose_share = expose_share
+        self.expose_slack = expose_slack
+
+    def completion_ms(self):
+        """Return the time before the deadline at which the roll-out is completed."""
+        final_ms = self.duration_ms * self.expose_share * PLANNED_PART * FINAL_PART
+        return max(MIN_COMPLETION_MS, min(COMPLETION_PART * self.duration_ms, final_ms))
+
+    def budget(self, demand, elapsed_ms):
+        """Return how many requests the target may get until the deadline."""
+        remaining_ms = max(0.0, self.duration_ms - elapsed_ms)
+        n_expected = demand.n_answers + demand.rate * remaining_ms
+        return PLANNED_PART * (self.expose_share * n_expected + self.expose_slack)
+
+    def phases(self, demand, elapsed_ms):
+        """Return the lengths in ms of the phases at half and at all of the traffic."""
+        if not demand.rate:
+            return 0.0, max(MIN_FINAL_MS, self.completion_ms())
+        budget_ms = self.budget(demand, elapsed_ms) / demand.rate
+        final_ms = max(MIN_FINAL_MS, min(FINAL_PART * budget_ms, MAX_FINAL_MS))
+        final_ms = max(final_ms, self.completion_ms())
+        half_cost_ms = min(HALF_PART * budget_ms, budget_ms - final_ms)
+        return max(0.0, half_cost_ms) / HALF_SHARE, final_ms
+
+    def hold_share(self, demand, elapsed_ms, n_old):
+        """Return the share before the last phases.
+
+        It spends what they leave evenly. Where that doesn't load one target server as
+        the old ones are loaded, a part of it is spent at once, on a load trial.
+
+        Parameters
+        ----------
+        demand : Demand
+        elapsed_ms : float
+        n_old : int
+            Servers of the old versions in service.
+        """
+        if not demand.rate:
+            return self.expose_share / 2
+        half_ms, final_ms = self.phases(demand, elapsed_ms)
+        n_last = demand.rate * (final_ms + HALF_SHARE * half_ms)
+        n_left = self.budget(demand, elapsed_ms) - n_last - demand.n_target_answers
+        hold_ms = max(0.0, self.duration_ms - elapsed_ms - half_ms - final_ms)
+        share = n_left / (demand.rate * (hold_ms + LAG_MS))
+        share = max(0.0, min(MAX_HOLD_SHARE, share))
+        trial_ms = elapsed_ms - TRIAL_START * self.duration_ms
+        loaded_share = min(MAX_TRIAL_SHARE, 1.0 / (n_old + 1))
+        if trial_ms < 0.0 or share >= LOADED_PART * loaded_share:
+            return share
+        n_trial = TRIAL_PART * self.held(demand, elapsed_ms)
+        is_trial = trial_ms * demand.rate * loaded_share < n_trial
+        return loaded_share if is_trial and n_left > n_trial / 4 else share
+
+    def held(self, demand, elapsed_ms):
+        """Return how many requests the target may get before the last phases."""
+        half_ms, final_ms = self.phases(demand, elapsed_ms)
+        n_last = demand.rate * (final_ms + HALF_SHARE * half_ms)
+        return max(0.0, self.budget(demand, elapsed_ms) - n_last)
+
+
+def n_loaded_servers(share, n_old, n_target):
+    """Return how many target servers to use so that each is loaded as an old one.
+
+    Returns
+    -------
+    int
+        0 stands for all target servers.
+    """
+    if share >= HALF_SHARE or not n_old:
+        return 0
+    n_servers = max(1, math.ceil(share / (1.0 - share) * n_old - 1e-9))
+    return n_servers if n_servers < n_target else 0
