--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -92,7 +92,6 @@
     handovers : handovers.Handovers
         Hands requests over to hosts that reach servers which this one does not.
     rollout_parts : rolloutparts.RolloutParts or None
-        Takes part in roll-outs, if the settings give bounds of them.
     """
 
     __slots__ = (
@@ -193,7 +192,7 @@
         self.orders.on_restore = self.announcements.repeat
 
     def follow(self, topic, listener, wait_ms, pause_ms):
-        """Return a new ``keyedtopics.TopicFollower`` of a topic; see there."""
+        """Return a new ``keyedtopics.TopicFollower`` of a topic."""
         follower = keyedtopics.TopicFollower(
             self.clock, self.shared_reads, topic, listener, wait_ms, pause_ms
         )
--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -65,8 +65,6 @@
         Servers that this host can't open connections to.
     brittle : brittleservers.BrittleServers or None
         Limits what brittle servers get, if any may be.
-    admits : callable
-        ``admits(server)`` returns whether its version may get anything in a roll-out.
     """
 
     __slots__ = (
@@ -88,7 +86,6 @@
         "leaving",
         "paths",
         "brittle",
-        "admits",
     )
 
     def __init__(self, clock, host_list, state, interval_ms, timeout_ms, subsets=None):
@@ -110,7 +107,6 @@
         self.leaving = leavingservers.LeavingServers(clock)
         self.paths = serverpaths.ServerPaths(clock, self)
         self.brittle = None
-        self.admits = _admit
 
     def record_notice(self, server, notice, sent_ms):
         """Record what a server said about itself in a reply.
@@ -175,7 +171,7 @@
             self.limits, self.serving(pool), self.clock.now_ms()
         )
 
-    def choices(self, pool, prefix=None, software=None, urgency=None, accepts=None):
+    def choices(self, pool, prefix=None, accepts=None, urgency=None):
         """Return servers of a pool that may get new work.
 
         Only ``rings.WINDOW_SIZE`` servers of this host's subset are examined if
@@ -187,13 +183,11 @@
         prefix : int, optional
             Hash of a prompt's prefix. Equal prefixes get the same window of
             servers.
-        software : str, optional
-            Only servers of this software version are returned.
+        accepts : callable, optional
+            Only servers for which ``accepts(server)`` is true are returned.
         urgency : int, optional
             Leaves out servers whose limit allows no work of this urgency now; see
             ``requestlimits.Limits``.
-        accepts : callable, optional
-            Leaves out servers for which ``accepts(server)`` is false.
 
         Returns
         -------
@@ -205,27 +199,21 @@
         if ring is None:
             return []
         window = self._current_window(ring, prefix)
-        found = self._available(window, software, urgency, accepts)
+        found = self._available(window, accepts, urgency)
         if not found:
             self._review(ring)
-            found = self._available(ring.servers, software, urgency, accepts)
+            found = self._available(ring.servers, accepts, urgency)
         return found
 
-    def _available(self, candidates, software, urgency, accepts):
+    def _available(self, candidates, accepts, urgency):
         return [
             server
             for server in candidates
-            if (software is None or server.software == software)
-            and (accepts is None or accepts(server))
+            if (accepts is None or accepts(server))
             and self.is_available(server)
             and (urgency is None or self.limits.allows(server, urgency))
         ]
 
-    def has_software(self, pool, software):
-        """Return whether a server of a pool with a software version may get work."""
-        serving = self.serving(pool)
-        return any(s.software == software and self.admits(s) for s in serving)
-
     def serving(self, pool):
         """Return the servers of a pool that are in service, ejected or not."""
         return [s for s in self.by_pool.get(pool, {}).values() if self.in_service(s)]
@@ -404,7 +392,3 @@
         ring = self.chosen.get(old.pool)
         if ring is not None:
             ring.replace(old, server)
-
-
-def _admit(server):
-    return True
--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -286,6 +286,7 @@
         self.rollouts.log_step(plan, evidence)
         self.metrics.count("rollout_steps", pool=plan.pool, state=plan.state)
         await self._tell(plan, rollout_plans=[plan])
+        self._start("status", plan.pool, self.statuses.write)
 
     async def _tell(self, plan, **fields):
         """Tell all known hosts of a plan at once."""
--- a/teaselwall/rolloutparts.py
+++ b/teaselwall/rolloutparts.py
@@ -85,7 +85,7 @@
     def _attach(self, host):
         """Have the host's parts ask which servers roll-outs leave to them."""
         host.fleet.filters.append(self.rollouts.allows)
-        host.fleet.admits = self.rollouts.allows
+        host.stream_versions.rollouts = self.rollouts
         host.server_choices.rollouts = self.rollouts
         host.gossip.rollouts = self
         stage_work = host.stage_work
--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -258,13 +258,13 @@
         if gate is None or gate.target is None:
             return
         _, evidence = self.evidence[server.pool]
-        if len(evidence.rows) >= 2 * MAX_ROUTES:
-            if (server.software, route) not in evidence.rows:
-                route = OTHER_ROUTES
+        is_new = (server.software, route) not in evidence.rows
+        if is_new and len(evidence.rows) >= 2 * MAX_ROUTES:
+            route = OTHER_ROUTES
         evidence.record(server.software, route, is_bad, latency_ms)
 
     def n_at_old(self, pool):
-        """Return this host's requests in progress at servers but those of the target."""
+        """Return this host's requests in progress at servers that are replaced."""
         target = self.gates[pool].target
         known = self.fleet.by_pool.get(pool, {}).values()
         return sum(s.in_flight for s in known if s.software != target)
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -1,5 +1,6 @@
 """Chooses the back end server that a request is sent to."""
 
+import functools
 import math
 
 from teaselwall import calls, enginechoices, requestlimits
@@ -57,7 +58,9 @@
 
     def _sides(self, call):
         """Return which servers may get a request, as ``rollouts.Rollouts.sides``."""
-        if self.rollouts is None or call.software is not None:
+        if call.software is not None:
+            return (functools.partial(_has_software, call.software),)
+        if self.rollouts is None:
             return (None,)
         return self.rollouts.sides(call.pool.name, call.head.id)
 
@@ -66,7 +69,7 @@
         if call.pool.engine:
             subset_token = enginechoices.subset_token_of(call.head.prompt_parts)
         servers = self.fleet.choices(
-            call.pool.name, subset_token, call.software, urgency_of(call), accepts
+            call.pool.name, subset_token, accepts, urgency_of(call)
         )
         regions = call.regions()
         if regions:
@@ -143,6 +146,10 @@
         return max(1, pool.max_connections // max(1, self.n_hosts()))
 
 
+def _has_software(software, server):
+    return server.software == software
+
+
 def urgency_of(call):
     """Return how urgent a request is, the most urgent lowest.
 
--- a/teaselwall/streamversions.py
+++ b/teaselwall/streamversions.py
@@ -56,6 +56,8 @@
     ----------
     doubts : dict of servers.Server to list of calls.Call
         Streams that servers have begun while their registrations were out of date.
+    rollouts : rollouts.Rollouts or None
+        Knows which versions get nothing, if roll-outs are ordered.
     """
 
     __slots__ = (
@@ -68,6 +70,7 @@
         "metrics",
         "read_start",
         "doubts",
+        "rollouts",
     )
 
     def __init__(
@@ -82,6 +85,7 @@
         self.metrics = metrics
         self.read_start = read_start
         self.doubts = {}
+        self.rollouts = None
 
     async def run(self):
         """Confirm the software versions of doubted servers until cancelled."""
@@ -165,7 +169,11 @@
             None also for a request that may go to any version.
         """
         pool = call.pool.name
-        if call.software is None or self.fleet.has_software(pool, call.software):
+        if call.software is None or any(
+            server.software == call.software
+            and (self.rollouts is None or self.rollouts.allows(server))
+            for server in self.fleet.serving(pool)
+        ):
             return None
         detail = (
             f"The stream was begun by software version {call.software!r} of pool "
