Roll-outs: keep what a decider knows when another host wrote the plan

A leader whose writes were refused had its steps written by another delegate and began with a new decider after each: a version that failed every second request was completed (seen in test_a_leader_that_can_not_write_has_another_one_roll_back). Delegates also silenced each other in turn, so that a cut-off leader was replaced late (test_a_leader_without_store_is_replaced: still running at the deadline).

--- a/teaselwall/rolloutdeciders.py
+++ b/teaselwall/rolloutdeciders.py
@@ -8,8 +8,10 @@
 
     Attributes
     ----------
-    key : tuple of (str, int)
-        Order and step of the plan that they go on from.
+    order : str
+        Id of the order.
+    step : int
+        Step of the plan that they go on from.
     rollout : rolloutdecisions.Rollout
     elapsed_ms, started_ms : float
         Time since the order when this host began, and when that was on the clock.
@@ -17,10 +19,11 @@
         What the newest decision rests on.
     """
 
-    __slots__ = ("key", "rollout", "elapsed_ms", "started_ms", "evidence")
+    __slots__ = ("order", "step", "rollout", "elapsed_ms", "started_ms", "evidence")
 
-    def __init__(self, key, rollout, elapsed_ms, started_ms):
-        self.key = key
+    def __init__(self, order, step, rollout, elapsed_ms, started_ms):
+        self.order = order
+        self.step = step
         self.rollout = rollout
         self.elapsed_ms = elapsed_ms
         self.started_ms = started_ms
@@ -88,14 +91,21 @@
     def record_written(self, plan):
         """Record that the store has taken a plan of this host."""
         decider = self.by_pool.get(plan.pool)
-        if decider is not None and decider.key == (plan.order, plan.step - 1):
-            decider.key = plan.order, plan.step
+        if decider is not None and decider.order == plan.order:
+            decider.step = plan.step
 
     def _decider(self, order, plan):
         """Return the decider that goes on from a plan."""
         known = self.by_pool.get(order.pool)
-        if known is not None and known.key == (plan.order, plan.step):
-            return known
+        if known is not None and known.order == plan.order:
+            if known.step == plan.step:
+                return known
+            if not _is_completed(known.rollout):
+                # Another host has written this plan; what is known here still counts.
+                known.step = plan.step
+                known.rollout.share = plan.share
+                known.rollout.n_servers = plan.n_servers
+                return known
         reports = self.reports.fresh(order.pool, order.id)
         known_ms = [received.report.elapsed_ms for received in reports]
         elapsed_ms = max(self.rollouts.elapsed_ms(order.pool), *known_ms, 0.0)
@@ -111,8 +121,9 @@
             plan.share,
             plan.n_servers,
         )
-        key = plan.order, plan.step
-        decider = Decider(key, rollout, elapsed_ms, self.clock.now_ms())
+        decider = Decider(
+            plan.order, plan.step, rollout, elapsed_ms, self.clock.now_ms()
+        )
         self.by_pool[order.pool] = decider
         return decider
 
@@ -129,3 +140,8 @@
             n_old_streams=sum(received.report.n_at_old for received in fresh),
             store_current=self.rollouts.is_in_touch(),
         )
+
+
+def _is_completed(rollout):
+    step = rollout.step_taken
+    return step is not None and step.state == rolloutdecisions.COMPLETED
--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -50,7 +50,8 @@
     Attributes
     ----------
     heard_ms : dict of str to float
-        When a leader of each pool's roll-out was last heard from, on the clock.
+        When a preferred leader of each pool's roll-out was last heard from, on the
+        clock.
     end : tuple of (int or None, int) or None
         Era of the store and end of the topic after this host's newest plan.
     busy : set of tuple of (str, str)
@@ -303,16 +304,24 @@
         ----------
         exchange : messages.Exchange
         """
-        now_ms = self.clock.now_ms()
         for pool in exchange.rollouts_led:
-            if pool in self.rollouts.gates:
-                self.heard_ms[pool] = now_ms
+            if pool in self.rollouts.gates and self._is_before_me(exchange, pool):
+                self.heard_ms[pool] = self.clock.now_ms()
         for plan in exchange.rollout_plans:
             if self.rollouts.orders.by_pool.get(plan.pool) is not None:
                 self.rollouts.plans.adopt(plan)
         for plan in exchange.rollouts_unwritten:
             self._take_unwritten(plan)
 
+    def _is_before_me(self, exchange, pool):
+        """Return whether a message's sender is preferred to this host as leader."""
+        for member in rolloutreports.ranked(self.membership, pool):
+            if member is self.membership.me:
+                return False
+            if member.nonce == exchange.sender.nonce:
+                return True
+        return False
+
     def _take_unwritten(self, plan):
         """Write a plan whose author can't reach the store, if this host may lead."""
         self.rollouts.hold(plan)
--- a/teaselwall/tests/rollout_fleet.py
+++ b/teaselwall/tests/rollout_fleet.py
@@ -128,10 +128,14 @@
 
 
 class BackEnds(platform_entry.BackEnds):
-    """Servers of two versions; ``sent`` has the time and version of each request.
+    """Servers of two versions.
 
     Attributes
     ----------
+    sent : list of tuple of (float, str)
+        Time and version of each request.
+    bad_s : list of float
+        Times of the requests that fail.
     n_bad_of : dict of str to int
         Requests of which one fails, by version; 0 for none.
     head_s_of : dict of str to float
@@ -143,13 +147,16 @@
         self.n_bad_of = {}
         self.head_s_of = {}
         self.sent = []
+        self.bad_s = []
         self.random = random.Random(1)
 
     def forward(self, method, address, *args, **kwargs):
         version = self.version_of[address]
         self.sent.append((trio.current_time(), version))
         n_bad = self.n_bad_of.get(version, 0)
-        is_bad = n_bad and self.random.random() < 1 / n_bad
+        is_bad = bool(n_bad) and self.random.random() < 1 / n_bad
+        if is_bad:
+            self.bad_s.append(trio.current_time())
         head_s = self.head_s_of.get(version, 0.02)
         self.scripts = [
             platform_entry.Script(status=500 if is_bad else 200, head_s=head_s)
@@ -240,6 +247,15 @@
             )
             self.nursery.start_soon(self.send, address, caller)
 
+    def check_exposure(self, ordered_s, duration_s):
+        """Check what a bad version got against the deployment's bounds."""
+        until_s = ordered_s + duration_s
+        sent = self.back_ends.sent
+        n_all = sum(ordered_s <= at <= until_s for at, _ in sent)
+        assert self.back_ends.n_sent(NEW, ordered_s) <= 0.1 * n_all + 50
+        for bad_s in self.back_ends.bad_s[49:50]:
+            assert not self.back_ends.n_sent(NEW, bad_s + 5.0)
+
     def plans(self):
         """Return the plans in the store, in order, as dicts."""
         found = self.store.topics.get(PLANS, [])
