--- a/teaselwall/cli.py
+++ b/teaselwall/cli.py
@@ -15,6 +15,7 @@
     entrydaemon,
     fleet_commands,
     log_commands,
+    rollout_commands,
     service_commands,
     settings,
     view_commands,
@@ -40,6 +41,7 @@
     view_commands.Status,
     view_commands.Trace,
     view_commands.GatewayStatus,
+    rollout_commands.RolloutStatus,
     log_commands.Explain,
 )
 
--- a/teaselwall/gatewayviews.py
+++ b/teaselwall/gatewayviews.py
@@ -127,6 +127,9 @@
             return "leaving"
         if server.data_centre in self.entry.operator_state.data_centres_out:
             return "its data centre is out"
+        parts = self.entry.rollout_parts
+        if parts is not None and not parts.rollouts.allows(server):
+            return "its version gets nothing in a roll-out"
         if not fleet.paths.has_path(server):
             return "this host can't open connections to it"
         if not fleet.brittle.allows(server):
--- a/teaselwall/rolloutparts.py
+++ b/teaselwall/rolloutparts.py
@@ -13,6 +13,7 @@
     rolloutreports,
     rollouts,
     rolloutstatuses,
+    rolloutviews,
     topiclisteners,
 )
 
@@ -49,7 +50,13 @@
             platform.rollouts_topic, plans, host.settings.store.watch_ms, 0.0
         )
         self.rollouts = rollouts.Rollouts(
-            clock, host.fleet, orders, plans, host.orders, self.follower
+            clock,
+            host.fleet,
+            orders,
+            plans,
+            host.orders,
+            self.follower,
+            host.metrics,
         )
         self.reports = rolloutreports.RolloutReports(
             clock, host.membership, host.gossip, self.rollouts
@@ -88,6 +95,7 @@
         host.stream_versions.rollouts = self.rollouts
         host.server_choices.rollouts = self.rollouts
         host.gossip.rollouts = self
+        rolloutviews.RolloutViews(host, self).register(host.control)
         stage_work = host.stage_work
         servers_of = functools.partial(self._stage_servers, stage_work.servers_of)
         stage_work.servers_of = stage_work.wait_estimates.servers_of = servers_of
--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -34,6 +34,7 @@
     orders : rolloutorders.Orders
     plans : rolloutplans.Plans
     orders_follower, plans_follower : keyedtopics.TopicFollower
+    metrics : metrics.Metrics
 
     Attributes
     ----------
@@ -56,6 +57,7 @@
         "plans",
         "orders_follower",
         "plans_follower",
+        "metrics",
         "gates",
         "evidence",
         "verified",
@@ -63,13 +65,16 @@
         "versions",
     )
 
-    def __init__(self, clock, fleet, orders, plans, orders_follower, plans_follower):
+    def __init__(
+        self, clock, fleet, orders, plans, orders_follower, plans_follower, metrics
+    ):
         self.clock = clock
         self.fleet = fleet
         self.orders = orders
         self.plans = plans
         self.orders_follower = orders_follower
         self.plans_follower = plans_follower
+        self.metrics = metrics
         self.gates = {}
         self.evidence = {}
         self.verified = set()
@@ -262,6 +267,12 @@
         if is_new and len(evidence.rows) >= 2 * MAX_ROUTES:
             route = OTHER_ROUTES
         evidence.record(server.software, route, is_bad, latency_ms)
+        self.metrics.count(
+            "rollout_answers",
+            pool=server.pool,
+            software=server.software,
+            outcome="bad" if is_bad else "good",
+        )
 
     def n_at_old(self, pool):
         """Return this host's requests in progress at servers that are replaced."""
