--- a/teaselwall/rolloutcomparisons.py
+++ b/teaselwall/rolloutcomparisons.py
@@ -1,6 +1,5 @@
 """Compares a new software version with the old ones over the same moments."""
 
-import itertools
 import math
 
 from teaselwall import rolloutevidence, rolloutmoments
@@ -9,14 +8,14 @@
 N_FINE_MOMENTS = 24
 N_MERGED_MOMENTS = 12
 # The newest moments over which versions are compared; None stands for all of them.
-WINDOWS = (8, 24, None)
+WINDOWS = (8, 24, 27, 31, None)
 # Quantiles of the old versions' times; an answer counts as slow above one of them
 # by SLOW_BUCKETS latency buckets, which makes it 1.6 to 2 times as long.
 QUANTILES = (0.5, 0.9, 0.99)
 SLOW_BUCKETS = rolloutevidence.BUCKETS_PER_DOUBLING
 N_TESTS = 1 + len(QUANTILES)
 # How many times the odds of a bad answer have to be those of the old versions.
-MIN_ODDS_RATIO = 2.0
+MIN_ODDS_RATIO = 1.5
 # Evidence within one stretch of this length may be one event, such as a crash.
 EVENT_MS = 750.0
 # Answers of each side that are compared at a time.
@@ -32,7 +31,7 @@
         Lower bound on minus the logarithm of the probability that equal versions show
         at least this difference, without its strongest event.
     route : str
-        ``rolloutmoments.ALL_ROUTES`` for the sum of all routes.
+        Empty for the sum of all routes.
     kind : str
         "failing" or "slow".
     n_bad : int
@@ -48,7 +47,7 @@
     def __init__(
         self,
         nats=0.0,
-        route=rolloutmoments.ALL_ROUTES,
+        route="",
         kind="",
         n_bad=0,
         n_answers=0,
@@ -67,7 +66,7 @@
 
     Attributes
     ----------
-    moments : list of Moment
+    moments : list of rolloutmoments.Moment
         From old to new.
     """
 
@@ -77,20 +76,18 @@
         self.moments = []
 
     def add(self, moment):
-        """Add the newest moment, and merge old ones."""
+        """Add the newest moment, and merge two old ones if there are too many."""
         self.moments.append(moment)
         n_old = len(self.moments) - N_FINE_MOMENTS
-        if n_old > N_MERGED_MOMENTS:
-            self._merge_one_pair(n_old)
-
-    def _merge_one_pair(self, n_old):
+        if n_old <= N_MERGED_MOMENTS:
+            return
         pairs = [
             i
             for i in range(n_old - 1)
             if self.moments[i].latency_counts == self.moments[i + 1].latency_counts
         ]
         if pairs:
-            i = min(pairs, key=lambda i: self._merged_size(i))
+            i = min(pairs, key=self._merged_size)
             self.moments[i : i + 2] = [self.moments[i].merged(self.moments[i + 1])]
 
     def _merged_size(self, i):
@@ -101,95 +98,136 @@
         while self.moments and length_ms > 0:
             length_ms -= self.moments.pop().length_ms
 
-    def old_sides(self, n_moments):
-        """Return the sum of the old versions' newest answers, by route."""
-        total = {}
-        for moment in self.moments[-n_moments:]:
-            for route, (_, old) in moment.sides.items():
-                total.setdefault(route, rolloutmoments.Side.empty()).add(old)
-        return total
-
-    def n_routes(self):
-        """Return the number of routes with answers of the target."""
-        return len(
-            {route for m in self.moments for route in m.sides}
-            - {rolloutmoments.ALL_ROUTES}
-        )
-
-    def suspicion(self):
-        """Return the strongest ``Suspicion`` over routes, kinds and windows."""
-        strongest = Suspicion()
-        for route in {route for moment in self.moments for route in moment.sides}:
-            for found in self._route_suspicions(route):
-                if found.nats > strongest.nats:
-                    strongest = found
+    def routes(self):
+        """Return the set of routes on which the target has answered."""
+        return {
+            route
+            for moment in self.moments
+            for route, side in moment.target.items()
+            if side.n_answers
+        }
+
+    def servers(self):
+        """Return the set of target servers whose answers were told apart."""
+        return {server for moment in self.moments for server in moment.servers}
+
+    def suspicion(self, without=()):
+        """Return the strongest ``Suspicion`` over routes, kinds and windows.
+
+        Parameters
+        ----------
+        without : collection of str
+            Target servers whose answers are left out.
+        """
+        routes = self.routes()
+        rows = [
+            (m, m.target_without(without) if without else m.target)
+            for m in self.moments
+        ]
+        tables = {
+            route: [
+                _row(m, target.get(route), m.old.get(route), _n_bad)
+                for m, target in rows
+            ]
+            for route in routes
+        }
+        strongest = _strongest("failing", tables, Suspicion())
+        rows = [row for row in rows if row[0].latency_counts]
+        thresholds = {
+            route: _slow_buckets([m.old.get(route) for m, _ in rows[-N_FINE_MOMENTS:]])
+            for route in routes
+        }
+        for i in range(len(QUANTILES)):
+            tables = {
+                route: [
+                    _row(m, target.get(route), m.old.get(route), _n_slow(buckets[i]))
+                    for m, target in rows
+                ]
+                for route, buckets in thresholds.items()
+                if buckets and buckets[i] is not None
+            }
+            strongest = _strongest("slow", tables, strongest)
         return strongest
 
-    def _route_suspicions(self, route):
-        rows = [(m, *m.sides[route]) for m in self.moments if route in m.sides]
-        yield from _suspicions(
-            route,
-            "failing",
-            [
-                (m.length_ms, t.n_answers, t.n_bad, o.n_answers, o.n_bad)
-                for m, t, o in rows
-            ],
-        )
-        rows = [row for row in rows if row[0].latency_counts]
-        for i in _slow_buckets([old for _, _, old in rows[-N_FINE_MOMENTS:]]):
-            yield from _suspicions(
-                route,
-                "slow",
-                [
-                    (m.length_ms, t.n_answers, t.tails[i], o.n_answers, o.tails[i])
-                    for m, t, o in rows
-                ],
-            )
+
+def _n_bad(side):
+    return side.n_bad
+
+
+def _n_slow(i):
+    def count(side):
+        return side.tails[i]
+
+    return count
+
+
+def _row(moment, target, old, count):
+    target = target or rolloutmoments.NO_ANSWERS
+    old = old or rolloutmoments.NO_ANSWERS
+    return (
+        moment.length_ms,
+        target.n_answers,
+        count(target),
+        old.n_answers,
+        count(old),
+    )
 
 
 def _slow_buckets(sides):
-    """Return the lowest latency buckets of slow answers, by the old versions' times."""
-    tails = [sum(column) for column in zip(*(s.tails for s in sides), strict=True)]
+    """Return by quantile the lowest latency bucket of slow answers, or None."""
+    tails = [sum(column) for column in zip(*(s.tails for s in sides if s), strict=True)]
     if not tails or not tails[0]:
         return []
-    buckets = set()
+    buckets = []
     for quantile in QUANTILES:
         n_above = tails[0] * (1.0 - quantile)
-        above = next(
-            i for i, n in enumerate(itertools.chain(tails, [0])) if n <= n_above
-        )
-        i = above - 1 + SLOW_BUCKETS
-        if i < len(tails):
-            buckets.add(i)
-    return sorted(buckets)
+        i = sum(n > n_above for n in tails) - 1 + SLOW_BUCKETS
+        buckets.append(i if i < len(tails) else None)
+    return buckets
 
 
-def _suspicions(route, kind, table):
-    """Yield the ``Suspicion`` of each window that has one.
+def _strongest(kind, tables, strongest):
+    """Return the strongest of a ``Suspicion`` and those that tables give.
 
     Parameters
     ----------
-    table : list of (float, int, int, int, int)
-        Length in ms, answers and bad answers of the target, then of the old versions.
+    kind : str
+    tables : dict of str to list of (float, int, int, int, int)
+        By route, for each moment its length in ms, the answers and bad answers of the
+        target, and those of the old versions. Bad answers are those of the kind.
+    strongest : Suspicion
     """
-    if not any(row[2] for row in table):
-        return
-    for n_moments in WINDOWS:
-        if n_moments is not None and len(table) <= n_moments:
-            continue
-        rows = _filled(table if n_moments is None else table[-n_moments:])
-        rows = _without_strongest_event(rows)
-        n_answers = sum(row[1] for row in rows)
-        n_bad = sum(row[2] for row in rows)
-        expected = sum(_expected(row) for row in rows)
-        if n_bad <= expected or odds_ratio(rows) < MIN_ODDS_RATIO:
+    tables = dict(tables)
+    if len(tables) > 1:
+        tables[""] = [
+            (rows[0][0], *(sum(column) for column in list(zip(*rows, strict=True))[1:]))
+            for rows in zip(*tables.values(), strict=True)
+        ]
+    for route, table in tables.items():
+        if not any(row[2] for row in table):
             continue
-        n_all_bad = n_bad + sum(row[4] for row in rows)
-        nats = max(
-            divergence(n_bad, expected, n_answers),
-            divergence(n_bad, expected, n_all_bad),
-        )
-        yield Suspicion(nats, route, kind, n_bad, n_answers, expected)
+        for n_moments in WINDOWS:
+            if n_moments is not None and len(table) <= n_moments:
+                continue
+            window = table if n_moments is None else table[-n_moments:]
+            found = _suspicion(_without_strongest_event(_filled(window)))
+            if found is not None and found.nats > strongest.nats:
+                found.route, found.kind = route, kind
+                strongest = found
+    return strongest
+
+
+def _suspicion(rows):
+    n_answers = sum(row[1] for row in rows)
+    n_bad = sum(row[2] for row in rows)
+    expected = sum(_expected(row) for row in rows)
+    if n_bad <= expected or odds_ratio(rows) < MIN_ODDS_RATIO:
+        return None
+    n_all_bad = n_bad + sum(row[4] for row in rows)
+    nats = max(
+        divergence(n_bad, expected, n_answers), divergence(n_bad, expected, n_all_bad)
+    )
+    return Suspicion(nats, n_bad=n_bad, n_answers=n_answers, expected=expected)
 
 
 def _filled(table):
@@ -231,7 +269,7 @@
     Parameters
     ----------
     rows : list of tuple
-        Their last four items are as in ``_suspicions``.
+        Their last four items are as in ``_strongest``.
     """
     above, below = 0.0, 0.0
     for _, n_target, n_target_bad, n_old, n_old_bad in rows:
--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -15,6 +15,8 @@
 MOMENT_MS = 200.0
 # Probability of convicting a version that equals the old ones.
 FALSE_ALARM_PROBABILITY = 1e-3
+# The same for refusing to complete a version at the end.
+DOUBT_PROBABILITY = 1e-2
 # Times of answers count from this long after the first answer of the target on, and
 # for this part of the duration not while target servers say that they are cold.
 WARM_UP_MS = 1_500.0
@@ -32,9 +34,10 @@
 MIN_TARGET_ANSWERS = 3
 # Part of the old servers that the target needs in service to take all traffic.
 MIN_READY_PART = 0.5
-# Moments before all traffic moves that the moments after it are compared with.
-N_REFERENCE_MOMENTS = 8
-RATE_WINDOW_MS = 3_000.0
+# Age of a plan, at least, by the time that a new leader goes on from it.
+MIN_PLAN_AGE_MS = 250.0
+# Windows that are as short as this are taken as independent looks at the evidence.
+LOOK_MS = 2_000.0
 
 
 class Limits:
@@ -173,8 +176,7 @@
         "n_losses",
         "old_seen",
         "n_ready",
-        "rates",
-        "reference",
+        "references",
     )
 
     def __init__(
@@ -183,7 +185,7 @@
         self.target = target
         self.duration_ms = duration_ms
         self.limits = limits
-        self.elapsed_ms = elapsed_ms
+        self.elapsed_ms = elapsed_ms + (MIN_PLAN_AGE_MS if elapsed_ms else 0.0)
         self.share = share
         self.n_servers = n_servers
         self.schedule = rolloutschedules.Schedule(
@@ -201,8 +203,7 @@
         self.n_losses = 0
         self.old_seen = elapsed_ms > 0.0
         self.n_ready = 0
-        self.rates = []
-        self.reference = None
+        self.references = []
 
     def step(self, now_ms, evidence, situation):
         """Decide anew.
@@ -230,7 +231,8 @@
             self._add_moment(now_ms, evidence, situation)
         state, share, reason = self._decide(situation)
         if share > rolloutschedules.HALF_SHARE >= self.share:
-            self.reference = self.comparison.old_sides(N_REFERENCE_MOMENTS)
+            fine = self.comparison.moments[-rolloutcomparisons.N_FINE_MOMENTS :]
+            self.references = [moment.old for moment in fine]
         if state != RUNNING:
             share = 1.0 if state == COMPLETED else 0.0
         self.share = share
@@ -252,43 +254,25 @@
 
     def _add_moment(self, now_ms, evidence, situation):
         """Count what was answered since the last moment, and compare."""
-        sides = self.answers.new_sides(evidence)
         length_ms = max(1.0, now_ms - self.last_moment_ms)
         self.last_moment_ms = now_ms
-        target, old = sides[rolloutmoments.ALL_ROUTES]
-        n_answers = target.n_answers + old.n_answers
-        self.demand.n_answers += n_answers
-        self.demand.n_target_answers += target.n_answers
-        self._record_rate(now_ms, length_ms, n_answers)
-        if target.n_answers and self.first_answer_ms is None:
+        moment = self.answers.moment(length_ms, evidence)
+        self.demand.record(
+            moment.n_answers(),
+            moment.n_target_answers(),
+            self.elapsed_ms if self.step_taken is None else length_ms,
+            situation.reporting_share,
+        )
+        if moment.n_target_answers() and self.first_answer_ms is None:
             self.first_answer_ms = now_ms
         if self.loss_ms is not None and now_ms - self.loss_ms < LOSS_AFTER_MS:
             return
-        if self.share > rolloutschedules.HALF_SHARE and self.reference is not None:
-            sides = self._with_reference(sides)
-        self.comparison.add(
-            rolloutmoments.Moment(
-                length_ms, sides, self._latency_counts(now_ms, situation)
-            )
-        )
+        if self.share > rolloutschedules.HALF_SHARE and self.references:
+            moment.old = self.references.pop()
+        moment.latency_counts = self._latency_counts(now_ms, situation)
+        self.comparison.add(moment)
         self.suspicion = self.comparison.suspicion()
 
-    def _with_reference(self, sides):
-        return {
-            route: (target, old.plus(self.reference[route]))
-            if route in self.reference
-            else (target, old)
-            for route, (target, old) in sides.items()
-        }
-
-    def _record_rate(self, now_ms, length_ms, n_answers):
-        if self.demand.n_answers > n_answers or self.elapsed_ms <= length_ms:
-            self.rates.append((now_ms, length_ms, n_answers))
-        self.rates = [r for r in self.rates if now_ms - r[0] < RATE_WINDOW_MS]
-        total_ms = sum(row[1] for row in self.rates)
-        if total_ms:
-            self.demand.rate = sum(row[2] for row in self.rates) / total_ms
-
     def _latency_counts(self, now_ms, situation):
         if self.first_answer_ms is None:
             return False
@@ -297,17 +281,22 @@
         may_be_cold = self.elapsed_ms < MAX_COLD_PART * self.duration_ms
         return not (situation.n_target_cold and may_be_cold)
 
-    def _threshold(self, n_looks):
-        n_routes = self.comparison.n_routes() + 1
-        n_tests = n_looks * n_routes * rolloutcomparisons.N_TESTS
-        return math.log(n_tests / FALSE_ALARM_PROBABILITY)
+    def _n_tests(self):
+        return (len(self.comparison.routes()) + 1) * rolloutcomparisons.N_TESTS
+
+    def _is_bad(self):
+        n_looks = max(1.0, self.duration_ms / LOOK_MS)
+        n_tests = n_looks * self._n_tests()
+        return self.suspicion.nats >= math.log(n_tests / FALSE_ALARM_PROBABILITY)
+
+    def _is_doubtful(self):
+        return self.suspicion.nats >= math.log(self._n_tests() / DOUBT_PROBABILITY)
 
     def _decide(self, situation):
         """Return the state, the share and the reason."""
         if not (math.isfinite(self.duration_ms) and self.duration_ms > 0.0):
             return ROLLED_BACK, 0.0, "the duration is not positive: order it anew"
-        n_looks = max(1.0, self.duration_ms / MOMENT_MS)
-        is_bad = self.suspicion.nats >= self._threshold(n_looks)
+        is_bad = self._is_bad()
         if not situation.store_current:
             share = 0.0 if is_bad else self.share
             return RUNNING, share, "the store has not been read lately"
@@ -345,7 +334,7 @@
     def _advance(self, remaining_ms, situation):
         """Return the state, share and reason if nothing but the time holds it up."""
         half_ms, final_ms = self.schedule.phases(self.demand, self.elapsed_ms)
-        is_doubtful = self.suspicion.nats >= self._threshold(1.0)
+        is_doubtful = self._is_doubtful()
         due_ms = self.schedule.completion_ms()
         if situation.n_old_streams:
             due_ms = rolloutschedules.MIN_COMPLETION_MS
--- a/teaselwall/rolloutschedules.py
+++ b/teaselwall/rolloutschedules.py
@@ -23,26 +23,54 @@
 LOADED_PART = 0.8
 # Time from sending a request until its answer is counted by the leader, at most.
 LAG_MS = 1_000.0
+RATE_WINDOW_MS = 3_000.0
+# Fewer hosts than this part of them say little of the others.
+MIN_REPORTED = 0.25
 
 
 class Demand:
-    """Requests that reached the service so far.
+    """Requests that reached the service so far, as the reporting hosts counted them.
 
     Attributes
     ----------
-    n_answers : int
+    n_answers : float
         Answers of all versions since the order.
-    n_target_answers : int
+    n_target_answers : float
+        Answers of the target, those of silent hosts estimated.
     rate : float
         Answers per ms lately.
+    stretches : list of (float, float)
+        Length in ms and answers of the newest moments.
     """
 
-    __slots__ = ("n_answers", "n_target_answers", "rate")
+    __slots__ = ("n_answers", "n_target_answers", "rate", "stretches")
 
     def __init__(self):
         self.n_answers = 0
-        self.n_target_answers = 0
+        self.n_target_answers = 0.0
         self.rate = 0.0
+        self.stretches = []
+
+    def record(self, n_answers, n_target_answers, length_ms, reporting_share):
+        """Count the answers of one moment.
+
+        Parameters
+        ----------
+        n_answers, n_target_answers : int
+        length_ms : float
+        reporting_share : float
+            Part of the hosts whose answers are counted.
+        """
+        factor = 1.0 / max(reporting_share, MIN_REPORTED)
+        self.n_answers += factor * n_answers
+        self.n_target_answers += factor * n_target_answers
+        if not length_ms:
+            return
+        self.stretches.append((length_ms, factor * n_answers))
+        total_ms = sum(row[0] for row in self.stretches)
+        while total_ms - self.stretches[0][0] > RATE_WINDOW_MS:
+            total_ms -= self.stretches.pop(0)[0]
+        self.rate = sum(row[1] for row in self.stretches) / total_ms
 
 
 class Schedule:
