--- a/teaselwall/rolloutplans.py
+++ b/teaselwall/rolloutplans.py
@@ -67,18 +67,10 @@
             self._read(record.key, record.value)
 
     def _read(self, pool, value):
-        try:
-            plan = msgspec.json.decode(value, type=messages.RolloutPlan)
-        except errors.UNDECODABLE as error:
-            events.log(
-                logger,
-                logging.WARNING,
-                "rollout_plan_unreadable",
-                pool=pool,
-                detail=str(error),
-            )
-            return
-        if plan.pool == pool:
+        plan = decode(value)
+        if plan is None:
+            events.log(logger, logging.WARNING, "rollout_plan_unreadable", pool=pool)
+        elif plan.pool == pool:
             self.stored_steps[pool] = plan.step
             self.adopt(plan, True)
 
@@ -134,5 +126,13 @@
         return plan is not None and self.stored_steps.get(pool, 0) < plan.step
 
 
+def decode(value):
+    """Return the ``messages.RolloutPlan`` of a record, None if it can't be decoded."""
+    try:
+        return msgspec.json.decode(value, type=messages.RolloutPlan)
+    except errors.UNDECODABLE:
+        return None
+
+
 def _ignore_change(pool):
     """Do nothing when a plan has changed."""
--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -22,6 +22,8 @@
 # Routes whose answers are counted apart in one pool; the others are counted together.
 MAX_ROUTES = 16
 OTHER_ROUTES = ""
+# Rows in which answers of single servers of the target are counted.
+MAX_SERVER_ROWS = 16
 
 
 class Rollouts:
@@ -266,7 +268,8 @@
         is_new = (server.software, route) not in evidence.rows
         if is_new and len(evidence.rows) >= 2 * MAX_ROUTES:
             route = OTHER_ROUTES
-        evidence.record(server.software, route, is_bad, latency_ms)
+        address = self._told_address(gate, evidence, server, route)
+        evidence.record(server.software, route, is_bad, latency_ms, address)
         self.metrics.count(
             "rollout_answers",
             pool=server.pool,
@@ -274,6 +277,17 @@
             outcome="bad" if is_bad else "good",
         )
 
+    def _told_address(self, gate, evidence, server, route):
+        """Return the address that an answer is counted under, empty for none.
+
+        Servers of the target are told apart while it uses few of them.
+        """
+        if server.software != gate.target or not gate.n_servers:
+            return ""
+        key = server.software, route, server.address
+        is_counted = key in evidence.servers or len(evidence.servers) < MAX_SERVER_ROWS
+        return server.address if is_counted else ""
+
     def n_at_old(self, pool):
         """Return this host's requests in progress at servers that are replaced."""
         target = self.gates[pool].target
--- a/teaselwall/rolloutstatuses.py
+++ b/teaselwall/rolloutstatuses.py
@@ -11,8 +11,6 @@
 RECHECK_MS = 5000.0
 # How often a final status is read again.
 N_FINAL_CHECKS = 2
-# Longest wait for a read of the plans.
-READ_WAIT_MS = 3000.0
 
 
 class RolloutStatuses:
@@ -61,7 +59,6 @@
         plan = self.rollouts.plans.newest.get(pool)
         if plan is None or not self._is_due(plan):
             return
-        read_ms = self.clock.now_ms()
         result = await self.store.newest(self.topic)
         if result.is_error():
             self._record_failure(plan, result.error)
@@ -71,10 +68,10 @@
         if any(r.key == key and r.value == value for r in page.records):
             self._record_checked(plan)
             return
-        if plan.state == rolloutplans.RUNNING and not await self._has_read(read_ms):
+        if plan.state == rolloutplans.RUNNING and not await self._is_running(plan):
             return
         # Another host's plan may have been read meanwhile.
-        if self.rollouts.plans.newest[pool] != plan:
+        if not _is_same(self.rollouts.plans.newest[pool], plan):
             return
         result = await self.store.put(self.topic, key, value, page.next_offset)
         if result.is_error():
@@ -111,17 +108,19 @@
         now_ms = self.clock.now_ms()
         self.checked[plan.pool] = self._key(plan), now_ms, n_checks + 1
 
-    async def _has_read(self, since_ms):
-        """Wait for a read of the plans that was sent after a time on the clock.
+    async def _is_running(self, plan):
+        """Return whether the store has a plan by which a roll-out still runs.
 
         A host that was frozen would otherwise call a roll-out running that another one
         has ended.
         """
-        follower = self.rollouts.plans_follower
-        with self.clock.timeout_ms(READ_WAIT_MS):
-            while follower.current_as_of_ms < since_ms:
-                await follower.read_done.wait()
-        return follower.current_as_of_ms >= since_ms
+        result = await self.store.newest(self.rollouts.plans_follower.topic)
+        if result.is_error():
+            self._record_failure(plan, result.error)
+            return False
+        values = [r.value for r in result.ok.records if r.key == plan.pool]
+        found = [rolloutplans.decode(value) for value in values]
+        return any(_is_same(known, plan) for known in found if known is not None)
 
     def _record_failure(self, plan, error):
         if isinstance(error, keyedtopics.ChangedMeanwhile):
@@ -136,3 +135,8 @@
                 state=plan.state,
                 detail=str(error),
             )
+
+
+def _is_same(plan, other):
+    """Return whether two plans have the same status."""
+    return (plan.order, plan.state) == (other.order, other.state)
