Roll-outs: read the plans seldom while none runs, count stage results at old servers

Each call to the store is priced, so hosts follow the plans only while an order runs, and read them every 30 s otherwise. Results that old stage servers hold count as work there. A retry leaves the target's side while others may take it.

--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -230,13 +230,17 @@
     async def run(self):
         """Follow the topic until cancelled."""
         while True:
-            page = await self.step()
-            if page is not None:
-                if not page.relayed:
-                    await self.clock.sleep_ms(self.pause_ms)
-            else:
-                backoff_ms = RETRY_MS * 2 ** min(self.n_failed, 4) / 2
-                await self.clock.sleep_ms(min(MAX_RETRY_MS, backoff_ms))
+            await self.step_paced()
+
+    async def step_paced(self):
+        """Read once, then pause as long as the result calls for."""
+        page = await self.step()
+        if page is not None:
+            if not page.relayed:
+                await self.clock.sleep_ms(self.pause_ms)
+        else:
+            backoff_ms = RETRY_MS * 2 ** min(self.n_failed, 4) / 2
+            await self.clock.sleep_ms(min(MAX_RETRY_MS, backoff_ms))
 
     async def step(self):
         """Read once; return the page, or None if the read failed."""
--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -15,6 +15,7 @@
     rolloutgates,
     rolloutplans,
     rolloutreports,
+    rollouts,
 )
 from teaselwall.generated import messages
 
@@ -112,7 +113,7 @@
         async with trio.open_nursery() as self.nursery:
             while True:
                 for pool in list(self.rollouts.gates):
-                    if self.leads(pool):
+                    if not self._is_settled(pool) and self.leads(pool):
                         self._start("plan", pool, self.step)
                         self._start("status", pool, self.statuses.write)
                 await self.clock.sleep_ms(STEP_INTERVAL_MS)
@@ -128,6 +129,18 @@
         finally:
             self.busy.discard((kind, pool))
 
+    def _is_settled(self, pool):
+        """Return whether nothing is left to do for a pool's newest order."""
+        plan = self.rollouts.plans.newest.get(pool)
+        order = self.rollouts.orders.by_pool.get(pool)
+        if order is None and (plan is None or not plan.withdrawn):
+            return plan is None
+        if self.rollouts.gates[pool].target is not None:
+            return False
+        if self.rollouts.plans.lost_by_store(pool):
+            return False
+        return self.statuses.is_settled(plan)
+
     def leads(self, pool):
         """Return whether this host leads a pool's roll-out."""
         hosts = rolloutreports.ranked(self.membership, pool)
@@ -154,7 +167,9 @@
         order = self.rollouts.orders.by_pool.get(pool)
         plan = self.rollouts.plans.newest.get(pool)
         if self.rollouts.plans.lost_by_store(pool):
-            return plan if self.rollouts.is_in_touch() else None
+            # Their writers write again what a restored store has lost.
+            is_read = self.rollouts.plans_follower.reread_ms is None
+            return plan if is_read else None
         if order is None:
             return self._withdrawn_plan(plan)
         if not rolloutgates.applies(plan, order):
@@ -176,7 +191,8 @@
 
     def _first_plan(self, order, plan):
         """Return the first plan of an order, after the newest one of earlier orders."""
-        if not self.rollouts.is_in_touch():
+        # Whether the plans are read to their end shows when it is written.
+        if self.rollouts.orders_follower.age_ms() >= rollouts.STALE_MS:
             return None
         refused = list(plan.refused) if plan is not None else []
         if plan is not None and plan.state != rolloutplans.COMPLETED:
--- a/teaselwall/rolloutparts.py
+++ b/teaselwall/rolloutparts.py
@@ -17,6 +17,9 @@
     topiclisteners,
 )
 
+# Time between two reads of the plans while no roll-out runs.
+IDLE_READ_MS = 30_000.0
+
 
 class RolloutParts:
     """The parts of an entry host that take part in roll-outs.
@@ -91,18 +94,26 @@
 
     def _attach(self, host):
         """Have the host's parts ask which servers roll-outs leave to them."""
+        host.orders.on_restore = functools.partial(
+            self._record_restore, host.orders.on_restore
+        )
         host.fleet.filters.append(self.rollouts.allows)
         host.stream_versions.rollouts = self.rollouts
         host.server_choices.rollouts = self.rollouts
         host.gossip.rollouts = self
         rolloutviews.RolloutViews(host, self).register(host.control)
         stage_work = host.stage_work
+        self.rollouts.stage_states = stage_work.states
         servers_of = functools.partial(self._stage_servers, stage_work.servers_of)
         stage_work.servers_of = stage_work.wait_estimates.servers_of = servers_of
         stage_work.client = rolloutanswers.CountedStageClient(
             host.clock, stage_work.client, self.rollouts, host.operator_state.pool
         )
 
+    def _record_restore(self, on_restore):
+        on_restore()
+        self.rollouts.wake()
+
     def _stage_servers(self, servers_of, pool):
         return self.rollouts.stage_servers(pool, servers_of(pool))
 
@@ -116,10 +127,29 @@
         self.reports.receive(exchange)
         self.leaders.receive(exchange)
 
+    async def _follow_plans(self):
+        """Follow the plans while a roll-out runs; read them now and then otherwise."""
+        follower = self.follower
+        while True:
+            if self._may_rest():
+                with follower.clock.timeout_ms(IDLE_READ_MS):
+                    await self.rollouts.ordered.wait()
+            await follower.step_paced()
+
+    def _may_rest(self):
+        """Return whether the plans are known and none can change soon."""
+        plans = self.rollouts.plans
+        return not (
+            self.follower.offset is None
+            or self.follower.reread_ms is not None
+            or self.rollouts.running()
+            or any(plans.lost_by_store(pool) for pool in plans.newest)
+        )
+
     async def run(self):
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.follower.run)
+            nursery.start_soon(self._follow_plans)
             nursery.start_soon(self.reports.run)
             nursery.start_soon(self.leaders.run)
 
--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -8,6 +8,8 @@
 import functools
 import logging
 
+import trio
+
 from teaselwall import events, rolloutevidence, rolloutgates, rolloutplans
 
 logger = logging.getLogger(__name__)
@@ -48,6 +50,10 @@
         Versions of pools that an order would be known for.
     first_seen_ms : dict of (str, str) to float
         When the other versions were first seen, on the clock.
+    stage_states : dict of servers.Server to stageservers.StageServer
+        Stage servers that this host calls.
+    ordered : trio.Event
+        Set when an order or a plan has changed, then replaced by a new event.
     versions : dict of str to tuple of (float, frozenset of str)
         Versions of each pool in service and when they were looked up.
     """
@@ -65,6 +71,8 @@
         "verified",
         "first_seen_ms",
         "versions",
+        "stage_states",
+        "ordered",
     )
 
     def __init__(
@@ -82,6 +90,8 @@
         self.verified = set()
         self.first_seen_ms = {}
         self.versions = {}
+        self.stage_states = {}
+        self.ordered = trio.Event()
         orders.on_change = plans.on_change = self._update
 
     def _update(self, pool):
@@ -93,11 +103,17 @@
             gate.n_pieces, gate.n_target_pieces = old.n_pieces, old.n_target_pieces
             gate.held_until_ms = old.held_until_ms
         self.gates[pool] = gate
+        self.wake()
         if gate.target is not None:
             known = self.evidence.get(pool)
             if known is None or known[0] != gate.key:
                 self.evidence[pool] = gate.key, rolloutevidence.Evidence()
 
+    def wake(self):
+        """Have the plans read soon."""
+        self.ordered.set()
+        self.ordered = trio.Event()
+
     def is_in_touch(self):
         """Return whether this host has read the newest orders and plans."""
         age_ms = max(self.orders_follower.age_ms(), self.plans_follower.age_ms())
@@ -183,7 +199,7 @@
     def _is_only(self, pool, software):
         return self.versions_in_service(pool) == {software}
 
-    def sides(self, pool, request):
+    def sides(self, pool, request, is_retry=False):
         """Return which servers may get a request, the preferred ones first.
 
         Parameters
@@ -191,6 +207,8 @@
         pool : str
         request : str
             Id of the request.
+        is_retry : bool
+            Whether it was sent before. The target gets no retry while there are others.
 
         Returns
         -------
@@ -201,7 +219,8 @@
         if gate is None or gate.target is None or self._is_only(pool, gate.target):
             return (None,)
         others = functools.partial(_is_other, gate.target)
-        if gate.draws_target(request, self.clock.now_ms()):
+        is_spared = is_retry and gate.share < 1.0
+        if not is_spared and gate.draws_target(request, self.clock.now_ms()):
             return (self._used_targets(pool, gate), others)
         return (others,)
 
@@ -289,10 +308,18 @@
         return server.address if is_counted else ""
 
     def n_at_old(self, pool):
-        """Return this host's requests in progress at servers that are replaced."""
+        """Return this host's work in progress at servers that are replaced.
+
+        Results that a stage server holds count too, as they end with it.
+        """
         target = self.gates[pool].target
         known = self.fleet.by_pool.get(pool, {}).values()
-        return sum(s.in_flight for s in known if s.software != target)
+        n_requests = sum(s.in_flight for s in known if s.software != target)
+        return n_requests + sum(
+            state.n_calls + len(state.results)
+            for server, state in self.stage_states.items()
+            if server.pool == pool and server.software != target
+        )
 
     def running(self):
         """Return the pools whose order is neither completed nor rolled back."""
--- a/teaselwall/rolloutstatuses.py
+++ b/teaselwall/rolloutstatuses.py
@@ -92,11 +92,17 @@
     def _key(self, plan):
         return plan.order, plan.state, self.rollouts.plans_follower.era
 
+    def is_settled(self, plan):
+        """Return whether the store has a final status for good."""
+        key, _, n_checks = self.checked.get(plan.pool, (None, 0.0, 0))
+        is_final = plan.state != rolloutplans.RUNNING
+        return is_final and key == self._key(plan) and n_checks >= N_FINAL_CHECKS
+
     def _is_due(self, plan):
-        key, checked_ms, n_checks = self.checked.get(plan.pool, (None, 0.0, 0))
+        key, checked_ms, _ = self.checked.get(plan.pool, (None, 0.0, 0))
         if key != self._key(plan):
             return True
-        if plan.state != rolloutplans.RUNNING and n_checks >= N_FINAL_CHECKS:
+        if self.is_settled(plan):
             return False
         return self.clock.now_ms() - checked_ms >= RECHECK_MS
 
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -62,7 +62,7 @@
             return (functools.partial(_has_software, call.software),)
         if self.rollouts is None:
             return (None,)
-        return self.rollouts.sides(call.pool.name, call.head.id)
+        return self.rollouts.sides(call.pool.name, call.head.id, call.n_sent > 0)
 
     def _choices(self, call, accepts):
         subset_token = None
--- a/teaselwall/tests/test_rolloutparts.py
+++ b/teaselwall/tests/test_rolloutparts.py
@@ -232,3 +232,24 @@
     bad = {row.software: row.n_bad for row in view.rows}
     assert bad[NEW] > 0
     assert bad[OLD] == 0
+
+
+async def test_plans_are_read_seldom_while_no_roll_out_runs(autojump_clock, nursery):
+    """Each call to the platform's store costs, on days without roll-outs, too."""
+    fleet = await rollout_fleet.started(nursery, n_hosts=1, per_s=0)
+    (host,) = fleet.hosts.values()
+    read = host.shared_reads.store.changes
+    topics = []
+
+    async def record(topic, *args):
+        topics.append(topic)
+        return await read(topic, *args)
+
+    host.shared_reads.store.changes = record
+    await trio.sleep(60)
+    assert topics.count(rollout_fleet.PLANS) <= 3
+    n_before = len(topics)
+    fleet.order()
+    await trio.sleep(3)
+    assert topics[n_before:].count(rollout_fleet.PLANS) >= 3
+    assert host.rollout_parts.rollouts.is_in_touch()
