--- a/teaselwall/rolloutcomparisons.py
+++ b/teaselwall/rolloutcomparisons.py
@@ -6,9 +6,9 @@
 
 # Moments are merged two by two once they are older than this number of moments.
 N_FINE_MOMENTS = 24
-N_MERGED_MOMENTS = 12
+N_MERGED_MOMENTS = 24
 # The newest moments over which versions are compared; None stands for all of them.
-WINDOWS = (8, 24, 27, 31, None)
+WINDOWS = (8, 24, 28, 36, None)
 # Quantiles of the old versions' times; an answer counts as slow above one of them
 # by SLOW_BUCKETS latency buckets, which makes it 1.6 to 2 times as long.
 QUANTILES = (0.5, 0.9, 0.99)
@@ -98,6 +98,25 @@
         while self.moments and length_ms > 0:
             length_ms -= self.moments.pop().length_ms
 
+    def latest(self, length_ms):
+        """Return a comparison of the newest moments of at most a total length."""
+        latest = Comparison()
+        for moment in reversed(self.moments):
+            length_ms -= moment.length_ms
+            if length_ms < 0:
+                break
+            latest.moments.insert(0, moment)
+        return latest
+
+    def old_quantile_ms(self, quantile):
+        """Return a quantile in ms of the old versions' newest times, 0 without any."""
+        sides = [s for m in self.moments[-N_FINE_MOMENTS:] for s in m.old.values()]
+        tails = [sum(column) for column in zip(*(s.tails for s in sides), strict=True)]
+        if not tails or not tails[0]:
+            return 0.0
+        i = sum(n > tails[0] * (1.0 - quantile) for n in tails) - 1
+        return rolloutevidence.BOUNDS_MS[min(i, len(rolloutevidence.BOUNDS_MS) - 1)]
+
     def routes(self):
         """Return the set of routes on which the target has answered."""
         return {
@@ -210,7 +229,7 @@
             if n_moments is not None and len(table) <= n_moments:
                 continue
             window = table if n_moments is None else table[-n_moments:]
-            found = _suspicion(_without_strongest_event(_filled(window)))
+            found = _suspicion(_filled(_without_strongest_event(window)))
             if found is not None and found.nats > strongest.nats:
                 found.route, found.kind = route, kind
                 strongest = found
@@ -249,9 +268,14 @@
 
 
 def _without_strongest_event(rows):
-    excesses = [row[2] - _expected(row) for row in rows]
+    n_all, n_bad = sum(r[1] + r[3] for r in rows), sum(r[2] + r[4] for r in rows)
+    if not n_all:
+        return rows
+    excesses = [row[2] - row[1] * n_bad / n_all for row in rows]
     best = (0.0, 0, 0)
-    for first in range(len(rows)):
+    for first, excess in enumerate(excesses):
+        if excess <= 0.0:
+            continue
         length_ms, total = 0.0, 0.0
         for last in range(first, len(rows)):
             length_ms += rows[last][0]
--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -6,21 +6,32 @@
 
 import math
 
-from teaselwall import rolloutcomparisons, rolloutmoments, rolloutschedules
+from teaselwall import (
+    rolloutcomparisons,
+    rolloutmoments,
+    rolloutschedules,
+    rolloutsuspects,
+)
 
 RUNNING = "running"
 COMPLETED = "completed"
 ROLLED_BACK = "rolled_back"
 # Shortest stretch of time in which the versions are compared.
 MOMENT_MS = 200.0
-# Probability of convicting a version that equals the old ones.
-FALSE_ALARM_PROBABILITY = 1e-3
+# Bound on the probability of convicting a version that equals the old ones; leaving
+# out the strongest event lowers it much further.
+FALSE_ALARM_PROBABILITY = 0.05
 # The same for refusing to complete a version at the end.
-DOUBT_PROBABILITY = 1e-2
+DOUBT_PROBABILITY = 0.1
 # Times of answers count from this long after the first answer of the target on, and
 # for this part of the duration not while target servers say that they are cold.
 WARM_UP_MS = 1_500.0
 MAX_COLD_PART = 0.5
+# Once the share falls, slow answers to the greater share still come for this multiple
+# of the old versions' slowest times.
+SLOW_TIMES = 2.0
+MIN_DRAINING_MS = 1_000.0
+MAX_DRAINING_MS = 5_000.0
 # Evidence from before and after a target server went away doesn't count.
 LOSS_BEFORE_MS = 1_000.0
 LOSS_AFTER_MS = 750.0
@@ -167,6 +178,8 @@
         "demand",
         "comparison",
         "suspicion",
+        "suspects",
+        "draining_until_ms",
         "start_ms",
         "step_taken",
         "last_moment_ms",
@@ -194,6 +207,8 @@
         self.demand = rolloutschedules.Demand()
         self.comparison = rolloutcomparisons.Comparison()
         self.suspicion = rolloutcomparisons.Suspicion()
+        self.suspects = rolloutsuspects.Suspects()
+        self.draining_until_ms = -math.inf
         self.start_ms = None
         self.step_taken = None
         self.last_moment_ms = None
@@ -235,9 +250,14 @@
             self.references = [moment.old for moment in fine]
         if state != RUNNING:
             share = 1.0 if state == COMPLETED else 0.0
+        if share < MIN_CHANGE * self.share:
+            self._start_draining(now_ms)
         self.share = share
         self.n_servers = rolloutschedules.n_loaded_servers(
-            share, situation.n_old_ready, situation.n_target_ready
+            share,
+            situation.n_old_ready,
+            situation.n_target_ready,
+            self.suspects.n_least(),
         )
         self.step_taken = Step(
             state, share, self.n_servers, reason, self._described(situation)
@@ -271,23 +291,39 @@
             moment.old = self.references.pop()
         moment.latency_counts = self._latency_counts(now_ms, situation)
         self.comparison.add(moment)
-        self.suspicion = self.comparison.suspicion()
+        self.suspicion = self.comparison.suspicion(self.suspects.cleared)
+
+    def _start_draining(self, now_ms):
+        """Leave out the times of answers until those to the greater share are in."""
+        slow_ms = SLOW_TIMES * self.comparison.old_quantile_ms(0.99)
+        self.draining_until_ms = now_ms + max(
+            MIN_DRAINING_MS, min(slow_ms, MAX_DRAINING_MS)
+        )
 
     def _latency_counts(self, now_ms, situation):
         if self.first_answer_ms is None:
             return False
         if now_ms - self.first_answer_ms < WARM_UP_MS:
             return False
+        if now_ms < self.draining_until_ms:
+            return False
         may_be_cold = self.elapsed_ms < MAX_COLD_PART * self.duration_ms
         return not (situation.n_target_cold and may_be_cold)
 
     def _n_tests(self):
         return (len(self.comparison.routes()) + 1) * rolloutcomparisons.N_TESTS
 
-    def _is_bad(self):
+    def _is_bad(self, situation):
         n_looks = max(1.0, self.duration_ms / LOOK_MS)
         n_tests = n_looks * self._n_tests()
-        return self.suspicion.nats >= math.log(n_tests / FALSE_ALARM_PROBABILITY)
+        if self.suspicion.nats < math.log(n_tests / FALSE_ALARM_PROBABILITY):
+            return False
+        return self.suspects.convict(
+            self.last_moment_ms,
+            self.comparison,
+            self.suspicion,
+            situation.n_target_ready,
+        )
 
     def _is_doubtful(self):
         return self.suspicion.nats >= math.log(self._n_tests() / DOUBT_PROBABILITY)
@@ -296,7 +332,7 @@
         """Return the state, the share and the reason."""
         if not (math.isfinite(self.duration_ms) and self.duration_ms > 0.0):
             return ROLLED_BACK, 0.0, "the duration is not positive: order it anew"
-        is_bad = self._is_bad()
+        is_bad = self._is_bad(situation)
         if not situation.store_current:
             share = 0.0 if is_bad else self.share
             return RUNNING, share, "the store has not been read lately"
@@ -353,7 +389,7 @@
 
     def _hold_share(self, situation):
         share = self.schedule.hold_share(
-            self.demand, self.elapsed_ms, situation.n_old_ready
+            self.demand, self.elapsed_ms, self.share, situation.n_old_ready
         )
         is_close = share * MIN_CHANGE <= self.share <= share / MIN_CHANGE
         return self.share if is_close else share
--- a/teaselwall/rolloutschedules.py
+++ b/teaselwall/rolloutschedules.py
@@ -17,6 +17,8 @@
 TRIAL_PART = 0.5
 TRIAL_START = 0.3
 MAX_HOLD_SHARE = 0.4
+# Part of the even share that is kept if more than planned has been spent.
+FLOOR_PART = 0.25
 HALF_SHARE = 0.5
 MAX_TRIAL_SHARE = 0.35
 # How much of the load of an old server a target server has to see.
@@ -111,7 +113,7 @@
         half_cost_ms = min(HALF_PART * budget_ms, budget_ms - final_ms)
         return max(0.0, half_cost_ms) / HALF_SHARE, final_ms
 
-    def hold_share(self, demand, elapsed_ms, n_old):
+    def hold_share(self, demand, elapsed_ms, share, n_old):
         """Return the share before the last phases.
 
         It spends what they leave evenly. Where that doesn't load one target server as
@@ -121,6 +123,8 @@
         ----------
         demand : Demand
         elapsed_ms : float
+        share : float
+            Current share.
         n_old : int
             Servers of the old versions in service.
         """
@@ -128,28 +132,34 @@
             return self.expose_share / 2
         half_ms, final_ms = self.phases(demand, elapsed_ms)
         n_last = demand.rate * (final_ms + HALF_SHARE * half_ms)
-        n_left = self.budget(demand, elapsed_ms) - n_last - demand.n_target_answers
-        hold_ms = max(0.0, self.duration_ms - elapsed_ms - half_ms - final_ms)
-        share = n_left / (demand.rate * (hold_ms + LAG_MS))
-        share = max(0.0, min(MAX_HOLD_SHARE, share))
-        trial_ms = elapsed_ms - TRIAL_START * self.duration_ms
+        n_held = max(0.0, self.budget(demand, elapsed_ms) - n_last)
+        hold_end_ms = self.duration_ms - half_ms - final_ms
+        hold_ms = max(0.0, hold_end_ms - elapsed_ms)
+        n_even = demand.rate * (hold_ms + LAG_MS)
+        even_share = min(MAX_HOLD_SHARE, n_held / (demand.rate * self.duration_ms))
         loaded_share = min(MAX_TRIAL_SHARE, 1.0 / (n_old + 1))
-        if trial_ms < 0.0 or share >= LOADED_PART * loaded_share:
-            return share
-        n_trial = TRIAL_PART * self.held(demand, elapsed_ms)
-        is_trial = trial_ms * demand.rate * loaded_share < n_trial
-        return loaded_share if is_trial and n_left > n_trial / 4 else share
-
-    def held(self, demand, elapsed_ms):
-        """Return how many requests the target may get before the last phases."""
-        half_ms, final_ms = self.phases(demand, elapsed_ms)
-        n_last = demand.rate * (final_ms + HALF_SHARE * half_ms)
-        return max(0.0, self.budget(demand, elapsed_ms) - n_last)
-
-
-def n_loaded_servers(share, n_old, n_target):
+        n_left = n_held - demand.n_target_answers
+        if even_share < LOADED_PART * loaded_share and hold_ms:
+            n_trial = TRIAL_PART * n_held
+            n_spent = demand.n_target_answers + share * demand.rate * LAG_MS / 2
+            n_due = (n_held - n_trial) * elapsed_ms / hold_end_ms
+            if elapsed_ms < TRIAL_START * self.duration_ms:
+                n_left -= n_trial
+            elif n_spent < n_due + n_trial:
+                return loaded_share
+        return max(FLOOR_PART * even_share, min(MAX_HOLD_SHARE, n_left / n_even))
+
+
+def n_loaded_servers(share, n_old, n_target, n_least=1):
     """Return how many target servers to use so that each is loaded as an old one.
 
+    Parameters
+    ----------
+    share : float
+    n_old, n_target : int
+        Servers in service.
+    n_least : int
+
     Returns
     -------
     int
@@ -157,5 +167,5 @@
     """
     if share >= HALF_SHARE or not n_old:
         return 0
-    n_servers = max(1, math.ceil(share / (1.0 - share) * n_old - 1e-9))
+    n_servers = max(n_least, math.ceil(share / (1.0 - share) * n_old - 1e-9))
     return n_servers if n_servers < n_target else 0
