--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -8,6 +8,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import sys
 import time
@@ -41,8 +42,9 @@
     ----------
     options : argparse.Namespace
         ``listen``, ``public``, ``store``, ``id``, ``service``, ``zone``, ``version``
-        and ``crash_part``: a request whose prompt has this part ends the process,
-        before the head of its answer if it is the last part.
+        ``crash_part``: a request whose prompt has this part ends the process, before
+        the head of its answer if it is the last part; and ``fails``: the percentage of
+        the requests that are run and answered with an error.
 
     Attributes
     ----------
@@ -56,6 +58,8 @@
     server_faults : platform_faults.ServerFaults
     n_present : int
         Requests and stage calls in progress.
+    random : random.Random
+        Draws the requests that fail.
     """
 
     def __init__(self, options):
@@ -67,6 +71,7 @@
         self.results = platform_results.Results()
         self.server_faults = platform_faults.ServerFaults()
         self.n_present = 0
+        self.random = random.Random(options.id)
 
     async def handle(self, method, path, query, body, send):
         """Not used: ``__call__`` is overridden, because it needs the headers."""
@@ -184,7 +189,12 @@
         )
         if self._crashes(headers) and _parts(headers)[-1] == self.options.crash_part:
             await self._end_process(headers)
-        if self.options.service == "engine":
+        if self.random.random() * 100 < self.options.fails:
+            self._print("failed", headers)
+            head = [*self._headers(headers), (b"content-length", b"0")]
+            await responses.start(send, 500, head)
+            await send({"type": "http.response.body", "body": b""})
+        elif self.options.service == "engine":
             await self._stream_events(scope, headers, send)
         else:
             await trio.sleep(REQUEST_TIME_S)
@@ -337,6 +347,7 @@
     for name in ("public", "store", "id", "service", "zone", "version"):
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--crash-part", default="")
+    parser.add_argument("--fails", type=float, default=0.0)
     trio.run(_serve, PlatformServer(parser.parse_args(arguments)))
 
 
--- a/teaselwall/tools/platform_store.py
+++ b/teaselwall/tools/platform_store.py
@@ -100,7 +100,7 @@
         """Answer one request; see ``standins.StandIn.handle``."""
         name = query.get("topic", "")
         if path == "/v1/log-append":
-            await self._append(self._topic(name), body, send)
+            await self._append(self._topic(name), query, body, send)
         elif path == "/v1/log-newest":
             await self._send_newest(self._topic(name), send)
         elif path == "/v1/log-read":
@@ -125,7 +125,10 @@
             # Reads that wait go on in the copy.
             topic.changed.set()
 
-    async def _append(self, topic, body, send):
+    async def _append(self, topic, query, body, send):
+        if "at" in query and int(query["at"]) != topic.end:
+            await responses.send_json(send, {"end": topic.end}, 412)
+            return
         if self.faults.lose_replies:
             self.faults.lose_replies -= 1
             _append_all(topic, body)
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -30,6 +30,7 @@
     soak_limits,
     soak_losses,
     soak_notices,
+    soak_rollouts,
     soak_targets,
 )
 
@@ -103,6 +104,7 @@
         f"{n_runs.total()} runs, "
         f"{sum(r.complete for r in moved)} of {len(moved)} moved streams whole, "
         f"{n_ends} servers ended, {dict(faults.counts)}"
+        f"{soak_rollouts.summary(faults.rollouts.played)}"
     )
 
 
@@ -123,6 +125,9 @@
     violations += soak_notices.find_violations(requests, records, fleet)
     violations += soak_limits.find_violations(requests, records, fleet.disturbances)
     violations += soak_cuts.find_violations(requests, fleet.cuts, fleet.disturbances)
+    violations += soak_rollouts.find_violations(
+        requests, records, faults.rollouts.played, fleet.disturbances
+    )
     violations += soak_brittle.find_violations(records, fleet.servers)
     return violations
 
--- a/teaselwall/tools/soak_configuration.py
+++ b/teaselwall/tools/soak_configuration.py
@@ -1,6 +1,6 @@
 """Settings of the soak's entry hosts and their operators' first configuration."""
 
-from teaselwall.tools import platform_results, soak_checks
+from teaselwall.tools import platform_results, soak_checks, soak_rollouts
 
 LOOPBACK = "127.0.0.1"
 ZONES = ("z1", "z2")
@@ -47,6 +47,9 @@
             "retry_window_s": 10,
             "retry_slack": 50,
             "answer_kept_s": 1,
+            "expose_share": soak_rollouts.EXPOSE_SHARE,
+            "expose_slack": soak_rollouts.EXPOSE_SLACK,
+            "rollback_ms": soak_rollouts.ROLLBACK_S * 1000,
         },
         "membership": {"answer_kept_ms": 1000},
         "stop": {"limit_ms": STOP_TIMEOUT_S * 1000},
--- a/teaselwall/tools/soak_faults.py
+++ b/teaselwall/tools/soak_faults.py
@@ -7,6 +7,7 @@
 
 from teaselwall.tools import (
     soak_hostfaults,
+    soak_rollouts,
     soak_serverfaults,
     soak_storefaults,
     soak_targets,
@@ -36,6 +37,7 @@
     targets : soak_targets.Targets
     servers : soak_serverfaults.ServerFaults
     store : soak_storefaults.StoreFaults
+    rollouts : soak_rollouts.RollOuts
     kinds : tuple of callable
         One method for each kind; its name is the kind that the soak prints. A kind
         that is named twice is drawn more often.
@@ -54,7 +56,13 @@
         self.servers = soak_serverfaults.ServerFaults(
             fleet, callers, self.targets, self.store.change_routes
         )
-        self.kinds = (*hosts.kinds(), *self.servers.kinds(), *self.store.kinds())
+        self.rollouts = soak_rollouts.RollOuts(fleet, self.targets)
+        self.kinds = (
+            *hosts.kinds(),
+            *self.servers.kinds(),
+            *self.store.kinds(),
+            self.rollouts.roll_out,
+        )
         self.optional_kinds = (self.servers.crash_servers, self.servers.crash_contents)
         self.played = ()
 
--- a/teaselwall/tools/soak_fleet.py
+++ b/teaselwall/tools/soak_fleet.py
@@ -1,5 +1,6 @@
 """Processes of the soak: entry hosts, the store, back ends and proxies between them."""
 
+import base64
 import json
 import os
 import pathlib
@@ -180,6 +181,8 @@
     operator_records : dict of str to bytes
         What operators wrote last under each key; empty for a deleted key.
     cuts : soak_cuts.Cuts
+    nursery : trio.Nursery or None
+        Runs the proxies.
     write_lock : trio.Lock
         Held during a write, so that writes arrive in order.
     """
@@ -200,16 +203,23 @@
             self.folder / "store.log",
         )
         self.pool = httpcore.AsyncConnectionPool()
+        self.nursery = None
 
     async def start(self, nursery):
         """Start all processes and publish the first configuration."""
+        self.nursery = nursery
         self.store.start()
         await self.retry_until_done(self.publish)
         for index in range(N_HOSTS):
             await self._add_host(nursery, index)
         for pool, n_servers in soak_configuration.POOL_SIZES.items():
             for index in range(n_servers):
-                await self._add_server(nursery, pool, index)
+                version = soak_configuration.VERSIONS[
+                    index
+                    // len(soak_configuration.ZONES)
+                    % len(soak_configuration.VERSIONS)
+                ]
+                await self.add_server(pool, index, version)
         for process in self.processes():
             process.start()
 
@@ -256,6 +266,15 @@
         if reply.status != 200:
             raise OSError(f"the store answered {reply.status}")
 
+    async def read_newest(self, topic, key):
+        """Return the newest value of a key in the store, or None."""
+        url = f"http://{self.store_address}/v1/log-newest?topic={topic}&part=0"
+        reply = await self.pool.request("GET", url)
+        if reply.status != 200:
+            raise OSError(f"the store answered {reply.status}")
+        values = {i["key"]: i["value"] for i in json.loads(reply.content)["items"]}
+        return base64.b64decode(values[key]) if key in values else None
+
     async def set_store_faults(self, **faults):
         """Set faults of the store's stand-in."""
         url = f"http://{self.store_address}/faults"
@@ -347,10 +366,11 @@
         )
         self.hosts.append(EntryHost(name, ports, zone, proxy, process))
 
-    async def _add_server(self, nursery, pool, index):
+    async def add_server(self, pool, index, version, **options):
+        """Add a server, which is not started yet; return it."""
         address = self._new_address()
         proxy = soak_proxy.Proxy(address)
-        await nursery.start(proxy.run)
+        await self.nursery.start(proxy.run)
         name = f"s{len(self.servers)}"
         options = {
             "listen": address,
@@ -359,14 +379,12 @@
             "id": name,
             "service": pool,
             "zone": soak_configuration.ZONES[index % len(soak_configuration.ZONES)],
-            "version": soak_configuration.VERSIONS[
-                index
-                // len(soak_configuration.ZONES)
-                % len(soak_configuration.VERSIONS)
-            ],
+            "version": version,
             "crash-part": soak_checks.CRASH_PART,
+            **options,
         }
         self.servers.append(Server(options, proxy, self.folder / f"{name}.log"))
+        return self.servers[-1]
 
 
 def _reserve(address):
