--- a/teaselwall/tests/test_soak_rollouts.py
+++ b/teaselwall/tests/test_soak_rollouts.py
@@ -37,8 +37,8 @@
         ([("old", 8.4), ("new", 9.0)], "completed", True),
         ([("new", 9.0)], "rolled_back", False),
         ([("new", 8.4), ("old", 9.0)], "rolled_back", True),
-        ([("new", 3.0)] * 51, "rolled_back", False),
-        ([("new", 3.0)] * 51 + [("old", 3.0)] * 9, "rolled_back", True),
+        ([("new", 3.0)] * 56, "rolled_back", False),
+        ([("new", 3.0)] * 56 + [("old", 3.0)] * 4, "rolled_back", True),
     ],
 )
 def test_requests_beyond_the_bounds_are_found(runs, state, kept):
