--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -26,6 +26,8 @@
 OTHER_ROUTES = ""
 # Rows in which answers of single servers of the target are counted.
 MAX_SERVER_ROWS = 16
+# Ended processes are forgotten once there are so many.
+MAX_CLEARED = 4096
 
 
 class Rollouts:
@@ -46,6 +48,8 @@
         By pool, of those with an order or a plan.
     evidence : dict of str to tuple of (str, rolloutevidence.Evidence)
         Id of the order and answers to this host since it learnt of it, by pool.
+    cleared : set of servers.Server
+        Servers of pools without orders that may get requests.
     verified : set of (str, str)
         Versions of pools that an order would be known for.
     first_seen_ms : dict of (str, str) to float
@@ -68,6 +72,7 @@
         "metrics",
         "gates",
         "evidence",
+        "cleared",
         "verified",
         "first_seen_ms",
         "versions",
@@ -87,6 +92,7 @@
         self.metrics = metrics
         self.gates = {}
         self.evidence = {}
+        self.cleared = set()
         self.verified = set()
         self.first_seen_ms = {}
         self.versions = {}
@@ -103,6 +109,7 @@
             gate.n_pieces, gate.n_target_pieces = old.n_pieces, old.n_target_pieces
             gate.held_until_ms = old.held_until_ms
         self.gates[pool] = gate
+        self.cleared.clear()
         self.wake()
         if gate.target is not None:
             known = self.evidence.get(pool)
@@ -144,9 +151,12 @@
 
     def allows(self, server):
         """Return whether a server's version may get anything; a filter of the fleet."""
+        # Asked for dozens of servers at each choice.
+        if server in self.cleared:
+            return True
         gate = self.gates.get(server.pool)
         if gate is None:
-            return self._is_verified(server)
+            return self._is_cleared(server)
         software = server.software
         if software == gate.target:
             if not self.is_in_touch():
@@ -159,6 +169,15 @@
             return self.versions_in_service(server.pool) <= gate.retired
         return self._is_verified(server)
 
+    def _is_cleared(self, server):
+        """Return whether a server of a pool without orders may get requests."""
+        if not self._is_verified(server):
+            return False
+        if len(self.cleared) >= MAX_CLEARED:
+            self.cleared.clear()
+        self.cleared.add(server)
+        return True
+
     def _is_verified(self, server):
         """Return whether an order that names a server's version would be known here.
 
