Roll-outs: read the plans only while one runs, and keep hosts behind a reader in touch

Reads of plans are held for 0.4 s now, orders may be 3 s old. At rest no plan is read, and the first read after it asks the store itself, as the reader may rest still and would be avoided.

--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -192,7 +192,7 @@
     def _first_plan(self, order, plan):
         """Return the first plan of an order, after the newest one of earlier orders."""
         # Whether the plans are read to their end shows when it is written.
-        if self.rollouts.orders_follower.age_ms() >= rollouts.STALE_MS:
+        if self.rollouts.orders_follower.age_ms() >= rollouts.ORDERS_STALE_MS:
             return None
         refused = list(plan.refused) if plan is not None else []
         if plan is not None and plan.state != rolloutplans.COMPLETED:
--- a/teaselwall/rolloutparts.py
+++ b/teaselwall/rolloutparts.py
@@ -17,8 +17,9 @@
     topiclisteners,
 )
 
-# Time between two reads of the plans while no roll-out runs.
-IDLE_READ_MS = 30_000.0
+# Time for which a read of the plans is held. Through another host, it adds up to three
+# times that to their age, well below ``rollouts.PLANS_STALE_MS``.
+PLANS_WAIT_MS = 400.0
 
 
 class RolloutParts:
@@ -49,9 +50,7 @@
             [host.operator_state, orders]
         )
         plans = rolloutplans.Plans(clock)
-        self.follower = host.follow(
-            platform.rollouts_topic, plans, host.settings.store.watch_ms, 0.0
-        )
+        self.follower = host.follow(platform.rollouts_topic, plans, PLANS_WAIT_MS, 0.0)
         self.rollouts = rollouts.Rollouts(
             clock,
             host.fleet,
@@ -128,12 +127,17 @@
         self.leaders.receive(exchange)
 
     async def _follow_plans(self):
-        """Follow the plans while a roll-out runs; read them now and then otherwise."""
+        """Follow the plans while a roll-out runs; read nothing otherwise.
+
+        The first read after a rest is one of the whole topic, from the store itself, as
+        the host that reads for this one may be resting still.
+        """
         follower = self.follower
         while True:
             if self._may_rest():
-                with follower.clock.timeout_ms(IDLE_READ_MS):
-                    await self.rollouts.ordered.wait()
+                await self.rollouts.ordered.wait()
+                follower.offset = None
+                follower.read_ms = follower.clock.now_ms()
             await follower.step_paced()
 
     def _may_rest(self):
--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -14,9 +14,10 @@
 
 logger = logging.getLogger(__name__)
 
-# A host that has not read the orders and the plans for this long sends nothing to the
-# target of a running order.
-STALE_MS = 2000.0
+# A host whose plans or orders are older sends nothing to the target of a running order.
+# Orders read through another host are up to 2.4 s old by its and this host's waits.
+PLANS_STALE_MS = 2000.0
+ORDERS_STALE_MS = 3000.0
 # The list of servers changes about once a second.
 REFRESH_MS = 250.0
 # Time for which the target gets nothing after a leader could not write a lower share.
@@ -123,8 +124,10 @@
 
     def is_in_touch(self):
         """Return whether this host has read the newest orders and plans."""
-        age_ms = max(self.orders_follower.age_ms(), self.plans_follower.age_ms())
-        return age_ms < STALE_MS
+        return (
+            self.orders_follower.age_ms() < ORDERS_STALE_MS
+            and self.plans_follower.age_ms() < PLANS_STALE_MS
+        )
 
     def elapsed_ms(self, pool):
         """Return the time since a pool's order, as known here."""
@@ -196,7 +199,7 @@
             return False
         # The pool's servers have just become known here.
         versions = self.versions_in_service(server.pool)
-        if len(versions) == 1 or self.orders_follower.age_ms() < STALE_MS:
+        if len(versions) == 1 or self.orders_follower.age_ms() < ORDERS_STALE_MS:
             self._verify({key, *((server.pool, version) for version in versions)})
             return True
         return False
--- a/teaselwall/tests/test_entry.py
+++ b/teaselwall/tests/test_entry.py
@@ -1,5 +1,7 @@
 import ast
 import pathlib
+import re
+import tomllib
 
 import pytest
 import trio
@@ -152,6 +154,29 @@
     assert named in capsys.readouterr().err
 
 
+@pytest.mark.parametrize(
+    ("given", "rendered"),
+    [
+        ({}, {}),
+        (
+            {"exposeShare": 0.1, "exposeSlack": 50, "rollbackMs": 5000},
+            {"expose_share": 0.1, "expose_slack": 50, "rollback_ms": 5000},
+        ),
+    ],
+)
+def test_template_renders_bounds_of_roll_outs_only_where_given(given, rendered):
+    section = TEMPLATE.partition("[bounds]")[2].partition("[membership]")[0]
+    for name, value in given.items():
+        section = section.replace(f"{{{{bounds.{name}}}}}", str(value))
+        section = re.sub(rf"{{{{[#/]bounds\.{name}}}}}", "", section)
+    section = re.sub(r"{{#(bounds\.\w+)}}.*{{/\1}}", "", section)
+    section = re.sub(r"{{bounds\.\w+}}", "1", section)
+    found = tomllib.loads(section)
+    assert {k: v for k, v in found.items() if k.startswith(("expose", "roll"))} == (
+        rendered
+    )
+
+
 def test_an_unrendered_template_is_refused(tmp_path, capsys):
     path = tmp_path / "node.toml"
     path.write_text(TEMPLATE)
--- a/teaselwall/tests/test_rollouts.py
+++ b/teaselwall/tests/test_rollouts.py
@@ -293,3 +293,43 @@
     first_s = min(at for at, version in fleet.back_ends.sent if version == "v7")
     assert first_s - registered_s <= 0.8 + 2 * 0.8 + 0.1
     assert not fleet.plans()
+
+
+async def test_new_servers_that_end_midway_are_not_completed(autojump_clock, nursery):
+    fleet = await rollout_fleet.started(nursery)
+    ordered_s = await run_order(fleet, until_s=5)
+    for number in range(3):
+        fleet.store.append(rollout_fleet.SERVERS, f"core-{NEW}-{number}", None)
+    await trio.sleep(DURATION_S - 5 + 1)
+    assert fleet.status() == "rolled_back"
+    assert fleet.back_ends.n_sent(OLD, ordered_s) >= 40 * DURATION_S * 0.9
+
+
+async def test_new_servers_that_begin_cold_are_not_taken_for_slow(
+    autojump_clock, nursery
+):
+    fleet = await rollout_fleet.started(nursery)
+    fleet.order(duration_s=DURATION_S)
+    await trio.sleep(0.3)
+    fleet.add_servers(NEW, 3, coldRemainingMs=2000)
+    fleet.back_ends.head_s_of[NEW] = 0.06
+    await trio.sleep(2)
+    fleet.back_ends.head_s_of[NEW] = 0.02
+    await trio.sleep(DURATION_S - 2.3)
+    assert fleet.status() == "completed"
+
+
+async def test_hosts_that_read_through_others_follow_a_roll_out(
+    autojump_clock, nursery
+):
+    """Guards against hosts that leave their reader for a read of the plans."""
+    fleet = await rollout_fleet.started(nursery, n_hosts=5, relays=True)
+    nursery.start_soon(run_order, fleet)
+    await trio.sleep(1.5)
+    while trio.current_time() < DURATION_S + 2:
+        await trio.sleep(0.1)
+        is_running = fleet.status() == "running"
+        assert not is_running or all(map(fleet.is_in_touch, fleet.hosts))
+    assert fleet.status() == "completed"
+    assert not any(h.shared_reads.avoided_until_ms for h in fleet.hosts.values())
+    assert not fleet.back_ends.n_sent(OLD, trio.current_time())
