--- a/teaselwall/rolloutcomparisons.py
+++ b/teaselwall/rolloutcomparisons.py
@@ -130,13 +130,15 @@
         """Return the set of target servers whose answers were told apart."""
         return {server for moment in self.moments for server in moment.servers}
 
-    def suspicion(self, without=()):
+    def suspicion(self, without=(), drops_event=True):
         """Return the strongest ``Suspicion`` over routes, kinds and windows.
 
         Parameters
         ----------
         without : collection of str
             Target servers whose answers are left out.
+        drops_event : bool
+            Whether the strongest event of each window is left out.
         """
         routes = self.routes()
         rows = [
@@ -150,7 +152,7 @@
             ]
             for route in routes
         }
-        strongest = _strongest("failing", tables, Suspicion())
+        strongest = _strongest("failing", tables, Suspicion(), drops_event)
         rows = [row for row in rows if row[0].latency_counts]
         thresholds = {
             route: _slow_buckets([m.old.get(route) for m, _ in rows[-N_FINE_MOMENTS:]])
@@ -165,7 +167,7 @@
                 for route, buckets in thresholds.items()
                 if buckets and buckets[i] is not None
             }
-            strongest = _strongest("slow", tables, strongest)
+            strongest = _strongest("slow", tables, strongest, drops_event)
         return strongest
 
 
@@ -205,7 +207,7 @@
     return buckets
 
 
-def _strongest(kind, tables, strongest):
+def _strongest(kind, tables, strongest, drops_event):
     """Return the strongest of a ``Suspicion`` and those that tables give.
 
     Parameters
@@ -215,6 +217,7 @@
         By route, for each moment its length in ms, the answers and bad answers of the
         target, and those of the old versions. Bad answers are those of the kind.
     strongest : Suspicion
+    drops_event : bool
     """
     tables = dict(tables)
     if len(tables) > 1:
@@ -229,7 +232,9 @@
             if n_moments is not None and len(table) <= n_moments:
                 continue
             window = table if n_moments is None else table[-n_moments:]
-            found = _suspicion(_filled(_without_strongest_event(window)))
+            if drops_event:
+                window = _without_strongest_event(window)
+            found = _suspicion(_filled(window))
             if found is not None and found.nats > strongest.nats:
                 found.route, found.kind = route, kind
                 strongest = found
--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -27,8 +27,9 @@
 # for this part of the duration not while target servers say that they are cold.
 WARM_UP_MS = 1_500.0
 MAX_COLD_PART = 0.5
-# Once the share falls, slow answers to the greater share still come for this multiple
-# of the old versions' slowest times.
+# Once the share falls below a part of itself, slow answers to the greater share still
+# come for this multiple of the old versions' slowest times.
+MAX_FALL = 0.7
 SLOW_TIMES = 2.0
 MIN_DRAINING_MS = 1_000.0
 MAX_DRAINING_MS = 5_000.0
@@ -250,7 +251,7 @@
             self.references = [moment.old for moment in fine]
         if state != RUNNING:
             share = 1.0 if state == COMPLETED else 0.0
-        if share < MIN_CHANGE * self.share:
+        if share < MAX_FALL * self.share:
             self._start_draining(now_ms)
         self.share = share
         self.n_servers = rolloutschedules.n_loaded_servers(
@@ -259,6 +260,8 @@
             situation.n_target_ready,
             self.suspects.n_least(),
         )
+        if state != RUNNING:
+            self.n_servers = 0
         self.step_taken = Step(
             state, share, self.n_servers, reason, self._described(situation)
         )
@@ -274,17 +277,19 @@
 
     def _add_moment(self, now_ms, evidence, situation):
         """Count what was answered since the last moment, and compare."""
-        length_ms = max(1.0, now_ms - self.last_moment_ms)
+        length_ms = now_ms - self.last_moment_ms
+        if self.step_taken is None:
+            length_ms = self.elapsed_ms
         self.last_moment_ms = now_ms
         moment = self.answers.moment(length_ms, evidence)
         self.demand.record(
             moment.n_answers(),
             moment.n_target_answers(),
-            self.elapsed_ms if self.step_taken is None else length_ms,
+            length_ms,
             situation.reporting_share,
         )
         if moment.n_target_answers() and self.first_answer_ms is None:
-            self.first_answer_ms = now_ms
+            self.first_answer_ms = now_ms - length_ms
         if self.loss_ms is not None and now_ms - self.loss_ms < LOSS_AFTER_MS:
             return
         if self.share > rolloutschedules.HALF_SHARE and self.references:
--- a/teaselwall/rolloutschedules.py
+++ b/teaselwall/rolloutschedules.py
@@ -2,13 +2,15 @@
 
 import math
 
-# Part of the bound on exposure that is planned for; the rest is for chance and lag.
+# Part of the bound on exposure that is planned for, at most, and the standard
+# deviations of a random count that are left besides: room for chance and lag.
 PLANNED_PART = 0.85
+N_DEVIATIONS = 2.5
 # Times before the deadline: all traffic goes to the target, at the latest; the
 # roll-out is completed, as a part of the duration and within bounds.
 MIN_FINAL_MS = 400.0
 MAX_FINAL_MS = 10_000.0
-FINAL_PART = 0.35
+FINAL_PART = 0.25
 COMPLETION_PART = 0.04
 MIN_COMPLETION_MS = 400.0
 # Parts of the planned requests that go into the phase at half of the traffic, and
@@ -25,6 +27,8 @@
 LOADED_PART = 0.8
 # Time from sending a request until its answer is counted by the leader, at most.
 LAG_MS = 1_000.0
+# Hosts tell the answers of so many servers apart.
+MAX_SERVERS_TOLD = 9
 RATE_WINDOW_MS = 3_000.0
 # Fewer hosts than this part of them say little of the others.
 MIN_REPORTED = 0.25
@@ -83,14 +87,20 @@
     duration_ms : float
     expose_share : float
     expose_slack : int
+
+    Attributes
+    ----------
+    trial_over : bool
+        Whether the load trial has been made.
     """
 
-    __slots__ = ("duration_ms", "expose_share", "expose_slack")
+    __slots__ = ("duration_ms", "expose_share", "expose_slack", "trial_over")
 
     def __init__(self, duration_ms, expose_share, expose_slack):
         self.duration_ms = duration_ms
         self.expose_share = expose_share
         self.expose_slack = expose_slack
+        self.trial_over = False
 
     def completion_ms(self):
         """Return the time before the deadline at which the roll-out is completed."""
@@ -101,7 +111,9 @@
         """Return how many requests the target may get until the deadline."""
         remaining_ms = max(0.0, self.duration_ms - elapsed_ms)
         n_expected = demand.n_answers + demand.rate * remaining_ms
-        return PLANNED_PART * (self.expose_share * n_expected + self.expose_slack)
+        n_allowed = self.expose_share * n_expected + self.expose_slack
+        n_chance = N_DEVIATIONS * math.sqrt(n_allowed)
+        return max(0.0, min(PLANNED_PART * n_allowed, n_allowed - n_chance))
 
     def phases(self, demand, elapsed_ms):
         """Return the lengths in ms of the phases at half and at all of the traffic."""
@@ -145,7 +157,8 @@
             n_due = (n_held - n_trial) * elapsed_ms / hold_end_ms
             if elapsed_ms < TRIAL_START * self.duration_ms:
                 n_left -= n_trial
-            elif n_spent < n_due + n_trial:
+            elif not self.trial_over:
+                self.trial_over = n_spent >= n_due + n_trial
                 return loaded_share
         return max(FLOOR_PART * even_share, min(MAX_HOLD_SHARE, n_left / n_even))
 
@@ -163,9 +176,10 @@
     Returns
     -------
     int
-        0 stands for all target servers.
+        0 stands for all target servers, where they are too many to tell apart.
     """
+    n_all = n_target if n_target <= MAX_SERVERS_TOLD else 0
     if share >= HALF_SHARE or not n_old:
-        return 0
+        return n_all
     n_servers = max(n_least, math.ceil(share / (1.0 - share) * n_old - 1e-9))
-    return n_servers if n_servers < n_target else 0
+    return n_servers if n_servers < n_target else n_all
--- a/teaselwall/rolloutsuspects.py
+++ b/teaselwall/rolloutsuspects.py
@@ -1,13 +1,15 @@
 """Tells a bad software version from a bad server of a good version."""
 
-# Nats that the target has to show without any one of its servers.
-CONFIRMING_NATS = 3.5
+# Nats that the target has to show without any one of its servers, and below which its
+# other servers are taken to be good.
+CONFIRMING_NATS = 4.5
+CLEARING_NATS = 2.5
 # Bad answers expected of the other servers of a bad version before the one server that
 # has them is taken to be at fault.
 N_EXPECTED_TO_CLEAR = 8.0
 # A suspicion of this many bad answers convicts the version if it isn't cleared in time.
-N_BAD_TO_HURRY = 20
-MAX_WAIT_MS = 2_500.0
+N_BAD_TO_HURRY = 10
+MAX_WAIT_MS = 1_500.0
 N_SERVERS_TO_COMPARE = 3
 
 
@@ -33,7 +35,8 @@
 
     def n_least(self):
         """Return how many target servers have to be in use."""
-        return 1 if self.since_ms is None else N_SERVERS_TO_COMPARE
+        is_alone = self.since_ms is None and not self.cleared
+        return 1 if is_alone else N_SERVERS_TO_COMPARE
 
     def convict(self, now_ms, comparison, suspicion, n_ready):
         """Return whether a suspicion is one of the version, not of one server.
@@ -50,7 +53,7 @@
         servers = comparison.servers() - self.cleared
         if not servers or n_ready < 2:
             return True
-        rests = {s: comparison.suspicion(self.cleared | {s}) for s in servers}
+        rests = {s: comparison.suspicion(self.cleared | {s}, False) for s in servers}
         worst = min(rests, key=lambda server: rests[server].nats)
         if rests[worst].nats >= CONFIRMING_NATS:
             return True
@@ -66,9 +69,9 @@
 
     def _is_alone(self, worst, latest):
         """Return whether a server went on being bad while the others were not."""
-        whole = latest.suspicion(self.cleared)
-        rest = latest.suspicion(self.cleared | {worst})
-        if whole.nats < CONFIRMING_NATS or rest.nats >= CONFIRMING_NATS / 2:
+        whole = latest.suspicion(self.cleared, False)
+        rest = latest.suspicion(self.cleared | {worst}, False)
+        if whole.nats < CONFIRMING_NATS or rest.nats >= CLEARING_NATS:
             return False
         n_worst = sum(
             side.n_answers
