--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -232,6 +232,8 @@
         )
         if is_same and not self._takes_over(plan):
             return None
+        if self.reports.is_cut_off() and not self._lowers(step, plan):
+            return None
         return self._following(
             plan,
             state=step.state,
@@ -242,6 +244,13 @@
             old=self._old_versions(order, plan.old),
         )
 
+    def _lowers(self, step, plan):
+        """Return whether a step is safe though this host may not be the only leader."""
+        if step.state == rolloutplans.ROLLED_BACK:
+            return True
+        is_mine = plan.leader == self.membership.me.address
+        return is_mine and step.share < plan.share
+
     def _takes_over(self, plan):
         """Return whether to tell all hosts that this one leads now.
 
--- a/teaselwall/rolloutreports.py
+++ b/teaselwall/rolloutreports.py
@@ -17,6 +17,8 @@
 FRESH_MS = 2000.0
 # Hosts that were known within this time count as hosts that should report.
 KNOWN_MS = 10_000.0
+# A host that hears fewer of them is taken for cut off from the others.
+MIN_HEARD_SHARE = 0.5
 MAX_REPORTERS = 4096
 MAX_POOLS = 256
 
@@ -167,6 +169,11 @@
             received.evidence for received in self.of_order(pool, order)
         )
 
+    def is_cut_off(self):
+        """Return whether this host hears less than half of the hosts of late."""
+        n_known = max((n for _, n in self.n_known), default=1)
+        return self.membership.n_hosts() < MIN_HEARD_SHARE * n_known
+
     def reporting_share(self, pool, order):
         """Return how many of the known hosts have reported lately, from 0 to 1."""
         n_known = max((n for _, n in self.n_known), default=1)
--- a/teaselwall/tests/test_rollouts.py
+++ b/teaselwall/tests/test_rollouts.py
@@ -1,3 +1,5 @@
+import itertools
+
 import pytest
 import trio
 
@@ -72,6 +74,27 @@
     assert fleet.status() == "completed"
 
 
+@pytest.mark.parametrize("is_bad", [False, True])
+async def test_a_leader_cut_off_from_the_hosts_is_replaced(
+    autojump_clock, nursery, is_bad
+):
+    """Guards against two leaders that undo each other's steps."""
+    fleet = await rollout_fleet.started(nursery, n_hosts=5)
+    fleet.back_ends.n_bad_of[NEW] = 2 if is_bad else 0
+    ordered_s = await run_order(fleet, until_s=2)
+    first = fleet.leader()
+    fleet.loses = lambda sender, receiver: first in (sender, receiver)
+    await trio.sleep(DURATION_S - 2)
+    leaders = [plan["leader"] for plan in fleet.plans()]
+    assert sum(a != b for a, b in itertools.pairwise(leaders)) <= 1
+    if is_bad:
+        assert fleet.status() == "rolled_back"
+        fleet.check_exposure(ordered_s, DURATION_S)
+    else:
+        assert fleet.leader() != first
+        assert fleet.status() == "completed"
+
+
 async def test_a_leader_that_can_not_write_has_another_one_roll_back(
     autojump_clock, nursery
 ):
