--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -25,6 +25,8 @@
 # A host that ranks after the leader takes over when it has not heard from it for this
 # long: a leader may be frozen, or not reach the store.
 SILENT_MS = 1500.0
+# The next ones in rank wait longer by this, so that they hear from the first of them.
+SUCCESSION_MS = 500.0
 # Smaller changes of the share are not worth a write.
 MIN_SHARE_CHANGE = 0.005
 # Versions of earlier orders that a plan names.
@@ -146,10 +148,12 @@
         hosts = rolloutreports.ranked(self.membership, pool)
         if self.membership.me not in hosts:
             return False
-        if hosts[0] is self.membership.me:
+        rank = hosts.index(self.membership.me)
+        if not rank:
             return True
         now_ms = self.clock.now_ms()
-        return now_ms - self.heard_ms.setdefault(pool, now_ms) > SILENT_MS
+        silent_ms = now_ms - self.heard_ms.setdefault(pool, now_ms)
+        return silent_ms > SILENT_MS + (rank - 1) * SUCCESSION_MS
 
     async def step(self, pool):
         """Decide on a roll-out's next step and write it if it changes anything."""
