--- a/teaselwall/rolloutcomparisons.py
+++ b/teaselwall/rolloutcomparisons.py
@@ -14,6 +14,8 @@
 QUANTILES = (0.5, 0.9, 0.99)
 SLOW_BUCKETS = rolloutevidence.BUCKETS_PER_DOUBLING
 N_TESTS = 1 + len(QUANTILES)
+# Multiple of the old versions' slowest times for which slow answers are waited for.
+SLOW_TIMES = 2.0
 # How many times the odds of a bad answer have to be those of the old versions.
 MIN_ODDS_RATIO = 1.5
 # Evidence within one stretch of this length may be one event, such as a crash.
@@ -108,14 +110,15 @@
             latest.moments.insert(0, moment)
         return latest
 
-    def old_quantile_ms(self, quantile):
-        """Return a quantile in ms of the old versions' newest times, 0 without any."""
+    def slow_ms(self):
+        """Return how long slow answers are waited for, by the old versions' times."""
         sides = [s for m in self.moments[-N_FINE_MOMENTS:] for s in m.old.values()]
         tails = [sum(column) for column in zip(*(s.tails for s in sides), strict=True)]
         if not tails or not tails[0]:
             return 0.0
-        i = sum(n > tails[0] * (1.0 - quantile) for n in tails) - 1
-        return rolloutevidence.BOUNDS_MS[min(i, len(rolloutevidence.BOUNDS_MS) - 1)]
+        i = sum(n > tails[0] * (1.0 - QUANTILES[-1]) for n in tails) - 1
+        bounds_ms = rolloutevidence.BOUNDS_MS
+        return SLOW_TIMES * bounds_ms[min(i, len(bounds_ms) - 1)]
 
     def routes(self):
         """Return the set of routes on which the target has answered."""
@@ -279,7 +282,7 @@
     excesses = [row[2] - row[1] * n_bad / n_all for row in rows]
     best = (0.0, 0, 0)
     for first, excess in enumerate(excesses):
-        if excess <= 0.0:
+        if excess <= 0.0 or math.isinf(rows[first][0]):
             continue
         length_ms, total = 0.0, 0.0
         for last in range(first, len(rows)):
--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -8,7 +8,7 @@
 
 from teaselwall import (
     rolloutcomparisons,
-    rolloutmoments,
+    rolloutobservers,
     rolloutschedules,
     rolloutsuspects,
 )
@@ -16,32 +16,18 @@
 RUNNING = "running"
 COMPLETED = "completed"
 ROLLED_BACK = "rolled_back"
-# Shortest stretch of time in which the versions are compared.
-MOMENT_MS = 200.0
 # Bound on the probability of convicting a version that equals the old ones; leaving
 # out the strongest event lowers it much further.
 FALSE_ALARM_PROBABILITY = 0.05
 # The same for refusing to complete a version at the end.
 DOUBT_PROBABILITY = 0.1
-# Times of answers count from this long after the first answer of the target on, and
-# for this part of the duration not while target servers say that they are cold.
-WARM_UP_MS = 1_500.0
-MAX_COLD_PART = 0.5
-# Once the share falls below a part of itself, slow answers to the greater share still
-# come for this multiple of the old versions' slowest times.
-MAX_FALL = 0.7
-SLOW_TIMES = 2.0
-MIN_DRAINING_MS = 1_000.0
-MAX_DRAINING_MS = 5_000.0
-# Evidence from before and after a target server went away doesn't count.
-LOSS_BEFORE_MS = 1_000.0
-LOSS_AFTER_MS = 750.0
-MAX_LOSSES = 2
 # Time without a server of another version after which there is taken to be none.
 NO_OLD_MS = 1_000.0
 # A share that differs by less than this factor from the planned one is kept.
 MIN_CHANGE = 0.8
 MIN_REPORTING_SHARE = 0.5
+# Time before the deadline at which a target that isn't known well enough is given up.
+GIVING_UP_MS = 350.0
 # Answers of the target without which a version isn't known at all.
 MIN_TARGET_ANSWERS = 3
 # Part of the old servers that the target needs in service to take all traffic.
@@ -176,21 +162,12 @@
         "share",
         "n_servers",
         "schedule",
-        "demand",
-        "comparison",
+        "observer",
         "suspicion",
         "suspects",
-        "draining_until_ms",
         "start_ms",
         "step_taken",
-        "last_moment_ms",
-        "answers",
-        "first_answer_ms",
-        "loss_ms",
-        "n_losses",
         "old_seen",
-        "n_ready",
-        "references",
     )
 
     def __init__(
@@ -205,21 +182,12 @@
         self.schedule = rolloutschedules.Schedule(
             duration_ms, limits.expose_share, limits.expose_slack
         )
-        self.demand = rolloutschedules.Demand()
-        self.comparison = rolloutcomparisons.Comparison()
+        self.observer = rolloutobservers.Observer(target, duration_ms)
         self.suspicion = rolloutcomparisons.Suspicion()
         self.suspects = rolloutsuspects.Suspects()
-        self.draining_until_ms = -math.inf
         self.start_ms = None
         self.step_taken = None
-        self.last_moment_ms = None
-        self.answers = rolloutmoments.Answers(target)
-        self.first_answer_ms = None
-        self.loss_ms = None
-        self.n_losses = 0
         self.old_seen = elapsed_ms > 0.0
-        self.n_ready = 0
-        self.references = []
 
     def step(self, now_ms, evidence, situation):
         """Decide anew.
@@ -240,19 +208,15 @@
             return self.step_taken
         if self.start_ms is None:
             self.start_ms = now_ms - self.elapsed_ms
-            self.last_moment_ms = now_ms
         self.elapsed_ms = now_ms - self.start_ms
-        self._record_losses(now_ms, situation)
-        if now_ms - self.last_moment_ms >= MOMENT_MS or self.step_taken is None:
-            self._add_moment(now_ms, evidence, situation)
+        self.old_seen = self.old_seen or situation.n_old_ready > 0
+        observer = self.observer
+        if observer.observe(self.elapsed_ms, evidence, situation, self.share):
+            self.suspicion = observer.comparison.suspicion(self.suspects.cleared)
         state, share, reason = self._decide(situation)
-        if share > rolloutschedules.HALF_SHARE >= self.share:
-            fine = self.comparison.moments[-rolloutcomparisons.N_FINE_MOMENTS :]
-            self.references = [moment.old for moment in fine]
         if state != RUNNING:
             share = 1.0 if state == COMPLETED else 0.0
-        if share < MAX_FALL * self.share:
-            self._start_draining(now_ms)
+        observer.change_share(self.elapsed_ms, self.share, share)
         self.share = share
         self.n_servers = rolloutschedules.n_loaded_servers(
             share,
@@ -267,56 +231,8 @@
         )
         return self.step_taken
 
-    def _record_losses(self, now_ms, situation):
-        if situation.n_target_ready < self.n_ready and self.n_losses < MAX_LOSSES:
-            self.n_losses += 1
-            self.loss_ms = now_ms
-            self.comparison.forget(LOSS_BEFORE_MS)
-        self.n_ready = situation.n_target_ready
-        self.old_seen = self.old_seen or situation.n_old_ready > 0
-
-    def _add_moment(self, now_ms, evidence, situation):
-        """Count what was answered since the last moment, and compare."""
-        length_ms = now_ms - self.last_moment_ms
-        if self.step_taken is None:
-            length_ms = self.elapsed_ms
-        self.last_moment_ms = now_ms
-        moment = self.answers.moment(length_ms, evidence)
-        self.demand.record(
-            moment.n_answers(),
-            moment.n_target_answers(),
-            length_ms,
-            situation.reporting_share,
-        )
-        if moment.n_target_answers() and self.first_answer_ms is None:
-            self.first_answer_ms = now_ms - length_ms
-        if self.loss_ms is not None and now_ms - self.loss_ms < LOSS_AFTER_MS:
-            return
-        if self.share > rolloutschedules.HALF_SHARE and self.references:
-            moment.old = self.references.pop()
-        moment.latency_counts = self._latency_counts(now_ms, situation)
-        self.comparison.add(moment)
-        self.suspicion = self.comparison.suspicion(self.suspects.cleared)
-
-    def _start_draining(self, now_ms):
-        """Leave out the times of answers until those to the greater share are in."""
-        slow_ms = SLOW_TIMES * self.comparison.old_quantile_ms(0.99)
-        self.draining_until_ms = now_ms + max(
-            MIN_DRAINING_MS, min(slow_ms, MAX_DRAINING_MS)
-        )
-
-    def _latency_counts(self, now_ms, situation):
-        if self.first_answer_ms is None:
-            return False
-        if now_ms - self.first_answer_ms < WARM_UP_MS:
-            return False
-        if now_ms < self.draining_until_ms:
-            return False
-        may_be_cold = self.elapsed_ms < MAX_COLD_PART * self.duration_ms
-        return not (situation.n_target_cold and may_be_cold)
-
     def _n_tests(self):
-        return (len(self.comparison.routes()) + 1) * rolloutcomparisons.N_TESTS
+        return (len(self.observer.comparison.routes()) + 1) * rolloutcomparisons.N_TESTS
 
     def _is_bad(self, situation):
         n_looks = max(1.0, self.duration_ms / LOOK_MS)
@@ -324,8 +240,8 @@
         if self.suspicion.nats < math.log(n_tests / FALSE_ALARM_PROBABILITY):
             return False
         return self.suspects.convict(
-            self.last_moment_ms,
-            self.comparison,
+            self.elapsed_ms,
+            self.observer.comparison,
             self.suspicion,
             situation.n_target_ready,
         )
@@ -349,8 +265,8 @@
             return RUNNING, self.share, "no other version has servers yet"
         remaining_ms = self.duration_ms - self.elapsed_ms
         obstacle = self._obstacle(situation)
-        if obstacle and remaining_ms <= 0.0:
-            return ROLLED_BACK, 0.0, f"deadline: {obstacle}"
+        if obstacle and remaining_ms <= GIVING_UP_MS:
+            return ROLLED_BACK, 0.0, f"the deadline is near and {obstacle}"
         if not situation.n_target_ready:
             return RUNNING, 0.0, obstacle
         if situation.reporting_share < MIN_REPORTING_SHARE:
@@ -368,13 +284,13 @@
             return "few hosts report their answers"
         if situation.n_target_ready < n_needed:
             return f"the target has {situation.n_target_ready} of {n_needed} servers"
-        if self.demand.n_target_answers < MIN_TARGET_ANSWERS:
+        if self.observer.demand.n_target_answers < MIN_TARGET_ANSWERS:
             return "the target has given no answers yet"
         return ""
 
     def _advance(self, remaining_ms, situation):
         """Return the state, share and reason if nothing but the time holds it up."""
-        half_ms, final_ms = self.schedule.phases(self.demand, self.elapsed_ms)
+        half_ms, final_ms = self.schedule.phases(self.observer.demand, self.elapsed_ms)
         is_doubtful = self._is_doubtful()
         due_ms = self.schedule.completion_ms()
         if situation.n_old_streams:
@@ -394,7 +310,7 @@
 
     def _hold_share(self, situation):
         share = self.schedule.hold_share(
-            self.demand, self.elapsed_ms, self.share, situation.n_old_ready
+            self.observer.demand, self.elapsed_ms, self.share, situation.n_old_ready
         )
         is_close = share * MIN_CHANGE <= self.share <= share / MIN_CHANGE
         return self.share if is_close else share
@@ -403,9 +319,9 @@
         """Return the inputs of the step for the log line and the view."""
         return {
             "elapsed_ms": round(self.elapsed_ms),
-            "n_answers": self.demand.n_answers,
-            "n_target_answers": self.demand.n_target_answers,
-            "rate_per_s": round(self.demand.rate * 1000.0, 1),
+            "n_answers": round(self.observer.demand.n_answers),
+            "n_target_answers": round(self.observer.demand.n_target_answers),
+            "rate_per_s": round(self.observer.demand.rate * 1000.0, 1),
             "n_target_ready": situation.n_target_ready,
             "n_old_ready": situation.n_old_ready,
             "n_old_streams": situation.n_old_streams,
--- a/teaselwall/rolloutmoments.py
+++ b/teaselwall/rolloutmoments.py
@@ -70,6 +70,7 @@
     Attributes
     ----------
     length_ms : float
+        Infinite for all the time before a new leader went on with the roll-out.
     target, old : dict of str to Side
         By route.
     servers : dict of str to dict of str to Side
--- a/teaselwall/rolloutschedules.py
+++ b/teaselwall/rolloutschedules.py
@@ -157,9 +157,10 @@
             n_due = (n_held - n_trial) * elapsed_ms / hold_end_ms
             if elapsed_ms < TRIAL_START * self.duration_ms:
                 n_left -= n_trial
-            elif not self.trial_over:
-                self.trial_over = n_spent >= n_due + n_trial
+            elif not self.trial_over and n_spent < n_due + n_trial:
                 return loaded_share
+            else:
+                self.trial_over = True
         return max(FLOOR_PART * even_share, min(MAX_HOLD_SHARE, n_left / n_even))
 
 
--- a/teaselwall/rolloutsuspects.py
+++ b/teaselwall/rolloutsuspects.py
@@ -9,8 +9,11 @@
 N_EXPECTED_TO_CLEAR = 8.0
 # A suspicion of this many bad answers convicts the version if it isn't cleared in time.
 N_BAD_TO_HURRY = 10
-MAX_WAIT_MS = 1_500.0
+MAX_WAIT_MS = 2_500.0
 N_SERVERS_TO_COMPARE = 3
+# Answers count for the comparison of servers once those to requests from before are in.
+MIN_SETTLING_MS = 750.0
+MAX_SETTLING_MS = 2_000.0
 
 
 class Suspects:
@@ -61,7 +64,9 @@
             self.since_ms = now_ms
         if suspicion.n_bad >= N_BAD_TO_HURRY and self.hurry_ms is None:
             self.hurry_ms = now_ms
-        if self._is_alone(worst, comparison.latest(now_ms - self.since_ms)):
+        settling_ms = min(comparison.slow_ms(), MAX_SETTLING_MS)
+        compared_ms = now_ms - self.since_ms - max(MIN_SETTLING_MS, settling_ms)
+        if self._is_alone(worst, comparison.latest(compared_ms)):
             self.cleared.add(worst)
             self.since_ms = self.hurry_ms = None
             return False
