--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -61,6 +61,8 @@
         Pools and kinds of work in progress.
     n_failed : int
         Plans in a row that could not be written.
+    nursery : trio.Nursery or None
+        Runs the work in progress; None before ``run``.
     """
 
     __slots__ = (
@@ -121,7 +123,7 @@
                 await self.clock.sleep_ms(STEP_INTERVAL_MS)
 
     def _start(self, kind, pool, work):
-        if (kind, pool) not in self.busy:
+        if self.nursery is not None and (kind, pool) not in self.busy:
             self.busy.add((kind, pool))
             self.nursery.start_soon(self._work, kind, pool, work)
 
