--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -33,7 +33,7 @@
 # Part of the old servers that the target needs in service to take all traffic.
 MIN_READY_PART = 0.5
 # Age of a plan, at least, by the time that a new leader goes on from it.
-MIN_PLAN_AGE_MS = 250.0
+MIN_PLAN_AGE_MS = 500.0
 # Windows that are as short as this are taken as independent looks at the evidence.
 LOOK_MS = 2_000.0
 
@@ -180,7 +180,7 @@
         self.share = share
         self.n_servers = n_servers
         self.schedule = rolloutschedules.Schedule(
-            duration_ms, limits.expose_share, limits.expose_slack
+            duration_ms, limits.expose_share, limits.expose_slack, elapsed_ms
         )
         self.observer = rolloutobservers.Observer(target, duration_ms)
         self.suspicion = rolloutcomparisons.Suspicion()
--- a/teaselwall/rolloutschedules.py
+++ b/teaselwall/rolloutschedules.py
@@ -18,6 +18,7 @@
 HALF_PART = 0.2
 TRIAL_PART = 0.5
 TRIAL_START = 0.3
+LATEST_TRIAL_START = 0.5
 MAX_HOLD_SHARE = 0.4
 # Part of the even share that is kept if more than planned has been spent.
 FLOOR_PART = 0.25
@@ -87,6 +88,8 @@
     duration_ms : float
     expose_share : float
     expose_slack : int
+    elapsed_ms : float
+        Time since the order at which a new leader goes on.
 
     Attributes
     ----------
@@ -96,11 +99,11 @@
 
     __slots__ = ("duration_ms", "expose_share", "expose_slack", "trial_over")
 
-    def __init__(self, duration_ms, expose_share, expose_slack):
+    def __init__(self, duration_ms, expose_share, expose_slack, elapsed_ms=0.0):
         self.duration_ms = duration_ms
         self.expose_share = expose_share
         self.expose_slack = expose_slack
-        self.trial_over = False
+        self.trial_over = elapsed_ms > LATEST_TRIAL_START * duration_ms
 
     def completion_ms(self):
         """Return the time before the deadline at which the roll-out is completed."""
--- a/teaselwall/tools/bench.py
+++ b/teaselwall/tools/bench.py
@@ -25,6 +25,7 @@
     "configuration",
     "failures",
     "stages",
+    "rollouts",
 )
 RESULT_FILE = pathlib.Path("build/bench.json")
 
