A decider takes the time since the order as told, and a lone target by its own looks

The carriage tells the time since the order up to now, also to a first leader, which is some hundred ms late: that is no sign of a plan taken over, so a target that is the only version was not completed before its deadline. The two tests of new leaders told a stale time and now tell the present one.

--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -32,8 +32,6 @@
 MIN_TARGET_ANSWERS = 3
 # Part of the old servers that the target needs in service to take all traffic.
 MIN_READY_PART = 0.5
-# Age of a plan, at least, by the time that a new leader goes on from it.
-MIN_PLAN_AGE_MS = 500.0
 # Windows that are as short as this are taken as independent looks at the evidence.
 LOOK_MS = 2_000.0
 
@@ -142,7 +140,7 @@
     duration_ms : float
     limits : Limits
     elapsed_ms : float
-        Time since the order, as the plan says from which this decider goes on.
+        Time since the order at the first step; a plan's own is older than that.
     share : float
     n_servers : int
 
@@ -168,6 +166,7 @@
         "start_ms",
         "step_taken",
         "old_seen",
+        "alone_since_ms",
     )
 
     def __init__(
@@ -176,7 +175,7 @@
         self.target = target
         self.duration_ms = duration_ms
         self.limits = limits
-        self.elapsed_ms = elapsed_ms + (MIN_PLAN_AGE_MS if elapsed_ms else 0.0)
+        self.elapsed_ms = elapsed_ms
         self.share = share
         self.n_servers = n_servers
         self.schedule = rolloutschedules.Schedule(
@@ -187,7 +186,8 @@
         self.suspects = rolloutsuspects.Suspects()
         self.start_ms = None
         self.step_taken = None
-        self.old_seen = elapsed_ms > 0.0
+        self.old_seen = share > 0.0
+        self.alone_since_ms = None
 
     def step(self, now_ms, evidence, situation):
         """Decide anew.
@@ -260,7 +260,9 @@
         if is_bad:
             return ROLLED_BACK, 0.0, f"the target is {self.suspicion.kind}"
         if not self.old_seen and situation.n_target_ready:
-            if self.elapsed_ms >= NO_OLD_MS:
+            if self.alone_since_ms is None:
+                self.alone_since_ms = self.elapsed_ms
+            if self.elapsed_ms - self.alone_since_ms >= NO_OLD_MS:
                 return COMPLETED, 1.0, "no other version has servers"
             return RUNNING, self.share, "no other version has servers yet"
         remaining_ms = self.duration_ms - self.elapsed_ms
--- a/teaselwall/tools/rollout_histories.py
+++ b/teaselwall/tools/rollout_histories.py
@@ -203,7 +203,7 @@
                 "v2",
                 case.duration_ms,
                 LIMITS,
-                self.decider.elapsed_ms,
+                float(now_ms),
                 self.decider.share,
                 self.decider.n_servers,
             )
