--- a/teaselwall/rolloutevidence.py
+++ b/teaselwall/rolloutevidence.py
@@ -1,6 +1,7 @@
 """Counts of the answers that each software version of a pool gave, route by route."""
 
 import bisect
+import operator
 
 # Three buckets for each doubling of the time, from 1 ms to about 66 s.
 BUCKETS_PER_DOUBLING = 3
@@ -42,8 +43,8 @@
         """Add the counts of ``row``, whose latencies may lack their last zeros."""
         self.n_answers += row.n_answers
         self.n_bad += row.n_bad
-        for i, n in enumerate(row.latencies[:N_LATENCY_BUCKETS]):
-            self.latencies[i] += n
+        told = row.latencies[:N_LATENCY_BUCKETS]
+        self.latencies[: len(told)] = map(operator.add, self.latencies, told)
 
 
 class Row:
