--- a/teaselwall/tests/test_rolloutparts.py
+++ b/teaselwall/tests/test_rolloutparts.py
@@ -7,9 +7,14 @@
 import trio
 
 from teaselwall import (
+    errors,
     httpcalls,
     keyedtopics,
+    progress,
+    protocols,
+    requestattempts,
     rollout_commands,
+    rolloutanswers,
     rolloutgates,
     rolloutorders,
     rolloutviews,
@@ -254,3 +259,54 @@
     assert topics[n_before:].count(rollout_fleet.PLANS) >= 3
     assert not host.shared_reads.avoided_until_ms
     assert host.rollout_parts.rollouts.is_in_touch()
+
+
+class Answers:
+    """Takes the answers that are counted."""
+
+    def __init__(self):
+        self.counted = []
+
+    def record(self, server, route, is_bad, latency_ms):
+        self.counted.append((is_bad, latency_ms))
+
+
+def bad_answer(status):
+    reply = protocols.ReplyHead(status, True, False, False, None, ())
+    return requestattempts.BadAnswer(reply, b"", "", errors.Outcome.RAN)
+
+
+UNKNOWN = errors.Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("error", "waited_s", "counted"),
+    [
+        (None, 0.05, [(False, 50.0)]),
+        (bad_answer(500), 0.05, [(True, 50.0)]),
+        (bad_answer(404), 0.05, [(False, 50.0)]),
+        (errors.ConnectionBroken("reset", outcome=UNKNOWN), 0.05, [(True, 50.0)]),
+        (errors.ServerFailed("full", outcome=errors.Outcome.NOT_RUN), 0.05, []),
+        (errors.DeadlineExceeded("late", outcome=UNKNOWN), 0.05, []),
+        (errors.DeadlineExceeded("late", outcome=UNKNOWN), 1.0, [(True, 1000.0)]),
+    ],
+)
+async def test_answers_that_show_nothing_of_the_software_are_not_counted(
+    autojump_clock, error, waited_s, counted
+):
+    """Guards against a version found bad for refusals or callers in a hurry."""
+    host = platform_entry.make_entry_host(platform_entry.BackEnds(), None)
+    routes = host.operator_state.table.by_host["a.example"]
+    (route,) = [r for r in routes if r.name == "safe"]
+
+    class Call:
+        pass
+
+    Call.route = route
+    received = progress.AttemptProgress(host.clock)
+    await trio.sleep(waited_s)
+    if error is None or isinstance(error, requestattempts.BadAnswer):
+        received.record_head()
+    answers = Answers()
+    rolloutanswers.record_attempt(answers, Call, None, error, received)
+    assert [(bad, round(ms, 3)) for bad, ms in answers.counted] == counted
--- a/teaselwall/tools/soak_rollouts.py
+++ b/teaselwall/tools/soak_rollouts.py
@@ -23,6 +23,7 @@
 DELIVERY_S = 0.5
 # A host counts if nothing disturbed it for this long.
 CALM_S = 3.0
+PLANS_TOPIC = "keyed.teaselwall.rollouts"
 FINAL = ("completed", "rolled_back")
 POOLS = ("plain", "engine")
 
@@ -39,6 +40,8 @@
         On the monotonic clock; ``ended_s`` is when operators read of the end.
     state : str
         The last that operators have read.
+    reason : str
+        Why it ended, by the hosts' plan.
     """
 
     def __init__(self, pool, target, old, is_bad):
@@ -50,6 +53,7 @@
         self.ordered_s = float("inf")
         self.ended_s = float("inf")
         self.state = ""
+        self.reason = ""
 
 
 class RollOuts:
@@ -129,6 +133,10 @@
                 if status.get("target") == played.target:
                     played.state = status["state"]
             played.ended_s = time.monotonic()
+            value = await self.fleet.retry_until_done(
+                lambda: self.fleet.read_newest(PLANS_TOPIC, played.pool)
+            )
+            played.reason = json.loads(value or "{}").get("reason", "")
 
     async def _end(self, servers, played):
         """End servers: the old ones at once, the new ones after a while."""
@@ -213,6 +221,6 @@
     """Return how the roll-outs ended, for the line about the soak."""
     return "".join(
         f", {'bad' if order.is_bad else 'good'} version of {order.pool} "
-        f"{order.state or 'without status'}"
+        f"{order.state or 'without status'} ({order.reason})"
         for order in played
     )
