Roll-outs: write at once again where the leader of another pool was first

It reads and decides again at once now, up to four times; so do the statuses. The successor of the leader gets all reports, too.

--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -29,6 +29,9 @@
 SUCCESSION_MS = 500.0
 # Smaller changes of the share are not worth a write.
 MIN_SHARE_CHANGE = 0.005
+# Writes of one step where others come first, and the wait for a read between two.
+MAX_WRITES = 4
+READ_WAIT_MS = 100.0
 # Versions of earlier orders that a plan names.
 MAX_REFUSED = 16
 
@@ -159,9 +162,15 @@
 
     async def step(self, pool):
         """Decide on a roll-out's next step and write it if it changes anything."""
-        plan = self._next_plan(pool)
-        if plan is not None:
-            await self._write(plan, self.deciders.evidence(pool))
+        for _ in range(MAX_WRITES):
+            plan = self._next_plan(pool)
+            if plan is None:
+                break
+            if not await self._is_outrun(plan, self.deciders.evidence(pool)):
+                break
+            # The leader of another pool may have written just then.
+            with self.clock.timeout_ms(READ_WAIT_MS):
+                await self.rollouts.plans_follower.read_done.wait()
         if self.rollouts.is_in_touch():
             hosts = rolloutreports.ranked(self.membership, pool)
             me = self.membership.me
@@ -267,9 +276,11 @@
         age_ms = self.clock.now_ms() - self.rollouts.plans.learnt_ms[plan.pool]
         return age_ms > SILENT_MS and self.rollouts.is_in_touch()
 
-    async def _write(self, plan, evidence, proposes=True):
+    async def _is_outrun(self, plan, evidence, proposes=True):
         """Write a plan if no other one was written since the topic was read.
 
+        Returns whether another one was.
+
         Parameters
         ----------
         plan : messages.RolloutPlan
@@ -280,7 +291,7 @@
         """
         follower = self.rollouts.plans_follower
         if follower.offset is None:
-            return
+            return False
         era, end = follower.era, follower.offset
         if self.end is not None and self.end[0] == era:
             end = max(end, self.end[1])
@@ -290,7 +301,7 @@
             self.n_failed = 0
             self.end = era, result.ok
             await self._record_written(plan, evidence)
-            return
+            return False
         is_outrun = isinstance(result.error, keyedtopics.ChangedMeanwhile)
         self.n_failed += not is_outrun
         self.metrics.count("rollout_writes_failed", pool=plan.pool)
@@ -310,6 +321,7 @@
         if not is_outrun and proposes:
             self.rollouts.hold(plan)
             await self._tell(plan, rollouts_unwritten=[plan])
+        return is_outrun
 
     async def _record_written(self, plan, evidence):
         self.deciders.record_written(plan)
@@ -363,4 +375,6 @@
             return
         hosts = rolloutreports.ranked(self.membership, plan.pool)
         if self.membership.me in hosts and self.rollouts.is_in_touch():
-            self._start("unwritten", plan.pool, lambda _: self._write(plan, {}, False))
+            self._start(
+                "unwritten", plan.pool, lambda _: self._is_outrun(plan, {}, False)
+            )
--- a/teaselwall/rolloutreports.py
+++ b/teaselwall/rolloutreports.py
@@ -13,6 +13,9 @@
 # Reports that the leader gets in a second, of all hosts, while the interval allows it.
 MAX_REPORTS_PER_S = 160.0
 MAX_REPORT_INTERVAL_MS = 1000.0
+# Hosts that are sent each report: the preferred leader and its successor, which goes on
+# at once where the leader ends.
+N_INFORMED = 2
 # Older reports don't show that their host still serves.
 FRESH_MS = 2000.0
 # Hosts that were known within this time count as hosts that should report.
@@ -111,7 +114,8 @@
 
     def _leaders(self, pool):
         """Return the addresses of the hosts that may lead a pool's roll-out."""
-        leaders = {m.address for m in ranked(self.membership, pool)[:1]}
+        hosts = ranked(self.membership, pool)
+        leaders = {member.address for member in hosts[:N_INFORMED]}
         plan = self.rollouts.plans.newest.get(pool)
         if rolloutgates.applies(plan, self.rollouts.orders.by_pool[pool]):
             leaders.add(plan.leader)
--- a/teaselwall/rolloutstatuses.py
+++ b/teaselwall/rolloutstatuses.py
@@ -11,6 +11,8 @@
 RECHECK_MS = 5000.0
 # How often a final status is read again.
 N_FINAL_CHECKS = 2
+# Writes of one status where those of other pools come first.
+MAX_WRITES = 4
 
 
 class RolloutStatuses:
@@ -56,27 +58,33 @@
 
     async def write(self, pool):
         """Write a pool's status unless the store has it."""
+        for _ in range(MAX_WRITES):
+            if not await self._is_outrun(pool):
+                return
+
+    async def _is_outrun(self, pool):
+        """Write a pool's status; return whether another one was written just then."""
         plan = self.rollouts.plans.newest.get(pool)
         if plan is None or not self._is_due(plan):
-            return
+            return False
         result = await self.store.newest(self.topic)
         if result.is_error():
             self._record_failure(plan, result.error)
-            return
+            return False
         page = result.ok
         key, value = self.encode(plan)
         if any(r.key == key and r.value == value for r in page.records):
             self._record_checked(plan)
-            return
+            return False
         if plan.state == rolloutplans.RUNNING and not await self._is_running(plan):
-            return
+            return False
         # Another host's plan may have been read meanwhile.
         if not _is_same(self.rollouts.plans.newest[pool], plan):
-            return
+            return False
         result = await self.store.put(self.topic, key, value, page.next_offset)
         if result.is_error():
             self._record_failure(plan, result.error)
-            return
+            return isinstance(result.error, keyedtopics.ChangedMeanwhile)
         self._record_checked(plan)
         events.log(
             logger,
@@ -88,6 +96,7 @@
             step=plan.step,
             plans_age_ms=round(self.rollouts.plans_follower.age_ms()),
         )
+        return False
 
     def _key(self, plan):
         return plan.order, plan.state, self.rollouts.plans_follower.era
--- a/teaselwall/tests/test_rollouts.py
+++ b/teaselwall/tests/test_rollouts.py
@@ -134,7 +134,7 @@
     # Its delayed write arrives, and it wakes without having read anything.
     fleet.stores[frozen].is_cut = False
     leaders.nursery = nursery
-    await leaders._write(plan, {})
+    assert await leaders._is_outrun(plan, {})
     await leaders.statuses.write("core")
     assert len(fleet.plans()) == n_plans
     assert len(fleet.store.puts) == n_puts
