--- a/teaselwall/rolloutcomparisons.py
+++ b/teaselwall/rolloutcomparisons.py
@@ -112,13 +112,13 @@
 
     def slow_ms(self):
         """Return how long slow answers are waited for, by the old versions' times."""
-        sides = [s for m in self.moments[-N_FINE_MOMENTS:] for s in m.old.values()]
-        tails = [sum(column) for column in zip(*(s.tails for s in sides), strict=True)]
-        if not tails or not tails[0]:
-            return 0.0
-        i = sum(n > tails[0] * (1.0 - QUANTILES[-1]) for n in tails) - 1
-        bounds_ms = rolloutevidence.BOUNDS_MS
-        return SLOW_TIMES * bounds_ms[min(i, len(bounds_ms) - 1)]
+        fine = self.moments[-N_FINE_MOMENTS:]
+        return SLOW_TIMES * _slowest_ms([s for m in fine for s in m.old.values()])
+
+    def target_slow_ms(self):
+        """Return the time of the target's slowest answers lately."""
+        fine = self.moments[-N_FINE_MOMENTS:]
+        return _slowest_ms([s for m in fine for s in m.target.values()])
 
     def routes(self):
         """Return the set of routes on which the target has answered."""
@@ -174,6 +174,15 @@
         return strongest
 
 
+def _slowest_ms(sides):
+    tails = [sum(column) for column in zip(*(s.tails for s in sides), strict=True)]
+    if not tails or not tails[0]:
+        return 0.0
+    i = sum(n > tails[0] * (1.0 - QUANTILES[-1]) for n in tails) - 1
+    bounds_ms = rolloutevidence.BOUNDS_MS
+    return bounds_ms[min(i, len(bounds_ms) - 1)]
+
+
 def _n_bad(side):
     return side.n_bad
 
--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -237,12 +237,18 @@
     def _is_bad(self, situation):
         n_looks = max(1.0, self.duration_ms / LOOK_MS)
         n_tests = n_looks * self._n_tests()
-        if self.suspicion.nats < math.log(n_tests / FALSE_ALARM_PROBABILITY):
+        suspicion, comparison = self.suspicion, self.observer.comparison
+        threshold = math.log(n_tests / FALSE_ALARM_PROBABILITY)
+        if suspicion.nats < threshold and self._is_doubtful():
+            suspicion = comparison.suspicion(self.suspects.cleared, False)
+            if suspicion.n_bad < rolloutsuspects.N_BAD_TO_SUSPECT:
+                return False
+        if suspicion.nats < threshold:
             return False
         return self.suspects.convict(
             self.elapsed_ms,
-            self.observer.comparison,
-            self.suspicion,
+            comparison,
+            suspicion,
             situation.n_target_ready,
         )
 
--- a/teaselwall/rolloutsuspects.py
+++ b/teaselwall/rolloutsuspects.py
@@ -7,13 +7,15 @@
 # Bad answers expected of the other servers of a bad version before the one server that
 # has them is taken to be at fault.
 N_EXPECTED_TO_CLEAR = 8.0
+# Bad answers, the strongest event among them, after which a doubt is as a suspicion.
+N_BAD_TO_SUSPECT = 25
 # A suspicion of this many bad answers convicts the version if it isn't cleared in time.
 N_BAD_TO_HURRY = 10
 MAX_WAIT_MS = 2_500.0
 N_SERVERS_TO_COMPARE = 3
-# Answers count for the comparison of servers once those to requests from before are in.
-MIN_SETTLING_MS = 750.0
-MAX_SETTLING_MS = 2_000.0
+# Answers are reported by this time. They count for the comparison of servers once those
+# to requests from before are in.
+REPORTED_MS = 750.0
 
 
 class Suspects:
@@ -62,10 +64,12 @@
             return True
         if self.since_ms is None:
             self.since_ms = now_ms
-        if suspicion.n_bad >= N_BAD_TO_HURRY and self.hurry_ms is None:
-            self.hurry_ms = now_ms
-        settling_ms = min(comparison.slow_ms(), MAX_SETTLING_MS)
-        compared_ms = now_ms - self.since_ms - max(MIN_SETTLING_MS, settling_ms)
+        if self.hurry_ms is None:
+            whole = comparison.suspicion(self.cleared, False)
+            if max(suspicion.n_bad, whole.n_bad) >= N_BAD_TO_HURRY:
+                self.hurry_ms = now_ms
+        settling_ms = REPORTED_MS + comparison.target_slow_ms()
+        compared_ms = now_ms - self.since_ms - settling_ms
         if self._is_alone(worst, comparison.latest(compared_ms)):
             self.cleared.add(worst)
             self.since_ms = self.hurry_ms = None
