--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -260,11 +260,10 @@
         )
 
     def _lowers(self, step, plan):
-        """Return whether a step is safe though this host may not be the only leader."""
-        if step.state == rolloutplans.ROLLED_BACK:
-            return True
+        """Return whether a step is safe though others may have another leader soon."""
         is_mine = plan.leader == self.membership.me.address
-        return is_mine and step.share < plan.share
+        is_final = step.state == rolloutplans.COMPLETED
+        return is_mine and not is_final and step.share < plan.share
 
     def _takes_over(self, plan):
         """Return whether to tell all hosts that this one leads now.
--- a/teaselwall/tests/test_rollouts.py
+++ b/teaselwall/tests/test_rollouts.py
@@ -86,7 +86,7 @@
     fleet.loses = lambda sender, receiver: first in (sender, receiver)
     await trio.sleep(DURATION_S - 2)
     later = itertools.dropwhile(lambda plan: plan["leader"] == first, fleet.plans())
-    assert all(p["leader"] != first or p["state"] == "rolled_back" for p in later)
+    assert all(plan["leader"] != first for plan in later)
     if is_bad:
         assert fleet.status() == "rolled_back"
         fleet.check_exposure(ordered_s, DURATION_S)
