--- a/teaselwall/rolloutobservers.py
+++ b/teaselwall/rolloutobservers.py
@@ -8,7 +8,7 @@
 MOMENT_MS = 200.0
 # Times of answers count from this long after the first answer of the target on, and
 # for this part of the duration not while target servers say that they are cold.
-WARM_UP_MS = 1_500.0
+WARM_UP_MS = 750.0
 MAX_COLD_PART = 0.5
 # Once the share falls below this part of itself, slow answers to the greater share
 # still come for some time.
@@ -112,11 +112,17 @@
     def _latency_counts(self, elapsed_ms, situation):
         if self.first_answer_ms is None:
             return False
-        is_warming_up = elapsed_ms - self.first_answer_ms < WARM_UP_MS
-        if is_warming_up or elapsed_ms < self.draining_until_ms:
-            return False
         may_be_cold = elapsed_ms < MAX_COLD_PART * self.duration_ms
-        return not (situation.n_target_cold and may_be_cold)
+        is_warming_up = elapsed_ms - self.first_answer_ms < WARM_UP_MS
+        if is_warming_up or (situation.n_target_cold and may_be_cold):
+            self._drain(elapsed_ms)
+        return elapsed_ms >= self.draining_until_ms
+
+    def _drain(self, elapsed_ms):
+        """Leave out times until slow answers to requests sent up to now are in."""
+        slow_ms = min(self.comparison.slow_ms(), MAX_DRAINING_MS)
+        until_ms = elapsed_ms + max(MIN_DRAINING_MS, slow_ms)
+        self.draining_until_ms = max(self.draining_until_ms, until_ms)
 
     def change_share(self, elapsed_ms, share, new_share):
         """Prepare for another share.
@@ -129,5 +135,4 @@
             fine = self.comparison.moments[-rolloutcomparisons.N_FINE_MOMENTS :]
             self.references = [moment.old for moment in fine]
         if new_share < MAX_FALL * share:
-            slow_ms = min(self.comparison.slow_ms(), MAX_DRAINING_MS)
-            self.draining_until_ms = elapsed_ms + max(MIN_DRAINING_MS, slow_ms)
+            self._drain(elapsed_ms)
