--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -171,7 +171,7 @@
             self.limits, self.serving(pool), self.clock.now_ms()
         )
 
-    def choices(self, pool, prefix=None, software=None, urgency=None):
+    def choices(self, pool, prefix=None, accepts=None, urgency=None):
         """Return servers of a pool that may get new work.
 
         Only ``rings.WINDOW_SIZE`` servers of this host's subset are examined if
@@ -183,8 +183,8 @@
         prefix : int, optional
             Hash of a prompt's prefix. Equal prefixes get the same window of
             servers.
-        software : str, optional
-            Only servers of this software version are returned.
+        accepts : callable, optional
+            Only servers for which ``accepts(server)`` is true are returned.
         urgency : int, optional
             Leaves out servers whose limit allows no work of this urgency now; see
             ``requestlimits.Limits``.
@@ -199,25 +199,21 @@
         if ring is None:
             return []
         window = self._current_window(ring, prefix)
-        found = self._available(window, software, urgency)
+        found = self._available(window, accepts, urgency)
         if not found:
             self._review(ring)
-            found = self._available(ring.servers, software, urgency)
+            found = self._available(ring.servers, accepts, urgency)
         return found
 
-    def _available(self, candidates, software, urgency):
+    def _available(self, candidates, accepts, urgency):
         return [
             server
             for server in candidates
-            if (software is None or server.software == software)
+            if (accepts is None or accepts(server))
             and self.is_available(server)
             and (urgency is None or self.limits.allows(server, urgency))
         ]
 
-    def has_software(self, pool, software):
-        """Return whether a server of a pool with a software version is in service."""
-        return any(server.software == software for server in self.serving(pool))
-
     def serving(self, pool):
         """Return the servers of a pool that are in service, ejected or not."""
         return [s for s in self.by_pool.get(pool, {}).values() if self.in_service(s)]
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -1,5 +1,6 @@
 """Chooses the back end server that a request is sent to."""
 
+import functools
 import math
 
 from teaselwall import calls, enginechoices, requestlimits
@@ -21,9 +22,22 @@
         Region of each data centre.
     n_hosts : callable
         Returns the number of entry hosts.
+
+    Attributes
+    ----------
+    rollouts : rollouts.Rollouts or None
+        Shares the requests of pools in roll-out among the versions of their servers.
     """
 
-    __slots__ = ("fleet", "picker", "engines", "cold_starts", "region_of", "n_hosts")
+    __slots__ = (
+        "fleet",
+        "picker",
+        "engines",
+        "cold_starts",
+        "region_of",
+        "n_hosts",
+        "rollouts",
+    )
 
     def __init__(self, fleet, picker, engines, cold_starts, region_of, n_hosts):
         self.fleet = fleet
@@ -32,14 +46,30 @@
         self.cold_starts = cold_starts
         self.region_of = region_of
         self.n_hosts = n_hosts
+        self.rollouts = None
 
     def choices(self, call):
         """Return the servers that may get a request now."""
+        for accepts in self._sides(call):
+            found = self._choices(call, accepts)
+            if found:
+                return found
+        return []
+
+    def _sides(self, call):
+        """Return which servers may get a request, as ``rollouts.Rollouts.sides``."""
+        if call.software is not None:
+            return (functools.partial(_has_software, call.software),)
+        if self.rollouts is None:
+            return (None,)
+        return self.rollouts.sides(call.pool.name, call.head.id, call.n_sent > 0)
+
+    def _choices(self, call, accepts):
         subset_token = None
         if call.pool.engine:
             subset_token = enginechoices.subset_token_of(call.head.prompt_parts)
         servers = self.fleet.choices(
-            call.pool.name, subset_token, call.software, urgency_of(call)
+            call.pool.name, subset_token, accepts, urgency_of(call)
         )
         regions = call.regions()
         if regions:
@@ -87,7 +117,10 @@
         urgency = urgency_of(call)
         while (server := self.choose(call, inputs)) is not None:
             is_allowed = await self.fleet.limits.obtain(server, urgency, n_waiting)
-            if is_allowed and self.fleet.is_available(server):
+            if not is_allowed or not self.fleet.is_available(server):
+                continue
+            sides = self._sides(call)
+            if any(accepts is None or accepts(server) for accepts in sides):
                 return server
         return None
 
@@ -113,6 +146,10 @@
         return max(1, pool.max_connections // max(1, self.n_hosts()))
 
 
+def _has_software(software, server):
+    return server.software == software
+
+
 def urgency_of(call):
     """Return how urgent a request is, the most urgent lowest.
 
