Read how slow a server's machine is now, apart from its usual speed

The reply header with a server's load was dropped where it has a fourth figure, so that no load report reached the host from servers that state it, and each counted as having 8 places. Three figures and four are read now; more than four are ignored beyond the fourth; a fourth that is empty, zero, negative, huge or no number leaves the three counts. The load in a 421 is another server's and is no longer taken for this one's.

Times of calls are divided by it before they enter the usual speed, so that a machine slowed for half a second is not ejected and one that is slow without saying so still is. Stage servers likewise. Servers without the figure are served as before.

--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -81,7 +81,7 @@
             genuine=same_request and has_stamp,
             not_run=not_run and (same_request or names.REQUEST_ID not in by_name),
             inputs_gone=status == INPUTS_GONE_STATUS,
-            load=_server_load(_header_text(by_name, names.SERVER_LOAD)),
+            load=names.load(status, by_name),
             headers=_forwarded_headers(headers, ()),
             notice=names.notice(status, by_name),
         )
@@ -157,7 +157,7 @@
     parts = []
     for entry in filter(None, text.split(",")):
         part, _, tokens = entry.strip().partition(":")
-        if not _is_count(tokens):
+        if not names.is_count(tokens):
             return ()
         parts.append(protocols.PromptPart(part, int(tokens)))
     return tuple(parts)
@@ -165,22 +165,9 @@
 
 def _piece_counts(text):
     counts = [entry.strip() for entry in filter(None, text.split(","))]
-    if not all(map(_is_count, counts)):
+    if not all(map(names.is_count, counts)):
         raise errors.InvalidRequest("pieces must be a list of non-negative integers.")
     numbers = tuple(int(count) for count in counts)
     if sum(numbers) > MAX_PIECES:
         raise errors.InvalidRequest(f"A request has at most {MAX_PIECES} pieces.")
     return numbers
-
-
-def _server_load(text):
-    """Decode the numbers of requests that run, that wait, and that can run at once."""
-    numbers = [entry.strip() for entry in text.split(",")]
-    if len(numbers) != 3 or not all(map(_is_count, numbers)):
-        return None
-    return tuple(int(number) for number in numbers)
-
-
-def _is_count(text):
-    """Return whether a text is a whole number of a size that can be computed with."""
-    return text.isdecimal() and len(text) <= names.MAX_COUNT_DIGITS
--- a/teaselwall/platform/names.py
+++ b/teaselwall/platform/names.py
@@ -32,6 +32,11 @@
 MS_PER_S = 1000.0
 MAX_COUNT_DIGITS = 9
 MAX_REJECTED = 1_000_000
+# Of a machine that works as usual. One that states more than a hundred times that is
+# not believed.
+USUAL_SLOWNESS = 100.0
+MAX_SLOWNESS = 100 * USUAL_SLOWNESS
+N_COUNTS_OF_LOAD = 3
 
 # Headers that apply to one connection only.
 HOP_BY_HOP = frozenset(
@@ -112,6 +117,50 @@
     return protocols.Notice(leaving, rest_ms, limit_per_s, max_rejected)
 
 
+def load(status, headers):
+    """Return the load that a server states in a reply, as ``protocols.Load``.
+
+    Parameters
+    ----------
+    status : int
+    headers : dict of bytes to bytes
+        By name in lower case.
+
+    Returns
+    -------
+    protocols.Load or None
+        None without the header, if one of its counts can't be read, and if another
+        server answers at the address. Further figures than the known ones are ignored.
+    """
+    text = headers.get(SERVER_LOAD)
+    if text is None or status == MISDIRECTED_STATUS:
+        return None
+    figures = [figure.strip() for figure in text.decode("latin-1").split(",")]
+    counts = figures[:N_COUNTS_OF_LOAD]
+    if len(counts) < N_COUNTS_OF_LOAD or not all(map(is_count, counts)):
+        return None
+    slowness = None
+    if len(figures) > N_COUNTS_OF_LOAD:
+        slowness = _slowness(figures[N_COUNTS_OF_LOAD])
+    return protocols.Load(*map(int, counts), slowness)
+
+
+def is_count(text):
+    """Return whether a text is a whole number of a size that can be computed with."""
+    return text.isdecimal() and len(text) <= MAX_COUNT_DIGITS
+
+
+def _slowness(text):
+    """Return a stated slowness, None if it is not a number in the possible range."""
+    try:
+        slowness = float(text)
+    except ValueError:
+        return None
+    if "_" in text or not 0 < slowness <= MAX_SLOWNESS:
+        return None
+    return slowness / USUAL_SLOWNESS
+
+
 def _max_rejected(text):
     """Return how many requests a brittle server may reject in a second.
 
--- a/teaselwall/platform/stagecalls.py
+++ b/teaselwall/platform/stagecalls.py
@@ -68,6 +68,7 @@
     def _pass_notice_on(self, server, result, sent_ms):
         if result.is_ok():
             reply = result.ok
+            server.record_load(names.load(reply.status, reply.headers))
             notice = names.notice(reply.status, reply.headers)
             self.on_notice(server, notice, sent_ms)
 
--- a/teaselwall/protocols.py
+++ b/teaselwall/protocols.py
@@ -159,6 +159,29 @@
 NO_NOTICE = Notice()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Load:
+    """Load of a server, as it states it in a reply.
+
+    Attributes
+    ----------
+    n_running : int
+        Requests that run.
+    n_waiting : int
+        Requests that wait for one of these to end.
+    n_places : int
+        Requests that can run at once.
+    slowness : float or None
+        How long work takes on its machine at this moment, 1 for as usual; None if it
+        does not say so or it can't be read.
+    """
+
+    n_running: int
+    n_waiting: int
+    n_places: int
+    slowness: float | None = None
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReplyHead:
     """Head of a back end's reply.
@@ -171,8 +194,7 @@
         Whether the server says that it did not run the request.
     inputs_gone : bool
         Whether the server reports that stage results no longer exist.
-    load : tuple of int or None
-        Requests running, requests waiting, and requests that can run at once.
+    load : Load or None
     headers : tuple of (bytes, bytes)
         Headers to pass on to the caller.
     notice : Notice
@@ -182,7 +204,7 @@
     genuine: bool
     not_run: bool
     inputs_gone: bool
-    load: tuple | None
+    load: Load | None
     headers: tuple
     notice: Notice = NO_NOTICE
 
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -12,7 +12,6 @@
     requestattempts,
     traces,
 )
-from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
@@ -169,7 +168,7 @@
 
     def on_reply(self, head):
         """Record the server's load and what it says about itself."""
-        _record_load(self.server, head)
+        self.server.record_load(head.load)
         if head.genuine or head.not_run:
             self.attempts.server_choices.fleet.record_notice(
                 self.server, head.notice, self.received.started_ms
@@ -193,17 +192,3 @@
     ):
         # A refusal or an error reply shows that the server is reachable.
         server.n_failures = max(0, server.n_failures - 1)
-
-
-def _record_load(server, head):
-    if head.load is None:
-        return
-    n_running, n_waiting, n_slots = head.load
-    server.record_report(
-        messages.LoadReport(
-            incarnation=server.incarnation,
-            in_flight=n_running + n_waiting,
-            capacity=n_slots,
-            cold=False,
-        )
-    )
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -5,7 +5,7 @@
 import msgspec
 import xxhash
 
-from teaselwall import errors, warmth
+from teaselwall import errors, slowness, warmth
 from teaselwall.generated import messages
 
 LOAD_HEADER = b"server-load"
@@ -55,6 +55,10 @@
         The calls counted in ``in_flight``.
     report : messages.LoadReport or None
         Newest load report of this incarnation.
+    reported_ms : float
+        Time on the clock at which ``report`` arrived; minus infinity without one.
+    slowness : slowness.Slowness
+        How slow its machine is now, compared to usually.
     n_others_in_flight : int
         Calls of all other entry hosts in flight, by the last report.
     n_sent : int
@@ -63,7 +67,8 @@
         Moving average over whole calls; 0 while unknown.
     unit_ms : float
         Moving average of the time of one unit of work (a token for engines, a call
-        for other stages) on an idle server; 0 while unknown.
+        for other stages) on an idle server whose machine works as usual; 0 while
+        unknown.
     n_samples : int
         Calls averaged in ``unit_ms``.
     n_failures : int
@@ -94,7 +99,10 @@
         "on_probation",
         "in_flight",
         "attempts",
+        "clock",
         "report",
+        "reported_ms",
+        "slowness",
         "n_others_in_flight",
         "n_sent",
         "latency_ms",
@@ -123,7 +131,10 @@
         self.on_probation = False
         self.in_flight = 0
         self.attempts = set()
+        self.clock = clock
         self.report = None
+        self.reported_ms = float("-inf")
+        self.slowness = slowness.Slowness(clock)
         self.n_others_in_flight = 0
         self.n_sent = 0
         self.latency_ms = 0.0
@@ -151,10 +162,34 @@
             self.successor = report.incarnation
             return
         self.report = report
+        self.reported_ms = self.clock.now_ms()
         self.n_reports += 1
         self.n_others_in_flight = max(0, report.in_flight - self.in_flight)
         self.n_sent = 0
 
+    def record_load(self, load):
+        """Record the load that this server states in a reply.
+
+        Parameters
+        ----------
+        load : protocols.Load or None
+        """
+        if load is None:
+            return
+        report = messages.LoadReport(
+            incarnation=self.incarnation,
+            in_flight=load.n_running + load.n_waiting,
+            capacity=load.n_places,
+            cold=False,
+        )
+        self.record_report(report)
+        if load.slowness is not None:
+            self.slowness.record(load.slowness)
+
+    def report_age_ms(self):
+        """Return the age of the newest load report, infinite without one."""
+        return self.clock.now_ms() - self.reported_ms
+
     def record_pending(self, now_ms):
         """Raise ``unit_ms`` to the longest time per unit of the calls in flight."""
         if self.unit_ms:
@@ -193,7 +228,8 @@
         unit_ms : float
             Time of one unit of work, used while ``Server.unit_ms`` is unknown.
         """
-        return (self.unit_ms or unit_ms) * n_units * self.slowdown(self.load() + 1)
+        usual_ms = (self.unit_ms or unit_ms) * n_units
+        return usual_ms * self.slowness.factor() * self.slowdown(self.load() + 1)
 
     @contextlib.contextmanager
     def track_call(self, clock, n_units=1):
@@ -234,7 +270,8 @@
     Attributes
     ----------
     slowdown : float
-        Expected slowdown due to the server's load when the call was sent.
+        Expected slowdown due to the server's load and to its machine when the call was
+        sent.
     error : errors.Error or None
         Error that the call ended with.
     incomplete : bool
@@ -248,7 +285,7 @@
         self.server = server
         self.started_ms = started_ms
         self.n_units = n_units
-        self.slowdown = server.slowdown(server.load() + 1)
+        self.slowdown = self.slowdown_now()
         self.error = None
         self.incomplete = True
 
@@ -256,13 +293,17 @@
         """Record that the call failed."""
         self.error = error
 
+    def slowdown_now(self):
+        """Return the expected slowdown of one more call at this moment."""
+        server = self.server
+        return server.slowness.factor() * server.slowdown(server.load() + 1)
+
     def unit_ms(self, now_ms):
         """Return the time of one unit on an idle server, if the call ended now.
 
         It is computed with the mean of the slowdowns at the start and now.
         """
-        server = self.server
-        slowdown = (self.slowdown + server.slowdown(server.load() + 1)) / 2
+        slowdown = (self.slowdown + self.slowdown_now()) / 2
         return (now_ms - self.started_ms) / (self.n_units * slowdown)
 
     def end(self, now_ms):
--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -146,8 +146,12 @@
         return self.free_bytes() / max(1, self.batches.result_space_bytes)
 
     def expected_ms(self, n_pieces):
-        """Return the expected time of a call, with the slowdown measured so far."""
-        return self.batches.expected_ms(n_pieces) * max(1.0, self.slowdown)
+        """Return the expected time of a call.
+
+        It heeds the slowdown measured so far and what the server says of its machine.
+        """
+        usual_ms = self.batches.expected_ms(n_pieces) * max(1.0, self.slowdown)
+        return usual_ms * self.server.slowness.factor()
 
     def hedge_delay_ms(self, n_pieces):
         """Return the time after which pieces of a call are queued for a hedge."""
@@ -171,7 +175,8 @@
 
     def record_time(self, elapsed_ms, n_pieces):
         """Record the time of a call that the server finished."""
-        ratio = elapsed_ms / self.batches.expected_ms(n_pieces)
+        factor = self.server.slowness.factor()
+        ratio = elapsed_ms / (self.batches.expected_ms(n_pieces) * factor)
         slowdown = self.slowdown
         self._measure(slowdown + SLOWDOWN_WEIGHT * (ratio - slowdown))
         self.n_lost_in_row = 0
--- a/teaselwall/tests/test_platform_heads.py
+++ b/teaselwall/tests/test_platform_heads.py
@@ -143,13 +143,40 @@
 
 def test_a_reply_of_another_request_or_without_a_stamp_is_not_genuine():
     assert reply().genuine
-    assert reply().load == (3, 0, 8)
+    assert reply().load == protocols.Load(3, 0, 8, None)
     assert not reply(**{"Request-Id": "r2"}).genuine
     assert not reply(**{"Request-Id": ""}).genuine
     assert not reply(**{"Server-Stamp": ""}).genuine
     assert reply(500, **{"Server-Stamp": ""}).genuine
 
 
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,0,8,250", (3, 0, 8, 2.5)),
+        (" 3 , 1 , 8 , 87.5 ", (3, 1, 8, 0.875)),
+        ("3,0,8,100,7", (3, 0, 8, 1.0)),
+        ("0,0,0,1", (0, 0, 0, 0.01)),
+        *(
+            (f"3,0,8,{bad}", (3, 0, 8, None))
+            for bad in ("", "0", "-100", "nan", "inf", "1_0", "1e9", "9" * 400, "slow")
+        ),
+        *(
+            (bad, None)
+            for bad in ("", "3,0", "x,0,8", "-3,0,8,100", "3,0,8.5,100", "9" * 12)
+        ),
+        ("3,0," + "9" * 400 + ",100", None),
+    ],
+)
+def test_figures_of_a_servers_load_are_kept_as_far_as_they_can_be_read(text, load):
+    expected = protocols.Load(*load) if load is not None else None
+    assert reply(**{"Server-Load": text}).load == expected
+
+
+def test_the_load_of_another_server_at_the_address_is_not_taken_for_this_ones():
+    assert reply(421).load is None
+
+
 def test_only_the_servers_own_reply_shows_that_a_request_was_not_run():
     assert reply(503, **{"Not-Executed": "1"}).not_run
     assert reply(421).not_run
--- a/teaselwall/tests/test_platform_stagecalls.py
+++ b/teaselwall/tests/test_platform_stagecalls.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 
-from teaselwall import errors, httpcalls, stagecalls
+from teaselwall import errors, httpcalls, protocols, stagecalls
 from teaselwall.platform import stagecalls as platform_stagecalls
 from teaselwall.tests import scripted_transport
 
@@ -11,6 +11,11 @@
 class Server:
     address = "10.0.0.2:80"
     incarnation = "i-2@9"
+    loads = []
+
+    @classmethod
+    def record_load(cls, load):
+        cls.loads.append(load)
 
 
 ITEMS = [
@@ -25,7 +30,9 @@
 
 async def test_a_stage_call_carries_key_or_inputs(autojump_clock):
     body = msgspec.json.encode({"items": [{"handle": "h"}, {"reason": "room"}]})
-    replies = scripted_transport.ScriptedTransport(httpcalls.Reply(200, {}, body))
+    replies = scripted_transport.ScriptedTransport(
+        httpcalls.Reply(200, {b"server-load": b"1,0,1,250"}, body)
+    )
     client = platform_stagecalls.HttpStageClient(replies, ignore_notice)
     results = (await client.run(Server, ITEMS, 100)).ok
     assert results[0].handle == "h"
@@ -36,6 +43,7 @@
         {"id": "r2", "stage": 2, "piece": 0, "leftMs": 1, "inputs": ["h1"]},
     ]
     assert headers == [(b"expect-instance", b"i-2")]
+    assert Server.loads == [protocols.Load(1, 0, 1, 2.5)]
 
 
 @pytest.mark.parametrize(
