Choose by expected time and share servers evenly where they say how slow they are

All hosts with the same reports chose the same engine until the next report: EngineChoices takes the minimum of one cost, in prompt tokens, over the pool.

In pools whose servers state how slow their machine is now, one decision serves engines and plain services: the expected time until an answer begins, learned from answers (ms without a prompt, per token not cached, per request in progress; a factor for each server, drawn to its data centre's), the places of the report or configuration, bounded by the engine's memory for tokens, and what the load probably is by now. A host works out where the requests that all hosts have sent since the reports have gone, if all fill the cheapest first, and draws a server in proportion. Cached prompt parts, a session's home and bytes from other data centres add to it as before. Other pools are chosen as before.

The configuration's engine slots and kvTokens are kept (n_places, memory_tokens); what can't be read there counts as not said.

--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -78,6 +78,19 @@
         for incarnation in set(self.sent_parts) - set(incarnations):
             del self.sent_parts[incarnation]
 
+    def n_cached_tokens(self, parts, home, engine):
+        """Return how many tokens of a prompt an engine probably has cached.
+
+        Parameters
+        ----------
+        parts : tuple of protocols.PromptPart
+        home : servers.Server or None
+            Engine that probably has those cached that the prompt shares with others.
+        engine : servers.Server
+        """
+        n_tokens = sum(part.n_tokens for part in parts)
+        return n_tokens - self._n_uncached_tokens(engine, parts, engine is home)
+
     def _cost(self, engine, parts, home, data_centre, n_bytes):
         """Return the cost of a request on an engine, in prompt tokens."""
         cost = self._n_uncached_tokens(engine, parts, engine is home)
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -41,6 +41,7 @@
     stagework,
     streamorigins,
     streamversions,
+    timedchoices,
     traces,
 )
 
@@ -225,6 +226,9 @@
             self.fleet,
             pickers.ExpectedTimePicker(settings.host.data_centre, prefixes.Prefixes()),
             enginechoices.EngineChoices(),
+            timedchoices.TimedChoices(
+                self.clock, settings.host.data_centre, self.n_hosts
+            ),
             self.cold_starts,
             settings.regions,
             self.n_hosts,
--- a/teaselwall/platform/documents.py
+++ b/teaselwall/platform/documents.py
@@ -9,6 +9,7 @@
 
 BYTES_PER_MB = 1_000_000
 MS_PER_S = 1000.0
+MAX_COUNT = 1e12
 KINDS = {
     "safe": routes.Kind.IDEMPOTENT,
     "unsafe": routes.Kind.ONCE,
@@ -165,6 +166,7 @@
             result_space_bytes=int(pieces.room_mb * BYTES_PER_MB),
             result_kept_ms=pieces.handle_s * MS_PER_S,
         )
+    engine = service.engine or {}
     return routes.Pool(
         name=service.name,
         max_connections=service.max_connections,
@@ -172,4 +174,13 @@
         cold_rate=service.cold_per_s,
         batches=batches,
         engine=service.engine is not None,
+        n_places=_count(engine.get("slots")),
+        memory_tokens=_count(engine.get("kvTokens")),
     )
+
+
+def _count(value):
+    """Return a count that a configuration may hold, 0 if it is missing or no count."""
+    if not isinstance(value, int | float) or not 0 < value <= MAX_COUNT:
+        return 0
+    return int(value)
--- a/teaselwall/progress.py
+++ b/teaselwall/progress.py
@@ -16,19 +16,22 @@
         Time on the clock at which the attempt began.
     head_ms : float or None
         Time on the clock at which the head of the reply arrived.
+    first_ms : float or None
+        Time on the clock at which the body's first bytes arrived.
     received_ms : float
         Time on the clock of the newest bytes; of the start before any.
     n_bytes : int
         Bytes of the reply's body.
     """
 
-    __slots__ = ("clock", "started_ms", "head_ms", "received_ms", "n_bytes")
+    __slots__ = ("clock", "started_ms", "head_ms", "first_ms", "received_ms", "n_bytes")
 
     def __init__(self, clock):
         super().__init__()
         self.clock = clock
         self.started_ms = clock.now_ms()
         self.head_ms = None
+        self.first_ms = None
         self.received_ms = self.started_ms
         self.n_bytes = 0
 
@@ -39,6 +42,8 @@
     def record_bytes(self, n_bytes):
         """Record bytes of the reply's body that have just arrived."""
         self.received_ms = self.clock.now_ms()
+        if self.first_ms is None:
+            self.first_ms = self.received_ms
         self.n_bytes += n_bytes
 
     def log_fields(self):
--- a/teaselwall/routes.py
+++ b/teaselwall/routes.py
@@ -167,6 +167,11 @@
         None unless this is a stage pool.
     engine : bool
         Whether its servers are model engines.
+    n_places : int
+        Requests that an engine runs at once; 0 if the configuration doesn't say.
+    memory_tokens : int
+        Tokens that an engine's memory holds, of requests and cached prompt parts; 0 if
+        the configuration doesn't say.
     """
 
     name: str
@@ -175,6 +180,8 @@
     cold_rate: float
     batches: BatchLimits | None
     engine: bool
+    n_places: int = 0
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -16,6 +16,8 @@
 logger = logging.getLogger(__name__)
 
 MAX_PARTS_LOGGED = 4
+# Logged as the age of a load that no report has told.
+UNKNOWN_AGE_MS = 1e9
 
 
 class ServerAttempts:
@@ -80,7 +82,7 @@
         """
         call.n_sent += 1
         call.tried.add(server.address)
-        self.server_choices.record_sent(call, server)
+        sent = self.server_choices.record_sent(call, server)
         remaining_ms = call.deadline.remaining_ms()
         span = self.tracer.start(
             "attempt", call.span, server=server.address, request=call.head.id
@@ -101,6 +103,8 @@
         if attempt.received.head_ms is not None:
             fleet.record_rejection(server, error)
         span.end()
+        if error is None:
+            self.server_choices.record_answer(call, sent, attempt.received)
         if error is None or error.outcome is not errors.Outcome.NOT_RUN:
             call.n_ran += 1
         events.log(
@@ -112,7 +116,9 @@
             id=server.incarnation,
             attempt=call.n_sent,
             remaining_ms=round(remaining_ms),
-            load=round(server.load(), 1),
+            load=round(sent.load, 1),
+            load_age_ms=round(min(sent.age_ms, UNKNOWN_AGE_MS)),
+            slowness=round(sent.slowness, 2),
             parts=call.head.shared_parts()[:MAX_PARTS_LOGGED],
             outcome=error.outcome.value if error is not None else "ok",
             error=str(error) if error is not None else "",
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -1,8 +1,9 @@
 """Chooses the back end server that a request is sent to."""
 
+import functools
 import math
 
-from teaselwall import calls, enginechoices, requestlimits
+from teaselwall import calls, enginechoices, requestlimits, timedchoices
 
 
 class ServerChoices:
@@ -14,7 +15,9 @@
     picker : pickers.Picker
         Chooses among the servers of plain services.
     engines : enginechoices.EngineChoices
-        Chooses among model engines.
+        Knows which engines probably have a prompt cached and chooses among engines.
+    timed : timedchoices.TimedChoices
+        Chooses among the servers of all pools that say how slow they are now.
     cold_starts : coldstarts.ColdStarts
         Counts the requests to cold servers.
     region_of : dict of str to str
@@ -23,12 +26,21 @@
         Returns the number of entry hosts.
     """
 
-    __slots__ = ("fleet", "picker", "engines", "cold_starts", "region_of", "n_hosts")
+    __slots__ = (
+        "fleet",
+        "picker",
+        "engines",
+        "timed",
+        "cold_starts",
+        "region_of",
+        "n_hosts",
+    )
 
-    def __init__(self, fleet, picker, engines, cold_starts, region_of, n_hosts):
+    def __init__(self, fleet, picker, engines, timed, cold_starts, region_of, n_hosts):
         self.fleet = fleet
         self.picker = picker
         self.engines = engines
+        self.timed = timed
         self.cold_starts = cold_starts
         self.region_of = region_of
         self.n_hosts = n_hosts
@@ -62,6 +74,9 @@
         """
         available = self.choices(call)
         untried = [s for s in available if s.address not in call.tried] or available
+        if any(server.slowness.is_stated for server in untried):
+            work = self._work(call, inputs, untried)
+            return self.timed.choose(call.pool, untried, work)
         if call.pool.engine:
             input_data_centre = inputs.data_centre if inputs is not None else ""
             n_bytes = n_input_bytes(call) if inputs is not None else 0
@@ -96,10 +111,48 @@
         return any(s.address not in call.tried for s in self.choices(call))
 
     def record_sent(self, call, server):
-        """Record a request to a server; call it with no await after ``choose``."""
+        """Record a request to a server; call it with no await after ``choose``.
+
+        Returns
+        -------
+        timedchoices.Sent
+        """
         self.cold_starts.record_sent(server)
+        work = timedchoices.Work()
+        if call.pool.engine and server.slowness.is_stated:
+            work = self._work(call, None, self.choices(call))
+        sent = self.timed.record_sent(call.pool, server, work)
         if call.pool.engine:
             self.engines.record_sent(server, call.head.prompt_parts)
+        return sent
+
+    def record_answer(self, call, sent, received):
+        """Learn from a whole answer.
+
+        Parameters
+        ----------
+        call : calls.Call
+        sent : timedchoices.Sent
+        received : progress.AttemptProgress
+        """
+        first_ms = received.first_ms or received.received_ms
+        self.timed.record_answer(call.pool, sent, first_ms, received.received_ms)
+
+    def _work(self, call, inputs, servers):
+        """Return what a request asks of some servers, as ``timedchoices.Work``."""
+        if not call.pool.engine:
+            return timedchoices.Work()
+        parts = call.head.prompt_parts
+        return timedchoices.Work(
+            sum(part.n_tokens for part in parts),
+            functools.partial(
+                self.engines.n_cached_tokens,
+                parts,
+                self.engines.home_engine(parts, servers),
+            ),
+            inputs.data_centre if inputs is not None else "",
+            n_input_bytes(call) if inputs is not None else 0,
+        )
 
     def home_data_centre(self, call):
         """Return the data centre of the engine that the request probably goes to."""
--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -45,7 +45,7 @@
             "maxConnections": 360,
             "coldStartS": 3.0,
             "coldPerS": 14.0,
-            "engine": {"slots": 64},
+            "engine": {"slots": 64, "kvTokens": 295433},
         },
         {
             "name": "enc",
@@ -76,6 +76,9 @@
     assert not once.repeatable
     assert once.shares == (("core", 1.0),)
     assert table.pools["llm"].engine
+    assert table.pools["llm"].n_places == 64
+    assert table.pools["llm"].memory_tokens == 295433
+    assert not table.pools["enc"].engine
     assert table.pools["llm"].cold_ms == 3000
     assert table.pools["enc"].batches.result_space_bytes == 11_250_000
     assert table.pools["enc"].batches.result_kept_ms == 4000
@@ -148,3 +151,13 @@
 @given(st.binary(max_size=60))
 def test_no_bytes_of_a_registration_record_raise(value):
     assert registrations.read("i-1", value).is_error()
+
+
+@pytest.mark.parametrize("slots", [None, "64", -1, 0, 1e300, [], float("nan")])
+def test_an_engine_with_unreadable_counts_stays_an_engine(slots):
+    engine = {"slots": slots, "kvTokens": slots}
+    services = [CONFIG["services"][0] | {"engine": engine}]
+    text = json.dumps(CONFIG | {"services": services}).replace("NaN", "null")
+    pool = documents.read(text.encode()).ok.pools["llm"]
+    assert pool.engine
+    assert (pool.n_places, pool.memory_tokens) == (0, 0)
