Keep a session's pull while places are plentiful; test even load without a network

The home and the engines that this host knows to have the part cached are always considered. While less than half of the places are in use, cached tokens count up to four times, as reading a prompt holds up the requests beside it; no cached part is worth a wait for a place. Two standard deviations of what may have begun since a report are left free.

--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+from teaselwall import timedchoices
+
 # Costs are counted in prompt tokens that an engine has to read. A request in progress
 # on an engine adds this much, as it slows each step of the others a little.
 IN_PROGRESS_TOKENS = 60
@@ -11,6 +13,8 @@
 WAITING_TOKENS = 4000
 # Cost of each byte of stage results that crosses data centres.
 TOKENS_PER_REMOTE_BYTE = 0.002
+# Engines considered for the prompt parts that they have cached, the home among them.
+MAX_PREFERRED = 4
 # Prompt parts remembered for each engine at most.
 MAX_PARTS_PER_ENGINE = 4000
 # Cost of each failure in a row: more than reading the longest usual prompt.
@@ -78,18 +82,25 @@
         for incarnation in set(self.sent_parts) - set(incarnations):
             del self.sent_parts[incarnation]
 
-    def n_cached_tokens(self, parts, home, engine):
-        """Return how many tokens of a prompt an engine probably has cached.
+    def work(self, parts, engines):
+        """Return what a prompt asks of some engines, as ``timedchoices.Work``.
 
-        Parameters
-        ----------
-        parts : tuple of protocols.PromptPart
-        home : servers.Server or None
-            Engine that probably has those cached that the prompt shares with others.
-        engine : servers.Server
+        Preferred are those that have its shared parts cached, as far as this host
+        knows, and the session's home.
         """
+        home = self.home_engine(parts, engines)
         n_tokens = sum(part.n_tokens for part in parts)
-        return n_tokens - self._n_uncached_tokens(engine, parts, engine is home)
+        preferred = [home] if home is not None else []
+        if len(parts) > 1:
+            shared = parts[-2].id
+            for engine in engines:
+                if shared in self.sent_parts.get(engine.incarnation, ()):
+                    preferred.append(engine)
+
+        def n_cached(engine):
+            return n_tokens - self._n_uncached_tokens(engine, parts, engine is home)
+
+        return timedchoices.Work(n_tokens, n_cached, preferred[:MAX_PREFERRED])
 
     def _cost(self, engine, parts, home, data_centre, n_bytes):
         """Return the cost of a request on an engine, in prompt tokens."""
--- a/teaselwall/evenload.py
+++ b/teaselwall/evenload.py
@@ -35,18 +35,17 @@
     own_ms : float
         What sets this request apart from others there: less for cached parts of its
         prompt, more for inputs that are far away.
+
+    Attributes
+    ----------
+    cost_ms : float
+        Expected time of one more request of any caller.
+    segments : list of (float, float, float)
+        Parts in which the cost grows evenly with further requests: cost at the start
+        and the end, in ms, and requests that raise it by 1 ms.
     """
 
-    __slots__ = (
-        "server",
-        "load_ms",
-        "step_ms",
-        "n_free",
-        "n_doubtful",
-        "full_ms",
-        "wait_ms",
-        "own_ms",
-    )
+    __slots__ = ("server", "load_ms", "own_ms", "cost_ms", "segments")
 
     def __init__(
         self,
@@ -61,48 +60,37 @@
     ):
         self.server = server
         self.load_ms = load_ms
-        self.step_ms = max(step_ms, MIN_DEPTH_MS)
-        self.n_free = n_free
-        self.n_doubtful = max(n_doubtful, 1.0)
-        self.full_ms = full_ms
-        self.wait_ms = max(wait_ms, MIN_DEPTH_MS)
         self.own_ms = own_ms
-
-    def cost_ms(self):
-        """Return the expected time of one more request."""
-        share_taken = min(1.0, max(0.0, 1.0 - self.n_free / self.n_doubtful))
-        waiting = max(0.0, -self.n_free)
-        return self.load_ms + self.full_ms * share_taken + self.wait_ms * waiting
-
-    def segments(self):
-        """Return the parts of its cost that grow evenly.
-
-        Returns
-        -------
-        list of (float, float, float)
-            Cost at the start and the end, in ms, and requests that raise it by 1 ms.
-        """
-        at_ms = self.cost_ms()
-        doubtful_ms = self.step_ms + self.full_ms / self.n_doubtful
-        found = []
-        for n_places, each_ms in (
-            (self.n_free - self.n_doubtful, self.step_ms),
-            (min(self.n_free, self.n_doubtful), doubtful_ms),
-        ):
-            if n_places > 0:
-                end_ms = at_ms + n_places * each_ms
-                found.append((at_ms, end_ms, 1 / each_ms))
-                at_ms = end_ms
-        found.append((at_ms, math.inf, 1 / self.wait_ms))
-        return found
+        step_ms = max(step_ms, MIN_DEPTH_MS)
+        wait_ms = max(wait_ms, MIN_DEPTH_MS)
+        n_doubtful = max(n_doubtful, 1.0)
+        self.segments = []
+        if n_free <= 0:
+            self.cost_ms = load_ms + full_ms - wait_ms * n_free
+            self.segments.append((self.cost_ms, math.inf, 1 / wait_ms))
+            return
+        at_ms = load_ms
+        if n_free > n_doubtful:
+            end_ms = at_ms + (n_free - n_doubtful) * step_ms
+            self.segments.append((at_ms, end_ms, 1 / step_ms))
+            at_ms, n_free = end_ms, n_doubtful
+            self.cost_ms = load_ms
+        else:
+            at_ms += full_ms * (1.0 - n_free / n_doubtful)
+            self.cost_ms = at_ms
+        each_ms = step_ms + full_ms / n_doubtful
+        end_ms = at_ms + n_free * each_ms
+        self.segments.append((at_ms, end_ms, 1 / each_ms))
+        self.segments.append((end_ms, math.inf, 1 / wait_ms))
 
     def n_below(self, level_ms):
         """Return how many requests it takes until its cost reaches a level."""
-        return sum(
-            (min(level_ms, to_ms) - from_ms) * per_ms
-            for from_ms, to_ms, per_ms in self.segments()
-            if level_ms > from_ms
-        )
+        n_requests = 0.0
+        for from_ms, to_ms, per_ms in self.segments:
+            if level_ms <= from_ms:
+                break
+            n_requests += (min(level_ms, to_ms) - from_ms) * per_ms
+        return n_requests
 
 
 def level_ms(options, n_requests):
@@ -116,7 +104,7 @@
     """
     edges = []
     for option in options:
-        for from_ms, to_ms, per_ms in option.segments():
+        for from_ms, to_ms, per_ms in option.segments:
             edges.append((from_ms, per_ms))
             if to_ms < math.inf:
                 edges.append((to_ms, -per_ms))
@@ -158,7 +146,7 @@
         drawn = MAX_DRAWN
         if part > 0:
             drawn = min(MAX_DRAWN, -math.log(1.0 - draw()) * mean_part / part)
-        over_ms = max(0.0, option.cost_ms() - level)
+        over_ms = max(0.0, option.cost_ms - level)
         cost_ms = option.own_ms + over_ms + drawn * depth_ms
         if cost_ms < best_ms:
             best, best_ms = option, cost_ms
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -1,6 +1,5 @@
 """Chooses the back end server that a request is sent to."""
 
-import functools
 import math
 
 from teaselwall import calls, enginechoices, requestlimits, timedchoices
@@ -142,17 +141,11 @@
         """Return what a request asks of some servers, as ``timedchoices.Work``."""
         if not call.pool.engine:
             return timedchoices.Work()
-        parts = call.head.prompt_parts
-        return timedchoices.Work(
-            sum(part.n_tokens for part in parts),
-            functools.partial(
-                self.engines.n_cached_tokens,
-                parts,
-                self.engines.home_engine(parts, servers),
-            ),
-            inputs.data_centre if inputs is not None else "",
-            n_input_bytes(call) if inputs is not None else 0,
-        )
+        work = self.engines.work(call.head.prompt_parts, servers)
+        if inputs is not None:
+            work.data_centre = inputs.data_centre
+            work.n_bytes = n_input_bytes(call)
+        return work
 
     def home_data_centre(self, call):
         """Return the data centre of the engine that the request probably goes to."""
--- a/teaselwall/timedchoices.py
+++ b/teaselwall/timedchoices.py
@@ -9,8 +9,14 @@
 TOKENS_PER_REMOTE_BYTE = 0.002
 # Added to the expected time of a request to another data centre.
 CROSS_DATA_CENTRE_MS = 1.0
+# Servers drawn at random for a request, besides those preferred.
+N_DRAWN = 8
+# Requests that are counted as held up while an idle pool reads a prompt, and the share
+# of places in use from which none are.
+MAX_HELD_UP = 3.0
+SCARCE_UTILISATION = 0.5
 # Standard deviations of the load since a report that are left free where possible.
-N_DEVIATIONS = 1.5
+N_DEVIATIONS = 2.0
 
 
 class Work:
@@ -22,17 +28,22 @@
         Tokens of its prompt; 0 without one.
     n_cached : callable
         ``n_cached(server)`` returns how many of them the server probably has cached.
+    preferred : list of servers.Server
+        Servers that are considered in any case.
     data_centre : str
         Data centre of the results that the server has to fetch; empty without any.
     n_bytes : int
         Their size.
     """
 
-    __slots__ = ("n_tokens", "n_cached", "data_centre", "n_bytes")
+    __slots__ = ("n_tokens", "n_cached", "preferred", "data_centre", "n_bytes")
 
-    def __init__(self, n_tokens=0, n_cached=None, data_centre="", n_bytes=0):
+    def __init__(
+        self, n_tokens=0, n_cached=None, preferred=(), data_centre="", n_bytes=0
+    ):
         self.n_tokens = n_tokens
         self.n_cached = n_cached or (lambda server: 0)
+        self.preferred = preferred
         self.data_centre = data_centre
         self.n_bytes = n_bytes
 
@@ -106,6 +117,7 @@
         if len(servers) < 2:
             return servers[0] if servers else None
         speeds = self._speeds(pool.name)
+        servers = self._considered(servers, work.preferred)
         loads = poolloads.PoolLoads(servers, pool.n_places, speeds.occupancy_ms)
         options = self._options(pool, loads, speeds, work)
         n_unseen = loads.n_unseen(self.n_hosts())
@@ -143,6 +155,18 @@
         elapsed_ms = (first_ms - sent.sent_ms) / slowness
         speeds.record_answer(server, sent.n_tokens, max(0.0, load), elapsed_ms)
 
+    def _considered(self, servers, preferred):
+        """Return servers drawn at random, with those preferred, or all if few."""
+        if len(servers) <= N_DRAWN:
+            return servers
+        n_drawn = int(self.draw() * len(servers))
+        # Neighbours in the list are in different data centres at random.
+        drawn = [*servers, *servers][n_drawn : n_drawn + N_DRAWN]
+        for server in preferred:
+            if server not in drawn:
+                drawn.append(server)
+        return drawn
+
     def _speeds(self, pool):
         speeds = self.speeds.get(pool)
         if speeds is None:
@@ -155,6 +179,10 @@
         if pool.memory_tokens:
             memory_places = pool.memory_tokens / max(1.0, speeds.n_tokens)
         expected = loads.expected()
+        # Reading a prompt again holds up the requests beside it. This counts while
+        # there is room; where places get scarce, even load is worth more.
+        room = max(0.0, 1.0 - loads.utilisation / SCARCE_UTILISATION)
+        cached_ms = speeds.token_ms * (1.0 + MAX_HELD_UP * room)
         for server, load, n_changed, n_places in zip(
             loads.servers, expected, loads.n_changed(), loads.n_places, strict=True
         ):
@@ -169,17 +197,18 @@
                     factor * speeds.place_ms,
                     n_places - load,
                     N_DEVIATIONS * math.sqrt(n_changed),
-                    occupancy_ms,
+                    # No cached part is worth a wait for a place.
+                    occupancy_ms + factor * cached_ms * work.n_tokens,
                     occupancy_ms / n_places,
-                    self._own_ms(server, factor, speeds, work),
+                    self._own_ms(server, factor * cached_ms, speeds, work),
                 )
             )
         return options
 
-    def _own_ms(self, server, factor, speeds, work):
+    def _own_ms(self, server, cached_ms, speeds, work):
         """Return what sets a request apart from others at a server, in ms."""
         own_ms = server.n_failures * speeds.occupancy_ms
-        own_ms -= factor * speeds.token_ms * work.n_cached(server)
+        own_ms -= cached_ms * work.n_cached(server)
         if server.data_centre != self.data_centre:
             own_ms += CROSS_DATA_CENTRE_MS
         if work.data_centre and server.data_centre != work.data_centre:
--- a/teaselwall/tools/balance.py
+++ b/teaselwall/tools/balance.py
@@ -16,11 +16,13 @@
 from teaselwall.tests import fakes
 
 SPEEDS = (0.7, 0.7, 1.7)
-SERVICE_MS = 400.0
-# Share of that until the first part of an answer.
-FIRST_SHARE = 0.3
+# Times on a server of usual speed: of a prompt token, and of writing an answer.
+TOKEN_MS = 0.04
+WRITE_MS = 300.0
 N_PLACES = 16
-N_TOKENS = 2000
+SHARED_TOKENS = 5000
+OWN_TOKENS = 2500
+SERVICE_MS = TOKEN_MS * OWN_TOKENS + WRITE_MS
 POOL = routes.Pool("pool", 0, 0.0, 0.0, None, True, N_PLACES)
 POLICIES = ("even", "before", "random", "ideal")
 
@@ -41,6 +43,8 @@
     missing, frozen, wrong : float
         Shares of the servers that report nothing; that they are empty, always; and a
         slowness that is five times too high.
+    n_sessions : int
+        Sessions whose requests share most of their prompts; 0 if none do.
     bursts : bool
         Whether twice as many requests arrive for a quarter of each second, and less in
         the rest.
@@ -56,6 +60,8 @@
         free place; those turned away.
     free_beside : list of float
         Free places on average, as each of the unlucky ones arrived.
+    n_shared_read : int
+        Requests whose shared part of the prompt was read at their server.
     n_reports : int
         Reports made, by themselves or with an answer.
     """
@@ -71,12 +77,14 @@
         missing=0.0,
         frozen=0.0,
         wrong=0.0,
+        n_sessions=0,
         bursts=False,
         churn=False,
         reset_ms=None,
     ):
         self.policy = policy
         self.age_ms = age_ms
+        self.n_sessions = n_sessions
         self.bursts = bursts
         self.churn = churn
         self.reset_ms = reset_ms
@@ -95,10 +103,12 @@
         self.frozen = {i for i, d in enumerate(draws) if 0 < 1 - d < frozen}
         self.wrong = {i for i, d in enumerate(draws) if 0.5 < d < 0.5 + wrong}
         self.published = [None] * n_servers
+        self.cached = [set() for _ in range(n_servers)]
         self.hosts = [Host(self) for _ in range(n_hosts)]
         per_ms = N_PLACES * sum(1 / speed for speed in self.speeds) / SERVICE_MS
         self.per_ms = utilisation * per_ms
         self.n_requests = self.n_unlucky = self.n_rejected = self.n_reports = 0
+        self.n_shared_read = 0
         self.free_beside = []
 
     def run(self, for_ms):
@@ -156,36 +166,46 @@
         per_ms = self.per_ms * (burst if self.bursts else 1.0)
         self.at(self.random.expovariate(per_ms), self._arrive)
         host = self.random.choice(self.hosts)
-        number = host.choose()
+        parts = (PromptPart(f"{self.n_events}", OWN_TOKENS),)
+        if self.n_sessions:
+            session = f"s{self.random.randrange(self.n_sessions)}"
+            parts = (PromptPart(session, SHARED_TOKENS), *parts)
+        number = host.choose(parts)
         self.n_requests += 1
         self.arrivals[number] += 1
         life = self.lives[number]
         if self.running[number] < N_PLACES:
-            self._start(host, number, self.clock.at_ms, life)
+            self._start(host, number, parts, self.clock.at_ms, life)
             return
         if self.n_free:
             self.n_unlucky += 1
             self.free_beside.append(self.n_free / (len(self.running) - 1))
         if len(self.queues[number]) < N_PLACES:
-            self.queues[number].append((host, number, self.clock.at_ms, life))
+            self.queues[number].append((host, number, parts, self.clock.at_ms, life))
         else:
             self.n_rejected += 1
-            host.end(number, None)
+            host.end(number, parts, None)
 
-    def _start(self, host, number, sent_ms, life):
+    def _start(self, host, number, parts, sent_ms, life):
         self.running[number] += 1
         self.n_free -= 1
-        service_ms = SERVICE_MS * self.speeds[number] * self.random.expovariate(1.0)
-        first_ms = SERVICE_MS * self.speeds[number] * FIRST_SHARE
-        first_ms += self.clock.at_ms - sent_ms
-        self.at(service_ms, self._end, host, number, sent_ms, first_ms, life)
+        n_read = sum(p.n_tokens for p in parts if p.id not in self.cached[number])
+        if len(parts) > 1 and parts[0].id not in self.cached[number]:
+            self.n_shared_read += 1
+            self.cached[number].add(parts[0].id)
+        read_ms = TOKEN_MS * n_read * self.speeds[number]
+        write_ms = WRITE_MS * self.speeds[number] * self.random.expovariate(1.0)
+        first_ms = self.clock.at_ms - sent_ms + read_ms
+        self.at(
+            read_ms + write_ms, self._end, host, number, parts, sent_ms, first_ms, life
+        )
 
-    def _end(self, host, number, sent_ms, first_ms, life):
+    def _end(self, host, number, parts, sent_ms, first_ms, life):
         if life != self.lives[number]:
             return
         self.running[number] -= 1
         self.n_free += 1
-        host.end(number, (sent_ms, first_ms))
+        host.end(number, parts, (sent_ms, first_ms))
         if self.queues[number]:
             self._start(*self.queues[number].popleft())
 
@@ -215,13 +235,13 @@
             trial.clock, "", lambda: len(trial.hosts), trial.random.random
         )
 
-    def choose(self):
-        """Choose a server for a request, count the request there, return its number."""
+    def choose(self, parts):
+        """Choose a server for a prompt, count the request there, return its number."""
         trial = self.trial
         n_servers = len(trial.running)
         window = range(n_servers)
         if n_servers > rings.WINDOW_SIZE:
-            start = trial.random.randrange(n_servers)
+            start = enginechoices.subset_token_of(parts) % n_servers
             window = [(start + i) % n_servers for i in range(rings.WINDOW_SIZE)]
         if trial.policy == "random":
             return trial.random.choice(window)
@@ -229,16 +249,15 @@
             return min(window, key=self._true_wait)
         known = [self._server(number) for number in window]
         if trial.policy == "before":
-            part = PromptPart(f"{trial.random.random()}", N_TOKENS)
-            server = self.engines.choose((part,), known)
+            server = self.engines.choose(parts, known)
         else:
-            work = timedchoices.Work(N_TOKENS)
-            server = self.timed.choose(POOL, known, work)
+            server = self.timed.choose(POOL, known, self.engines.work(parts, known))
+        self.engines.record_sent(server, parts)
         server.in_flight += 1
         server.n_sent += 1
         return int(server.address)
 
-    def end(self, number, times):
+    def end(self, number, parts, times):
         """Take the end of a request, with its times unless it was turned away."""
         server = self.servers.get(number)
         if server is None:
@@ -248,7 +267,10 @@
             server.record_load(self.trial.load(number))
         if times is not None and self.trial.policy == "even":
             sent_ms, first_ms = times
-            sent = timedchoices.Sent(server, N_TOKENS, server.load(), sent_ms)
+            n_read = sum(part.n_tokens for part in parts)
+            if self.trial.n_sessions:
+                n_read = parts[-1].n_tokens
+            sent = timedchoices.Sent(server, n_read, server.load(), sent_ms)
             now_ms = self.trial.clock.at_ms
             self.timed.record_answer(POOL, sent, sent_ms + first_ms, now_ms)
 
--- a/teaselwall/tools/bench.py
+++ b/teaselwall/tools/bench.py
@@ -21,6 +21,7 @@
     "claims",
     "attempts",
     "routing",
+    "balance",
     "duties",
     "configuration",
     "failures",
