Show operators how evenly pools are used and how old the loads are

gateway status gives, for each pool, how much of its places is in use, at the busiest tenth of its servers and at all, how many are full and the median age of what they said; for each server what it last said and when. Metrics: the age of the loads that choices went by, and answers by whether their server was full.

--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -41,7 +41,6 @@
     stagework,
     streamorigins,
     streamversions,
-    timedchoices,
     traces,
 )
 
@@ -226,12 +225,10 @@
             self.fleet,
             pickers.ExpectedTimePicker(settings.host.data_centre, prefixes.Prefixes()),
             enginechoices.EngineChoices(),
-            timedchoices.TimedChoices(
-                self.clock, settings.host.data_centre, self.n_hosts
-            ),
             self.cold_starts,
             settings.regions,
             self.n_hosts,
+            self.metrics,
         )
 
     def _add_stages(self):
--- a/teaselwall/gatewayviews.py
+++ b/teaselwall/gatewayviews.py
@@ -1,11 +1,15 @@
 """Shows operators the present state of an entry host on a platform."""
 
+import statistics
+
 from teaselwall import control, coordination, errors
 from teaselwall.generated import messages
 
 PATH = "/operator/gateway"
 QUARANTINE_PATH = "/operator/quarantine/list"
 LIFT_PATH = "/operator/quarantine/lift"
+# The busiest tenth of a pool's servers is compared with all.
+BUSIEST_DIVISOR = 10
 
 
 class GatewayViews:
@@ -84,6 +88,10 @@
                 ).address
                 for group in entry.data_centre_groups.groups()
             },
+            pools=[
+                pool_view(pool, entry.fleet.serving(pool))
+                for pool in sorted(entry.fleet.by_pool)
+            ],
             servers=[self._server(server) for server in self._servers()],
             waiting_pieces={
                 pool: len(queue.pieces)
@@ -117,6 +125,11 @@
             incarnation=server.incarnation,
             n_in_flight=server.in_flight,
             load=round(server.load(), 1),
+            n_places=server.report.capacity if server.report is not None else 0,
+            load_age_ms=_age_ms([server]),
+            slowness=(
+                round(server.slowness.factor(), 2) if server.slowness.is_stated else 0
+            ),
             left_out=self._exclusion_reason(server),
         )
 
@@ -141,3 +154,38 @@
         if fleet.limits.wait_ms(server):
             return "names a limit that is reached"
         return "" if fleet.is_available(server) else "replaced"
+
+
+def pool_view(pool, servers):
+    """Return how evenly a pool's servers are used, as ``messages.PoolView``.
+
+    Parameters
+    ----------
+    pool : str
+    servers : list of servers.Server
+        Those in service.
+    """
+    told = [server for server in servers if server.report is not None]
+    shares = sorted(s.load() / s.capacity() for s in told)
+    n_places = sum(server.capacity() for server in told)
+    n_used = sum(server.load() for server in told)
+    n_busiest = max(1, len(shares) // BUSIEST_DIVISOR)
+    busiest_ratio = 0.0
+    if n_used:
+        busiest = statistics.mean(shares[-n_busiest:])
+        busiest_ratio = busiest / statistics.mean(shares)
+    return messages.PoolView(
+        pool=pool,
+        n_told=len(told),
+        n_servers=len(servers),
+        utilisation=round(n_used / n_places, 3) if n_places else 0.0,
+        busiest_ratio=round(busiest_ratio, 2),
+        n_full=sum(share >= 1.0 for share in shares),
+        load_age_ms=_age_ms(told),
+    )
+
+
+def _age_ms(servers):
+    """Return the median age of the servers' reports, in whole ms; -1 without any."""
+    ages_ms = [s.report_age_ms() for s in servers if s.report is not None]
+    return round(statistics.median(ages_ms)) if ages_ms else -1
--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -11,18 +11,22 @@
     Parameters
     ----------
     fleet : fleet.Fleet
-    picker : pickers.Picker
+    picker : pickers.ExpectedTimePicker
         Chooses among the servers of plain services.
     engines : enginechoices.EngineChoices
         Knows which engines probably have a prompt cached and chooses among engines.
-    timed : timedchoices.TimedChoices
-        Chooses among the servers of all pools that say how slow they are now.
     cold_starts : coldstarts.ColdStarts
         Counts the requests to cold servers.
     region_of : dict of str to str
         Region of each data centre.
     n_hosts : callable
         Returns the number of entry hosts.
+    metrics : metrics.Metrics
+
+    Attributes
+    ----------
+    timed : timedchoices.TimedChoices
+        Chooses among the servers of all pools that say how slow they are now.
     """
 
     __slots__ = (
@@ -35,11 +39,15 @@
         "n_hosts",
     )
 
-    def __init__(self, fleet, picker, engines, timed, cold_starts, region_of, n_hosts):
+    def __init__(
+        self, fleet, picker, engines, cold_starts, region_of, n_hosts, metrics
+    ):
         self.fleet = fleet
         self.picker = picker
         self.engines = engines
-        self.timed = timed
+        self.timed = timedchoices.TimedChoices(
+            fleet.clock, picker.data_centre, n_hosts, metrics
+        )
         self.cold_starts = cold_starts
         self.region_of = region_of
         self.n_hosts = n_hosts
--- a/teaselwall/tests/test_evenload.py
+++ b/teaselwall/tests/test_evenload.py
@@ -5,6 +5,7 @@
 
 from teaselwall import (
     evenload,
+    metrics,
     poolloads,
     poolspeeds,
     protocols,
@@ -38,7 +39,9 @@
 
 def timed(clock, n_hosts=1):
     draw = random.Random(7).random
-    return timedchoices.TimedChoices(clock, "a", lambda: n_hosts, draw)
+    return timedchoices.TimedChoices(
+        clock, "a", lambda: n_hosts, metrics.Metrics(), draw
+    )
 
 
 def shares(choices, known, work=None, in_pool=None):
@@ -147,6 +150,8 @@
         target.record_load(protocols.Load(16, 9, 16, 1.0))
         choices.record_answer(pool(), sent, clock.at_ms, clock.at_ms)
     assert choices.speeds["p"].factor(target) == 1.0
+    key = ("load_told", (("full", "true"), ("pool", "p")))
+    assert choices.metrics.counters[key] == 20
 
 
 def test_old_reports_say_little_and_own_requests_count_in_full(clock):
--- a/teaselwall/tests/test_gatewayviews.py
+++ b/teaselwall/tests/test_gatewayviews.py
@@ -1,7 +1,7 @@
 import msgspec
 import pytest
 
-from teaselwall import gatewayviews, view_commands
+from teaselwall import gatewayviews, protocols, view_commands
 from teaselwall.generated import messages
 from teaselwall.tests import platform_entry
 from teaselwall.tests.platform_entry import registration
@@ -92,3 +92,22 @@
     assert reasons[brittle.address].startswith("brittle")
     lines = "\n".join(view_commands.gateway_lines(view))
     assert "reaches no server of enc" in lines
+
+
+async def test_view_shows_imbalance_and_the_age_of_what_was_told(autojump_clock, host):
+    """Operators saw single loads, not that servers were full beside idle ones."""
+    for address, n_running in (("10.0.1.1:80", 8), ("10.0.1.4:80", 0)):
+        server = host.fleet.by_pool["core"][address]
+        server.record_load(protocols.Load(n_running, 0, 8, 2.0))
+        server.reported_ms -= 250.0
+    view = await host.control.handlers[gatewayviews.PATH]({})
+    core, enc = view.pools
+    assert (core.n_told, core.n_servers, core.n_full) == (2, 2, 1)
+    assert (core.utilisation, core.busiest_ratio, core.load_age_ms) == (0.5, 2.0, 250)
+    assert (enc.n_told, enc.n_servers, enc.load_age_ms) == (0, 1, -1)
+    lines = "\n".join(view_commands.gateway_lines(view))
+    assert (
+        "core: 2 of 2 servers have said their load, 250 ms ago in the median" in lines
+    )
+    assert "enc: none of 1 servers has said its load" in lines
+    assert "load 8, in use, 8 places, 1.9 times as slow, told 250 ms ago" in lines
--- a/teaselwall/timedchoices.py
+++ b/teaselwall/timedchoices.py
@@ -86,6 +86,7 @@
         Data centre of this entry host.
     n_hosts : callable
         Returns the number of entry hosts.
+    metrics : metrics.Metrics
     draw : callable, optional
         Returns a random number from 0 to 1.
 
@@ -95,12 +96,13 @@
         By pool.
     """
 
-    __slots__ = ("clock", "data_centre", "n_hosts", "draw", "speeds")
+    __slots__ = ("clock", "data_centre", "n_hosts", "metrics", "draw", "speeds")
 
-    def __init__(self, clock, data_centre, n_hosts, draw=random.random):
+    def __init__(self, clock, data_centre, n_hosts, metrics, draw=random.random):
         self.clock = clock
         self.data_centre = data_centre
         self.n_hosts = n_hosts
+        self.metrics = metrics
         self.draw = draw
         self.speeds = {}
 
@@ -121,6 +123,7 @@
         loads = poolloads.PoolLoads(servers, pool.n_places, speeds.occupancy_ms)
         options = self._options(pool, loads, speeds, work)
         n_unseen = loads.n_unseen(self.n_hosts())
+        self.metrics.observe_ms("choice_load_age_ms", loads.age_ms, pool=pool.name)
         return evenload.choose(options, n_unseen, self.draw).server
 
     def record_sent(self, pool, server, work):
@@ -148,7 +151,9 @@
         load = sent.load
         if server.reported_ms >= sent.sent_ms:
             load = server.report.in_flight - 1
-            if load >= server.capacity():
+            is_full = load >= server.capacity()
+            self.metrics.count("load_told", pool=pool.name, full=str(is_full).lower())
+            if is_full:
                 # Of its time, an unknown part was spent waiting for a place.
                 return
         slowness = (sent.slowness + server.slowness.factor()) / 2
--- a/teaselwall/tools/balance.py
+++ b/teaselwall/tools/balance.py
@@ -10,7 +10,7 @@
 import random
 import statistics
 
-from teaselwall import enginechoices, rings, routes, servers, timedchoices
+from teaselwall import enginechoices, metrics, rings, routes, servers, timedchoices
 from teaselwall.generated import messages
 from teaselwall.protocols import Load, PromptPart
 from teaselwall.tests import fakes
@@ -232,7 +232,11 @@
         self.servers = {}
         self.engines = enginechoices.EngineChoices()
         self.timed = timedchoices.TimedChoices(
-            trial.clock, "", lambda: len(trial.hosts), trial.random.random
+            trial.clock,
+            "",
+            lambda: len(trial.hosts),
+            metrics.Metrics(),
+            trial.random.random,
         )
 
     def choose(self, parts):
--- a/teaselwall/view_commands.py
+++ b/teaselwall/view_commands.py
@@ -187,12 +187,15 @@
     yield "Stage coordinators:"
     yield from (f"  {g}: {address}" for g, address in view.coordinators.items())
     yield from (f"  {n} pieces wait for {p}" for p, n in view.waiting_pieces.items())
+    yield "Pools:"
+    yield from (_pool_text(pool) for pool in view.pools)
     yield "Backend servers:"
     for server in view.servers:
         yield (
             f"  {server.pool} {server.address} {server.data_centre} "
             f"{server.incarnation}: {server.n_in_flight} of this host, "
             f"load {server.load:g}, {server.left_out or 'in use'}"
+            f"{_told_text(server)}"
         )
     yield from (f"Retries of {pool}: {n}" for pool, n in view.retries.items())
     yield from (
@@ -202,6 +205,26 @@
     )
 
 
+def _pool_text(pool):
+    """Return the line that shows a ``messages.PoolView``."""
+    if not pool.n_told:
+        return f"  {pool.pool}: none of {pool.n_servers} servers has said its load"
+    return (
+        f"  {pool.pool}: {pool.n_told} of {pool.n_servers} servers have said their "
+        f"load, {pool.load_age_ms} ms ago in the median; {pool.utilisation:.0%} of "
+        f"places in use, {pool.busiest_ratio:g} times that at the busiest tenth, "
+        f"{pool.n_full} full"
+    )
+
+
+def _told_text(server):
+    """Return what a server has said of itself, or an empty text."""
+    if server.load_age_ms < 0:
+        return ""
+    slowness = f", {server.slowness:g} times as slow" if server.slowness else ""
+    return f", {server.n_places} places{slowness}, told {server.load_age_ms} ms ago"
+
+
 def _unreachable_text(member):
     if not member.unreachable:
         return ""
