--- a/teaselwall/tests/test_evenload.py
+++ b/teaselwall/tests/test_evenload.py
@@ -15,6 +15,7 @@
 )
 from teaselwall.generated import messages
 from teaselwall.tests import fakes
+from teaselwall.tests.platform_entry import Caller, Script
 
 N_DRAWS = 4000
 
@@ -52,6 +53,10 @@
     return [counts[s] / N_DRAWS for s in known]
 
 
+def answer(load):
+    return Script(200, [b"id: 1\ndata: a\n\n"], {"Server-Load": load})
+
+
 def option(load_ms, n_free, own_ms=0.0):
     return evenload.Option(None, load_ms, 1.0, n_free, 1.0, 100.0, 50.0, own_ms)
 
@@ -170,3 +175,42 @@
 def test_a_pool_without_any_report_is_drawn_from_evenly(clock):
     known = [server(clock, i) for i in range(5)]
     assert min(shares(timed(clock, n_hosts=60), known)) > 0.1
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/safe/1"])
+async def test_what_servers_say_of_their_load_decides_later_choices(
+    autojump_clock, application, host, back_ends, path
+):
+    """The header with four figures was dropped: no load reached the choice."""
+    told = answer("30,4,16,100")
+    for _ in range(2):
+        back_ends.scripts = [told]
+        await Caller(path).send_request(application)
+    address = back_ends.calls[0][0]
+    pool = "llm" if path == "/stream/1" else "core"
+    server = host.fleet.by_pool[pool][address]
+    assert (server.report.in_flight, server.capacity()) == (34, 16)
+    assert server.slowness.is_stated
+    # Both servers may have been told of; one without waiting requests gets the next.
+    free = next(s for s in host.fleet.by_pool[pool].values() if s is not server)
+    free.record_load(protocols.Load(1, 0, 16, 1.0))
+    before = len(back_ends.calls)
+    for _ in range(5):
+        server.record_load(protocols.Load(30, 4, 16, 1.0))
+        back_ends.scripts = [answer("1,0,16,100")]
+        await Caller(path).send_request(application)
+    assert {called for called, _ in back_ends.calls[before:]} == {free.address}
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/safe/1"])
+async def test_servers_that_state_no_slowness_are_chosen_as_before(
+    autojump_clock, application, host, back_ends, path, monkeypatch
+):
+    def choose(pool, servers, work):
+        raise AssertionError("chosen by time")
+
+    monkeypatch.setattr(timedchoices.TimedChoices, "choose", choose)
+    for _ in range(4):
+        back_ends.scripts = [answer("3,0,16")]
+        assert (await Caller(path).send_request(application)).status == 200
+    assert host.server_choices.timed.speeds == {}
