--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -27,6 +27,10 @@
 N_EVENTS = 6
 EVENT_INTERVAL_MS = 20
 REQUEST_TIME_S = 0.02
+# An engine's machine is slow for this long, in one of so many turns.
+SLOW_S = 0.6
+SLOWNESS = 2.5
+N_SLOW_TURNS = 7
 STAGE_CALL_TIME_S = 0.05
 # From the head of an answer to the end of a process that the request crashes.
 CRASH_DELAY_S = 0.1
@@ -196,6 +200,7 @@
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         first = int(headers.get("last-event-id") or 0) + 1
         interval_s = float(query.get("interval_ms", EVENT_INTERVAL_MS)) / 1000
+        interval_s *= self._slowness()
         head = [
             *self._headers(headers),
             (b"content-type", b"text/event-stream"),
@@ -249,15 +254,23 @@
         await send({"type": "http.response.body", "body": body})
 
     def _headers(self, headers):
-        load = b"%d,0,%d" % (
-            min(self.n_present, platform_faults.N_SLOTS),
-            platform_faults.N_SLOTS,
-        )
-        return [
+        head = [
             (b"request-id", headers.get("request-id", "").encode()),
             (b"server-stamp", self.options.id.encode()),
-            *([(b"server-load", load)] if self.server_faults.is_brittle() else []),
         ]
+        is_engine = self.options.service == "engine"
+        if is_engine or self.server_faults.is_brittle():
+            n_running = min(self.n_present, platform_faults.N_SLOTS)
+            load = f"{n_running},0,{platform_faults.N_SLOTS}"
+            if is_engine:
+                load += f",{100 * self._slowness():.0f}"
+            head.append((b"server-load", load.encode()))
+        return head
+
+    def _slowness(self):
+        """Return how slow this engine's machine is now; engines take turns."""
+        turn = int(time.monotonic() / SLOW_S) + sum(self.options.id.encode())
+        return SLOWNESS if turn % N_SLOW_TURNS == 0 else 1.0
 
     def _print(self, event, headers, **fields):
         """Print a record about a request of this server."""
