Give sessions a second home, and count fetches from afar like prompts read again

Such requests now go to the same second home at all hosts, in another data centre, which counts as having half of the shared parts cached. Bytes from afar count like the tokens that they were set equal to, also while places are plentiful.

--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -13,6 +13,8 @@
 WAITING_TOKENS = 4000
 # Cost of each byte of stage results that crosses data centres.
 TOKENS_PER_REMOTE_BYTE = 0.002
+# Share of the prompt parts cached at a home that its second home probably has cached.
+SECOND_HOME_SHARE = 0.5
 # Engines considered for the prompt parts that they have cached, the home among them.
 MAX_PREFERRED = 4
 # Prompt parts remembered for each engine at most.
@@ -85,12 +87,13 @@
     def work(self, parts, engines):
         """Return what a prompt asks of some engines, as ``timedchoices.Work``.
 
-        Preferred are those that have its shared parts cached, as far as this host
-        knows, and the session's home.
+        Preferred are the session's homes and the engines that have its shared parts
+        cached, as far as this host knows.
         """
         home = self.home_engine(parts, engines)
+        second = self._second_home(parts, engines, home)
         n_tokens = sum(part.n_tokens for part in parts)
-        preferred = [home] if home is not None else []
+        preferred = [engine for engine in (home, second) if engine is not None]
         if len(parts) > 1:
             shared = parts[-2].id
             for engine in engines:
@@ -98,10 +101,24 @@
                     preferred.append(engine)
 
         def n_cached(engine):
-            return n_tokens - self._n_uncached_tokens(engine, parts, engine is home)
+            n_uncached = self._n_uncached_tokens(engine, parts, engine is home)
+            if engine is second:
+                n_if_home = self._n_uncached_tokens(engine, parts, True)
+                n_uncached += SECOND_HOME_SHARE * (n_if_home - n_uncached)
+            return n_tokens - n_uncached
 
         return timedchoices.Work(n_tokens, n_cached, preferred[:MAX_PREFERRED])
 
+    def _second_home(self, parts, engines, home):
+        """Return the engine where a session goes if its home is slow, or None.
+
+        It is the same at all hosts, in another data centre than the home.
+        """
+        if home is None:
+            return None
+        others = [e for e in engines if e.data_centre != home.data_centre]
+        return self.home_engine(parts, others)
+
     def _cost(self, engine, parts, home, data_centre, n_bytes):
         """Return the cost of a request on an engine, in prompt tokens."""
         cost = self._n_uncached_tokens(engine, parts, engine is home)
--- a/teaselwall/timedchoices.py
+++ b/teaselwall/timedchoices.py
@@ -184,8 +184,9 @@
         if pool.memory_tokens:
             memory_places = pool.memory_tokens / max(1.0, speeds.n_tokens)
         expected = loads.expected()
-        # Reading a prompt again holds up the requests beside it. This counts while
-        # there is room; where places get scarce, even load is worth more.
+        # Reading a prompt again holds up the requests beside it, and so does fetching
+        # results from afar. This counts while there is room; where places get scarce,
+        # even load is worth more.
         room = max(0.0, 1.0 - loads.utilisation / SCARCE_UTILISATION)
         cached_ms = speeds.token_ms * (1.0 + MAX_HELD_UP * room)
         for server, load, n_changed, n_places in zip(
@@ -205,17 +206,17 @@
                     # No cached part is worth a wait for a place.
                     occupancy_ms + factor * cached_ms * work.n_tokens,
                     occupancy_ms / n_places,
-                    self._own_ms(server, factor * cached_ms, speeds, work),
+                    self._own_ms(server, factor, cached_ms, work)
+                    + server.n_failures * speeds.occupancy_ms,
                 )
             )
         return options
 
-    def _own_ms(self, server, cached_ms, speeds, work):
+    def _own_ms(self, server, factor, cached_ms, work):
         """Return what sets a request apart from others at a server, in ms."""
-        own_ms = server.n_failures * speeds.occupancy_ms
-        own_ms -= cached_ms * work.n_cached(server)
+        own_ms = -factor * cached_ms * work.n_cached(server)
         if server.data_centre != self.data_centre:
             own_ms += CROSS_DATA_CENTRE_MS
         if work.data_centre and server.data_centre != work.data_centre:
-            own_ms += speeds.token_ms * TOKENS_PER_REMOTE_BYTE * work.n_bytes
+            own_ms += cached_ms * TOKENS_PER_REMOTE_BYTE * work.n_bytes
         return own_ms
