Count what a prompt holds up at the usual speed, not at the server's

The part of a cached prompt's worth that stands for requests held up beside it was multiplied by the server's own slowness, so that the slower a session's home, the stronger its pull. Found by a test of the second home that failed.

--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -11,8 +11,6 @@
 IN_PROGRESS_TOKENS = 60
 # Cost of each request that waits at an engine beyond its capacity.
 WAITING_TOKENS = 4000
-# Cost of each byte of stage results that crosses data centres.
-TOKENS_PER_REMOTE_BYTE = 0.002
 # Share of the prompt parts cached at a home that its second home probably has cached.
 SECOND_HOME_SHARE = 0.5
 # Engines considered for the prompt parts that they have cached, the home among them.
@@ -97,7 +95,8 @@
         if len(parts) > 1:
             shared = parts[-2].id
             for engine in engines:
-                if shared in self.sent_parts.get(engine.incarnation, ()):
+                has_shared = shared in self.sent_parts.get(engine.incarnation, ())
+                if has_shared and engine not in preferred:
                     preferred.append(engine)
 
         def n_cached(engine):
@@ -127,7 +126,7 @@
         cost += IN_PROGRESS_TOKENS * load + WAITING_TOKENS * waiting
         cost += FAILURE_TOKENS * engine.n_failures
         if data_centre and engine.data_centre != data_centre:
-            cost += TOKENS_PER_REMOTE_BYTE * n_bytes
+            cost += timedchoices.TOKENS_PER_REMOTE_BYTE * n_bytes
         return cost
 
     def _n_uncached_tokens(self, engine, parts, is_home):
--- a/teaselwall/tests/test_evenload.py
+++ b/teaselwall/tests/test_evenload.py
@@ -4,6 +4,7 @@
 import pytest
 
 from teaselwall import (
+    enginechoices,
     evenload,
     metrics,
     poolloads,
@@ -112,6 +113,29 @@
     assert shares(timed(clock), known, work)[7] > 0.9
 
 
+def test_sessions_leave_a_slow_home_for_the_same_engine_at_all_hosts(clock):
+    # Each would otherwise read the session's prompt on several engines anew.
+    known = [server(clock, i, "abc"[i % 3], load=2) for i in range(30)]
+    slow = known[0]
+    prompts = (protocols.PromptPart(f"s{i}", 3000) for i in range(1000))
+    session = next(
+        part
+        for part in prompts
+        if enginechoices.EngineChoices().home_engine((part, part), known) is slow
+    )
+    chosen = set()
+    for number in range(20):
+        engines, choices = enginechoices.EngineChoices(), timed(clock, n_hosts=20)
+        choices.speeds["p"] = poolspeeds.PoolSpeeds()
+        for _ in range(20):
+            choices.speeds["p"].record_answer(slow, 1000, 2, 4000.0)
+            choices.speeds["p"].record_answer(known[1], 1000, 2, 60.0)
+        parts = (session, protocols.PromptPart(f"own{number}", 500))
+        chosen.add(choices.choose(pool(), known, engines.work(parts, known)))
+    assert len(chosen) == 1
+    assert slow not in chosen
+
+
 def test_engines_whose_memory_is_full_count_as_full(clock):
     known = [server(clock, 0, load=12), server(clock, 1, load=3)]
     choices = timed(clock)
--- a/teaselwall/timedchoices.py
+++ b/teaselwall/timedchoices.py
@@ -3,12 +3,10 @@
 import math
 import random
 
-from teaselwall import evenload, poolloads, poolspeeds
+from teaselwall import evenload, pickers, poolloads, poolspeeds
 
 # Cost of each byte of stage results that crosses data centres, in prompt tokens.
 TOKENS_PER_REMOTE_BYTE = 0.002
-# Added to the expected time of a request to another data centre.
-CROSS_DATA_CENTRE_MS = 1.0
 # Servers drawn at random for a request, besides those preferred.
 N_DRAWN = 8
 # Requests that are counted as held up while an idle pool reads a prompt, and the share
@@ -188,7 +186,7 @@
         # results from afar. This counts while there is room; where places get scarce,
         # even load is worth more.
         room = max(0.0, 1.0 - loads.utilisation / SCARCE_UTILISATION)
-        cached_ms = speeds.token_ms * (1.0 + MAX_HELD_UP * room)
+        held_up_ms = speeds.token_ms * MAX_HELD_UP * room
         for server, load, n_changed, n_places in zip(
             loads.servers, expected, loads.n_changed(), loads.n_places, strict=True
         ):
@@ -196,6 +194,7 @@
             factor = speeds.factor(server) * server.slowness.factor()
             n_running = min(load, n_places)
             occupancy_ms = speeds.occupancy_ms * factor
+            token_ms = speeds.token_ms * factor + held_up_ms
             options.append(
                 evenload.Option(
                     server,
@@ -204,19 +203,19 @@
                     n_places - load,
                     N_DEVIATIONS * math.sqrt(n_changed),
                     # No cached part is worth a wait for a place.
-                    occupancy_ms + factor * cached_ms * work.n_tokens,
+                    occupancy_ms + token_ms * work.n_tokens,
                     occupancy_ms / n_places,
-                    self._own_ms(server, factor, cached_ms, work)
+                    self._own_ms(server, token_ms, work)
                     + server.n_failures * speeds.occupancy_ms,
                 )
             )
         return options
 
-    def _own_ms(self, server, factor, cached_ms, work):
+    def _own_ms(self, server, token_ms, work):
         """Return what sets a request apart from others at a server, in ms."""
-        own_ms = -factor * cached_ms * work.n_cached(server)
+        own_ms = -token_ms * work.n_cached(server)
         if server.data_centre != self.data_centre:
-            own_ms += CROSS_DATA_CENTRE_MS
+            own_ms += pickers.CROSS_DATA_CENTRE_MS
         if work.data_centre and server.data_centre != work.data_centre:
-            own_ms += cached_ms * TOKENS_PER_REMOTE_BYTE * work.n_bytes
+            own_ms += token_ms * TOKENS_PER_REMOTE_BYTE * work.n_bytes
         return own_ms
