--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -4,13 +4,17 @@
 
 import xxhash
 
+from teaselwall import timedchoices
+
 # Costs are counted in prompt tokens that an engine has to read. A request in progress
 # on an engine adds this much, as it slows each step of the others a little.
 IN_PROGRESS_TOKENS = 60
 # Cost of each request that waits at an engine beyond its capacity.
 WAITING_TOKENS = 4000
-# Cost of each byte of stage results that crosses data centres.
-TOKENS_PER_REMOTE_BYTE = 0.002
+# Share of the prompt parts cached at a home that its second home probably has cached.
+SECOND_HOME_SHARE = 0.5
+# Engines considered for the prompt parts that they have cached, the home among them.
+MAX_PREFERRED = 4
 # Prompt parts remembered for each engine at most.
 MAX_PARTS_PER_ENGINE = 4000
 # Cost of each failure in a row: more than reading the longest usual prompt.
@@ -78,6 +82,42 @@
         for incarnation in set(self.sent_parts) - set(incarnations):
             del self.sent_parts[incarnation]
 
+    def work(self, parts, engines):
+        """Return what a prompt asks of some engines, as ``timedchoices.Work``.
+
+        Preferred are the session's homes and the engines that have its shared parts
+        cached, as far as this host knows.
+        """
+        home = self.home_engine(parts, engines)
+        second = self._second_home(parts, engines, home)
+        n_tokens = sum(part.n_tokens for part in parts)
+        preferred = [engine for engine in (home, second) if engine is not None]
+        if len(parts) > 1:
+            shared = parts[-2].id
+            for engine in engines:
+                has_shared = shared in self.sent_parts.get(engine.incarnation, ())
+                if has_shared and engine not in preferred:
+                    preferred.append(engine)
+
+        def n_cached(engine):
+            n_uncached = self._n_uncached_tokens(engine, parts, engine is home)
+            if engine is second:
+                n_if_home = self._n_uncached_tokens(engine, parts, True)
+                n_uncached += SECOND_HOME_SHARE * (n_if_home - n_uncached)
+            return n_tokens - n_uncached
+
+        return timedchoices.Work(n_tokens, n_cached, preferred[:MAX_PREFERRED])
+
+    def _second_home(self, parts, engines, home):
+        """Return the engine where a session goes if its home is slow, or None.
+
+        It is the same at all hosts, in another data centre than the home.
+        """
+        if home is None:
+            return None
+        others = [e for e in engines if e.data_centre != home.data_centre]
+        return self.home_engine(parts, others)
+
     def _cost(self, engine, parts, home, data_centre, n_bytes):
         """Return the cost of a request on an engine, in prompt tokens."""
         cost = self._n_uncached_tokens(engine, parts, engine is home)
@@ -86,7 +126,7 @@
         cost += IN_PROGRESS_TOKENS * load + WAITING_TOKENS * waiting
         cost += FAILURE_TOKENS * engine.n_failures
         if data_centre and engine.data_centre != data_centre:
-            cost += TOKENS_PER_REMOTE_BYTE * n_bytes
+            cost += timedchoices.TOKENS_PER_REMOTE_BYTE * n_bytes
         return cost
 
     def _n_uncached_tokens(self, engine, parts, is_home):
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -233,6 +233,7 @@
             self.cold_starts,
             settings.regions,
             self.n_hosts,
+            self.metrics,
         )
 
     def _add_stages(self):
--- a/teaselwall/progress.py
+++ b/teaselwall/progress.py
@@ -16,30 +16,23 @@
         Time on the clock at which the attempt began.
     head_ms : float or None
         Time on the clock at which the head of the reply arrived.
+    first_ms : float or None
+        Time on the clock at which the body's first bytes arrived.
     received_ms : float
         Time on the clock of the newest bytes; of the start before any.
-    first_ms : float or None
-        Time on the clock of the first bytes of the reply's body.
     n_bytes : int
         Bytes of the reply's body.
     """
 
-    __slots__ = (
-        "clock",
-        "started_ms",
-        "head_ms",
-        "received_ms",
-        "first_ms",
-        "n_bytes",
-    )
+    __slots__ = ("clock", "started_ms", "head_ms", "first_ms", "received_ms", "n_bytes")
 
     def __init__(self, clock):
         super().__init__()
         self.clock = clock
         self.started_ms = clock.now_ms()
         self.head_ms = None
-        self.received_ms = self.started_ms
         self.first_ms = None
+        self.received_ms = self.started_ms
         self.n_bytes = 0
 
     def record_head(self):
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -13,11 +13,12 @@
     rolloutanswers,
     traces,
 )
-from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
 MAX_PARTS_LOGGED = 4
+# Logged as the age of a load that no report has told.
+UNKNOWN_AGE_MS = 1e9
 
 
 class ServerAttempts:
@@ -82,7 +83,7 @@
         """
         call.n_sent += 1
         call.tried.add(server.address)
-        self.server_choices.record_sent(call, server)
+        sent = self.server_choices.record_sent(call, server)
         remaining_ms = call.deadline.remaining_ms()
         span = self.tracer.start(
             "attempt", call.span, server=server.address, request=call.head.id
@@ -108,6 +109,8 @@
                 rollouts, call, server, error, attempt.received
             )
         span.end()
+        if error is None:
+            self.server_choices.record_answer(call, sent, attempt.received)
         if error is None or error.outcome is not errors.Outcome.NOT_RUN:
             call.n_ran += 1
         events.log(
@@ -119,7 +122,9 @@
             id=server.incarnation,
             attempt=call.n_sent,
             remaining_ms=round(remaining_ms),
-            load=round(server.load(), 1),
+            load=round(sent.load, 1),
+            load_age_ms=round(min(sent.age_ms, UNKNOWN_AGE_MS)),
+            slowness=round(sent.slowness, 2),
             parts=call.head.shared_parts()[:MAX_PARTS_LOGGED],
             outcome=error.outcome.value if error is not None else "ok",
             error=str(error) if error is not None else "",
@@ -175,7 +180,7 @@
 
     def on_reply(self, head):
         """Record the server's load and what it says about itself."""
-        _record_load(self.server, head)
+        self.server.record_load(head.load)
         if head.genuine or head.not_run:
             self.attempts.server_choices.fleet.record_notice(
                 self.server, head.notice, self.received.started_ms
@@ -199,17 +204,3 @@
     ):
         # A refusal or an error reply shows that the server is reachable.
         server.n_failures = max(0, server.n_failures - 1)
-
-
-def _record_load(server, head):
-    if head.load is None:
-        return
-    n_running, n_waiting, n_slots = head.load
-    server.record_report(
-        messages.LoadReport(
-            incarnation=server.incarnation,
-            in_flight=n_running + n_waiting,
-            capacity=n_slots,
-            cold=False,
-        )
-    )
