--- a/teaselwall/backlogs.py
+++ b/teaselwall/backlogs.py
@@ -38,14 +38,14 @@
         self.lateness_by_job = {}
         costs = {}
         for job in jobs:
-            if job.ended() or not job.started:
+            if job.ended() or not job.begun:
                 continue
             on_time = job.slack_ms() >= 0
             for stage in job.stages:
                 if not stage.work_left:
                     continue
                 if stage.pool not in costs:
-                    costs[stage.pool] = _piece_ms(stage.pool, n_servers, limits_of)
+                    costs[stage.pool] = piece_ms(stage.pool, n_servers, limits_of)
                 cost_ms = stage.work_left * costs[stage.pool]
                 _add(self.all_ms, stage.pool, cost_ms)
                 if on_time:
@@ -89,8 +89,15 @@
         return max(stage.earliest_start_ms, backlog_ms.get(stage.pool, 0.0))
 
 
-def _piece_ms(pool, n_servers, limits_of):
-    """Return the time that each piece adds to the backlog of a pool."""
+def piece_ms(pool, n_servers, limits_of):
+    """Return the time that each piece adds to the backlog of a pool.
+
+    Parameters
+    ----------
+    pool : str
+    n_servers, limits_of : callable
+        See ``Backlogs``.
+    """
     limits = limits_of(pool)
     if limits is None:
         return 0.0
--- /dev/null
+++ b/teaselwall/poolrates.py
@@ -0,0 +1,105 @@
+"""How fast stage pools work off their queues, beside what their configuration says."""
+
+# Share of a pool's past that still counts halves in this time: machines that are shared
+# change their speed within half a second.
+HALF_LIFE_MS = 600.0
+# Weight, as time, of the configured rate; what was measured counts beside it.
+CONFIGURED_WEIGHT_MS = 300.0
+MIN_PACE = 0.1
+MAX_PACE = 1.5
+
+
+class PoolRates:
+    """Measures the work that pools do while pieces wait for them.
+
+    Slow servers, full result space and calls that are not full show in it alike.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+
+    Attributes
+    ----------
+    by_pool : dict of str to Rate
+    """
+
+    __slots__ = ("clock", "by_pool")
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.by_pool = {}
+
+    def observe(self, pool, is_short):
+        """Record whether more than a full call of pieces waits for a pool now."""
+        rate = self.by_pool.get(pool)
+        if rate is None:
+            rate = self.by_pool[pool] = Rate(self.clock.now_ms())
+        rate.advance(self.clock.now_ms())
+        rate.is_short = is_short
+        rate.observed_ms = rate.at_ms
+
+    def record_done(self, pool, nominal_ms):
+        """Record pieces that a pool has finished.
+
+        Parameters
+        ----------
+        pool : str
+        nominal_ms : float
+            Time that the pool takes for them by its configuration.
+        """
+        rate = self.by_pool.get(pool)
+        if rate is not None and rate.is_short:
+            rate.advance(self.clock.now_ms())
+            rate.done_ms += nominal_ms
+
+    def pace(self, pool):
+        """Return the measured rate of a pool as a share of the configured one."""
+        rate = self.by_pool.get(pool)
+        if rate is None:
+            return 1.0
+        rate.advance(self.clock.now_ms())
+        pace = (rate.done_ms + CONFIGURED_WEIGHT_MS) / (
+            rate.short_ms + CONFIGURED_WEIGHT_MS
+        )
+        return min(MAX_PACE, max(MIN_PACE, pace))
+
+    def age_ms(self, pool):
+        """Return the time since the pool's rate was last observed, or None."""
+        rate = self.by_pool.get(pool)
+        return None if rate is None else self.clock.now_ms() - rate.observed_ms
+
+
+class Rate:
+    """Work of one pool while it was short, the older the less.
+
+    Attributes
+    ----------
+    at_ms : float
+        Time on the clock up to which the sums count.
+    observed_ms : float
+        Time on the clock of the last observation.
+    is_short : bool
+        Whether the pool has been short since then.
+    short_ms : float
+        Time for which it was short.
+    done_ms : float
+        Work that it did in this time, as the time that its configuration gives it.
+    """
+
+    __slots__ = ("at_ms", "observed_ms", "is_short", "short_ms", "done_ms")
+
+    def __init__(self, now_ms):
+        self.at_ms = self.observed_ms = now_ms
+        self.is_short = False
+        self.short_ms = 0.0
+        self.done_ms = 0.0
+
+    def advance(self, now_ms):
+        """Let the sums age up to now."""
+        passed_ms = now_ms - self.at_ms
+        if passed_ms <= 0:
+            return
+        kept = 0.5 ** (passed_ms / HALF_LIFE_MS)
+        self.at_ms = now_ms
+        self.short_ms = self.short_ms * kept + (passed_ms if self.is_short else 0.0)
+        self.done_ms *= kept
--- a/teaselwall/stagechoices.py
+++ b/teaselwall/stagechoices.py
@@ -29,7 +29,7 @@
     """
     job = piece.job
     if (
-        not job.started
+        not job.begun
         and backlogs.lateness_ms(job) > 0
         and not backlogs.fits_spare_capacity(job)
     ):
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -216,6 +216,8 @@
         does not end a later one.
     key : str
         What pieces without inputs are computed from.
+    organisation : str
+        Empty without one.
     data_centre : str
         Data centre of the model engine that probably gets the request.
     due_ms : float
@@ -234,6 +236,16 @@
         Times that inputs of one of its stages were lost.
     started : bool
         Whether any of its pieces was sent to a server.
+    begun : bool
+        Whether its pieces may be sent to servers, or were; see ``room.Room``.
+    begun_ms : float or None
+        Time on the clock at which it began after a wait for room.
+    rank : int
+        Its pieces go after those of a lower rank that can be on time, too.
+    first_ms : float
+        Time on the clock at which the request first arrived.
+    returned : bool
+        Whether its caller was refused and came back when told.
     """
 
     __slots__ = (
@@ -242,6 +254,7 @@
         "run",
         "key",
         "priority",
+        "organisation",
         "data_centre",
         "due_ms",
         "deadline_ms",
@@ -251,7 +264,12 @@
         "n_waiters",
         "n_input_losses",
         "started",
+        "begun",
+        "begun_ms",
+        "rank",
         "submitted_ms",
+        "first_ms",
+        "returned",
     )
 
     def __init__(self, clock, message, expected_ms):
@@ -261,6 +279,7 @@
         self.run = message.run
         self.key = message.key
         self.priority = message.priority
+        self.organisation = message.organisation
         self.data_centre = message.data_centre
         self.due_ms = now_ms + message.due_ms
         self.deadline_ms = now_ms + message.remaining_ms
@@ -269,7 +288,12 @@
         self.n_waiters = 0
         self.n_input_losses = 0
         self.started = False
+        self.begun = False
+        self.begun_ms = None
+        self.rank = 0
         self.submitted_ms = now_ms
+        self.first_ms = now_ms
+        self.returned = False
         self.stages = []
         self._build(message.stages, expected_ms)
 
--- a/teaselwall/stagequeues.py
+++ b/teaselwall/stagequeues.py
@@ -9,7 +9,7 @@
     Attributes
     ----------
     ON_TIME
-        The job can still be on time; the least slack goes first.
+        The job can still be on time; a lower rank goes first, then the least slack.
     LATE
         The job has started and will be late; the earliest deadline goes first.
     LATE_NOT_STARTED
@@ -132,8 +132,8 @@
     """Return a piece's sort key; only its urgency class changes with time."""
     job, stage = piece.job, piece.stage
     tie_breaker = (job.submitted_ms, stage.number, piece.index)
-    if not job.started and backlogs.lateness_ms(job) > 0:
+    if not job.begun and backlogs.lateness_ms(job) > 0:
         return (Urgency.LATE_NOT_STARTED, job.priority, job.deadline_ms, *tie_breaker)
     if piece.slack_ms >= 0:
-        return (Urgency.ON_TIME, 0, job.due_ms - stage.tail_ms, *tie_breaker)
+        return (Urgency.ON_TIME, job.rank, job.due_ms - stage.tail_ms, *tie_breaker)
     return (Urgency.LATE, 0, job.deadline_ms, *tie_breaker)
--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -2,6 +2,8 @@
 
 import math
 
+from teaselwall import errors
+
 # Share of a server's space that is used, as the sizes of results are approximate.
 USABLE_SPACE_SHARE = 0.95
 # Time without calls after a server had no space for a result or took no call.
@@ -197,6 +199,28 @@
         """Send the server no calls for a short time."""
         self.paused_until_ms = self.clock.now_ms() + PAUSE_MS
 
+    def finishes_in_time(self, piece):
+        """Return whether a piece may go here though the server is slow."""
+        return piece.slack_ms > self.expected_ms(1) - self.batches.expected_ms(1)
+
+    def record_failure(self, pieces, error):
+        """Record a call that failed.
+
+        Parameters
+        ----------
+        pieces : list of stagejobs.Piece
+        error : errors.Error
+        """
+        is_refusal = error.outcome is errors.Outcome.NOT_RUN
+        if is_refusal and not isinstance(error, errors.ConnectFailed):
+            self.pause()
+            for piece in pieces:
+                piece.n_attempts -= 1
+            return
+        self.record_lost_call()
+        if not is_refusal:
+            self.record_lost_results(pieces)
+
     def record_lost_call(self):
         """Count a lost call and send the server no calls for a time."""
         self.n_lost_in_row += 1
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -8,7 +8,9 @@
 from teaselwall import (
     backlogs,
     errors,
+    poolrates,
     requestlimits,
+    room,
     stageadmission,
     stagecalls,
     stagechoices,
@@ -46,6 +48,8 @@
     servers_of : callable, optional
         ``servers_of(pool)`` gives the servers that may get work from this process; by
         default all of the pool that may get new work.
+    shares_room : callable, optional
+        Returns whether jobs wait for room before they begin; by default none does.
 
     Attributes
     ----------
@@ -53,6 +57,8 @@
         By request and run, from submission until release.
     queues : dict of str to stagequeues.StageQueue
         Pieces that can run now, by pool.
+    room : room.Room
+        Jobs that wait for room at the pools.
     work_changed : trio.Event
         Set when queued pieces may be assigned to servers.
     job_submitted : trio.Event
@@ -67,6 +73,7 @@
         "metrics",
         "jobs",
         "queues",
+        "room",
         "wait_estimates",
         "admission",
         "states",
@@ -76,7 +83,9 @@
         "nursery",
     )
 
-    def __init__(self, clock, fleet, client, pool_of, metrics, servers_of=None):
+    def __init__(
+        self, clock, fleet, client, pool_of, metrics, servers_of=None, shares_room=None
+    ):
         self.clock = clock
         self.fleet = fleet
         self.servers_of = servers_of or fleet.choices
@@ -88,6 +97,14 @@
             self.queues, pool_of, self.servers_of, fleet
         )
         self.admission = stageadmission.StageAdmission(self.wait_estimates, fleet)
+        self.room = room.Room(
+            clock,
+            self.jobs,
+            self.wait_estimates,
+            poolrates.PoolRates(clock),
+            metrics,
+            shares_room or _never,
+        )
         self.states = {}
         self.work_changed = trio.Event()
         self.job_submitted = trio.Event()
@@ -106,9 +123,11 @@
                 await self.work_changed.wait()
                 await self.clock.sleep_ms(DECISION_DELAY_MS)
                 self.work_changed = trio.Event()
+                self._begin_jobs()
                 backlog = self._backlogs()
                 for pool in list(self.queues):
                     self._assign_batches(pool, backlog)
+                self.room.observe(self.queues)
 
     async def submit(self, message):
         """Run the stages of one request.
@@ -127,12 +146,15 @@
         job = self.jobs.get((message.request, message.run))
         if job is None:
             job = stagejobs.Job(self.clock, message, self.wait_estimates.expected_ms)
-            refused = self.admission.refusal(job)
+            refused = self.admission.refusal(job) or self.room.refusal(job)
             if refused is not None:
                 return expression.Error(refused)
             self.jobs[job.request, job.run] = job
             self.job_submitted.set()
-            self._queue_runnable(job)
+            if self.room.add(job):
+                self._begin_jobs()
+            else:
+                self._queue_runnable(job)
         job.n_waiters += 1
         try:
             await job.finished.wait()
@@ -170,9 +192,17 @@
             if not job.ended() and applies(job):
                 self._end(job, errors.NotCoordinator(detail))
 
+    def longest_wait_ms(self):
+        """Return the time that the longest queue takes, with jobs that wait to begin."""
+        return self.wait_estimates.longest_ms() + self.room.longest_ms()
+
     def _on_freed(self):
         self.work_changed.set()
 
+    def _begin_jobs(self):
+        for job in self.room.begin():
+            self._queue_runnable(job)
+
     def _queue_runnable(self, job):
         """Queue the pieces of a job that can run now."""
         for piece in job.runnable():
@@ -199,10 +229,10 @@
                 elif not job.ended():
                     refused = self.admission.refusal_in_progress(
                         job, backlog, missing_pools
-                    )
+                    ) or self.room.late_refusal(job)
                     if refused is not None:
                         self._end(job, refused)
-            if any(queue.pieces for queue in self.queues.values()):
+            if self.room.waiting or any(q.pieces for q in self.queues.values()):
                 self.work_changed.set()
 
     def _backlogs(self):
@@ -250,7 +280,7 @@
             state = stagechoices.best_server(available, queue.pieces[0])
             available.remove(state)
             spares_slow = state.is_slow() and not all_slow
-            if spares_slow and not self._finishes_in_time(state, queue.pieces[0]):
+            if spares_slow and not state.finishes_in_time(queue.pieces[0]):
                 continue
             batch = queue.take(state, waits)
             if batch and self.fleet.is_available(state.server):
@@ -276,14 +306,12 @@
             if not state.n_calls and not self.fleet.is_in_use(server):
                 del self.states[server]
 
-    def _finishes_in_time(self, state, piece):
-        return piece.slack_ms > state.expected_ms(1) - state.batches.expected_ms(1)
-
     def _start(self, state, batch):
         state.begin_call(batch)
         for piece in batch:
             piece.begin_attempt(state.server)
-            piece.job.started = True
+            piece.job.started = piece.job.begun = True
+            piece.job.rank = 0
             if piece.stage.started_ms is None:
                 piece.stage.started_ms = self.clock.now_ms()
         self.metrics.count("stage_calls", pool=state.server.pool)
@@ -303,10 +331,11 @@
             piece.end_attempt(state.server)
         if result.is_ok():
             state.record_time(elapsed_ms, len(batch))
+            self.room.record_done(state.server.pool, len(batch))
             for piece, piece_result in zip(batch, result.ok, strict=True):
                 self._take_result(state, piece, piece_result)
         else:
-            self._record_failed_call(state, batch, result.error)
+            state.record_failure(batch, result.error)
         self.metrics.observe_ms("stage_call", elapsed_ms, pool=state.server.pool)
         n_waiting = len(self.queues[state.server.pool].pieces)
         stagelogs.call(state, batch, result, elapsed_ms, n_waiting)
@@ -371,18 +400,6 @@
         for handle, source in discarded:
             self.cleanup.add(handle, source.server)
 
-    def _record_failed_call(self, state, batch, error):
-        if error.outcome is errors.Outcome.NOT_RUN and not isinstance(
-            error, errors.ConnectFailed
-        ):
-            state.pause()
-            for piece in batch:
-                piece.n_attempts -= 1
-        else:
-            state.record_lost_call()
-            if error.outcome is not errors.Outcome.NOT_RUN:
-                state.record_lost_results(batch)
-
     def _advance(self, job):
         """Queue pieces of a job that can run now; free results it no longer needs."""
         if job.ended():
@@ -391,6 +408,7 @@
             for piece in stage.pieces:
                 self.cleanup.add(piece.handle, piece.server)
         if job.done():
+            self.room.record_finished(job)
             job.finished.set()
             return
         runnable = job.runnable()
@@ -398,3 +416,7 @@
             self._end(job, errors.Unavailable("All attempts at a stage failed."))
             return
         self._queue_runnable(job)
+
+
+def _never():
+    return False
--- a/teaselwall/tools/bench_stages.py
+++ b/teaselwall/tools/bench_stages.py
@@ -16,6 +16,7 @@
 
 from teaselwall import (
     clock,
+    errors,
     fleet,
     metrics,
     operatorstate,
@@ -87,12 +88,14 @@
     return min(max_pieces, max(1, round(rng.gammavariate(3, mean / 3))))
 
 
-def _images(rng):
+def image_stages(rng):
+    """Return the stages of a request with some large inputs."""
     n_pieces = _n_pieces(rng, 2.5, 10) if rng.random() < 0.7 else 0
     return [_row("encode", n_pieces, 1_500_000)]
 
 
-def _digest(rng):
+def digest_stages(rng):
+    """Return three stages in a row."""
     return [
         _row("encode", 1, 8_000),
         _row("retrieve", 6, 60_000, [0]),
@@ -100,7 +103,8 @@
     ]
 
 
-def _chat(rng):
+def chat_stages(rng):
+    """Return three stages in a row beside some large inputs."""
     n_pieces = _n_pieces(rng, 1.5, 6) if rng.random() < 0.4 else 0
     return [
         _row("encode", n_pieces, 1_500_000),
@@ -112,11 +116,11 @@
 
 BURST_OF_ALL_LOADS = (26.0, 4.0, 1.7)
 LOADS = (
-    Load("drafts", 8.9, 1100, 4400, 1, _images, ((3.5, 5.7, 2.2), BURST_OF_ALL_LOADS)),
+    Load("drafts", 8.9, 1100, 4400, 1, image_stages, ((3.5, 5.7, 2.2), BURST_OF_ALL_LOADS)),
     Load(
-        "digests", 9.4, 1900, 6000, 0, _digest, ((15.0, 5.5, 2.4), BURST_OF_ALL_LOADS)
+        "digests", 9.4, 1900, 6000, 0, digest_stages, ((15.0, 5.5, 2.4), BURST_OF_ALL_LOADS)
     ),
-    Load("chats", 4.7, 1900, 7600, 2, _chat, (BURST_OF_ALL_LOADS,)),
+    Load("chats", 4.7, 1900, 7600, 2, chat_stages, (BURST_OF_ALL_LOADS,)),
 )
 
 
@@ -139,10 +143,17 @@
         Bytes of results that were read in another data centre.
     sizes : dict of str to list of int
         Bytes per piece for each stage, by request. ``Run`` sets it.
+    unreachable : set of str
+        Addresses of servers that refuse connections.
+    slowdown : callable
+        ``slowdown(address)`` gives the factor on the time of a call that starts.
     """
 
-    def __init__(self, server_clock):
+    def __init__(self, server_clock, pools=POOLS):
         self.clock = server_clock
+        self.pools = pools
+        self.unreachable = set()
+        self.slowdown = _no_slowdown
         self.results = collections.defaultdict(dict)
         self.locations = {}
         self.call_locks = collections.defaultdict(trio.Lock)
@@ -152,7 +163,12 @@
 
     async def run(self, server, items, timeout_ms):
         """Run a batch on a server; see ``stagecalls.StageClient.run``."""
-        limits = POOLS[server.pool]
+        if server.address in self.unreachable:
+            detail = f"{server.address} refused the connection."
+            return expression.Error(
+                errors.ConnectRefused(detail, outcome=errors.Outcome.NOT_RUN)
+            )
+        limits = self.pools[server.pool]
         async with self.call_locks[server.address]:
             results = [self._run_piece(server, limits, item) for item in items]
             # A piece with a result of 8000 bytes takes 0.3 of the usual piece time.
@@ -160,6 +176,7 @@
                 limits.piece_ms * (0.3 if self._bytes(item) == 8_000 else 1.0)
                 for item in items
             )
+            time_ms *= self.slowdown(server.address)
             await self.clock.sleep_ms(time_ms)
             self.busy_s += time_ms / 1000
         return expression.Ok(results)
@@ -279,6 +296,10 @@
         self.counts[load.name, "on time" if on_time else "late"] += 1
 
 
+def _no_slowdown(address):
+    return 1.0
+
+
 def pool_of(name):
     """Return the pool with a name, or None."""
     limits = POOLS.get(name)
@@ -333,7 +354,7 @@
                 due_ms=50_000.0,
                 priority=0,
                 data_centre="a",
-                stages=_digest(bench_run.rng),
+                stages=digest_stages(bench_run.rng),
             )
             job = stagejobs.Job(
                 bench_run.clock, message, bench_run.work.wait_estimates.expected_ms
