--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 from teaselwall import backlogs, errors, events, returners, shares, stageadmission
 
@@ -13,13 +14,16 @@
 
 # Work that has begun fills a pool for this many of its full calls beyond the time at
 # which a further job gets there, so that calls are full and no server waits.
-BEGUN_CALLS = 1.0
+BEGUN_CALLS = 1.5
 # Jobs that will be late leave this share of it to those that arrive next.
 LATE_CALLS = 0.5
 # Arrivals that are more urgent count over about this time.
 ARRIVALS_MS = 1000.0
 # Least share of a pool that counts as left by what is more urgent.
 MIN_LEFT_SHARE = 0.1
+# Jobs that will be late are kept only if they surely end within this many times the time
+# in which they are on time.
+MAX_LATE_FACTOR = 2.0
 # Weight of the newest job in the moving average of how long jobs take.
 STRETCH_WEIGHT = 0.05
 MAX_STRETCH = 3.0
@@ -102,7 +106,8 @@
         wait_ms = self.wait_ms(job)
         if wait_ms <= 0 or self._spare_ms(job) >= wait_ms:
             return None
-        if job.returned and self._finishes(job, wait_ms):
+        wait_ms = self.wait_ms(job, late=True)
+        if self._finishes(job, wait_ms):
             return None
         return self._refuse(job, wait_ms, "arrival")
 
@@ -110,16 +115,21 @@
         """Return the error for a waiting job that won't finish any more, or None."""
         if job not in self.waiting or self._spare_ms(job) >= 0:
             return None
-        wait_ms = self.wait_ms(job)
-        if self._finishes(job, wait_ms):
+        begun_ms, ahead_ms = self._begun(), self._ahead(job)
+        wait_ms = max(
+            (self._excess_ms(stage, begun_ms, ahead_ms) for stage in job.stages),
+            default=0.0,
+        )
+        if wait_ms + self._needed_ms(job) <= job.remaining_ms():
             return None
         return self._refuse(job, wait_ms, "wait")
 
     def _finishes(self, job, wait_ms):
-        """Return whether a late job is expected to finish within its deadline."""
+        """Return whether a job that will be late surely finishes within its deadline."""
         needed_ms = stageadmission.WAIT_FACTOR * wait_ms
         needed_ms += stageadmission.TAIL_FACTOR * self._needed_ms(job)
-        return needed_ms <= job.remaining_ms()
+        due_ms = job.due_ms - job.first_ms
+        return needed_ms <= min(job.remaining_ms(), MAX_LATE_FACTOR * due_ms)
 
     def _refuse(self, job, wait_ms, reason):
         retry_after_ms = self.returners.refuse(job, wait_ms, self._cost_ms(job))
@@ -225,21 +235,32 @@
         elif len(self.stretch) < MAX_STRETCHES:
             self.stretch[key] = max(1.0, ratio)
 
-    def wait_ms(self, job):
-        """Return the time until a job that has not begun is expected to begin."""
+    def wait_ms(self, job, late=False):
+        """Return the time until a job that has not begun is expected to begin.
+
+        Parameters
+        ----------
+        job : stagejobs.Job
+        late : bool
+            Whether it begins after all that can be on time.
+        """
         begun_ms, ahead_ms = self._begun(), self._ahead(job)
         longest_ms = 0.0
         for stage in job.stages:
-            pool = stage.pool
-            excess_ms = begun_ms.get(pool, 0.0) - self._limit_ms(stage, BEGUN_CALLS)
-            excess_ms = max(0.0, excess_ms) + ahead_ms.get(pool, 0.0)
+            excess_ms = self._excess_ms(stage, begun_ms, ahead_ms)
             if excess_ms > 0:
-                left_share = 1.0 - self._urgent_share(pool, job.priority)
+                priority = math.inf if late else job.priority
+                left_share = 1.0 - self._urgent_share(stage.pool, priority)
                 longest_ms = max(
                     longest_ms, excess_ms / max(MIN_LEFT_SHARE, left_share)
                 )
         return longest_ms
 
+    def _excess_ms(self, stage, begun_ms, ahead_ms):
+        """Return the work at a stage's pool that goes before a job may begin."""
+        excess_ms = begun_ms.get(stage.pool, 0.0) - self._limit_ms(stage, BEGUN_CALLS)
+        return max(0.0, excess_ms) + ahead_ms.get(stage.pool, 0.0)
+
     def longest_ms(self):
         """Return the longest time that a pool needs for the jobs that wait."""
         work_ms = {}
