Let stage jobs begin by urgency, fair shares and time left where pools lack room

Now a coordinator whose stage servers say that they share their machines lets jobs begin only while begun work leaves room at all their pools, and refuses at their arrival those that its forecast does not see done.

--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -37,6 +37,7 @@
     serverchoices,
     serverlimits,
     serverregistry,
+    sharedmachines,
     sharedreads,
     stagework,
     streamorigins,
@@ -242,6 +243,7 @@
             self.operator_state.pool,
             self.metrics,
             lambda pool: self.data_centre_groups.servers(pool, home),
+            sharedmachines.SharedMachines(self.clock, self.fleet).found,
         )
         self.coordination = coordination.Coordination(
             self.clock,
@@ -364,9 +366,7 @@
         """Periodically update the state that changes with time alone."""
         while True:
             self.membership.me.draining = not self.ready()
-            self.membership.me.backlog_ms = round(
-                self.stage_work.wait_estimates.longest_ms()
-            )
+            self.membership.me.backlog_ms = round(self.stage_work.room.longest_ms())
             self.server_registry.remove_missing()
             self.server_registry.history.check_gap(self.servers.age_ms())
             for server in self.fleet.servers_in_use():
--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -233,3 +233,32 @@
             MAX_LOST_CALL_PAUSE_MS, LOST_CALL_PAUSE_MS * 2 ** (self.n_lost_in_row - 1)
         )
         self.paused_until_ms = self.clock.now_ms() + pause_ms
+
+
+def states_of(states, servers, limits, clock, fleet):
+    """Return the states of a pool's servers; forget those of servers not in use.
+
+    Parameters
+    ----------
+    states : dict of servers.Server to StageServer
+        Known states, of all pools.
+    servers : iterable of servers.Server
+    limits : routes.BatchLimits
+    clock : clock.Clock
+    fleet : fleet.Fleet
+
+    Returns
+    -------
+    list of StageServer
+    """
+    found = []
+    for server in servers:
+        state = states.get(server)
+        if state is None:
+            state = states[server] = StageServer(clock, server, limits)
+        state.batches = limits
+        found.append(state)
+    for server, state in list(states.items()):
+        if not state.n_calls and not fleet.is_in_use(server):
+            del states[server]
+    return found
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -8,7 +8,6 @@
 from teaselwall import (
     backlogs,
     errors,
-    poolrates,
     requestlimits,
     room,
     stageadmission,
@@ -98,12 +97,7 @@
         )
         self.admission = stageadmission.StageAdmission(self.wait_estimates, fleet)
         self.room = room.Room(
-            clock,
-            self.jobs,
-            self.wait_estimates,
-            poolrates.PoolRates(clock),
-            metrics,
-            shares_room or _never,
+            clock, self.jobs, self.wait_estimates, metrics, shares_room or room.never
         )
         self.states = {}
         self.work_changed = trio.Event()
@@ -127,7 +121,7 @@
                 backlog = self._backlogs()
                 for pool in list(self.queues):
                     self._assign_batches(pool, backlog)
-                self.room.observe(self.queues)
+                self.room.work.observe(self.queues)
 
     async def submit(self, message):
         """Run the stages of one request.
@@ -192,10 +186,6 @@
             if not job.ended() and applies(job):
                 self._end(job, errors.NotCoordinator(detail))
 
-    def longest_wait_ms(self):
-        """Return the time that the longest queue takes, with jobs that wait to begin."""
-        return self.wait_estimates.longest_ms() + self.room.longest_ms()
-
     def _on_freed(self):
         self.work_changed.set()
 
@@ -263,7 +253,9 @@
             # Drops the pieces of the jobs that were ended for this.
             queue.sort(backlog)
             return
-        states = self._states_of(pool, limits)
+        states = stageservers.states_of(
+            self.states, self.servers_of(pool), limits, self.clock, self.fleet
+        )
         limits_allow, urgency = self.fleet.limits.allows, requestlimits.STAGE_URGENCY
         available = [
             state
@@ -289,23 +281,6 @@
                 queue.add(batch)
                 queue.sort(backlog)
 
-    def _states_of(self, pool, limits):
-        states = []
-        for server in self.servers_of(pool):
-            state = self.states.get(server)
-            if state is None:
-                state = stageservers.StageServer(self.clock, server, limits)
-                self.states[server] = state
-            state.batches = limits
-            states.append(state)
-        self._forget_unused_servers()
-        return states
-
-    def _forget_unused_servers(self):
-        for server, state in list(self.states.items()):
-            if not state.n_calls and not self.fleet.is_in_use(server):
-                del self.states[server]
-
     def _start(self, state, batch):
         state.begin_call(batch)
         for piece in batch:
@@ -331,7 +306,7 @@
             piece.end_attempt(state.server)
         if result.is_ok():
             state.record_time(elapsed_ms, len(batch))
-            self.room.record_done(state.server.pool, len(batch))
+            self.room.work.record_done(state.server.pool, len(batch))
             for piece, piece_result in zip(batch, result.ok, strict=True):
                 self._take_result(state, piece, piece_result)
         else:
@@ -408,7 +383,7 @@
             for piece in stage.pieces:
                 self.cleanup.add(piece.handle, piece.server)
         if job.done():
-            self.room.record_finished(job)
+            self.room.work.record_finished(job)
             job.finished.set()
             return
         runnable = job.runnable()
@@ -416,7 +391,3 @@
             self._end(job, errors.Unavailable("All attempts at a stage failed."))
             return
         self._queue_runnable(job)
-
-
-def _never():
-    return False
--- a/teaselwall/tools/bench.py
+++ b/teaselwall/tools/bench.py
@@ -25,6 +25,7 @@
     "configuration",
     "failures",
     "stages",
+    "hardload",
 )
 RESULT_FILE = pathlib.Path("build/bench.json")
 
--- a/teaselwall/tools/bench_hardload.py
+++ b/teaselwall/tools/bench_hardload.py
@@ -22,19 +22,13 @@
     stagework,
 )
 from teaselwall.generated import messages
-from teaselwall.tools import bench_stages, ideals
+from teaselwall.tools import bench_stages, hardload, ideals
 
 DURATION_S = 16.0
 N_SEEDS = 20
 ENGINE_MS = 180.0
 NETWORK_MS = 2.0
 DATA_CENTRES = ("a", "b", "c")
-POOLS = {
-    "encode": routes.BatchLimits(1, 17, 200.0, 10.0, 37_000_000, 4000.0),
-    "retrieve": routes.BatchLimits(1, 43, 200.0, 4.0, 5_700_000, 4000.0),
-    "rank": routes.BatchLimits(1, 64, 200.0, 2.7, 840_000, 4000.0),
-}
-N_SERVERS = {"encode": 4, "retrieve": 3, "rank": 3}
 # Refusals after this share of the time in which an answer is on time are late.
 EARLY_SHARE = 1 / 8
 LARGE_ORGANISATIONS = 3
@@ -43,95 +37,6 @@
 SMALL_RATE = 0.5
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Pattern:
-    """One way in which room is short.
-
-    Attributes
-    ----------
-    name : str
-    bursts : dict of str to tuple of (float, float, float)
-        By kind: start in s, length in s and factor of a burst.
-    flood : float
-        Requests a second of one organisation, of the most urgent kind.
-    slow : tuple of (float, float, float, float)
-        Start and length in s, factor on the time of calls, and the share of the
-        servers that it holds for.
-    down : tuple of (float, float, str)
-        Start and length in s for which a server, by its address, is down.
-    knowledge_ms : float
-        Age at which the coordinator learns that a server is down or back.
-    one_data_centre : bool
-        Whether all large requests are for engines of one data centre.
-    returns : str
-        When callers come back: ``told``, ``early``, ``together`` or ``never``.
-    killed_s : float
-        When the coordinator is killed and another one starts; 0 for never.
-    n_coordinators : int
-        Hosts that take themselves for the coordinator.
-    """
-
-    name: str
-    bursts: dict
-    flood: float = 0.0
-    slow: tuple = ()
-    down: tuple = ()
-    knowledge_ms: float = 0.0
-    one_data_centre: bool = False
-    returns: str = "told"
-    killed_s: float = 0.0
-    n_coordinators: int = 1
-
-
-URGENT = {"notices": (3.0, 6.0, 2.8)}
-ALL = {kind: (3.0, 4.0, 2.2) for kind in ("notices", "drafts", "chats")}
-PATTERNS = (
-    Pattern("urgent_burst", URGENT, down=(2.0, 5.0, "retrieve-0")),
-    Pattern("burst_of_all", ALL),
-    Pattern("flood", {}, flood=40.0),
-    Pattern("room_halves", URGENT, slow=(5.0, 3.0, 2.5, 0.5)),
-    Pattern("everybody", {kind: (2.0, 10.0, 2.6) for kind in ALL}),
-    Pattern("one_data_centre", {"drafts": (3.0, 5.0, 2.6)}, one_data_centre=True),
-    Pattern("early_returns", URGENT, down=(2.0, 5.0, "retrieve-0"), returns="early"),
-    Pattern("returns_together", URGENT, returns="together"),
-    Pattern("no_returns", URGENT, returns="never"),
-    Pattern("killed", URGENT, killed_s=6.0),
-    Pattern("two_coordinators", URGENT, n_coordinators=2),
-    Pattern("known_200_ms", URGENT, down=(4.0, 4.0, "retrieve-0"), knowledge_ms=200.0),
-    Pattern("known_2000_ms", URGENT, down=(4.0, 4.0, "retrieve-0"), knowledge_ms=2e3),
-)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Kind:
-    """Requests of one kind.
-
-    Attributes
-    ----------
-    name : str
-    rate : float
-        Requests per s outside bursts.
-    target_ms, deadline_ms : float
-    priority : int
-    stages : callable
-        ``stages(rng)`` returns the rows of a request's stages.
-    """
-
-    name: str
-    rate: float
-    target_ms: float
-    deadline_ms: float
-    priority: int
-    stages: object
-
-
-KINDS = (
-    Kind("notices", 13.0, 2300, 6000, 0, bench_stages.digest_stages),
-    Kind("drafts", 21.0, 1600, 6000, 1, bench_stages.image_stages),
-    Kind("chats", 10.0, 2300, 20_000, 2, bench_stages.chat_stages),
-)
-
-
 @dataclasses.dataclass(slots=True)
 class Request:
     """One caller's request and what became of it.
@@ -147,7 +52,7 @@
     """
 
     number: int
-    kind: Kind
+    kind: hardload.Kind
     organisation: str
     data_centre: str
     rows: list
@@ -171,7 +76,7 @@
         self.rng = random.Random(seed)
         self.clock = clock.Clock()
         self.shares_room = shares_room
-        self.servers = bench_stages.Servers(self.clock, POOLS)
+        self.servers = bench_stages.Servers(self.clock, hardload.POOLS)
         self.servers.sizes = {}
         self.servers.slowdown = self._slowdown
         self.requests = self._arrivals()
@@ -180,7 +85,7 @@
 
     def _arrivals(self):
         found = []
-        for kind in KINDS:
+        for kind in hardload.KINDS:
             at_s = 0.0
             while True:
                 start, length, factor = self.pattern.bursts.get(kind.name, (0, 0, 1))
@@ -192,7 +97,7 @@
         for name, rate in (("flood", self.pattern.flood), (SMALL, SMALL_RATE)):
             at_s = self.rng.expovariate(rate) if rate else DURATION_S
             while at_s < DURATION_S:
-                found.append(self._request(KINDS[0], at_s, name))
+                found.append(self._request(hardload.KINDS[0], at_s, name))
                 at_s += self.rng.expovariate(rate)
         found = [request for request in found if any(r.n_pieces for r in request.rows)]
         return sorted(found, key=lambda request: request.at_ms)
@@ -217,7 +122,11 @@
         pool, _, number = address.rpartition("-")
         at_s = trio.current_time()
         is_slow = start <= at_s < start + length
-        return factor if is_slow and int(number) < share * N_SERVERS[pool] else 1.0
+        return (
+            factor
+            if is_slow and int(number) < share * hardload.N_SERVERS[pool]
+            else 1.0
+        )
 
     async def run(self):
         """Play the pattern; return its requests."""
@@ -238,7 +147,9 @@
         return self.requests
 
     def _list_servers(self, down):
-        names = [(p, n) for p, count in N_SERVERS.items() for n in range(count)]
+        names = [
+            (p, n) for p, count in hardload.N_SERVERS.items() for n in range(count)
+        ]
         entries = [
             messages.HostEntry(
                 address=f"{pool}-{n}",
@@ -312,7 +223,9 @@
             await self.clock.sleep_ms(NETWORK_MS)
             work = self.works[request.number % len(self.works)]
             spent_ms = self._now_ms() - started_ms
-            result = await work.submit(self._message(request, name, passed_ms, spent_ms))
+            result = await work.submit(
+                self._message(request, name, passed_ms, spent_ms)
+            )
             if result.is_ok():
                 break
             if not isinstance(result.error, errors.NotCoordinator):
@@ -340,7 +253,7 @@
 
 def pool_of(name):
     """Return the pool with a name, or None."""
-    limits = POOLS.get(name)
+    limits = hardload.POOLS.get(name)
     return routes.Pool(name, 100, 0.0, 0.0, limits, False) if limits else None
 
 
@@ -379,7 +292,7 @@
     """Return the share on time under the ideal scheduler, by name, in percent."""
     on_time = ideals.on_time(requests, capacity_of(pattern), ENGINE_MS)
     groups = {"all": requests}
-    for kind in KINDS:
+    for kind in hardload.KINDS:
         groups[kind.name] = [r for r in requests if r.kind is kind]
     return {
         f"{name} on time": _percent(id(r) in on_time for r in group)
@@ -391,14 +304,15 @@
     """Return ``capacity(pool, at_ms)``: the full pieces that a pool does in each ms."""
 
     def capacity(pool, at_ms):
-        limits, n_servers = POOLS[pool], float(N_SERVERS[pool])
+        limits, n_servers = hardload.POOLS[pool], float(hardload.N_SERVERS[pool])
         if pattern.slow:
             start, length, factor, share = pattern.slow
             if start <= at_ms / 1000 < start + length:
                 n_servers *= share / factor + 1 - share
-        if pattern.down and pattern.down[2].startswith(pool):
-            if pattern.down[0] <= at_ms / 1000 < pattern.down[0] + pattern.down[1]:
-                n_servers -= 1
+        if pattern.down:
+            start, length, address = pattern.down
+            is_down = start <= at_ms / 1000 < start + length
+            n_servers -= is_down and address.startswith(pool)
         return n_servers * limits.n_pieces / limits.expected_ms(limits.n_pieces)
 
     return capacity
@@ -418,7 +332,7 @@
 def measure():
     """Return the figures by name as (value, unit)."""
     found = {}
-    for pattern in PATTERNS:
+    for pattern in hardload.PATTERNS:
         for shares_room in (True, False):
             way = "shared" if shares_room else "as_it_comes"
             means = mean_figures(pattern, range(N_SEEDS), shares_room)
--- a/teaselwall/tools/bench_stages.py
+++ b/teaselwall/tools/bench_stages.py
@@ -116,9 +116,23 @@
 
 BURST_OF_ALL_LOADS = (26.0, 4.0, 1.7)
 LOADS = (
-    Load("drafts", 8.9, 1100, 4400, 1, image_stages, ((3.5, 5.7, 2.2), BURST_OF_ALL_LOADS)),
     Load(
-        "digests", 9.4, 1900, 6000, 0, digest_stages, ((15.0, 5.5, 2.4), BURST_OF_ALL_LOADS)
+        "drafts",
+        8.9,
+        1100,
+        4400,
+        1,
+        image_stages,
+        ((3.5, 5.7, 2.2), BURST_OF_ALL_LOADS),
+    ),
+    Load(
+        "digests",
+        9.4,
+        1900,
+        6000,
+        0,
+        digest_stages,
+        ((15.0, 5.5, 2.4), BURST_OF_ALL_LOADS),
     ),
     Load("chats", 4.7, 1900, 7600, 2, chat_stages, (BURST_OF_ALL_LOADS,)),
 )
--- a/teaselwall/tools/ideals.py
+++ b/teaselwall/tools/ideals.py
@@ -1,4 +1,4 @@
-"""An ideal scheduler of stage work: it knows every arrival and always fills its calls."""
+"""An ideal scheduler of stage work, which knows every arrival and fills its calls."""
 
 import collections
 
