Share room where any server says that its machine is shared

The forecast keeps at least 0.3 of a pool for less urgent work: at 0.1 it refused one in ten of the least urgent kind that was on time otherwise.

--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -84,7 +84,6 @@
         self.returners.recognise(job)
         if job.returned:
             self.metrics.count("room_returns")
-        self.work.count_arrival(job)
         wait_ms = self.wait_ms(job)
         if wait_ms <= 0 or self.work.spare_ms(job) >= wait_ms:
             return None
@@ -145,6 +144,7 @@
         """
         if not self.is_active():
             return False
+        self.work.count_arrival(job)
         self.waiting[job] = None
         return True
 
--- a/teaselwall/roomwork.py
+++ b/teaselwall/roomwork.py
@@ -10,7 +10,7 @@
 # Arrivals that are more urgent count over about this time.
 ARRIVALS_MS = 1000.0
 # Least share of a pool that counts as left by what is more urgent.
-MIN_LEFT_SHARE = 0.1
+MIN_LEFT_SHARE = 0.3
 # Weight of the newest job in the moving average of how long jobs take.
 STRETCH_WEIGHT = 0.05
 MAX_STRETCH = 3.0
@@ -67,7 +67,8 @@
         Returns
         -------
         dict of str to float
-            Up to ``SNAPSHOT_MS`` old, but with the jobs that have begun since.
+            At the configured rates. Up to ``SNAPSHOT_MS`` old, but with the jobs that
+            have begun since.
         """
         now_ms = self.clock.now_ms()
         if now_ms - self._begun_at_ms > SNAPSHOT_MS:
@@ -78,13 +79,18 @@
                     for stage in job.stages:
                         add(n_pieces, stage.pool, stage.work_left)
             self._begun_ms = {
-                pool: n * self.piece_ms(pool) for pool, n in n_pieces.items() if n
+                pool: n * self._nominal_piece_ms(pool)
+                for pool, n in n_pieces.items()
+                if n
             }
         return self._begun_ms
 
     def record_begun(self, job):
         """Count a job that begins now."""
-        self.add_work(self.begun_ms(), job)
+        begun_ms = self.begun_ms()
+        for stage in job.stages:
+            nominal_ms = self._nominal_piece_ms(stage.pool)
+            add(begun_ms, stage.pool, stage.work_left * nominal_ms)
 
     def has_room(self, stage, n_calls):
         """Return whether a job may begin as far as the pool of one of its stages goes.
@@ -109,13 +115,15 @@
         """
         begun_ms = self.begun_ms().get(stage.pool, 0.0)
         excess_ms = max(0.0, begun_ms - self._limit_ms(stage, BEGUN_CALLS))
+        excess_ms /= self.rates.pace(stage.pool)
         return excess_ms + ahead_ms.get(stage.pool, 0.0)
 
     def _limit_ms(self, stage, n_calls):
         limits = self.wait_estimates.limits_of(stage.pool)
         if limits is None:
             return 0.0
-        return stage.earliest_start_ms + n_calls * limits.expected_ms(limits.n_pieces)
+        start_ms = stage.earliest_start_ms * self._stretch_of(stage.job)
+        return start_ms + n_calls * limits.expected_ms(limits.n_pieces)
 
     def piece_ms(self, pool):
         """Return the time that a pool needs for a piece at its measured rate."""
@@ -139,14 +147,17 @@
     def needed_ms(self, job):
         """Return how long a job takes from its beginning to its end."""
         stages_ms = max((stage.tail_ms for stage in job.stages), default=0.0)
-        return stages_ms * max(1.0, self.stretch.get(_pools(job), 1.0))
+        return stages_ms * self._stretch_of(job)
+
+    def _stretch_of(self, job):
+        return max(1.0, self.stretch.get(_pools(job), 1.0))
 
     def spare_ms(self, job):
         """Return for how long a job may wait and still be on time."""
         return job.due_ms - self.clock.now_ms() - self.needed_ms(job)
 
     def count_arrival(self, job):
-        """Count the work that a new job brings."""
+        """Count the work that a job brings that is not refused."""
         now_ms = self.clock.now_ms()
         for stage in job.stages:
             key = (stage.pool, job.priority)
@@ -166,7 +177,7 @@
         return max(MIN_LEFT_SHARE, 1.0 - taken)
 
     def observe(self, queues):
-        """Record which pools are short: a full call of pieces waits for them.
+        """Record which pools are short: half a call of pieces waits for them.
 
         Parameters
         ----------
@@ -174,7 +185,7 @@
         """
         for pool, queue in queues.items():
             limits = self.wait_estimates.limits_of(pool)
-            is_short = limits is not None and len(queue.pieces) >= limits.n_pieces
+            is_short = limits is not None and 2 * len(queue.pieces) >= limits.n_pieces
             self.rates.observe(pool, is_short)
 
     def record_done(self, pool, n_pieces):
--- a/teaselwall/sharedmachines.py
+++ b/teaselwall/sharedmachines.py
@@ -1,6 +1,15 @@
-"""Whether stage servers share their machines with other work."""
+"""Whether backend servers share their machines with other work."""
+
+import itertools
+import logging
+
+from teaselwall import events
+
+logger = logging.getLogger(__name__)
 
 REFRESH_MS = 250.0
+# Servers of a pool that are looked at; those of one pool are much alike.
+N_SEEN = 64
 
 
 class SharedMachines:
@@ -14,7 +23,8 @@
     Attributes
     ----------
     is_found : bool
-        Whether a stage server said so, at ``refreshed_ms`` on the clock.
+        Whether a server says how slow its machine is, at ``refreshed_ms`` on the clock.
+    refreshed_ms : float
     """
 
     __slots__ = ("clock", "fleet", "is_found", "refreshed_ms")
@@ -26,13 +36,32 @@
         self.refreshed_ms = float("-inf")
 
     def found(self):
-        """Return whether a server of a pool that runs stages shares its machine."""
+        """Return whether a server says that its machine is shared."""
         now_ms = self.clock.now_ms()
         if now_ms - self.refreshed_ms >= REFRESH_MS:
             self.refreshed_ms = now_ms
-            self.is_found = any(
-                server.slowness.is_stated
-                for pool in self.fleet.state.stage_pools()
-                for server in self.fleet.by_pool.get(pool, {}).values()
-            )
+            self._refresh()
         return self.is_found
+
+    def _refresh(self):
+        server = next(filter(_states_slowness, self._servers()), None)
+        if self.is_found == (server is not None):
+            return
+        self.is_found = server is not None
+        events.log(
+            logger,
+            logging.INFO,
+            "shared_machines",
+            found=self.is_found,
+            server=server.address if server is not None else "",
+            pool=server.pool if server is not None else "",
+            age_ms=round(server.slowness.age_ms()) if server is not None else None,
+        )
+
+    def _servers(self):
+        for servers in self.fleet.by_pool.values():
+            yield from itertools.islice(servers.values(), N_SEEN)
+
+
+def _states_slowness(server):
+    return server.slowness.is_stated
