Order jobs that wait for room at most every 10 ms, and by their route's priority too

Each decision priced every waiting job anew, with the list of servers for each. Pools' figures are now kept for 20 ms, a job is priced once and the order is made once per pass.

Waiting jobs were still refused by the old rule after 2 s; a caller that has come back is now refused only if it can't have its answer in its time.

--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -300,6 +300,7 @@
             remaining_ms=call.patience_ms() - ENGINE_FIRST_EVENT_MS,
             due_ms=due_ms - ENGINE_FIRST_EVENT_MS - now_ms,
             priority=call.priority,
+            route_priority=call.route.priority,
             organisation=call.organisation_name,
             data_centre=self.entry.server_choices.home_data_centre(call),
             stages=[
--- a/teaselwall/poolrates.py
+++ b/teaselwall/poolrates.py
@@ -35,22 +35,29 @@
         if rate is None:
             rate = self.by_pool[pool] = Rate(self.clock.now_ms())
         rate.advance(self.clock.now_ms())
-        rate.is_short = is_short
         rate.observed_ms = rate.at_ms
+        if is_short and not rate.is_short:
+            rate.short_since_ms = rate.at_ms
+        rate.is_short = is_short
+
+    def record_done(self, pool, nominal_ms, call_ms):
+        """Record pieces that a call of a pool has finished.
 
-    def record_done(self, pool, nominal_ms):
-        """Record pieces that a pool has finished.
+        They count for the part of the call in which the pool was short.
 
         Parameters
         ----------
         pool : str
         nominal_ms : float
             Time that the pool takes for them by its configuration.
+        call_ms : float
+            Time that the call took.
         """
         rate = self.by_pool.get(pool)
         if rate is not None and rate.is_short:
             rate.advance(self.clock.now_ms())
-            rate.done_ms += nominal_ms
+            short_ms = rate.at_ms - rate.short_since_ms
+            rate.done_ms += nominal_ms * min(1.0, short_ms / max(1.0, call_ms))
 
     def pace(self, pool):
         """Return the measured rate of a pool as a share of the configured one."""
@@ -80,17 +87,27 @@
         Time on the clock of the last observation.
     is_short : bool
         Whether the pool has been short since then.
+    short_since_ms : float
+        Time on the clock since which it has been short, if it is.
     short_ms : float
         Time for which it was short.
     done_ms : float
         Work that it did in this time, as the time that its configuration gives it.
     """
 
-    __slots__ = ("at_ms", "observed_ms", "is_short", "short_ms", "done_ms")
+    __slots__ = (
+        "at_ms",
+        "observed_ms",
+        "is_short",
+        "short_since_ms",
+        "short_ms",
+        "done_ms",
+    )
 
     def __init__(self, now_ms):
         self.at_ms = self.observed_ms = now_ms
         self.is_short = False
+        self.short_since_ms = now_ms
         self.short_ms = 0.0
         self.done_ms = 0.0
 
--- a/teaselwall/returners.py
+++ b/teaselwall/returners.py
@@ -47,8 +47,8 @@
     ----------
     known : collections.OrderedDict of (str, str) to Return
         By organisation and key of the job, the oldest first.
-    last_told_ms : dict of tuple of (int, frozenset) to float
-        Latest time told, by priority and pools.
+    last_told_ms : dict of tuple of (tuple of int, frozenset) to float
+        Latest time told, by urgency and pools.
     n_spread : int
         Callers for whom no room was in sight.
     """
@@ -91,7 +91,7 @@
         most_ms = max(
             MIN_RETURN_MS, min(MAX_RETURN_MS, LEFT_SHARE * job.remaining_ms())
         )
-        kind = (job.priority, frozenset(stage.pool for stage in job.stages))
+        kind = (job.urgency, frozenset(stage.pool for stage in job.stages))
         told_ms = max(now_ms + wait_ms, self.last_told_ms.get(kind, 0.0) + cost_ms)
         if told_ms > now_ms + most_ms:
             # There is no room within the time that it waits.
--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -19,6 +19,37 @@
 MAX_LATE_FACTOR = 2.0
 # Organisations have equal shares.
 WEIGHT = 1.0
+# Least time between two passes over the jobs that wait.
+PASS_MS = 10.0
+# Later than any urgency.
+LEAST_URGENT = (math.inf,)
+
+
+class Waiting:
+    """A job that waits for room.
+
+    Attributes
+    ----------
+    job : stagejobs.Job
+    work_ms : dict of str to float
+        Its work at each pool, as of its arrival.
+    cost_ms : float
+        Sum of this.
+    latest_ms : float
+        Time on the clock after which it can't be on time any more, as of its arrival.
+    key : tuple
+        Place among the waiting jobs, as of the last pass: whether it will be late, its
+        urgency, the virtual time of its organisation and its due time.
+    """
+
+    __slots__ = ("job", "work_ms", "cost_ms", "latest_ms", "key")
+
+    def __init__(self, job, work, now_ms):
+        self.job = job
+        self.work_ms = work.work_ms(job)
+        self.cost_ms = sum(self.work_ms.values())
+        self.latest_ms = now_ms + work.spare_ms(job)
+        self.key = ()
 
 
 class Room:
@@ -38,8 +69,12 @@
     ----------
     work : roomwork.RoomWork
         Work of the pools.
-    waiting : dict of stagejobs.Job to None
-        Jobs that have not begun, in the order of their arrival.
+    waiting : list of Waiting
+        Jobs that have not begun, in the order of the last pass, then as they came.
+    n_begun : int
+        Jobs that have begun so far; those of a priority start in this order.
+    next_pass_ms : float
+        Time on the clock before which jobs that wait are not looked at again.
     shares : shares.FairShares
         Pool time that organisations have had while jobs waited.
     returners : returners.Returners
@@ -53,6 +88,8 @@
         "is_active",
         "work",
         "waiting",
+        "n_begun",
+        "next_pass_ms",
         "shares",
         "returners",
     )
@@ -63,7 +100,9 @@
         self.metrics = metrics
         self.is_active = is_active
         self.work = roomwork.RoomWork(clock, jobs, wait_estimates)
-        self.waiting = {}
+        self.waiting = []
+        self.n_begun = 0
+        self.next_pass_ms = -math.inf
         self.shares = shares.FairShares()
         self.returners = returners.Returners(clock)
 
@@ -84,31 +123,47 @@
         self.returners.recognise(job)
         if job.returned:
             self.metrics.count("room_returns")
-        wait_ms = self.wait_ms(job)
+        ahead_ms = self._ahead_ms(job)
+        wait_ms = self._wait_ms(job, ahead_ms, job.urgency)
         if wait_ms <= 0 or self.work.spare_ms(job) >= wait_ms:
             return None
-        wait_ms = self.wait_ms(job, late=True)
-        needed_ms = stageadmission.WAIT_FACTOR * wait_ms
-        needed_ms += stageadmission.TAIL_FACTOR * self.work.needed_ms(job)
-        allowed_ms = MAX_LATE_FACTOR * (job.due_ms - job.first_ms)
-        if needed_ms <= min(job.remaining_ms(), allowed_ms):
+        wait_ms = self._wait_ms(job, ahead_ms, LEAST_URGENT)
+        if self._ends_in_time(job, wait_ms):
             return None
-        return self._refuse(job, wait_ms, "arrival")
+        return self._refuse(job, wait_ms, ahead_ms, "arrival")
 
-    def late_refusal(self, job):
-        """Return the error for a waiting job that can't finish any more, or None."""
-        if job not in self.waiting or self.work.spare_ms(job) >= 0:
-            return None
-        ahead_ms = self._ahead_ms(job)
-        wait_ms = max(self.work.excess_ms(stage, ahead_ms) for stage in job.stages)
-        if wait_ms + self.work.needed_ms(job) <= job.remaining_ms():
-            return None
-        return self._refuse(job, wait_ms, "wait")
+    def _ends_in_time(self, job, wait_ms):
+        """Return whether a job that will be late surely ends soon after it is due.
+
+        A caller that has come back need only have its answer within its time.
+        """
+        needed_ms = self.work.needed_ms(job)
+        if job.returned:
+            return wait_ms + needed_ms <= job.remaining_ms()
+        needed_ms = stageadmission.TAIL_FACTOR * needed_ms
+        needed_ms += stageadmission.WAIT_FACTOR * wait_ms
+        allowed_ms = MAX_LATE_FACTOR * (job.due_ms - job.first_ms)
+        return needed_ms <= min(job.remaining_ms(), allowed_ms)
+
+    def late_refusals(self):
+        """Return the waiting jobs that can't finish any more, with their errors."""
+        found, ahead_ms = [], {}
+        for entry in self.waiting:
+            job = entry.job
+            if not job.ended() and entry.latest_ms < self.clock.now_ms():
+                excess_ms = [self.work.excess_ms(s, ahead_ms) for s in job.stages]
+                needed_ms = max(excess_ms, default=0.0) + self.work.needed_ms(job)
+                if needed_ms > job.remaining_ms():
+                    error = self._refuse(job, max(excess_ms), ahead_ms, "wait")
+                    found.append((job, error))
+                    continue
+            _add_all(ahead_ms, entry.work_ms)
+        return found
 
-    def _refuse(self, job, wait_ms, reason):
-        retry_after_ms = self.returners.refuse(job, wait_ms, self.work.cost_ms(job))
+    def _refuse(self, job, wait_ms, ahead_ms, reason):
+        cost_ms = sum(self.work.work_ms(job).values())
+        retry_after_ms = self.returners.refuse(job, wait_ms, cost_ms)
         self.metrics.count("room_refusals", reason=reason)
-        ahead_ms = self._ahead_ms(job)
         longest = max(job.stages, key=lambda s: self.work.excess_ms(s, ahead_ms))
         pool = longest.pool
         events.log(
@@ -118,7 +173,7 @@
             request=job.request,
             reason=reason,
             organisation=job.organisation,
-            priority=job.priority,
+            urgency=job.urgency,
             returned=job.returned,
             waited_ms=round(self.clock.now_ms() - job.submitted_ms),
             wait_ms=round(wait_ms),
@@ -145,96 +200,112 @@
         if not self.is_active():
             return False
         self.work.count_arrival(job)
-        self.waiting[job] = None
+        job.held = True
+        if not self.waiting:
+            self.next_pass_ms = -math.inf
+        self.waiting.append(Waiting(job, self.work, self.clock.now_ms()))
         return True
 
     def begin(self):
         """Return the waiting jobs that begin now, and mark them as begun."""
-        for job in [job for job in self.waiting if job.ended()]:
-            del self.waiting[job]
-        begun, taken = [], set()
+        now_ms = self.clock.now_ms()
+        if not self.waiting or now_ms < self.next_pass_ms:
+            return []
+        self.next_pass_ms = now_ms + PASS_MS
         is_active = self.is_active()
-        for late, job in self._in_order():
-            pools = {stage.pool for stage in job.stages}
-            if is_active and pools & taken:
+        self._sort(now_ms)
+        begun, kept, taken = [], [], set()
+        for entry in self.waiting:
+            job = entry.job
+            if is_active and not taken.isdisjoint(entry.work_ms):
+                kept.append(entry)
                 continue
-            n_calls = LATE_CALLS if late else roomwork.BEGUN_CALLS
-            short = {s.pool for s in job.stages if not self.work.has_room(s, n_calls)}
+            n_calls = LATE_CALLS if entry.key[0] else roomwork.BEGUN_CALLS
+            short = [s.pool for s in job.stages if not self.work.has_room(s, n_calls)]
             if is_active and short:
                 # Nobody after this job may begin there before it.
-                taken |= short
+                taken.update(short)
+                kept.append(entry)
                 continue
-            self._begin(job)
+            is_contended = len(begun) + 1 < len(self.waiting)
+            self._begin(entry, now_ms, is_contended)
             begun.append(job)
+        self.waiting = kept
         return begun
 
-    def _begin(self, job):
-        del self.waiting[job]
+    def _begin(self, entry, now_ms, contended):
+        job = entry.job
+        self.n_begun += 1
         job.begun = True
-        job.begun_ms = self.clock.now_ms()
-        job.rank = 1 + job.priority
-        cost_ms = self.work.cost_ms(job)
-        self.shares.charge(job.organisation, WEIGHT, cost_ms, bool(self.waiting))
+        job.begun_ms = now_ms
+        job.rank = (1, *job.urgency, self.n_begun)
+        self.shares.charge(job.organisation, WEIGHT, entry.cost_ms, contended)
         self.work.record_begun(job)
-        waited_ms = job.begun_ms - job.submitted_ms
+        waited_ms = now_ms - job.submitted_ms
         self.metrics.observe_ms("room_wait", waited_ms, priority=str(job.priority))
 
-    def wait_ms(self, job, late=False):
-        """Return the time until a job that has not begun is expected to begin.
+    def _wait_ms(self, job, ahead_ms, urgency):
+        """Return the time until a new job is expected to begin.
 
         Parameters
         ----------
         job : stagejobs.Job
-        late : bool
-            Whether it begins after all that can be on time.
+        ahead_ms : dict of str to float
+            Work of the jobs that begin before it, by pool.
+        urgency : tuple
+            Of the job; what arrives and is more urgent begins before it.
         """
-        ahead_ms = self._ahead_ms(job)
-        priority = math.inf if late else job.priority
         longest_ms = 0.0
         for stage in job.stages:
             excess_ms = self.work.excess_ms(stage, ahead_ms)
             if excess_ms > 0:
-                wait_ms = excess_ms / self.work.left_share(stage.pool, priority)
+                wait_ms = excess_ms / self.work.left_share(stage.pool, urgency)
                 longest_ms = max(longest_ms, wait_ms)
         return longest_ms
 
     def longest_ms(self):
         """Return the time that all work takes that waits for the fullest pool."""
         work_ms = {}
-        for job in self.waiting:
-            self.work.add_work(work_ms, job)
+        for entry in self.waiting:
+            _add_all(work_ms, entry.work_ms)
         longest_ms = max(work_ms.values(), default=0.0)
         return longest_ms + self.wait_estimates.longest_ms()
 
-    def _in_order(self):
-        """Return the waiting jobs as (late, job), in the order in which they begin."""
+    def _sort(self, now_ms):
+        """Put the waiting jobs into the order in which they begin; drop ended ones."""
         groups = {}
-        for job in self.waiting:
-            late = self.work.spare_ms(job) < 0
-            key = (late, job.priority, job.organisation)
-            groups.setdefault(key, []).append(job)
+        for entry in self.waiting:
+            job = entry.job
+            if not job.ended():
+                late = entry.latest_ms < now_ms
+                key = (late, job.urgency, job.organisation)
+                groups.setdefault(key, []).append(entry)
         ordered = []
-        for (late, priority, organisation), jobs in groups.items():
-            jobs.sort(key=_within_organisation)
+        for (late, urgency, organisation), entries in groups.items():
+            entries.sort(key=_within_organisation)
             tag_ms = self.shares.start_ms(organisation)
-            for job in jobs:
-                ordered.append((late, priority, tag_ms, job.due_ms, job))
-                tag_ms += self.work.cost_ms(job) / WEIGHT
-        ordered.sort(key=lambda row: row[:4])
-        return [(row[0], row[-1]) for row in ordered]
+            for entry in entries:
+                entry.key = (late, urgency, tag_ms, entry.job.due_ms)
+                tag_ms += entry.cost_ms / WEIGHT
+            ordered.extend(entries)
+        ordered.sort(key=_place)
+        self.waiting = ordered
 
     def _ahead_ms(self, job):
-        """Return the work, by pool, of the waiting jobs that begin before a job."""
+        """Return the work, by pool, of the waiting jobs that begin before a new job."""
         ahead_ms = {}
-        is_new = job not in self.waiting
-        if is_new:
-            self.waiting[job] = None
-        for _, other in self._in_order():
-            if other is job:
-                break
-            self.work.add_work(ahead_ms, other)
-        if is_new:
-            del self.waiting[job]
+        if not self.waiting:
+            return ahead_ms
+        tag_ms = self.shares.start_ms(job.organisation)
+        is_late = self.work.spare_ms(job) < 0
+        for entry in self.waiting:
+            other = entry.job
+            if other.organisation == job.organisation and other.urgency == job.urgency:
+                tag_ms += entry.cost_ms / WEIGHT
+        place = (is_late, job.urgency, tag_ms, job.due_ms)
+        for entry in self.waiting:
+            if not entry.key or entry.key < place:
+                _add_all(ahead_ms, entry.work_ms)
         return ahead_ms
 
 
@@ -243,5 +314,14 @@
     return False
 
 
-def _within_organisation(job):
-    return (not job.returned, job.due_ms)
+def _within_organisation(entry):
+    return (not entry.job.returned, entry.job.due_ms)
+
+
+def _place(entry):
+    return entry.key
+
+
+def _add_all(work_ms, more_ms):
+    for pool, value in more_ms.items():
+        roomwork.add(work_ms, pool, value)
--- a/teaselwall/roomwork.py
+++ b/teaselwall/roomwork.py
@@ -15,7 +15,7 @@
 STRETCH_WEIGHT = 0.05
 MAX_STRETCH = 3.0
 MAX_STRETCHES = 256
-# Age up to which the work that has begun is not added up again.
+# Age up to which the work that has begun and the pools' figures are not computed again.
 SNAPSHOT_MS = 20.0
 
 
@@ -36,8 +36,8 @@
     stretch : dict of tuple of str to float
         Moving average of the time from a job's beginning to its end over the time that
         was expected, by the pools of its stages.
-    arrivals : dict of (str, int) to Arrivals
-        Work that has arrived, by pool and priority.
+    arrivals : dict of (str, tuple of int) to Arrivals
+        Work that has arrived, by pool and urgency.
     """
 
     __slots__ = (
@@ -49,6 +49,8 @@
         "arrivals",
         "_begun_ms",
         "_begun_at_ms",
+        "_pool_figures",
+        "_figures_at_ms",
     )
 
     def __init__(self, clock, jobs, wait_estimates):
@@ -60,6 +62,8 @@
         self.arrivals = {}
         self._begun_ms = {}
         self._begun_at_ms = -math.inf
+        self._pool_figures = {}
+        self._figures_at_ms = -math.inf
 
     def begun_ms(self):
         """Return the remaining work of all jobs that have begun, by pool.
@@ -115,34 +119,50 @@
         """
         begun_ms = self.begun_ms().get(stage.pool, 0.0)
         excess_ms = max(0.0, begun_ms - self._limit_ms(stage, BEGUN_CALLS))
-        excess_ms /= self.rates.pace(stage.pool)
+        excess_ms /= self._figures_of(stage.pool).pace
         return excess_ms + ahead_ms.get(stage.pool, 0.0)
 
     def _limit_ms(self, stage, n_calls):
-        limits = self.wait_estimates.limits_of(stage.pool)
-        if limits is None:
-            return 0.0
         start_ms = stage.earliest_start_ms * self._stretch_of(stage.job)
-        return start_ms + n_calls * limits.expected_ms(limits.n_pieces)
+        return start_ms + n_calls * self._figures_of(stage.pool).call_ms
 
     def piece_ms(self, pool):
         """Return the time that a pool needs for a piece at its measured rate."""
-        return self._nominal_piece_ms(pool) / self.rates.pace(pool)
+        figures = self._figures_of(pool)
+        return figures.piece_ms / figures.pace
 
     def _nominal_piece_ms(self, pool):
+        return self._figures_of(pool).piece_ms
+
+    def _figures_of(self, pool):
+        """Return the figures of a pool, up to ``SNAPSHOT_MS`` old."""
+        now_ms = self.clock.now_ms()
+        if now_ms - self._figures_at_ms > SNAPSHOT_MS:
+            self._figures_at_ms = now_ms
+            self._pool_figures = {}
+        found = self._pool_figures.get(pool)
+        if found is None:
+            found = self._pool_figures[pool] = self._compute_figures(pool)
+        return found
+
+    def _compute_figures(self, pool):
         estimates = self.wait_estimates
-        return backlogs.piece_ms(pool, estimates.n_servers, estimates.limits_of)
+        limits = estimates.limits_of(pool)
+        call_ms = limits.expected_ms(limits.n_pieces) if limits is not None else 0.0
+        piece_ms = backlogs.piece_ms(pool, estimates.n_servers, estimates.limits_of)
+        return PoolFigures(call_ms, piece_ms, self.rates.pace(pool))
 
-    def add_work(self, work_ms, job):
-        """Add the remaining work of a job to that of others, by pool."""
-        for stage in job.stages:
-            add(work_ms, stage.pool, stage.work_left * self.piece_ms(stage.pool))
+    def work_ms(self, job):
+        """Return the work of a job at each pool, in ms of the pool's time.
 
-    def cost_ms(self, job):
-        """Return the pool time that a job takes."""
-        work_ms = {}
-        self.add_work(work_ms, job)
-        return sum(work_ms.values())
+        Returns
+        -------
+        dict of str to float
+        """
+        found = {}
+        for stage in job.stages:
+            add(found, stage.pool, stage.work_left * self.piece_ms(stage.pool))
+        return found
 
     def needed_ms(self, job):
         """Return how long a job takes from its beginning to its end."""
@@ -160,19 +180,19 @@
         """Count the work that a job brings that is not refused."""
         now_ms = self.clock.now_ms()
         for stage in job.stages:
-            key = (stage.pool, job.priority)
+            key = (stage.pool, job.urgency)
             if key not in self.arrivals:
                 self.arrivals[key] = Arrivals(now_ms)
             work_ms = stage.work_left * self.piece_ms(stage.pool)
             self.arrivals[key].add(now_ms, work_ms)
 
-    def left_share(self, pool, priority):
+    def left_share(self, pool, urgency):
         """Return the share of a pool's time that more urgent arrivals leave."""
         now_ms = self.clock.now_ms()
         taken = sum(
             arrivals.share(now_ms)
             for (name, other), arrivals in self.arrivals.items()
-            if name == pool and other < priority
+            if name == pool and other < urgency
         )
         return max(MIN_LEFT_SHARE, 1.0 - taken)
 
@@ -188,9 +208,10 @@
             is_short = limits is not None and 2 * len(queue.pieces) >= limits.n_pieces
             self.rates.observe(pool, is_short)
 
-    def record_done(self, pool, n_pieces):
-        """Record pieces that a call of a pool has finished."""
-        self.rates.record_done(pool, n_pieces * self._nominal_piece_ms(pool))
+    def record_done(self, pool, n_pieces, call_ms):
+        """Record pieces that a call of a pool has finished in some ms."""
+        nominal_ms = n_pieces * self._nominal_piece_ms(pool)
+        self.rates.record_done(pool, nominal_ms, call_ms)
 
     def record_finished(self, job):
         """Record how long a job took from its beginning to its end."""
@@ -205,8 +226,29 @@
             self.stretch[key] = max(1.0, ratio)
 
 
+class PoolFigures:
+    """Figures of one pool.
+
+    Attributes
+    ----------
+    call_ms : float
+        Time of a full call.
+    piece_ms : float
+        Time that the pool needs for a piece at its configured rate.
+    pace : float
+        Measured rate as a share of the configured one.
+    """
+
+    __slots__ = ("call_ms", "piece_ms", "pace")
+
+    def __init__(self, call_ms, piece_ms, pace):
+        self.call_ms = call_ms
+        self.piece_ms = piece_ms
+        self.pace = pace
+
+
 class Arrivals:
-    """Work that has arrived for a pool at one priority, the older the less.
+    """Work that has arrived for a pool at one urgency, the older the less.
 
     Attributes
     ----------
--- a/teaselwall/stageadmission.py
+++ b/teaselwall/stageadmission.py
@@ -67,7 +67,9 @@
         for stage in job.stages:
             if stage.pool in missing_pools and stage.needs_server():
                 return _no_pool(stage.pool)
-        return None if job.begun else self.late_refusal(job, backlog)
+        if job.begun or job.held:
+            return None
+        return self.late_refusal(job, backlog)
 
     def late_refusal(self, job, backlog):
         """Return the error for a waiting job that will miss its deadline, or None.
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -6,6 +6,8 @@
 # fails. They allow for the loss of each server of a small pool once.
 MAX_ATTEMPTS = 4
 MAX_INPUT_LOSSES = 4
+# Of jobs that have started, and of all where none waits for room.
+FIRST_RANK = (0, 0, 0, 0)
 
 
 class Piece:
@@ -240,7 +242,11 @@
         Whether its pieces may be sent to servers, or were; see ``room.Room``.
     begun_ms : float or None
         Time on the clock at which it began after a wait for room.
-    rank : int
+    urgency : tuple of (int, int)
+        Priorities of the request and of its route; lower goes first.
+    held : bool
+        Whether it has to wait for room, or had to.
+    rank : tuple of int
         Its pieces go after those of a lower rank that can be on time, too.
     first_ms : float
         Time on the clock at which the request first arrived.
@@ -266,6 +272,8 @@
         "started",
         "begun",
         "begun_ms",
+        "urgency",
+        "held",
         "rank",
         "submitted_ms",
         "first_ms",
@@ -290,7 +298,9 @@
         self.started = False
         self.begun = False
         self.begun_ms = None
-        self.rank = 0
+        self.urgency = (message.priority, message.route_priority)
+        self.held = False
+        self.rank = FIRST_RANK
         self.submitted_ms = now_ms
         self.first_ms = now_ms
         self.returned = False
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -211,6 +211,8 @@
             await self.clock.sleep_ms(RECHECK_MS)
             backlog = self._backlogs()
             missing_pools = self.admission.missing_pools(self.jobs.values())
+            for job, error in self.room.late_refusals():
+                self._end(job, error)
             for job in list(self.jobs.values()):
                 if job.remaining_ms() < (
                     0 if job.ended() else stageadmission.MIN_MARGIN_MS
@@ -219,7 +221,7 @@
                 elif not job.ended():
                     refused = self.admission.refusal_in_progress(
                         job, backlog, missing_pools
-                    ) or self.room.late_refusal(job)
+                    )
                     if refused is not None:
                         self._end(job, refused)
             if self.room.waiting or any(q.pieces for q in self.queues.values()):
@@ -286,7 +288,7 @@
         for piece in batch:
             piece.begin_attempt(state.server)
             piece.job.started = piece.job.begun = True
-            piece.job.rank = 0
+            piece.job.rank = stagejobs.FIRST_RANK
             if piece.stage.started_ms is None:
                 piece.stage.started_ms = self.clock.now_ms()
         self.metrics.count("stage_calls", pool=state.server.pool)
@@ -306,7 +308,7 @@
             piece.end_attempt(state.server)
         if result.is_ok():
             state.record_time(elapsed_ms, len(batch))
-            self.room.work.record_done(state.server.pool, len(batch))
+            self.room.work.record_done(state.server.pool, len(batch), elapsed_ms)
             for piece, piece_result in zip(batch, result.ok, strict=True):
                 self._take_result(state, piece, piece_result)
         else:
