--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -8,7 +8,15 @@
 import logging
 import math
 
-from teaselwall import errors, events, returners, roomwork, shares, stageadmission
+from teaselwall import (
+    errors,
+    events,
+    largestusers,
+    returners,
+    roomwork,
+    shares,
+    stageadmission,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -79,6 +87,8 @@
         Pool time that organisations have had while jobs waited.
     returners : returners.Returners
         Callers that were refused.
+    users : largestusers.LargestUsers
+        Organisations that metrics name.
     """
 
     __slots__ = (
@@ -92,6 +102,7 @@
         "next_pass_ms",
         "shares",
         "returners",
+        "users",
     )
 
     def __init__(self, clock, jobs, wait_estimates, metrics, is_active):
@@ -105,6 +116,7 @@
         self.next_pass_ms = -math.inf
         self.shares = shares.FairShares()
         self.returners = returners.Returners(clock)
+        self.users = largestusers.LargestUsers(clock)
 
     def refusal(self, job):
         """Return the error for a new job that won't be on time for lack of room.
@@ -243,6 +255,8 @@
         self.work.record_begun(job)
         waited_ms = now_ms - job.submitted_ms
         self.metrics.observe_ms("room_wait", waited_ms, priority=str(job.priority))
+        user = self.users.add(job.organisation, entry.cost_ms)
+        self.metrics.count("room_time_ms", entry.cost_ms, organisation=user)
 
     def _wait_ms(self, job, ahead_ms, urgency):
         """Return the time until a new job is expected to begin.
--- a/teaselwall/tests/test_room.py
+++ b/teaselwall/tests/test_room.py
@@ -10,7 +10,14 @@
 import pytest
 import trio
 
-from teaselwall import clock, fleet, metrics, operatorstate, stagework
+from teaselwall import (
+    clock,
+    fleet,
+    largestusers,
+    metrics,
+    operatorstate,
+    stagework,
+)
 from teaselwall.generated import messages
 from teaselwall.tests import fake_stages
 from teaselwall.tests.fake_stages import entry, stage
@@ -182,3 +189,10 @@
     rates = [shared[f"{kind.name} on time"] for kind in hardload.KINDS]
     assert min(rates) >= shared["all on time"] / 4
     assert statistics.fmean(rates) <= 100
+
+
+async def test_metrics_name_a_few_organisations_only(autojump_clock):
+    """16,000 organisations would each be a series."""
+    users = largestusers.LargestUsers(clock.Clock())
+    labels = {users.add(f"o{n}", 1.0) for n in range(2000)}
+    assert len(labels) <= largestusers.N_NAMED + 1
