Refuse also before a pool was measured; keep no backlogs where room is shared

Playing the pattern of a killed coordinator failed in the log of a refusal, as no rate was known yet. Backlogs of late jobs decide nothing where jobs wait for room, and were the largest part of the coordinator's time in a profile.

--- a/teaselwall/poolrates.py
+++ b/teaselwall/poolrates.py
@@ -71,9 +71,9 @@
         return min(MAX_PACE, max(MIN_PACE, pace))
 
     def age_ms(self, pool):
-        """Return the time since the pool's rate was last observed, or None."""
+        """Return the whole ms since a pool's rate was last observed, or None."""
         rate = self.by_pool.get(pool)
-        return None if rate is None else self.clock.now_ms() - rate.observed_ms
+        return None if rate is None else round(self.clock.now_ms() - rate.observed_ms)
 
 
 class Rate:
--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -194,7 +194,7 @@
             begun_ms=round(self.work.begun_ms().get(pool, 0.0)),
             ahead_ms=round(ahead_ms.get(pool, 0.0)),
             pace=round(self.work.rates.pace(pool), 2),
-            pace_age_ms=round(self.work.rates.age_ms(pool)),
+            pace_age_ms=self.work.rates.age_ms(pool),
             n_waiting=len(self.waiting),
             retry_after_ms=round(retry_after_ms),
         )
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -228,8 +228,9 @@
                 self.work_changed.set()
 
     def _backlogs(self):
+        # They decide only on jobs that do not wait for room.
         return backlogs.Backlogs(
-            self.jobs.values(),
+            () if self.room.is_active() else self.jobs.values(),
             self.wait_estimates.n_servers,
             self.wait_estimates.limits_of,
         )
--- a/teaselwall/tests/test_room.py
+++ b/teaselwall/tests/test_room.py
@@ -196,3 +196,13 @@
     users = largestusers.LargestUsers(clock.Clock())
     labels = {users.add(f"o{n}", 1.0) for n in range(2000)}
     assert len(labels) <= largestusers.N_NAMED + 1
+
+
+async def test_a_new_coordinator_refuses_before_it_has_measured_a_pool(
+    autojump_clock, work
+):
+    """The log of a refusal failed, and with it the answer, while no rate was known."""
+    message = job("j", stage("encode", 4), due_ms=100.0)
+    work.room.work.begun_ms()["encode"] = 60_000.0
+    result = await work.submit(message)
+    assert result.is_error()
