Keep measured times out of how much work begins

They grow with the work that has begun, which grew with them: while servers were slow, too much began and then too little counted as on time.

--- a/teaselwall/roomwork.py
+++ b/teaselwall/roomwork.py
@@ -13,7 +13,7 @@
 MIN_LEFT_SHARE = 0.3
 # Weight of the newest job in the moving average of how long jobs take.
 STRETCH_WEIGHT = 0.05
-MAX_STRETCH = 3.0
+MAX_STRETCH = 1.5
 MAX_STRETCHES = 256
 # Age up to which the work that has begun and the pools' figures are not computed again.
 SNAPSHOT_MS = 20.0
@@ -123,8 +123,9 @@
         return excess_ms + ahead_ms.get(stage.pool, 0.0)
 
     def _limit_ms(self, stage, n_calls):
-        start_ms = stage.earliest_start_ms * self._stretch_of(stage.job)
-        return start_ms + n_calls * self._figures_of(stage.pool).call_ms
+        # Measured times are left out: they grow with the work that has begun.
+        call_ms = self._figures_of(stage.pool).call_ms
+        return stage.earliest_start_ms + n_calls * call_ms
 
     def piece_ms(self, pool):
         """Return the time that a pool needs for a piece at its measured rate."""
