Let more first stages begin, and leave out of room what is put off

Pieces that wait to end with other stages counted as work that fills their pool. First stages wait in the queues in the order in which their jobs began, so more of them may begin.

--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -29,8 +29,6 @@
 WEIGHT = 1.0
 # Least time between two passes over the jobs that wait.
 PASS_MS = 10.0
-# Later than any urgency.
-LEAST_URGENT = (math.inf,)
 
 
 class Waiting:
@@ -136,10 +134,9 @@
         if job.returned:
             self.metrics.count("room_returns")
         ahead_ms = self._ahead_ms(job)
-        wait_ms = self._wait_ms(job, ahead_ms, job.urgency)
+        wait_ms = self._wait_ms(job, ahead_ms)
         if wait_ms <= 0 or self.work.spare_ms(job) >= wait_ms:
             return None
-        wait_ms = self._wait_ms(job, ahead_ms, LEAST_URGENT)
         if self._ends_in_time(job, wait_ms):
             return None
         return self._refuse(job, wait_ms, ahead_ms, "arrival")
@@ -258,7 +255,7 @@
         user = self.users.add(job.organisation, entry.cost_ms)
         self.metrics.count("room_time_ms", entry.cost_ms, organisation=user)
 
-    def _wait_ms(self, job, ahead_ms, urgency):
+    def _wait_ms(self, job, ahead_ms):
         """Return the time until a new job is expected to begin.
 
         Parameters
@@ -266,14 +263,12 @@
         job : stagejobs.Job
         ahead_ms : dict of str to float
             Work of the jobs that begin before it, by pool.
-        urgency : tuple
-            Of the job; what arrives and is more urgent begins before it.
         """
         longest_ms = 0.0
         for stage in job.stages:
             excess_ms = self.work.excess_ms(stage, ahead_ms)
             if excess_ms > 0:
-                wait_ms = excess_ms / self.work.left_share(stage.pool, urgency)
+                wait_ms = excess_ms / self.work.left_share(stage.pool, job.urgency)
                 longest_ms = max(longest_ms, wait_ms)
         return longest_ms
 
--- a/teaselwall/roomwork.py
+++ b/teaselwall/roomwork.py
@@ -7,16 +7,21 @@
 # Work that has begun fills a pool for this many of its full calls beyond the time at
 # which a further job gets there, so that calls are full and no server waits.
 BEGUN_CALLS = 1.5
+# Pieces of first stages wait in the order in which their jobs began, and a pool's calls
+# are chosen better among more of them.
+FIRST_STAGE_FACTOR = 2.0
 # Arrivals that are more urgent count over about this time.
 ARRIVALS_MS = 1000.0
 # Least share of a pool that counts as left by what is more urgent.
-MIN_LEFT_SHARE = 0.3
+MIN_LEFT_SHARE = 0.4
 # Weight of the newest job in the moving average of how long jobs take.
 STRETCH_WEIGHT = 0.05
 MAX_STRETCH = 1.5
 MAX_STRETCHES = 256
 # Age up to which the work that has begun and the pools' figures are not computed again.
 SNAPSHOT_MS = 20.0
+# A stage that would end this long before the others is put off.
+LEAD_MS = 150.0
 
 
 class RoomWork:
@@ -81,7 +86,8 @@
             for job in self.jobs.values():
                 if job.begun and not job.ended():
                     for stage in job.stages:
-                        add(n_pieces, stage.pool, stage.work_left)
+                        if stage.work_left and not _is_put_off(stage):
+                            add(n_pieces, stage.pool, stage.work_left)
             self._begun_ms = {
                 pool: n * self._nominal_piece_ms(pool)
                 for pool, n in n_pieces.items()
@@ -93,8 +99,9 @@
         """Count a job that begins now."""
         begun_ms = self.begun_ms()
         for stage in job.stages:
-            nominal_ms = self._nominal_piece_ms(stage.pool)
-            add(begun_ms, stage.pool, stage.work_left * nominal_ms)
+            if not _is_put_off(stage):
+                nominal_ms = self._nominal_piece_ms(stage.pool)
+                add(begun_ms, stage.pool, stage.work_left * nominal_ms)
 
     def has_room(self, stage, n_calls):
         """Return whether a job may begin as far as the pool of one of its stages goes.
@@ -105,6 +112,8 @@
         n_calls : float
             Full calls of the pool that begun work may fill when the job gets there.
         """
+        if _is_put_off(stage):
+            return True
         begun_ms = self.begun_ms().get(stage.pool, 0.0)
         return begun_ms <= self._limit_ms(stage, n_calls)
 
@@ -117,6 +126,8 @@
         ahead_ms : dict of str to float
             Work of the jobs that begin before it, by pool.
         """
+        if _is_put_off(stage):
+            return 0.0
         begun_ms = self.begun_ms().get(stage.pool, 0.0)
         excess_ms = max(0.0, begun_ms - self._limit_ms(stage, BEGUN_CALLS))
         excess_ms /= self._figures_of(stage.pool).pace
@@ -125,6 +136,8 @@
     def _limit_ms(self, stage, n_calls):
         # Measured times are left out: they grow with the work that has begun.
         call_ms = self._figures_of(stage.pool).call_ms
+        if not stage.sources:
+            n_calls *= FIRST_STAGE_FACTOR
         return stage.earliest_start_ms + n_calls * call_ms
 
     def piece_ms(self, pool):
@@ -281,5 +294,10 @@
     work_ms[pool] = work_ms.get(pool, 0.0) + value
 
 
+def _is_put_off(stage):
+    """Return whether a stage waits for the others, so as to end with them."""
+    return stage.started_ms is None and stage.lead_ms() > LEAD_MS
+
+
 def _pools(job):
     return tuple(stage.pool for stage in job.stages)
