Pass the time to come back on exactly between hosts

Refusals for lack of room carry ms now; other refusals between hosts are still rounded up, as before.

--- a/teaselwall/errors.py
+++ b/teaselwall/errors.py
@@ -153,6 +153,10 @@
     remedy = "Retry after the time in Retry-After."
 
 
+class NoRoom(Overloaded):
+    """A request was shed by the host that spreads the times at which callers return."""
+
+
 class Quarantined(Error):
     """A request is refused because it has crashed backend servers."""
 
--- a/teaselwall/peers.py
+++ b/teaselwall/peers.py
@@ -12,6 +12,7 @@
         errors.Forbidden,
         errors.InvalidRequest,
         errors.KeyExpired,
+        errors.NoRoom,
         errors.NotCoordinator,
         errors.NotFound,
         errors.Overloaded,
@@ -96,7 +97,9 @@
     return error_class(
         message.get("detail", ""),
         outcome=errors.Outcome(message.get("outcome", "unknown")),
-        retry_after_ms=float(message.get("retry_after_s", 0)) * 1000,
+        retry_after_ms=float(
+            message.get("retry_after_ms", 0) or message.get("retry_after_s", 0) * 1000
+        ),
         remedy=message.get("remedy", ""),
     )
 
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -142,6 +142,9 @@
         remedy=error.remedy,
         request=request,
         retry_after_s=math.ceil(error.retry_after_ms / MS_PER_S),
+        retry_after_ms=(
+            math.ceil(error.retry_after_ms) if isinstance(error, errors.NoRoom) else 0
+        ),
     )
 
 
--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -125,7 +125,7 @@
 
         Returns
         -------
-        errors.Overloaded or None
+        errors.NoRoom or None
             None as well if the job is surely done soon after it is due.
         """
         if not self.is_active():
@@ -196,7 +196,7 @@
             retry_after_ms=round(retry_after_ms),
         )
         detail = f"The stage pools have no room for the request for {wait_ms:.0f} ms."
-        return errors.Overloaded(detail, retry_after_ms=retry_after_ms)
+        return errors.NoRoom(detail, retry_after_ms=retry_after_ms)
 
     def add(self, job):
         """Have a new job wait until ``begin`` finds room for it.
