--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -256,9 +256,7 @@
             # Drops the pieces of the jobs that were ended for this.
             queue.sort(backlog)
             return
-        states = stageservers.states_of(
-            self.states, self.servers_of(pool), limits, self.clock, self.fleet
-        )
+        states = self._states_of(pool, limits)
         limits_allow, urgency = self.fleet.limits.allows, requestlimits.STAGE_URGENCY
         available = [
             state
@@ -284,6 +282,12 @@
                 queue.add(batch)
                 queue.sort(backlog)
 
+    def _states_of(self, pool, limits):
+        servers = self.servers_of(pool)
+        return stageservers.states_of(
+            self.states, servers, limits, self.clock, self.fleet
+        )
+
     def _start(self, state, batch):
         state.begin_call(batch)
         for piece in batch:
