--- a/teaselwall/tests/test_room.py
+++ b/teaselwall/tests/test_room.py
@@ -184,6 +184,11 @@
     assert shared["late refusals"] <= as_it_comes["late refusals"]
 
 
+def test_no_request_is_refused_after_waiting_in_a_burst():
+    """A refusal later than an eighth of the objective leaves its caller no time."""
+    assert figures("urgent_burst", True)["late refusals"] == 0
+
+
 def test_a_small_organisation_is_on_time_while_everybody_asks_for_everything():
     """It is on time when it is alone."""
     assert figures("everybody", True)["small on time"] == 100
