--- a/teaselwall/tools/bench.py
+++ b/teaselwall/tools/bench.py
@@ -26,6 +26,7 @@
     "configuration",
     "failures",
     "stages",
+    "hardload",
     "rollouts",
 )
 RESULT_FILE = pathlib.Path("build/bench.json")
