--- a/teaselwall/tests/test_platform_documents.py
+++ b/teaselwall/tests/test_platform_documents.py
@@ -158,6 +158,6 @@
     engine = {"slots": slots, "kvTokens": slots}
     services = [CONFIG["services"][0] | {"engine": engine}]
     text = json.dumps(CONFIG | {"services": services}).replace("NaN", "null")
-    pool = documents.read(text.encode()).ok.pools["llm"]
+    pool = documents.read(text.encode()).ok.table().pools["llm"]
     assert pool.engine
     assert (pool.n_places, pool.memory_tokens) == (0, 0)
