--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -242,6 +242,7 @@
             self.clock, self.fleet, self.operator_state.stage_pools
         )
         home = self.settings.host.data_centre
+        shared_machines = sharedmachines.SharedMachines(self.clock, self.fleet)
         self.stage_work = stagework.StageWork(
             self.clock,
             self.fleet,
@@ -249,7 +250,7 @@
             self.operator_state.pool,
             self.metrics,
             lambda pool: self.data_centre_groups.servers(pool, home),
-            sharedmachines.SharedMachines(self.clock, self.fleet).found,
+            shared_machines.found,
         )
         self.coordination = coordination.Coordination(
             self.clock,
@@ -354,22 +355,16 @@
     async def run(self):
         """Run the background tasks until cancelled."""
         paths = self.fleet.paths
+        parts = [self.gossip, self.orders, self.servers, self.stage_work]
+        parts += [self.coordination, self.stream_versions, self.crash_guard]
+        parts += [self.server_limits, self.announcements, paths, self.fleet.brittle]
+        if self.rollout_parts is not None:
+            parts.append(self.rollout_parts)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.gossip.run)
-            nursery.start_soon(self.orders.run)
-            nursery.start_soon(self.servers.run)
-            nursery.start_soon(self.stage_work.run)
-            nursery.start_soon(self.coordination.run)
-            nursery.start_soon(self.stream_versions.run)
-            nursery.start_soon(self.crash_guard.run)
-            nursery.start_soon(self.server_limits.run)
+            for part in parts:
+                nursery.start_soon(part.run)
             nursery.start_soon(self._update_derived_state)
-            nursery.start_soon(self.announcements.run)
-            nursery.start_soon(paths.run)
             nursery.start_soon(paths.tell_changes, self.membership, self.gossip)
-            nursery.start_soon(self.fleet.brittle.run)
-            if self.rollout_parts is not None:
-                nursery.start_soon(self.rollout_parts.run)
 
     async def _update_derived_state(self):
         """Periodically update the state that changes with time alone."""
--- a/teaselwall/handovers.py
+++ b/teaselwall/handovers.py
@@ -382,11 +382,7 @@
 
 
 def without_refusal(headers):
-    """Return a server's headers without the one by which hosts refuse hand-overs.
-
-    The host that handed the request over would take the reply for a refusal, and have
-    the request run again.
-    """
+    """Return a server's headers without the one by which hosts refuse hand-overs."""
     return [header for header in headers if header[0].lower() != REFUSED_HEADER]
 
 
--- a/teaselwall/tests/cut_fleet.py
+++ b/teaselwall/tests/cut_fleet.py
@@ -9,14 +9,7 @@
 import msgspec
 import trio
 
-from teaselwall import (
-    gossip,
-    handovers,
-    httpcalls,
-    httpclient,
-    probes,
-    stagecalls,
-)
+from teaselwall import gossip, handovers, httpcalls, httpclient, probes, stagecalls
 from teaselwall.tests import crashing_fleet, platform_entry
 
 DATA_CENTRES = ("a", "b", "c")
