Never go on after a gap in a slow caller's reply

A review of the part found, each by a trial: a caller that stalled while no part was sent lost what waited for it, and the next part followed as if nothing were missing; a cut reply to an HTTP/1.0 client was not reset when the process stopped or bytes still waited; a long reply was cut after 120 s though its caller read steadily; the first rest of a reply was kept whatever the bound and copied whole at each write; room that other callers freed was not noticed; each short wait wrote a log line.

A sender that has failed now refuses further parts and ends its connection for reading, so that the request ends; rests are kept up to the bound and sent in pieces of 64 KB; all senders wake when bytes are freed; the limit of 120 s counts for what waits at one moment. Four tests added, each seen to fail on the code before or in the review's trial.

--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -169,14 +169,12 @@
         try:
             while await self._serve_one():
                 pass
-        except BaseException as error:
-            if isinstance(error, Exception):
-                await self.sender.finish(LINGER_S)
-            if self._ends_body_by_close():
-                # Otherwise the cut reply would look complete.
-                self._reset_on_close()
+        except Exception:
+            await self.sender.finish(LINGER_S)
             raise
         finally:
+            if self._looks_complete_when_cut():
+                self._reset_on_close()
             self.stream.close()
             self.sender.drop()
 
@@ -356,10 +354,10 @@
             while await self.stream.receive():
                 pass
 
-    def _ends_body_by_close(self):
-        """Return whether the end of the connection would end a reply in progress."""
-        is_sending = self.protocol.our_state is h11.SEND_BODY
-        return is_sending and self.protocol.their_http_version == b"1.0"
+    def _looks_complete_when_cut(self):
+        """Return whether the end of the connection would seem to end a cut reply."""
+        is_cut = self.protocol.our_state is h11.SEND_BODY or self.sender.is_cut()
+        return is_cut and self.protocol.their_http_version == b"1.0"
 
     def _reset_on_close(self):
         if self.stream.sock.fileno() >= 0:
--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -117,8 +117,17 @@
 
     def end_sending(self):
         """Tell the other end that no more bytes follow."""
+        self._shut_down(socket.SHUT_WR)
+
+    def end_receiving(self):
+        """Have the next ``receive`` find the end, without a word to the other end."""
+        self._shut_down(socket.SHUT_RD)
+
+    def _shut_down(self, how):
+        if self.sock.fileno() < 0:
+            return
         try:
-            self.sock.shutdown(socket.SHUT_WR)
+            self.sock.shutdown(how)
         except OSError as error:
             # The other end has closed or reset the connection already.
             if error.errno not in (errno.ENOTCONN, errno.ECONNRESET, errno.EPIPE):
--- a/teaselwall/tests/test_slow_callers.py
+++ b/teaselwall/tests/test_slow_callers.py
@@ -109,9 +109,9 @@
 async def test_what_one_caller_leaves_unread_is_bounded(serve, unread):
     source = Source([PART] * N_PARTS)
     caller = await slow_caller(await serve(source))
-    await until(lambda: unread.n_bytes > unreadreplies.MAX_CALLER_BYTES - len(PART))
+    await until(lambda: unread.n_bytes == unreadreplies.MAX_CALLER_BYTES)
     await trio.testing.wait_all_tasks_blocked(0.05)
-    assert unread.n_bytes <= unreadreplies.MAX_CALLER_BYTES + len(PART)
+    assert unread.n_bytes <= unreadreplies.MAX_CALLER_BYTES
     received = await read_all(caller)
     assert received.count(b"x") == N_PARTS * len(PART)
 
@@ -121,8 +121,7 @@
     address = await serve(source)
     callers = [await slow_caller(address) for _ in range(16)]
     await trio.testing.wait_all_tasks_blocked(0.05)
-    # Each caller's first rest is kept whatever the others hold.
-    assert unread.n_bytes <= MAX_BYTES + len(callers) * len(PART)
+    assert unread.n_bytes <= MAX_BYTES
     for caller in callers:
         assert (await read_all(caller)).count(b"x") == N_PARTS * len(PART)
     await until(lambda: unread.n_bytes == 0)
@@ -170,6 +169,7 @@
         self.room = 0
         self.sent = b""
         self.writable = trio.Event()
+        self.is_receiving = True
 
     def send_now(self, data):
         data = bytes(data)
@@ -182,6 +182,9 @@
         while not self.room:
             await self.writable.wait()
 
+    def end_receiving(self):
+        self.is_receiving = False
+
     def read(self, n_bytes):
         self.room += n_bytes
         self.writable.set()
@@ -212,6 +215,71 @@
     assert unread.metrics.counters[("slow_callers", (("event", "cut"),))] == 1
 
 
+async def test_nothing_follows_bytes_that_were_dropped(autojump_clock, nursery, unread):
+    """A reply went on after a gap, once its caller had stalled between two parts."""
+    stream = FakeStream()
+    sender = unreadreplies.Sender(stream, unread, nursery.start_soon)
+    stream.room = 2
+    await sender.send(b"AABBBB")
+    await trio.sleep(unreadreplies.STALL_S + 1)
+    stream.read(100)
+    with pytest.raises(unreadreplies.CallerStalled):
+        await sender.send(b"CCCC")
+    assert (stream.sent, sender.is_cut()) == (b"AA", True)
+    # The application learns of it though it sends nothing.
+    assert not stream.is_receiving
+
+
+async def test_a_long_reply_that_its_caller_reads_steadily_is_not_cut(
+    autojump_clock, nursery, unread
+):
+    stream = FakeStream()
+    sender = unreadreplies.Sender(stream, unread, nursery.start_soon)
+    for _ in range(3):
+        await sender.send(b"y" * 1000)
+        for _ in range(100):
+            await trio.sleep(unreadreplies.MAX_SENDING_S / 150)
+            stream.read(10)
+    await trio.testing.wait_all_tasks_blocked()
+    assert (len(stream.sent), sender.failure) == (3000, None)
+
+
+async def test_room_that_others_free_is_used(autojump_clock, nursery):
+    """A server was not read on though its host had room again."""
+    unread = unreadreplies.UnreadReplies(lambda: 100)
+    first, second = FakeStream(), FakeStream()
+    first_sender = unreadreplies.Sender(first, unread, nursery.start_soon)
+    second_sender = unreadreplies.Sender(second, unread, nursery.start_soon)
+    await second_sender.send(b"b" * 10)
+    await first_sender.send(b"a" * 90)
+    nursery.start_soon(second_sender.send, b"b" * 50)
+    await trio.testing.wait_all_tasks_blocked()
+    assert len(second_sender.waiting) == 10
+    first.read(90)
+    await trio.testing.wait_all_tasks_blocked()
+    assert len(second_sender.waiting) == 60
+
+
+async def test_a_cut_reply_to_an_old_client_does_not_look_complete(nursery, unread):
+    """A reply without a length ends with its connection: a cut one has to be reset."""
+    source = Source([PART] * 1000)
+    address = test_http.free_address()
+    server = httpserver.Server(source, address, 60.0, unread)
+    with trio.CancelScope() as stop:
+        async with trio.open_nursery() as serving:
+            serving.start_soon(server.run, trio.Event())
+            await trio.testing.wait_all_tasks_blocked()
+            host, _, port = address.rpartition(":")
+            caller = await trio.open_tcp_stream(host, int(port))
+            await caller.send_all(b"GET / HTTP/1.0\r\nhost: h\r\n\r\n")
+            await caller.receive_some(1)
+            await trio.testing.wait_all_tasks_blocked(0.02)
+            stop.cancel()
+    with pytest.raises(trio.BrokenResourceError):
+        while await caller.receive_some():
+            pass
+
+
 async def test_nothing_is_kept_without_the_setting(autojump_clock, nursery):
     none_kept = unreadreplies.UnreadReplies(lambda: 0)
     stream = FakeStream()
--- a/teaselwall/unreadreplies.py
+++ b/teaselwall/unreadreplies.py
@@ -15,8 +15,12 @@
 MAX_CALLER_BYTES = 256 * 1024
 # Time for a caller to take any of the bytes that wait for it.
 STALL_S = 10.0
-# Longest time for which bytes are kept for a caller that takes a few now and then.
+# Longest time in which a caller takes all that waits for it at one moment.
 MAX_SENDING_S = 120.0
+# Bytes of one write: each copies what it sends.
+WRITE_BYTES = 64 * 1024
+# A caller that reads again within this time is not worth a log line.
+MIN_LOGGED_MS = 1000.0
 
 
 class CallerStalled(Exception):
@@ -36,28 +40,33 @@
     ----------
     n_bytes : int
         Bytes kept now.
+    changed : trio.Event
+        Set when a caller has taken bytes, or its connection has failed; then replaced.
     """
 
-    __slots__ = ("max_bytes", "metrics", "n_bytes")
+    __slots__ = ("max_bytes", "metrics", "n_bytes", "changed")
 
     def __init__(self, max_bytes, metrics=None):
         self.max_bytes = max_bytes
         self.metrics = metrics
         self.n_bytes = 0
+        self.changed = trio.Event()
 
-    def has_room(self, n_kept, n_more):
-        """Return whether further bytes may be kept for a caller.
+    def room(self, n_kept):
+        """Return how many further bytes may be kept for a caller.
 
         Parameters
         ----------
         n_kept : int
             Bytes that are kept for this caller already.
-        n_more : int
         """
-        return (
-            n_kept + n_more <= MAX_CALLER_BYTES
-            and self.n_bytes + n_more <= self.max_bytes()
-        )
+        n_free = self.max_bytes() - self.n_bytes
+        return max(0, min(MAX_CALLER_BYTES - n_kept, n_free))
+
+    def signal(self):
+        """Wake the senders that wait for room or for their caller."""
+        self.changed.set()
+        self.changed = trio.Event()
 
     def count(self, event):
         """Count a slow caller's ``event`` in the metrics."""
@@ -83,19 +92,9 @@
         Whether a task is sending ``waiting``.
     failure : Exception or None
         Why the connection can't be used any more.
-    changed : trio.Event
-        Set when bytes have been sent, or the connection has failed.
     """
 
-    __slots__ = (
-        "stream",
-        "unread",
-        "start_soon",
-        "waiting",
-        "is_sending",
-        "failure",
-        "changed",
-    )
+    __slots__ = ("stream", "unread", "start_soon", "waiting", "is_sending", "failure")
 
     def __init__(self, stream, unread, start_soon):
         self.stream = stream
@@ -104,7 +103,6 @@
         self.waiting = bytearray()
         self.is_sending = False
         self.failure = None
-        self.changed = trio.Event()
 
     async def send(self, data, is_last=False):
         """Send bytes, or keep them while the caller is slow.
@@ -122,32 +120,45 @@
         OSError
             The connection was reset.
         """
+        self._check()
         if not self.waiting:
             data = self.stream.send_now(data)
-            if not data:
-                return
-        while self.waiting and not self.unread.has_room(len(self.waiting), len(data)):
-            await self._wait_for_change()
-        self._keep(data)
-        # Without room for the first rest of a reply there is nothing else to wait for.
-        has_room = self.unread.has_room(len(self.waiting), 0)
-        while self.waiting and (is_last or not has_room):
+        rest = memoryview(data)
+        while rest:
+            n_kept = min(len(rest), self.unread.room(len(self.waiting)))
+            if n_kept:
+                self._keep(rest[:n_kept])
+                rest = rest[n_kept:]
+            elif self.waiting:
+                await self._wait_for_change()
+            else:
+                rest = await self._send_some(rest)
+        while is_last and self.waiting:
             await self._wait_for_change()
+        self._check()
 
     async def finish(self, limit_s):
         """Wait for at most a time until the caller has taken what is kept for it."""
         with trio.move_on_after(limit_s):
             while self.waiting and self.failure is None:
-                await self.changed.wait()
+                await self.unread.changed.wait()
+
+    def is_cut(self):
+        """Return whether the caller has not got all that was sent."""
+        return bool(self.waiting) or self.failure is not None
 
     def drop(self):
         """Forget what is kept, as the connection has ended."""
-        self.unread.n_bytes -= len(self.waiting)
-        self.waiting.clear()
+        if self.waiting:
+            self.unread.n_bytes -= len(self.waiting)
+            self.waiting.clear()
+            self.unread.signal()
 
-    def _keep(self, data):
+    def _check(self):
         if self.failure is not None:
             raise self.failure
+
+    def _keep(self, data):
         self.waiting += data
         self.unread.n_bytes += len(data)
         if not self.is_sending:
@@ -156,53 +167,66 @@
             self.start_soon(self._send_waiting)
 
     async def _wait_for_change(self):
-        if self.failure is None:
-            await self.changed.wait()
-        if self.failure is not None:
-            raise self.failure
+        await self.unread.changed.wait()
+        self._check()
 
     async def _send_waiting(self):
         """Send what is kept as the caller reads."""
         started_s = trio.current_time()
-        n_most = len(self.waiting)
+        n_most = 0
         try:
-            with trio.move_on_after(MAX_SENDING_S):
-                while self.waiting:
-                    n_most = max(n_most, len(self.waiting))
-                    await self._send_some()
+            while self.waiting:
+                n_most = max(n_most, len(self.waiting))
+                await self._send_what_waits_now()
         except (OSError, trio.ClosedResourceError, CallerStalled) as error:
-            self.failure = error
+            self._fail(error)
         finally:
             self.is_sending = False
-        if self.waiting and self.failure is None:
-            self.failure = CallerStalled(
-                f"The caller took longer than {MAX_SENDING_S:.0f} s to read."
-            )
-        if self.failure is not None:
-            self.drop()
-        self._signal()
         self._log_end(started_s, n_most)
 
-    async def _send_some(self):
+    async def _send_what_waits_now(self):
+        n_due = len(self.waiting)
+        with trio.move_on_after(MAX_SENDING_S) as limit:
+            while n_due > 0:
+                n_due -= await self._send_some_waiting()
+        if limit.cancelled_caught:
+            detail = f"The caller took over {MAX_SENDING_S:.0f} s for {n_due} bytes."
+            raise CallerStalled(detail)
+
+    async def _send_some_waiting(self):
+        """Send a part of what is kept; return how many bytes the socket took."""
+        n_offered = min(WRITE_BYTES, len(self.waiting))
+        rest = await self._send_some(bytes(self.waiting[:n_offered]))
+        n_sent = min(n_offered - len(rest), len(self.waiting))
+        del self.waiting[:n_sent]
+        self.unread.n_bytes -= n_sent
+        self.unread.signal()
+        return n_sent
+
+    async def _send_some(self, data):
+        """Send a part of some bytes once the socket has room; return the others."""
         with trio.move_on_after(STALL_S) as limit:
             await self.stream.wait_writable()
         if limit.cancelled_caught:
             raise CallerStalled(f"The caller read nothing for {STALL_S:.0f} s.")
-        n_before = len(self.waiting)
-        rest = self.stream.send_now(bytes(self.waiting))
-        n_sent = n_before - len(rest)
-        del self.waiting[:n_sent]
-        self.unread.n_bytes -= n_sent
-        if n_sent:
-            self._signal()
+        return self.stream.send_now(data)
 
-    def _signal(self):
-        self.changed.set()
-        self.changed = trio.Event()
+    def _fail(self, error):
+        """Record that the connection can't be used, and let its application know."""
+        self.failure = error
+        self.drop()
+        self.unread.signal()
+        self.stream.end_receiving()
 
     def _log_end(self, started_s, n_most):
-        outcome = "sent" if self.failure is None else "cut"
+        elapsed_ms = (trio.current_time() - started_s) * 1000
+        outcome = "sent"
+        if self.failure is not None:
+            is_stalled = isinstance(self.failure, CallerStalled)
+            outcome = "cut" if is_stalled else "gone"
         self.unread.count(outcome)
+        if elapsed_ms < MIN_LOGGED_MS and outcome != "cut":
+            return
         events.log(
             logger,
             logging.INFO,
@@ -210,6 +234,6 @@
             outcome=outcome,
             n_bytes=n_most,
             n_host_bytes=self.unread.n_bytes,
-            elapsed_ms=round((trio.current_time() - started_s) * 1000),
+            elapsed_ms=round(elapsed_ms),
             detail=str(self.failure or ""),
         )
