Serve a pool on while its roll-out is completed or the store is away

Versions that a known order or plan names count as verified; the only version in service is served; reports of earlier orders make room.

--- a/teaselwall/rolloutreports.py
+++ b/teaselwall/rolloutreports.py
@@ -90,7 +90,9 @@
         while True:
             self._count_hosts()
             for pool in self.rollouts.running():
-                await self._report(pool)
+                # An order may have been withdrawn while another pool was reported on.
+                if pool in self.rollouts.orders.by_pool:
+                    await self._report(pool)
             await self.clock.sleep_ms(self._interval_ms())
 
     def _interval_ms(self):
@@ -153,10 +155,18 @@
         old = known.get(nonce)
         if old is not None and old.report.number >= report.number:
             return
+        if old is None and len(known) >= MAX_REPORTERS:
+            self._drop_other_orders(known, report.order)
         if old is None and len(known) >= MAX_REPORTERS:
             return
         known[nonce] = Received(address, report, self.clock.now_ms())
 
+    def _drop_other_orders(self, known, order):
+        """Drop the reports of earlier orders, which hosts that have ended sent too."""
+        for nonce, received in list(known.items()):
+            if received.report.order != order:
+                del known[nonce]
+
     def of_order(self, pool, order):
         """Return the newest report of each host for an order, as ``Received``."""
         known = self.received.get(pool, {})
--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -110,6 +110,7 @@
             gate.n_pieces, gate.n_target_pieces = old.n_pieces, old.n_target_pieces
             gate.held_until_ms = old.held_until_ms
         self.gates[pool] = gate
+        self._verify_ordered(pool, order)
         self.cleared.clear()
         self.wake()
         if gate.target is not None:
@@ -117,6 +118,14 @@
             if known is None or known[0] != gate.key:
                 self.evidence[pool] = gate.key, rolloutevidence.Evidence()
 
+    def _verify_ordered(self, pool, order):
+        """Record that the orders which name these versions are known."""
+        plan = self.plans.newest.get(pool)
+        versions = [order.target] if order is not None else []
+        if plan is not None:
+            versions += [plan.target, *plan.old]
+        self._verify({(pool, version) for version in versions})
+
     def wake(self):
         """Have the plans read soon."""
         self.ordered.set()
@@ -162,9 +171,8 @@
             return self._is_cleared(server)
         software = server.software
         if software == gate.target:
-            if not self.is_in_touch():
-                return False
-            return gate.is_planned or self._is_only(server.pool, software)
+            is_open = gate.is_planned and self.is_in_touch()
+            return is_open or self._is_only(server.pool, software)
         if software in gate.refused:
             # A release without an order may have brought the version back.
             return not gate.is_ordered and self._is_only(server.pool, software)
@@ -196,7 +204,7 @@
             self._verify({key})
             return True
         if any(pool == server.pool for pool, _ in self.verified):
-            return False
+            return self._is_only(server.pool, server.software)
         # The pool's servers have just become known here.
         versions = self.versions_in_service(server.pool)
         if len(versions) == 1 or self.orders_follower.age_ms() < ORDERS_STALE_MS:
--- a/teaselwall/tests/rollout_fleet.py
+++ b/teaselwall/tests/rollout_fleet.py
@@ -193,6 +193,8 @@
         By address of the host.
     relays : bool
         Whether hosts that start read the store through others.
+    sent : list of tuple of (float, platform_entry.Caller)
+        Time and caller of each request.
     """
 
     def __init__(self, nursery):
@@ -201,6 +203,7 @@
         self.store = Store()
         self.stores = {}
         self.n_requests = 0
+        self.sent = []
         self.relays = False
         config = json.dumps(platform_entry.CONFIG | {"tenants": []})
         self.store.append(ORDERS, "config", config.encode())
@@ -215,6 +218,11 @@
             )
             self.store.append(SERVERS, f"{pool}-{version}-{number}", value)
 
+    def remove_servers(self, version, pool=POOL):
+        for key in self.store.newest(SERVERS):
+            if key.startswith(f"{pool}-{version}-"):
+                self.store.append(SERVERS, key, None)
+
     def order(self, target=NEW, duration_s=12, pool=POOL):
         fields = {"service": pool, "target": target, "durationS": duration_s}
         self.store.append(ORDERS, f"rollout/{pool}", json.dumps(fields).encode())
@@ -267,6 +275,7 @@
             caller = platform_entry.Caller(
                 "/safe/x", method="GET", Request_Id=f"r{self.n_requests}"
             )
+            self.sent.append((trio.current_time(), caller))
             self.nursery.start_soon(self.send, address, caller)
 
     def check_exposure(self, ordered_s, duration_s):
