Survive orders of roll-outs with a huge duration or a huge target

Found by review: a duration of 400 digits raised OverflowError in the task that follows the operators' orders and ended the process, at each start anew; a target of 70,000 characters made a datagram that can't be split, which recursed without end. The duration is compared before it is converted, targets have at most 256 characters, a message that can't be split is dropped and logged. The first two cases are in test_rolloutparts; the first failed before.

--- a/teaselwall/datagrams.py
+++ b/teaselwall/datagrams.py
@@ -340,6 +340,9 @@
     if len(data) <= MAX_DATAGRAM_BYTES:
         return [data]
     n_rows, n_summaries = len(message.rows) // 2, len(message.summaries) // 2
+    if not n_rows and not n_summaries:
+        events.log(logger, logging.WARNING, "view_too_large", n_bytes=len(data))
+        return []
     first = msgspec.structs.replace(
         message,
         rows=message.rows[:n_rows],
--- a/teaselwall/platform/rolloutrecords.py
+++ b/teaselwall/platform/rolloutrecords.py
@@ -1,7 +1,5 @@
 """Orders and statuses of roll-outs in the platform's store."""
 
-import math
-
 import expression
 import msgspec
 
@@ -11,6 +9,8 @@
 PREFIX = "rollout/"
 MS_PER_S = 1000.0
 MAX_DURATION_S = 30 * 24 * 3600.0
+# Hosts tell each other versions in datagrams.
+MAX_TARGET_LENGTH = 256
 
 
 class _Order(msgspec.Struct, rename="camel"):
@@ -42,8 +42,9 @@
         order = msgspec.json.decode(value, type=_Order)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         return expression.Error(UnreadableOrder(f"Service {pool!r}: {error}."))
-    if not order.target:
-        return expression.Error(UnreadableOrder(f"Service {pool!r}: no target."))
+    if not 0 < len(order.target) <= MAX_TARGET_LENGTH:
+        detail = f"Service {pool!r}: the target has {len(order.target)} characters."
+        return expression.Error(UnreadableOrder(detail))
     duration_ms = MS_PER_S * _duration_s(order.duration_s)
     return expression.Ok(rolloutorders.Order(pool, order.target, duration_ms))
 
@@ -51,9 +52,9 @@
 def _duration_s(value):
     """Return a duration, 0 for what is not a positive number."""
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value):
+    if not is_number or not value > 0:
         return 0.0
-    return float(min(MAX_DURATION_S, max(0.0, value)))
+    return float(min(MAX_DURATION_S, value))
 
 
 def status(plan):
--- a/teaselwall/tests/test_rolloutparts.py
+++ b/teaselwall/tests/test_rolloutparts.py
@@ -41,6 +41,7 @@
         (b'{"target":"v2","durationS":true}', 0.0),
         (b'{"target":"v2"}', 0.0),
         (b'{"target":"v2","durationS":1e30}', 30 * 24 * 3_600_000.0),
+        (b'{"target":"v2","durationS":1' + b"0" * 400 + b"}", 30 * 24 * 3_600_000.0),
     ],
 )
 def test_durations_that_are_none_count_as_0(value, duration_ms):
@@ -49,7 +50,16 @@
     assert (order.target, order.duration_ms) == (NEW, duration_ms)
 
 
-@pytest.mark.parametrize("value", [b"[", b"{}", b'{"target":""}', b'{"target":3}'])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"[",
+        b"{}",
+        b'{"target":""}',
+        b'{"target":3}',
+        b'{"target":"' + b"v" * 70_000 + b'"}',
+    ],
+)
 def test_orders_without_a_target_are_unreadable(value):
     assert rolloutrecords.read("core", value).is_error()
     assert rolloutrecords.pool_of("evacuate/a") is None
