Look at all servers in use for those on shared machines

Found by review: only the first 64 servers of a pool were looked at, so a host could miss that any states how slow its machine is. Also the number of unseen requests can't be negative where no host is known.

--- a/teaselwall/poolloads.py
+++ b/teaselwall/poolloads.py
@@ -96,7 +96,7 @@
             Entry hosts, this one included.
         """
         n_in_progress = self.utilisation * sum(self.n_places)
-        others_share = (n_hosts - 1) / max(1, n_hosts)
+        others_share = max(0, n_hosts - 1) / max(1, n_hosts)
         return n_in_progress * others_share * self.age_ms / self.occupancy_ms
 
     def _utilisation(self):
--- a/teaselwall/sharedmachines.py
+++ b/teaselwall/sharedmachines.py
@@ -1,6 +1,5 @@
 """Whether backend servers share their machines with other work."""
 
-import itertools
 import logging
 
 from teaselwall import events
@@ -8,8 +7,6 @@
 logger = logging.getLogger(__name__)
 
 REFRESH_MS = 250.0
-# Servers of a pool that are looked at; those of one pool are much alike.
-N_SEEN = 64
 
 
 class SharedMachines:
@@ -44,7 +41,7 @@
         return self.is_found
 
     def _refresh(self):
-        server = next(filter(_states_slowness, self._servers()), None)
+        server = next(filter(_states_slowness, self.fleet.servers_in_use()), None)
         if self.is_found == (server is not None):
             return
         self.is_found = server is not None
@@ -58,10 +55,6 @@
             age_ms=round(server.slowness.age_ms()) if server is not None else None,
         )
 
-    def _servers(self):
-        for servers in self.fleet.by_pool.values():
-            yield from itertools.islice(servers.values(), N_SEEN)
-
 
 def _states_slowness(server):
     return server.slowness.is_stated
