Configuration check: notes for what is allowed, and clearer words for changes

Found by review: shares that sum to more than 100 count in proportion, organisations bound to regions that a route excludes and shares of 0 are often meant, but each made the check fail; the words of changes contradicted each other where the last organisation is removed and where the version is not newer; the same adapter named by two distributions counted as two platforms. The two tests whose kinds changed name the new kind.

--- a/teaselwall/configuration_commands.py
+++ b/teaselwall/configuration_commands.py
@@ -31,7 +31,7 @@
         Returns
         -------
         int
-            ``console.EXIT_REFUSED`` if anything is found.
+            ``console.EXIT_REFUSED`` if more than notes are found.
         """
         decode = find_decoder(self.option("platform") or "")
         result = decode.bind(lambda d: read(self.argument("file"), d))
@@ -50,7 +50,8 @@
             self.line(json.dumps(as_json(result.ok, findings, lines)))
         else:
             self._print(result.ok, findings, lines, in_force.ok)
-        return console.EXIT_REFUSED if findings else console.EXIT_OK
+        is_in_order = configurationchecks.is_in_order(findings)
+        return console.EXIT_OK if is_in_order else console.EXIT_REFUSED
 
     def _print(self, configuration, findings, lines, in_force):
         shown, n_left_out = configurationchecks.listed(findings)
@@ -58,7 +59,7 @@
             self.line(finding.text())
         for kind, n_more in n_left_out.items():
             self.line(f"{kind.value}: {n_more} more.")
-        if not findings:
+        if configurationchecks.is_in_order(findings):
             self.line(f"Version {configuration.version} is in order.")
         if in_force is not None:
             self.line(f"Against version {in_force.version}:")
@@ -79,7 +80,11 @@
     expression.Result
         See ``platforms.Platform.decode_configuration``.
     """
-    found = importlib.metadata.entry_points(group=PLATFORM_GROUP)
+    # Several distributions may name the same adapter.
+    found = {
+        (point.name, point.value): point
+        for point in importlib.metadata.entry_points(group=PLATFORM_GROUP)
+    }.values()
     matching = [point for point in found if not name or point.name == name]
     if len(matching) == 1:
         return expression.Ok(matching[0].load().decode_configuration)
--- a/teaselwall/configurationchecks.py
+++ b/teaselwall/configurationchecks.py
@@ -21,11 +21,14 @@
         No request can match the entry.
     CONTRADICTION
         Two limits can't both hold.
+    NOTE
+        Allowed, and often not meant.
     """
 
     ERROR = "error"
     NEVER_USED = "never used"
     CONTRADICTION = "contradiction"
+    NOTE = "note"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -159,7 +162,7 @@
     """Yield findings on services that no route names."""
     named = set()
     for route in configuration.routes:
-        named.update(name for name, weight in route.shares if weight > 0)
+        named.update(name for name, _ in route.shares)
         named.update(stage.pool for stage in route.stages)
     for pool in configuration.pools:
         if pool.name not in named:
@@ -197,15 +200,15 @@
         )
     elif len(route.shares) > 1 and total > 100:
         yield Finding(
-            Kind.CONTRADICTION,
+            Kind.NOTE,
             path,
-            f"Its shares sum to {total:g}, which is more than the whole.",
-            "Write shares that sum to 1 or to 100.",
+            f"Its shares sum to {total:g}, more than the whole in percent.",
+            "They count in proportion; write shares that sum to 1 or to 100.",
         )
     for name, weight in route.shares:
         if weight == 0 and total > 0:
             yield Finding(
-                Kind.NEVER_USED,
+                Kind.NOTE,
                 path,
                 f"Service {name} has a share of 0.",
                 "Remove it from the route, or give it a share.",
@@ -328,7 +331,7 @@
         for regions, names in by_regions.items():
             if not set(route.regions) & set(regions) and not route.public:
                 yield Finding(
-                    Kind.CONTRADICTION,
+                    Kind.NOTE,
                     f"route {route.name}",
                     f"It runs in {', '.join(route.regions)} only, and organisation "
                     f"{names[0]}{_others(names)} in {', '.join(regions)} only.",
@@ -336,6 +339,11 @@
                 )
 
 
+def is_in_order(findings):
+    """Return whether none of the findings is more than a note."""
+    return all(finding.kind is Kind.NOTE for finding in findings)
+
+
 def _others(names):
     return f" and {len(names) - 1} more" if len(names) > 1 else ""
 
--- a/teaselwall/configurationdiffs.py
+++ b/teaselwall/configurationdiffs.py
@@ -21,8 +21,8 @@
     lines = []
     if new.version <= old.version:
         lines.append(
-            f"Nothing: version {new.version} is not newer than {old.version}, so entry "
-            "hosts keep the one in force."
+            f"Version {new.version} is not newer than {old.version}, so entry hosts "
+            "keep the one in force. With a newer number it would mean:"
         )
     lines += _route_changes(new, old)
     lines += _pool_changes(new, old)
@@ -69,7 +69,10 @@
         ("priority (0 is first)", "", new.priority, old.priority),
     ):
         if value != former:
-            yield f"{place}: the {name} is {value:g}{unit} instead of {former:g}{unit}."
+            yield (
+                f"{place}: the {name} is {value:.12g}{unit} instead of "
+                f"{former:.12g}{unit}."
+            )
     if new.public != old.public:
         needs = "need no access key" if new.public else "need an access key"
         yield f"{place} {needs}."
@@ -101,20 +104,21 @@
     removed = [key for key in before if key not in after]
     added = [key for key in after if key not in before]
     moved = [k for k in after if k in before and after[k].name != before[k].name]
-    if removed:
+    if removed and new.organisations:
         holders = sorted({before[key].name for key in removed})
         yield (
-            f"{len(removed)} access keys are taken away, of {_names(holders)}: callers "
+            f"Access keys taken away: {len(removed)}, of {_names(holders)}; callers "
             "who use them are answered 401."
         )
     if added:
         holders = sorted({after[key].name for key in added})
-        yield f"{len(added)} access keys are new, of {_names(holders)}."
+        yield f"New access keys: {len(added)}, of {_names(holders)}."
     if moved:
-        yield f"{len(moved)} access keys belong to another organisation."
-    if bool(new.organisations) != bool(old.organisations):
-        need = "need an access key" if new.organisations else "need no access key"
-        yield f"Requests {need} unless their route is public."
+        yield f"Access keys that change their organisation: {len(moved)}."
+    if new.organisations and not old.organisations:
+        yield "Requests need an access key unless their route is public."
+    if old.organisations and not new.organisations:
+        yield "Requests need no access key."
     ranks = {o.name: (o.priority, o.regions) for o, _ in old.organisations}
     other = [
         organisation.name
