Work out what a request asks of its engine once, not twice

Found by review: where servers say how slow they are, record_sent looked up the servers again for each request to an engine, only to know which of its prompt was cached there. The work made for the choice is used.

--- a/teaselwall/serverchoices.py
+++ b/teaselwall/serverchoices.py
@@ -30,6 +30,8 @@
         Chooses among the servers of all pools that say how slow they are now.
     rollouts : rollouts.Rollouts or None
         Shares the requests of pools in roll-out among the versions of their servers.
+    newest_work : tuple of (calls.Call or None, timedchoices.Work or None)
+        The request for which a server was last chosen by expected time, and its work.
     """
 
     __slots__ = (
@@ -41,6 +43,7 @@
         "region_of",
         "n_hosts",
         "rollouts",
+        "newest_work",
     )
 
     def __init__(
@@ -56,6 +59,7 @@
         self.region_of = region_of
         self.n_hosts = n_hosts
         self.rollouts = None
+        self.newest_work = (None, None)
 
     def choices(self, call):
         """Return the servers that may get a request now."""
@@ -103,6 +107,7 @@
         untried = [s for s in available if s.address not in call.tried] or available
         if any(server.slowness.is_stated for server in untried):
             work = self._work(call, inputs, untried)
+            self.newest_work = (call, work)
             return self.timed.choose(call.pool, untried, work)
         if call.pool.engine:
             input_data_centre = inputs.data_centre if inputs is not None else ""
@@ -148,9 +153,12 @@
         timedchoices.Sent
         """
         self.cold_starts.record_sent(server)
-        work = timedchoices.Work()
-        if call.pool.engine and server.slowness.is_stated:
-            work = self._work(call, None, self.choices(call))
+        chosen_call, work = self.newest_work
+        if chosen_call is not call:
+            work = timedchoices.Work()
+            if call.pool.engine and server.slowness.is_stated:
+                work = self._work(call, None, self.choices(call))
+        self.newest_work = (None, None)
         sent = self.timed.record_sent(call.pool, server, work)
         if call.pool.engine:
             self.engines.record_sent(server, call.head.prompt_parts)
