Let operators say whether stage work shares its room

Callers of Kochi's deployment compete for room too, but none of its servers states how slow its machine is, so nothing was shared there. stages.share_room is on, off or auto, which is as before.

--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -242,7 +242,9 @@
             self.clock, self.fleet, self.operator_state.stage_pools
         )
         home = self.settings.host.data_centre
-        shared_machines = sharedmachines.SharedMachines(self.clock, self.fleet)
+        shared_machines = sharedmachines.SharedMachines(
+            self.clock, self.fleet, self.settings.stages.share_room
+        )
         self.stage_work = stagework.StageWork(
             self.clock,
             self.fleet,
--- a/teaselwall/sharedmachines.py
+++ b/teaselwall/sharedmachines.py
@@ -16,6 +16,8 @@
     ----------
     clock : clock.Clock
     fleet : fleet.Fleet
+    share_room : str
+        ``auto``, or ``on`` or ``off`` whatever the servers say; see the settings.
 
     Attributes
     ----------
@@ -24,16 +26,19 @@
     refreshed_ms : float
     """
 
-    __slots__ = ("clock", "fleet", "is_found", "refreshed_ms")
+    __slots__ = ("clock", "fleet", "share_room", "is_found", "refreshed_ms")
 
-    def __init__(self, clock, fleet):
+    def __init__(self, clock, fleet, share_room="auto"):
         self.clock = clock
         self.fleet = fleet
+        self.share_room = share_room
         self.is_found = False
         self.refreshed_ms = float("-inf")
 
     def found(self):
-        """Return whether a server says that its machine is shared."""
+        """Return whether room is to be shared."""
+        if self.share_room != "auto":
+            return self.share_room == "on"
         now_ms = self.clock.now_ms()
         if now_ms - self.refreshed_ms >= REFRESH_MS:
             self.refreshed_ms = now_ms
--- a/teaselwall/tests/test_returners.py
+++ b/teaselwall/tests/test_returners.py
@@ -71,3 +71,10 @@
     pool[-1].record_load(protocols.Load(0, 0, 8, 1.2))
     fleet = types.SimpleNamespace(servers_in_use=lambda: pool)
     assert sharedmachines.SharedMachines(clock, fleet).found()
+    assert not sharedmachines.SharedMachines(clock, fleet, "off").found()
+
+
+def test_the_setting_shares_room_whatever_servers_say(clock):
+    fleet = types.SimpleNamespace(servers_in_use=list)
+    assert not sharedmachines.SharedMachines(clock, fleet).found()
+    assert sharedmachines.SharedMachines(clock, fleet, "on").found()
