--- a/teaselwall/room.py
+++ b/teaselwall/room.py
@@ -161,11 +161,9 @@
             job = entry.job
             if not job.ended() and entry.latest_ms < self.clock.now_ms():
                 excess_ms = [self.work.excess_ms(s, ahead_ms) for s in job.stages]
-                needed_ms = max(excess_ms, default=0.0) + self.work.needed_ms(job)
+                needed_ms = max(excess_ms) + self.work.needed_ms(job)
                 if needed_ms > job.remaining_ms():
-                    error = self._refuse(
-                        job, max(excess_ms, default=0.0), ahead_ms, "wait"
-                    )
+                    error = self._refuse(job, max(excess_ms), ahead_ms, "wait")
                     found.append((job, error))
                     continue
             _add_all(ahead_ms, entry.work_ms)
@@ -208,7 +206,7 @@
         bool
             False if it need not wait.
         """
-        if not self.is_active():
+        if not self.is_active() or not job.stages:
             return False
         self.work.count_arrival(job)
         job.held = True
