Review, case 1: TROUBLE is read in the case; only requests that nothing had begun count

Cause: the rule excuses requests at which a server was still at work, and the check counted them.

Change: the check leaves out what any server had begun; requests come 0.9 s after the SIGTERM. The shared stand-ins take the switch from the cases.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -13,8 +14,9 @@
 
 N_REQUESTS = 20
 N_PIECES = 4
-# A burst of requests comes at once, shortly after the SIGTERM.
-SENT_AFTER_S = 0.3
+# A burst of requests comes at once, shortly after the SIGTERM: an answer of the
+# directory from before it still counts.
+SENT_AFTER_S = 0.9
 CALL_S, PIECE_S = 0.2, 0.042
 TIMEOUT_S = 8.0
 
@@ -75,15 +77,17 @@
     )
     elapsed_s = asyncio.get_running_loop().time() - sent_s
     record.add("all_ended", after_s=round(elapsed_s, 3))
-    lost = [
-        f"q{number:02}"
-        for number, answer in enumerate(answers)
-        if not answer.complete and not record.find("reached", id=f"q{number:02}")
-    ]
+    begun = {name for entry in record.find("pieces") for name in entry["ids"]}
+    begun |= {entry["id"] for entry in record.find("reached")}
+    names = [f"q{number:02}" for number in range(N_REQUESTS)]
+    cut = [n for n, a in zip(names, answers, strict=True) if not a.complete]
+    # No server, no stage server either, was at work on these.
+    lost = [name for name in cut if name not in begun]
+    record.add("cut_requests", ids=cut)
     record.add("lost", ids=lost)
     # Each was cut before the route's timeout and its deadline.
     return harness.BROKEN if lost and elapsed_s < TIMEOUT_S else harness.HELD
 
 
 if __name__ == "__main__":
-    harness.main(FOLDER, case)
+    harness.main(FOLDER, case, os.environ.get("TROUBLE", "1") != "0")
--- a/review/harness.py
+++ b/review/harness.py
@@ -744,7 +744,7 @@
     return value | changes
 
 
-def main(folder, case):
+def main(folder, case, trouble):
     """Run a case and exit with its status.
 
     Parameters
@@ -754,11 +754,12 @@
     case : callable
         ``await case(record, scratch, stack, trouble)`` returns ``BROKEN`` or ``HELD``;
         ``stack`` is an ``AsyncExitStack`` that ends what the case has started.
+    trouble : bool
+        Whether to play the disruption.
     """
 
     async def run():
         record = Record(folder)
-        trouble = os.environ.get("TROUBLE", "1") != "0"
         with tempfile.TemporaryDirectory() as scratch:
             async with contextlib.AsyncExitStack() as stack, asyncio.timeout(115):
                 status = await case(record, scratch, stack, trouble)
