Review, case 5: hosts stop one at a time

Cause: two at the same moment are more than the site plays.

Change: SIGTERMs 1 s apart, one at a time, the first host started again.

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -11,6 +12,10 @@
 
 import harness  # noqa: E402
 
+# Pause between the SIGTERMs of two machines, one at a time.
+GAP_S = 1.0
+# The platform starts a process again so long after its end.
+RESTART_S = 0.9
 RESOLVED_AFTER_S = 2.9
 SENT_AFTER_S = 3.1
 # About the longest chat answers of the small deployments: 56 events on average.
@@ -30,6 +35,13 @@
     return json.loads(body)
 
 
+async def start_again(host):
+    """Start a process again a short while after its end."""
+    await asyncio.to_thread(host.process.wait)
+    await asyncio.sleep(RESTART_S)
+    host.start()
+
+
 async def case(record, scratch, stack, trouble):
     """Send requests to a host that is being stopped, as the directory says."""
     rows = [
@@ -42,11 +54,14 @@
     for server in servers:
         server.n_events, server.interval_s = N_EVENTS, INTERVAL_S
     if trouble:
-        for host in hosts:
-            host.signal(signal.SIGTERM)
+        hosts[1].signal(signal.SIGTERM)
+        restarting = asyncio.create_task(start_again(hosts[1]))
+        stack.callback(restarting.cancel)
+        await asyncio.sleep(GAP_S)
+        hosts[0].signal(signal.SIGTERM)
     await asyncio.sleep(RESOLVED_AFTER_S)
     # Such an answer counts for its time to live; the requests are sent well within it.
-    directory = await resolve(hosts[1].directory)
+    directory = await resolve(hosts[0].directory)
     record.add("resolved", **directory)
     if hosts[0].callers not in directory["addresses"]:
         return harness.NOT_RUN
@@ -77,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    harness.main(FOLDER, case)
+    harness.main(FOLDER, case, os.environ.get("TROUBLE", "1") != "0")
