Log why a server without a registration is still used

New lines: server_missing, registration_outdated, store_regained_elsewhere; store_regained says how long ago the newest failed read was sent, server_listed the sequence.

--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -7,9 +7,7 @@
 
 import trio
 
-from teaselwall import errors, events
-
-logger = logging.getLogger(__name__)
+from teaselwall import errors, storeoutages
 
 # Base of the backoff after failed reads: an unreachable store gets at most ten calls
 # a second from each host.
@@ -161,10 +159,8 @@
         accepted before then is known here.
     read_ms : float
         When the newest successful read completed, here or on the relaying host.
-    n_failed : int
-        Failed reads since the last successful read, lost history not counted.
-    recovered_ms : float or None
-        When reads succeeded again after the newest outage.
+    outages : storeoutages.StoreOutages
+        Lost history is no outage.
     recent : collections.deque
         ``(next_offset, Record)`` of the newest changes, for reads of other hosts.
     recent_from : int or None
@@ -194,9 +190,8 @@
         "pause_ms",
         "offset",
         "current_as_of_ms",
-        "n_failed",
+        "outages",
         "read_ms",
-        "recovered_ms",
         "recent",
         "recent_from",
         "newest",
@@ -216,9 +211,8 @@
         self.pause_ms = pause_ms
         self.offset = None
         self.current_as_of_ms = float("-inf")
-        self.n_failed = 0
+        self.outages = storeoutages.StoreOutages(clock, topic, listener)
         self.read_ms = float("-inf")
-        self.recovered_ms = None
         self.recent = collections.deque()
         self.recent_from = None
         self.newest = {}
@@ -244,7 +238,7 @@
             if not page.relayed:
                 await self.clock.sleep_ms(self.pause_ms)
         else:
-            backoff_ms = RETRY_MS * 2 ** min(self.n_failed, 4) / 2
+            backoff_ms = RETRY_MS * 2 ** min(self.outages.n_failed, 4) / 2
             await self.clock.sleep_ms(min(MAX_RETRY_MS, backoff_ms))
 
     async def step(self):
@@ -261,14 +255,14 @@
                 self.topic, self.offset, self.wait_ms, self.era
             )
         if result.is_error():
-            self._record_failure(result.error)
+            self._record_failure(result.error, sent_ms)
             return None
         page = result.ok
         is_full = asks_all or page.whole
         if not self._accept_era(page, is_full):
             return None
         self.offset = page.next_offset
-        self._detect_recovery(page)
+        self.outages.record_read(page, self.age_ms())
         self._pass_on(page.records, is_full)
         self._add_recent(page, is_full)
         if self.reread_ms is None and sent_ms >= self.current_from_ms:
@@ -310,15 +304,7 @@
             self.current_from_ms = self.clock.now_ms() + RESTORE_GRACE_MS
             return True
         self.reread_ms = self.clock.now_ms() + RESTORE_GRACE_MS
-        events.log(
-            logger,
-            logging.WARNING,
-            "store_restored",
-            topic=self.topic,
-            era=page.era,
-            old_era=old,
-            age_ms=_rounded_age_ms(self.age_ms()),
-        )
+        self._log("store_restored", era=page.era, old_era=old)
         self.on_restore()
         if not is_full:
             self.offset = None
@@ -349,52 +335,16 @@
         while len(self.recent) > MAX_RECENT:
             self.recent_from, _ = self.recent.popleft()
 
-    def _detect_recovery(self, page):
-        """Notify the listener if this host or a relaying one saw the store recover."""
-        if self.n_failed:
-            self._record_own_recovery()
-        elif page.recovered_ms is not None:
-            recovered_ms = self.clock.now_ms() - page.recovered_ms
-            if self.recovered_ms is None or recovered_ms > self.recovered_ms:
-                self.recovered_ms = recovered_ms
-                self.listener.record_recovery(page.recovered_ms)
-
-    def _record_failure(self, error):
+    def _record_failure(self, error, sent_ms):
         if isinstance(error, HistoryLost):
             self.offset = None
-            self._log(logging.WARNING, "history_lost", error)
+            self._log("history_lost", detail=str(error))
             return
-        self.n_failed += 1
-        if self.n_failed == 1:
-            self._log(logging.WARNING, "store_lost", error)
-
-    def _record_own_recovery(self):
-        events.log(
-            logger,
-            logging.INFO,
-            "store_regained",
-            topic=self.topic,
-            n_failed=self.n_failed,
-            age_ms=_rounded_age_ms(self.age_ms()),
-        )
-        self.n_failed = 0
-        self.recovered_ms = self.clock.now_ms()
-        self.listener.record_recovery(0.0)
-
-    def _log(self, level, event, error):
-        events.log(
-            logger,
-            level,
-            event,
-            topic=self.topic,
-            age_ms=_rounded_age_ms(self.age_ms()),
-            detail=str(error),
-        )
+        self.outages.record_failure(error, sent_ms, self.age_ms())
+
+    def _log(self, event, **fields):
+        self.outages.log(logging.WARNING, event, self.age_ms(), **fields)
 
 
 def _ignore_restore():
     """Do nothing when the store was restored."""
-
-
-def _rounded_age_ms(age_ms):
-    return round(age_ms) if age_ms != float("inf") else None
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -273,12 +273,17 @@
             )
             return False
         new, old = result.ok, self.registrations.get(key)
-        if (new.started_ms, new.sequence) <= self.dropped.get(key, NEVER_DROPPED):
-            # An older copy of the record of a server that has left.
-            return False
-        if new.started_ms < self.newest_start_ms.get(key, new.started_ms):
-            return False
-        if old is not None and _is_older(new, old):
+        if self._is_outdated(key, new, old):
+            events.log(
+                logger,
+                logging.INFO,
+                "registration_outdated",
+                id=key,
+                leaving=new.leaving,
+                started_ms=new.started_ms,
+                sequence=new.sequence,
+                is_listed=old is not None,
+            )
             return False
         self.missing.discard(key)
         self.registrations[key] = new
@@ -299,17 +304,44 @@
             leaving=new.leaving,
             software=new.software,
             cold_ms=new.cold_ms,
+            sequence=new.sequence,
         )
         return True
 
+    def _is_outdated(self, key, new, old):
+        """Return whether a registration is older than what is known of its id."""
+        if (new.started_ms, new.sequence) <= self.dropped.get(key, NEVER_DROPPED):
+            return True
+        if new.started_ms < self.newest_start_ms.get(key, new.started_ms):
+            return True
+        return old is not None and _is_older(new, old)
+
     def _remove(self, key):
         if key not in self.registrations:
             return
-        if self.clock.now_ms() < self.grace_until_ms:
-            self.missing.add(key)
+        grace_ms = self.grace_until_ms - self.clock.now_ms()
+        if grace_ms > 0:
+            self._keep_missing(key, grace_ms)
             return
         self._drop(key, "registration removed")
 
+    def _keep_missing(self, key, grace_ms):
+        if key in self.missing:
+            return
+        self.missing.add(key)
+        registration = self.registrations[key]
+        events.log(
+            logger,
+            logging.INFO,
+            "server_missing",
+            server=registration.address,
+            id=key,
+            pool=registration.pool,
+            leaving=registration.leaving,
+            sequence=registration.sequence,
+            grace_ms=round(grace_ms),
+        )
+
     def _drop(self, key, reason):
         dropped = self.registrations.pop(key, None)
         if dropped is None:
--- a/teaselwall/sharedreads.py
+++ b/teaselwall/sharedreads.py
@@ -154,7 +154,7 @@
         is_whole = records is None
         if is_whole:
             records = _whole_topic(follower, request)
-        recovered_ms = follower.recovered_ms
+        recovered_ms = follower.outages.recovered_ms
         now_ms = self.clock.now_ms()
         return messages.StoreNews(
             records=[_encode(record) for record in records],
--- /dev/null
+++ b/teaselwall/storeoutages.py
@@ -0,0 +1,101 @@
+"""Outages of the platform's store, as the reads of one topic show them."""
+
+import logging
+
+from teaselwall import events
+
+logger = logging.getLogger(__name__)
+
+
+class StoreOutages:
+    """Tells from a topic's reads when the store was lost and regained.
+
+    Parameters
+    ----------
+    clock : clock.Clock
+    topic : str
+    listener : object
+        See ``keyedtopics.TopicFollower``.
+
+    Attributes
+    ----------
+    n_failed : int
+        Failed reads since the last successful read.
+    failed_ms : float
+        When the newest failed read was sent.
+    recovered_ms : float or None
+        When reads succeeded again after the newest outage.
+    """
+
+    __slots__ = (
+        "clock",
+        "topic",
+        "listener",
+        "n_failed",
+        "failed_ms",
+        "recovered_ms",
+    )
+
+    def __init__(self, clock, topic, listener):
+        self.clock = clock
+        self.topic = topic
+        self.listener = listener
+        self.n_failed = 0
+        self.failed_ms = float("-inf")
+        self.recovered_ms = None
+
+    def record_failure(self, error, sent_ms, age_ms):
+        """Record a failed read.
+
+        Parameters
+        ----------
+        error : errors.Error
+        sent_ms : float
+            When the read was sent.
+        age_ms : float
+            Age of the records known here.
+        """
+        self.n_failed += 1
+        self.failed_ms = sent_ms
+        if self.n_failed == 1:
+            self.log(logging.WARNING, "store_lost", age_ms, detail=str(error))
+
+    def record_read(self, page, age_ms):
+        """Record a successful read; tell the listener if it ends an outage.
+
+        The outage may also be one of the host that relayed the page.
+
+        Parameters
+        ----------
+        page : keyedtopics.Page
+        age_ms : float
+            Age of the records known here before the read.
+        """
+        if self.n_failed:
+            self.log(
+                logging.INFO,
+                "store_regained",
+                age_ms,
+                relayed=page.relayed,
+                n_failed=self.n_failed,
+                failed_ms=round(self.clock.now_ms() - self.failed_ms),
+            )
+            self.n_failed = 0
+            self.recovered_ms = self.clock.now_ms()
+            self.listener.record_recovery(0.0)
+        elif page.recovered_ms is not None:
+            recovered_ms = self.clock.now_ms() - page.recovered_ms
+            if self.recovered_ms is None or recovered_ms > self.recovered_ms:
+                self.log(
+                    logging.INFO,
+                    "store_regained_elsewhere",
+                    age_ms,
+                    elapsed_ms=round(page.recovered_ms),
+                )
+                self.recovered_ms = recovered_ms
+                self.listener.record_recovery(page.recovered_ms)
+
+    def log(self, level, event, age_ms, **fields):
+        """Log an event of the store with the age of the records known here."""
+        known_ms = round(age_ms) if age_ms != float("inf") else None
+        events.log(logger, level, event, topic=self.topic, age_ms=known_ms, **fields)
--- a/teaselwall/tests/test_serverregistry.py
+++ b/teaselwall/tests/test_serverregistry.py
@@ -237,3 +237,23 @@
     time.at_ms += 701.0
     assert addresses(server_fleet) == ["10.0.0.1:80"]
     assert server_fleet.rest_ms("llm") == 0.0
+
+
+def test_the_log_tells_a_missing_registration_from_an_outdated_one(
+    registry, time, caplog
+):
+    """Guards against a server in use without a line that says why."""
+    caplog.set_level("INFO")
+    registry.replace({"s": encoded("s", sequence=4)})
+    registry.record_recovery(0.0)
+    time.at_ms = 500.0
+    registry.apply(Record("s", None))
+    registry.replace({})
+    registry.apply(Record("s", encoded("s", sequence=3)))
+    lines = [(r.getMessage(), r.fields) for r in caplog.records]
+    missing = [fields for event, fields in lines if event == "server_missing"]
+    outdated = [fields for event, fields in lines if event == "registration_outdated"]
+    assert [(f["id"], f["leaving"], f["grace_ms"]) for f in missing] == [
+        ("s", False, 1500)
+    ]
+    assert [(f["sequence"], f["is_listed"]) for f in outdated] == [(3, True)]
