Start the grace period of removed registrations only after a real outage

Callers' requests reached servers that had left long before. A registration may lapse while the store is unreachable, so one that went during an outage is kept until 2 s after it. But one failed read counted as an outage, each recovery started the period anew, and so did one that only another host had seen. With a failed read every 1.3 to 1.9 s, a server without a registration stayed in use for as long as that went on.

An outage now counts if no read succeeded for 2 s, the grace period itself; registrations lapse after several seconds of silence. Two grace periods can't overlap any more: the second outage is longer than the first period. What another host saw counts only if the records here were as old.

--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -143,8 +143,8 @@
     listener : object
         ``replace(dict of str to bytes)`` is called with the whole topic,
         ``restore(dict of str to bytes)`` with a topic whose newest records may be lost,
-        ``apply(Record)`` with one change and ``record_recovery(elapsed_ms)`` when
-        reads succeed again after an outage, with the time since then.
+        ``apply(Record)`` with one change and ``record_recovery(outage)`` with a
+        ``storeoutages.Outage`` when reads succeed again.
     wait_ms : float
         Time for which the store holds a read open if there is no new record.
     pause_ms : float
--- a/teaselwall/operatorstate.py
+++ b/teaselwall/operatorstate.py
@@ -76,7 +76,7 @@
         pools = self.table.pools.values() if self.table is not None else ()
         return [pool.name for pool in pools if pool.batches is not None]
 
-    def record_recovery(self, elapsed_ms):
+    def record_recovery(self, outage):
         """Do nothing; orders do not expire while the store is unreachable."""
 
     def replace(self, records):
--- a/teaselwall/rolloutorders.py
+++ b/teaselwall/rolloutorders.py
@@ -63,7 +63,7 @@
         self.seen_ms = {}
         self.on_change = _ignore_change
 
-    def record_recovery(self, elapsed_ms):
+    def record_recovery(self, outage):
         """Do nothing; orders do not expire while the store is unreachable."""
 
     def replace(self, records):
--- a/teaselwall/rolloutplans.py
+++ b/teaselwall/rolloutplans.py
@@ -48,7 +48,7 @@
         self.stored_steps = {}
         self.on_change = _ignore_change
 
-    def record_recovery(self, elapsed_ms):
+    def record_recovery(self, outage):
         """Do nothing; plans do not expire while the store is unreachable."""
 
     def replace(self, records):
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -135,15 +135,19 @@
         self.history = softwarehistory.SoftwareHistory(clock)
         self.is_contested = False
 
-    def record_recovery(self, elapsed_ms):
-        """Start the grace period, as the store has recovered from an outage.
+    def record_recovery(self, outage):
+        """Start the grace period, unless no registration can have expired meanwhile.
+
+        So no registration is kept for a second grace period, however often reads fail.
 
         Parameters
         ----------
-        elapsed_ms : float
-            Time since the store recovered.
+        outage : storeoutages.Outage
         """
-        self.grace_until_ms = self.clock.now_ms() - elapsed_ms + REMOVAL_GRACE_MS
+        if outage.lasted_ms < REMOVAL_GRACE_MS:
+            return
+        now_ms = self.clock.now_ms()
+        self.grace_until_ms = now_ms - outage.ended_ms + REMOVAL_GRACE_MS
 
     def replace(self, records):
         """Replace the registrations by a full read of the topic.
--- a/teaselwall/storeoutages.py
+++ b/teaselwall/storeoutages.py
@@ -1,5 +1,6 @@
 """Outages of the platform's store, as the reads of one topic show them."""
 
+import dataclasses
 import logging
 
 from teaselwall import events
@@ -7,6 +8,23 @@
 logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outage:
+    """Time without a successful read of a topic.
+
+    Attributes
+    ----------
+    lasted_ms : float
+        Time from the newest successful read before it to the first one after it,
+        infinite if there was none before.
+    ended_ms : float
+        Time since its end.
+    """
+
+    lasted_ms: float
+    ended_ms: float = 0.0
+
+
 class StoreOutages:
     """Tells from a topic's reads when the store was lost and regained.
 
@@ -82,7 +100,7 @@
             )
             self.n_failed = 0
             self.recovered_ms = self.clock.now_ms()
-            self.listener.record_recovery(0.0)
+            self.listener.record_recovery(Outage(age_ms))
         elif page.recovered_ms is not None:
             recovered_ms = self.clock.now_ms() - page.recovered_ms
             if self.recovered_ms is None or recovered_ms > self.recovered_ms:
@@ -93,7 +111,7 @@
                     elapsed_ms=round(page.recovered_ms),
                 )
                 self.recovered_ms = recovered_ms
-                self.listener.record_recovery(page.recovered_ms)
+                self.listener.record_recovery(Outage(age_ms, page.recovered_ms))
 
     def log(self, level, event, age_ms, **fields):
         """Log an event of the store with the age of the records known here."""
--- a/teaselwall/tests/test_departed_servers.py
+++ b/teaselwall/tests/test_departed_servers.py
@@ -1,5 +1,6 @@
 """A server that leaves while a host can't read the platform's store."""
 
+import dataclasses
 import random
 
 import expression
@@ -38,12 +39,15 @@
     ----------
     outages : list of (float, float, bool)
         Begin and end in ms of each outage; whether calls hang or are refused in it.
+    relay_recovered_ms : float or None
+        When the host through which this one reads had an outage, if it does.
     """
 
     def __init__(self, time):
         self.time = time
         self.records = []
         self.outages = []
+        self.relay_recovered_ms = None
 
     def write(self, key, value):
         self.records.append(keyedtopics.Record(key, value))
@@ -68,7 +72,11 @@
         if not await self._reach():
             return expression.Error(errors.TransportError("unreachable"))
         records = self.records[offset:]
-        return expression.Ok(keyedtopics.Page(records, offset + len(records)))
+        page = keyedtopics.Page(records, offset + len(records))
+        if self.relay_recovered_ms is not None:
+            elapsed_ms = self.time.now_ms() - self.relay_recovered_ms
+            page = dataclasses.replace(page, recovered_ms=elapsed_ms)
+        return expression.Ok(page)
 
     async def put(self, topic, key, value, at=None):
         raise NotImplementedError
@@ -209,9 +217,7 @@
     nursery.start_soon(host.run)
     await time.sleep_ms(5000)
     store.write(LEAVES, None)
-    relayed = keyedtopics.Page([], 2, recovered_ms=0.0, relayed=True)
-    host.follower.outages.record_read(relayed, host.follower.age_ms())
-    written_ms = time.now_ms()
+    written_ms = store.relay_recovered_ms = time.now_ms()
     await time.sleep_ms(6000)
     assert host.last_used_ms(LEAVES) < written_ms + SETTINGS.listing_interval_ms + 100
 
--- a/teaselwall/tests/test_keyedtopics.py
+++ b/teaselwall/tests/test_keyedtopics.py
@@ -40,7 +40,7 @@
     def apply(self, record):
         self.events.append((record.key, record.value))
 
-    def record_recovery(self, elapsed_ms):
+    def record_recovery(self, outage):
         self.events.append("recovered")
 
 
--- a/teaselwall/tests/test_serverregistry.py
+++ b/teaselwall/tests/test_serverregistry.py
@@ -10,6 +10,7 @@
     protocols,
     routes,
     serverregistry,
+    storeoutages,
 )
 from teaselwall.tests import fakes
 
@@ -93,7 +94,7 @@
     registry, server_fleet, time
 ):
     registry.replace({"s": encoded("s"), "ss": encoded("ss")})
-    registry.record_recovery(0.0)
+    registry.record_recovery(storeoutages.Outage(5000.0))
     registry.replace({})
     assert len(addresses(server_fleet)) == 2
     registry.apply(Record("ss", encoded("ss", sequence=5)))
@@ -245,7 +246,7 @@
     """Guards against a server in use without a line that says why."""
     caplog.set_level("INFO")
     registry.replace({"s": encoded("s", sequence=4)})
-    registry.record_recovery(0.0)
+    registry.record_recovery(storeoutages.Outage(5000.0))
     time.at_ms = 500.0
     registry.apply(Record("s", None))
     registry.replace({})
--- a/teaselwall/topiclisteners.py
+++ b/teaselwall/topiclisteners.py
@@ -14,10 +14,10 @@
     def __init__(self, listeners):
         self.listeners = listeners
 
-    def record_recovery(self, elapsed_ms):
+    def record_recovery(self, outage):
         """Pass on that the store has recovered."""
         for listener in self.listeners:
-            listener.record_recovery(elapsed_ms)
+            listener.record_recovery(outage)
 
     def replace(self, records):
         """Pass on a full read of the topic."""
