End the grace period of removed registrations soon after the outage

Callers' requests reached a server that had left 12 s before, at a host that had been without the store and was ready again. The grace period of 2 s began with the host's first successful read, and a read that hangs was given up after 1.2 s and repeated up to 0.8 s later.

A host without the store now starts a read each 0.4 s and does not wait for earlier ones, so that it sees the end of an outage within 0.4 s. A server that registers again within 2 s is used throughout.

--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -205,9 +205,8 @@
         self.cold_starts = coldstarts.ColdStarts(
             self.clock, self.membership, state.pool
         )
-        state.on_data_centre_return = functools.partial(
-            self.cold_starts.record_data_centre_return, self.fleet
-        )
+        record_return = self.cold_starts.record_data_centre_return
+        state.on_data_centre_return = functools.partial(record_return, self.fleet)
         self.fleet.filters.append(self.cold_starts.has_capacity)
         self.server_limits = serverlimits.ServerLimits(
             self.clock, self.membership, self.gossip, self.n_hosts
@@ -221,15 +220,15 @@
         self.gossip.fleet = self.fleet
         self.gossip.server_limits = self.server_limits
         decode = self.platform.decode_registration
-        self.server_registry = serverregistry.ServerRegistry(
+        registry = self.server_registry = serverregistry.ServerRegistry(
             self.clock, self.fleet, decode, self.cold_starts, state.may_have_pool
         )
+        registry.grace.catch_up_ms = settings.store.catch_up_ms
+        interval_ms = settings.store.listing_interval_ms
         self.servers = self.follow(
-            self.platform.servers_topic,
-            self.server_registry,
-            0.0,
-            settings.store.listing_interval_ms,
+            self.platform.servers_topic, registry, 0.0, interval_ms
         )
+        self.servers.due_ms = registry.read_due_ms
         self.server_choices = serverchoices.ServerChoices(
             self.fleet,
             pickers.ExpectedTimePicker(settings.host.data_centre, prefixes.Prefixes()),
@@ -376,15 +375,15 @@
             for part in parts:
                 nursery.start_soon(part.run)
             nursery.start_soon(self._update_derived_state)
-            tell_paths = self.fleet.paths.tell_changes
-            nursery.start_soon(tell_paths, self.membership, self.gossip)
+            paths = self.fleet.paths
+            nursery.start_soon(paths.tell_changes, self.membership, self.gossip)
 
     async def _update_derived_state(self):
         """Periodically update the state that changes with time alone."""
         while True:
             self.membership.me.draining = not self.ready()
             self.membership.me.backlog_ms = round(self.stage_work.room.longest_ms())
-            self.server_registry.remove_missing()
+            self.server_registry.remove_missing(self.servers.current_as_of_ms)
             self.server_registry.publish_if_contested()
             self.server_registry.history.check_gap(self.servers.age_ms())
             for server in self.fleet.servers_in_use():
--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -12,7 +12,8 @@
 # Base of the backoff after failed reads: an unreachable store gets at most ten calls
 # a second from each host.
 RETRY_MS = 100.0
-MAX_RETRY_MS = 800.0  # well within the 2 s in which a configuration must be applied
+# Longest time between two reads of an unreachable store.
+MAX_RETRY_MS = 400.0
 # After the store was restored from an older copy, its writers write again what it lost.
 # This long after the change of its era, the topic is read once more.
 RESTORE_GRACE_MS = 2000.0
@@ -152,6 +153,8 @@
 
     Attributes
     ----------
+    sent_ms : float
+        When the newest read was sent.
     offset : int or None
         Next record to read; None before a full read, also after lost history.
     current_as_of_ms : float
@@ -179,6 +182,9 @@
         just before this process started.
     on_restore : callable
         Called without arguments when the era has changed.
+    due_ms : callable
+        ``due_ms()`` returns the time on the clock at which the topic has to be read,
+        even if that is before the end of the pause between two reads.
     """
 
     __slots__ = (
@@ -188,6 +194,7 @@
         "listener",
         "wait_ms",
         "pause_ms",
+        "sent_ms",
         "offset",
         "current_as_of_ms",
         "outages",
@@ -200,6 +207,7 @@
         "reread_ms",
         "current_from_ms",
         "on_restore",
+        "due_ms",
     )
 
     def __init__(self, clock, store, topic, listener, wait_ms, pause_ms):
@@ -209,6 +217,7 @@
         self.listener = listener
         self.wait_ms = wait_ms
         self.pause_ms = pause_ms
+        self.sent_ms = float("-inf")
         self.offset = None
         self.current_as_of_ms = float("-inf")
         self.outages = storeoutages.StoreOutages(clock, topic, listener)
@@ -221,6 +230,7 @@
         self.reread_ms = None
         self.current_from_ms = float("-inf")
         self.on_restore = _ignore_restore
+        self.due_ms = _never
 
     def age_ms(self):
         """Return the age of the records here, infinite before the first read."""
@@ -234,35 +244,57 @@
     async def step_paced(self):
         """Read once, then pause as long as the result calls for."""
         page = await self.step()
-        if page is not None:
-            if not page.relayed:
-                await self.clock.sleep_ms(self.pause_ms)
-        else:
-            backoff_ms = RETRY_MS * 2 ** min(self.outages.n_failed, 4) / 2
-            await self.clock.sleep_ms(min(MAX_RETRY_MS, backoff_ms))
+        if self.outages.n_failed:
+            await self._regain()
+        elif page is None:
+            await self.clock.sleep_ms(RETRY_MS / 2)
+        elif not page.relayed:
+            due_in_ms = self.due_ms() - self.clock.now_ms()
+            await self.clock.sleep_ms(max(0.0, min(self.pause_ms, due_in_ms)))
+
+    async def _regain(self):
+        """Read at short intervals until a read succeeds.
+
+        A read that hangs holds up none of the next ones, so that the end of an outage
+        is noticed at once.
+        """
+        backoff_ms = RETRY_MS
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self.clock.sleep_ms(backoff_ms)
+                nursery.start_soon(self._read_until_regained, nursery.cancel_scope)
+                backoff_ms = min(MAX_RETRY_MS, 2 * backoff_ms)
+
+    async def _read_until_regained(self, regaining):
+        if await self.step() is not None:
+            regaining.cancel()
 
     async def step(self):
         """Read once; return the page, or None if the read failed."""
-        sent_ms = self.clock.now_ms()
+        before_ms, sent_ms = self.sent_ms, self.clock.now_ms()
+        self.sent_ms = sent_ms
         if self.reread_ms is not None and sent_ms >= self.reread_ms:
             self.reread_ms = None
             self.offset = None
-        asks_all = self.offset is None
+        offset = self.offset
+        asks_all = offset is None
         if asks_all:
             result = await self.store.newest(self.topic)
         else:
-            result = await self.store.changes(
-                self.topic, self.offset, self.wait_ms, self.era
-            )
+            wait_ms = 0.0 if self.outages.n_failed else self.wait_ms
+            result = await self.store.changes(self.topic, offset, wait_ms, self.era)
+        if self.offset != offset:
+            # Another read has gone on meanwhile.
+            return None
         if result.is_error():
-            self._record_failure(result.error, sent_ms)
+            self._record_failure(result.error)
             return None
         page = result.ok
         is_full = asks_all or page.whole
         if not self._accept_era(page, is_full):
             return None
         self.offset = page.next_offset
-        self.outages.record_read(page, self.age_ms())
+        self.outages.record_read(page, self.age_ms(), before_ms)
         self._pass_on(page.records, is_full)
         self._add_recent(page, is_full)
         if self.reread_ms is None and sent_ms >= self.current_from_ms:
@@ -335,12 +367,12 @@
         while len(self.recent) > MAX_RECENT:
             self.recent_from, _ = self.recent.popleft()
 
-    def _record_failure(self, error, sent_ms):
+    def _record_failure(self, error):
         if isinstance(error, HistoryLost):
             self.offset = None
             self._log("history_lost", detail=str(error))
             return
-        self.outages.record_failure(error, sent_ms, self.age_ms())
+        self.outages.record_failure(error, self.age_ms())
 
     def _log(self, event, **fields):
         self.outages.log(logging.WARNING, event, self.age_ms(), **fields)
@@ -348,3 +380,8 @@
 
 def _ignore_restore():
     """Do nothing when the store was restored."""
+
+
+def _never():
+    """Return an infinite time: reads are not due before the end of a pause."""
+    return float("inf")
--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -3,14 +3,11 @@
 import dataclasses
 import logging
 
-from teaselwall import events, softwarehistory
+from teaselwall import events, removalgrace, softwarehistory
 from teaselwall.generated import messages
 
 logger = logging.getLogger(__name__)
 
-# Registrations can expire while the store is unreachable. Live servers have registered
-# again this long after it recovers (a figure that the users stated).
-REMOVAL_GRACE_MS = 2000.0
 # Dropped servers that are remembered.
 MAX_DROPPED = 4096
 NEVER_DROPPED = (-1, -1)
@@ -94,9 +91,8 @@
         dropped; oldest first.
     missing : set of str
         Ids whose record was removed during the grace period after an outage of the
-        store; their registrations stay in force until ``grace_until_ms``.
-    grace_until_ms : float
-        End of the grace period.
+        store; their registrations stay in force until that has ended.
+    grace : removalgrace.RemovalGrace
     is_loaded : bool
         Whether the whole topic has been read at least once.
     history : softwarehistory.SoftwareHistory
@@ -114,7 +110,7 @@
         "newest_start_ms",
         "dropped",
         "missing",
-        "grace_until_ms",
+        "grace",
         "is_loaded",
         "history",
         "is_contested",
@@ -130,24 +126,28 @@
         self.newest_start_ms = {}
         self.dropped = {}
         self.missing = set()
-        self.grace_until_ms = float("-inf")
+        self.grace = removalgrace.RemovalGrace(clock)
         self.is_loaded = False
         self.history = softwarehistory.SoftwareHistory(clock)
         self.is_contested = False
 
     def record_recovery(self, outage):
-        """Start the grace period, unless no registration can have expired meanwhile.
-
-        So no registration is kept for a second grace period, however often reads fail.
+        """Keep servers whose registration may have expired in an outage for a while.
 
         Parameters
         ----------
         outage : storeoutages.Outage
         """
-        if outage.lasted_ms < REMOVAL_GRACE_MS:
-            return
-        now_ms = self.clock.now_ms()
-        self.grace_until_ms = now_ms - outage.ended_ms + REMOVAL_GRACE_MS
+        self.grace.start(outage)
+
+    def read_due_ms(self):
+        """Return when the registrations have to be read again, infinite if any time.
+
+        A read sent at the end of the grace period shows which servers have registered
+        again.
+        """
+        is_awaited = self.missing and self.clock.now_ms() < self.grace.until_ms
+        return self.grace.until_ms if is_awaited else float("inf")
 
     def replace(self, records):
         """Replace the registrations by a full read of the topic.
@@ -193,9 +193,15 @@
             return
         self.publish()
 
-    def remove_missing(self):
-        """Remove servers that did not register again within the grace period."""
-        if not self.missing or self.clock.now_ms() < self.grace_until_ms:
+    def remove_missing(self, as_of_ms):
+        """Remove servers that did not register again within the grace period.
+
+        Parameters
+        ----------
+        as_of_ms : float
+            Time on the clock at which the registrations here were the newest ones.
+        """
+        if not self.missing or not self.grace.is_over(as_of_ms):
             return
         for key in self.missing:
             self._drop(key, "not registered again after the store recovered")
@@ -323,13 +329,12 @@
     def _remove(self, key):
         if key not in self.registrations:
             return
-        grace_ms = self.grace_until_ms - self.clock.now_ms()
-        if grace_ms > 0:
-            self._keep_missing(key, grace_ms)
-            return
-        self._drop(key, "registration removed")
+        if self.grace.left_ms():
+            self._keep_missing(key)
+        else:
+            self._drop(key, "registration removed")
 
-    def _keep_missing(self, key, grace_ms):
+    def _keep_missing(self, key):
         if key in self.missing:
             return
         self.missing.add(key)
@@ -343,7 +348,7 @@
             pool=registration.pool,
             leaving=registration.leaving,
             sequence=registration.sequence,
-            grace_ms=round(grace_ms),
+            grace_ms=round(self.grace.left_ms()),
         )
 
     def _drop(self, key, reason):
--- a/teaselwall/storeoutages.py
+++ b/teaselwall/storeoutages.py
@@ -18,11 +18,15 @@
         Time from the newest successful read before it to the first one after it,
         infinite if there was none before.
     ended_ms : float
-        Time since its end.
+        Time since that first successful read.
+    failed_ms : float
+        Time since the newest read before that one was sent, which shows that the store
+        could not be reached yet.
     """
 
     lasted_ms: float
     ended_ms: float = 0.0
+    failed_ms: float = 0.0
 
 
 class StoreOutages:
@@ -39,8 +43,6 @@
     ----------
     n_failed : int
         Failed reads since the last successful read.
-    failed_ms : float
-        When the newest failed read was sent.
     recovered_ms : float or None
         When reads succeeded again after the newest outage.
     """
@@ -50,7 +52,6 @@
         "topic",
         "listener",
         "n_failed",
-        "failed_ms",
         "recovered_ms",
     )
 
@@ -59,26 +60,22 @@
         self.topic = topic
         self.listener = listener
         self.n_failed = 0
-        self.failed_ms = float("-inf")
         self.recovered_ms = None
 
-    def record_failure(self, error, sent_ms, age_ms):
+    def record_failure(self, error, age_ms):
         """Record a failed read.
 
         Parameters
         ----------
         error : errors.Error
-        sent_ms : float
-            When the read was sent.
         age_ms : float
             Age of the records known here.
         """
         self.n_failed += 1
-        self.failed_ms = sent_ms
         if self.n_failed == 1:
             self.log(logging.WARNING, "store_lost", age_ms, detail=str(error))
 
-    def record_read(self, page, age_ms):
+    def record_read(self, page, age_ms, before_ms):
         """Record a successful read; tell the listener if it ends an outage.
 
         The outage may also be one of the host that relayed the page.
@@ -88,19 +85,22 @@
         page : keyedtopics.Page
         age_ms : float
             Age of the records known here before the read.
+        before_ms : float
+            When the read before this one was sent.
         """
         if self.n_failed:
+            failed_ms = self.clock.now_ms() - before_ms
             self.log(
                 logging.INFO,
                 "store_regained",
                 age_ms,
                 relayed=page.relayed,
                 n_failed=self.n_failed,
-                failed_ms=round(self.clock.now_ms() - self.failed_ms),
+                failed_ms=round(failed_ms),
             )
             self.n_failed = 0
             self.recovered_ms = self.clock.now_ms()
-            self.listener.record_recovery(Outage(age_ms))
+            self.listener.record_recovery(Outage(age_ms, 0.0, failed_ms))
         elif page.recovered_ms is not None:
             recovered_ms = self.clock.now_ms() - page.recovered_ms
             if self.recovered_ms is None or recovered_ms > self.recovered_ms:
@@ -111,7 +111,8 @@
                     elapsed_ms=round(page.recovered_ms),
                 )
                 self.recovered_ms = recovered_ms
-                self.listener.record_recovery(Outage(age_ms, page.recovered_ms))
+                outage = Outage(age_ms, page.recovered_ms, page.recovered_ms)
+                self.listener.record_recovery(outage)
 
     def log(self, level, event, age_ms, **fields):
         """Log an event of the store with the age of the records known here."""
--- a/teaselwall/tests/test_departed_servers.py
+++ b/teaselwall/tests/test_departed_servers.py
@@ -102,6 +102,7 @@
         self.follower = keyedtopics.TopicFollower(
             time, store, "servers", self.registry, 0.0, SETTINGS.listing_interval_ms
         )
+        self.follower.due_ms = self.registry.read_due_ms
         self.used = []
 
     async def run(self):
@@ -112,7 +113,7 @@
 
     async def _remove_missing(self):
         while True:
-            self.registry.remove_missing()
+            self.registry.remove_missing(self.follower.current_as_of_ms)
             await self.time.sleep_ms(entry.UPDATE_INTERVAL_MS)
 
     async def _watch(self):
--- a/teaselwall/tests/test_keyedtopics.py
+++ b/teaselwall/tests/test_keyedtopics.py
@@ -134,6 +134,49 @@
     assert follower.age_ms() < 1000
 
 
+class SlowStore(ScriptedStore):
+    """Store whose calls after the first one take the times that a test has queued."""
+
+    def __init__(self, time, elapsed_ms):
+        super().__init__(time)
+        self.elapsed_ms = elapsed_ms
+
+    async def _next(self, call):
+        result = self.results.pop(0)
+        self.calls.append(call)
+        await self.time.sleep_ms(self.elapsed_ms.pop(0))
+        return result
+
+
+async def test_reads_that_hang_do_not_hide_the_end_of_an_outage(
+    autojump_clock, nursery, time, listener
+):
+    """Guards against records that come seconds after the store is back."""
+    store = SlowStore(time, [10, 10, 1200, 1200] + [10] * 100)
+    store.results = [page(1), FAILED, FAILED, FAILED, page(2, a=b"1")]
+    store.results += [page(2)] * 100
+    follower = keyedtopics.TopicFollower(time, store, "t", listener, 0, 800)
+    nursery.start_soon(follower.run)
+    await time.sleep_ms(1600)
+    assert listener.events[1:] == ["recovered", ("a", b"1")]
+    await time.sleep_ms(2000)
+    assert follower.outages.n_failed == 0
+
+
+async def test_overlapping_reads_apply_each_record_once(
+    autojump_clock, nursery, time, listener
+):
+    """Guards against a slow read that is applied after a later one has gone on."""
+    store = SlowStore(time, [10, 10, 500, 100] + [10] * 100)
+    store.results = [page(1), FAILED, page(2, a=b"1"), page(3, a=b"1", b=b"2")]
+    store.results += [page(3)] * 100
+    follower = keyedtopics.TopicFollower(time, store, "t", listener, 0, 800)
+    nursery.start_soon(follower.run)
+    await time.sleep_ms(3000)
+    assert listener.events[1:] == ["recovered", ("a", b"1"), ("b", b"2")]
+    assert follower.offset == 3
+
+
 async def test_no_changes_are_given_out_after_lost_history(
     autojump_clock, follower, store
 ):
--- a/teaselwall/tests/test_serverregistry.py
+++ b/teaselwall/tests/test_serverregistry.py
@@ -8,6 +8,7 @@
     fleet,
     operatorstate,
     protocols,
+    removalgrace,
     routes,
     serverregistry,
     storeoutages,
@@ -98,8 +99,8 @@
     registry.replace({})
     assert len(addresses(server_fleet)) == 2
     registry.apply(Record("ss", encoded("ss", sequence=5)))
-    time.at_ms = serverregistry.REMOVAL_GRACE_MS + 1
-    registry.remove_missing()
+    time.at_ms = removalgrace.REMOVAL_GRACE_MS + 1
+    registry.remove_missing(time.at_ms)
     assert addresses(server_fleet) == ["10.0.0.2:80"]
 
 
