--- a/teaselwall/tests/test_keyedtopics.py
+++ b/teaselwall/tests/test_keyedtopics.py
@@ -169,7 +169,7 @@
     """Guards against a slow read that is applied after a later one has gone on."""
     store = SlowStore(time, [10, 10, 300, 100] + [10] * 100)
     store.results = [page(1), FAILED, page(2, a=b"1"), page(3, a=b"1", b=b"2")]
-    store.results += [page(3)] * 100
+    store.results += [page(3, b=b"2")] + [page(3)] * 100
     follower = keyedtopics.TopicFollower(time, store, "t", listener, 0, 800)
     nursery.start_soon(follower.run)
     await time.sleep_ms(3000)
