Go on with a begun stream only by another stream

Report of other operators: a stream had begun and broke off, the next server answered with an error, and callers found its text in the middle of their stream. The next server's reply must now have the media type of the first one, or the stream is tried elsewhere, or broken off so that it doesn't look complete.

--- a/teaselwall/requestattempts.py
+++ b/teaselwall/requestattempts.py
@@ -152,6 +152,9 @@
         splitter.partial = b""
         if not self.reply.started:
             self.reply.start(head.status, head.headers)
+        elif _media_type(head.headers) != _media_type(self.reply.head["headers"]):
+            detail = f"{self.address} did not go on with the stream that has begun."
+            raise errors.ServerFailed(detail, outcome=errors.Outcome.UNKNOWN)
         event_ms = self.received.received_ms
         async for data in response.aiter_stream():
             self.received.record_bytes(len(data))
@@ -175,3 +178,9 @@
             address = self.address
             detail = f"{address} sent no whole event for {since_event_ms:.0f} ms."
             raise errors.TransportError(detail, outcome=errors.Outcome.UNKNOWN)
+
+
+def _media_type(headers):
+    """Return the media type of a reply without parameters, empty if it has none."""
+    found = [value for name, value in headers if name.lower() == b"content-type"]
+    return found[0].split(b";")[0].strip().lower() if found else b""
