Pass no head of another reply on as an event

A stream with neither a length nor chunks ends with its connection, so what a server writes after a stream that broke off, or besides it, was taken for events: the blank line after a head ends one. In such a stream, events that hold a status line at the start of a line, or one followed by a header, fail the attempt; the stream goes on elsewhere or is broken off. Events that quote a head in their data are passed on.

Without the check, test_error_head_within_an_unframed_stream_is_not_passed_on failed in all six cases and test_error_head_at_the_start_of_an_unframed_stream_is_not_passed_on too; all pass. Framed streams can't hold a second head: the parser ends them before it. Not looked into: a second reply after a plain body without length, which nothing tells from the body.

--- a/teaselwall/httpcalls.py
+++ b/teaselwall/httpcalls.py
@@ -300,6 +300,12 @@
     return max(MIN_TIMEOUT_S, duration_ms / 1000)
 
 
+def is_framed(headers):
+    """Return whether a reply has a length or chunks; else its connection ends it."""
+    framing = (b"content-length", b"transfer-encoding")
+    return any(name.lower() in framing for name, _ in headers)
+
+
 class HeldBytes:
     """Counts the bytes of the replies that are being read in this process."""
 
--- a/teaselwall/requestattempts.py
+++ b/teaselwall/requestattempts.py
@@ -150,6 +150,7 @@
         """Pass complete events on to the caller as they arrive."""
         splitter = self.call.splitter
         splitter.partial = b""
+        splitter.may_hold_heads = not httpcalls.is_framed(response.headers)
         if not self.reply.started:
             self.reply.start(head.status, head.headers)
         elif _media_type(head.headers) != _media_type(self.reply.head["headers"]):
--- a/teaselwall/sse.py
+++ b/teaselwall/sse.py
@@ -11,6 +11,12 @@
 MAX_EVENT_BYTES = 256 * 1024
 MAX_ID_BYTES = 256
 # What a header can carry to the server at which a stream is resumed.
+# The head of another reply: its status line begins a line of an event, or follows an
+# event that breaks off within a line and is followed by a header.
+HEAD_PATTERN = re.compile(
+    rb"(?:\A|[\r\n])HTTP/1\.[01] \d{3}"
+    rb"|HTTP/1\.[01] \d{3}[^\r\n]*\r?\n(?!(?:data|id|event|retry)?:)[!#-9;-~]+:"
+)
 ID_PATTERN = re.compile(rb"[^\x00-\x1f\x7f]{1,%d}" % MAX_ID_BYTES)
 
 
@@ -22,6 +28,10 @@
     """A server sends an event after which its stream could not be resumed."""
 
 
+class SecondHead(errors.ServerFailed):
+    """A server sends the head of another reply within a stream."""
+
+
 class EventSplitter:
     """Splits a stream of server-sent events at the ends of events.
 
@@ -36,13 +46,17 @@
         Bytes of the event that is not complete yet.
     last_id : str
         Id of the last complete event that had one; at first the given id.
+    may_hold_heads : bool
+        Whether another reply on the same connection would be taken for events, as the
+        stream has neither a length nor chunks.
     """
 
-    __slots__ = ("partial", "last_id")
+    __slots__ = ("partial", "last_id", "may_hold_heads")
 
     def __init__(self, last_id=""):
         self.partial = b""
         self.last_id = last_id
+        self.may_hold_heads = False
 
     def feed(self, data):
         """Add bytes; return the bytes of all events that are complete now.
@@ -54,6 +68,9 @@
         BadEventId
             The last id is empty, too long or has control characters. None of the
             events that are complete now are returned.
+        SecondHead
+            Another reply begins within the events that are complete now. None of them
+            are returned.
         """
         start = 0
         if self.partial:
@@ -67,6 +84,9 @@
                 raise EventTooLarge(detail, outcome=errors.Outcome.UNKNOWN)
             return b""
         complete, self.partial = data[:end], data[end:]
+        if self.may_hold_heads and HEAD_PATTERN.search(complete):
+            detail = "Another reply begins within the stream."
+            raise SecondHead(detail, outcome=errors.Outcome.UNKNOWN)
         self._record_ids(complete)
         return complete
 
--- a/teaselwall/tests/test_errors_in_streams.py
+++ b/teaselwall/tests/test_errors_in_streams.py
@@ -86,6 +86,47 @@
     assert sum(len(back_end.requests) for back_end in back_ends) > 1
 
 
+@pytest.mark.parametrize("cut", [b"", b"data: b", b"id: 2\ndata: b\n"])
+@pytest.mark.parametrize("body", [b"", ERROR_BODY], ids=["no body", "body"])
+async def test_error_head_within_an_unframed_stream_is_not_passed_on(
+    gateway_to, serve, cut, body
+):
+    """Callers found the whole head of an error in the middle of their stream."""
+    second = error_reply(b"500 Internal Server Error", b"server-stamp: s", body=body)
+    script = RawScript(HEAD + END + EVENTS[0], cut + second, pause_s=0.05)
+    back_end = await serve(script)
+    caller = platform_entry.Caller("/stream/1")
+    with pytest.raises(replies.AnswerBroken):
+        await caller.send_request(gateway_to("llm", back_end))
+    assert caller.parts == EVENTS[:1]
+    assert not caller.ended
+
+
+async def test_error_head_at_the_start_of_an_unframed_stream_is_not_passed_on(
+    gateway_to, serve
+):
+    second = error_reply(b"500 Internal Server Error", b"server-stamp: s")
+    back_end = await serve(RawScript(HEAD + END + second))
+    caller = platform_entry.Caller("/stream/1")
+    await caller.send_request(gateway_to("llm", back_end))
+    assert (caller.status, caller.ended) == (502, True)
+
+
+@pytest.mark.parametrize(
+    "text", [b"HTTP/1.1 500 Internal Server Error", b"content-length: 3"]
+)
+@pytest.mark.parametrize("end", [b"\n", b"\r\n"], ids=["lf", "crlf"])
+async def test_events_about_http_are_passed_on(gateway_to, serve, text, end):
+    """Guards against streams cut because their text quotes a head."""
+    lines = [b"id: 3", b"data: see: " + text, b"data: request-id: r1", b"data:" + text]
+    events = EVENTS[0] + end.join(lines) + end + end
+    back_end = await serve(RawScript(HEAD + END + events))
+    caller = platform_entry.Caller("/stream/1")
+    await caller.send_request(gateway_to("llm", back_end))
+    assert b"".join(caller.parts) == events
+    assert caller.ended
+
+
 FRAMED = HEAD + b"content-length: 2\r\n\r\nok"
 
 
