--- a/teaselwall/tests/test_errors_in_streams.py
+++ b/teaselwall/tests/test_errors_in_streams.py
@@ -102,6 +102,16 @@
     assert not caller.ended
 
 
+async def test_error_head_within_a_chunked_stream_is_not_passed_on(gateway_to, serve):
+    second = error_reply(b"500 Internal Server Error", b"server-stamp: s")
+    begun = CHUNKED + END + chunk(EVENTS[0])
+    back_end = await serve(RawScript(begun, second, pause_s=0.05))
+    caller = platform_entry.Caller("/stream/1")
+    with pytest.raises(replies.AnswerBroken):
+        await caller.send_request(gateway_to("llm", back_end))
+    assert caller.parts == EVENTS[:1]
+
+
 async def test_error_head_at_the_start_of_an_unframed_stream_is_not_passed_on(
     gateway_to, serve
 ):
--- a/teaselwall/tests/test_stopping_hosts.py
+++ b/teaselwall/tests/test_stopping_hosts.py
@@ -1,5 +1,6 @@
 """What callers of a stopping entry host are answered."""
 
+import random
 import types
 
 import msgspec
@@ -284,3 +285,53 @@
         await caller.send_request(application)
         assert caller.status == 200
     assert {host for _, _, host in world.arrivals} == {"10.0.0.3:4"}
+
+
+def drawn_script(draw, path):
+    """Return an answer that takes a tenth to a whole second."""
+    elapsed_s = draw.uniform(0.1, 1.0)
+    if path != "/stream/1":
+        return platform_entry.Script(head_s=elapsed_s)
+    events = [b"id: %d\ndata: a\n\n" % number for number in range(4)]
+    body = [part for event in events for part in (event, elapsed_s / 4)]
+    return platform_entry.Script(body=body)
+
+
+@pytest.mark.parametrize("seed", range(10))
+async def test_calm_stop_cuts_no_request_whenever_it_comes(
+    autojump_clock, nursery, stopping, back_ends, seed
+):
+    """Requests that came late in a stop were taken, passed on and cut at its end."""
+    draw = random.Random(seed)
+    paths = ["/stream/1", "/once/1", "/safe/1"]
+    for path in paths:
+        for _ in range(answertimes.N_KEPT):
+            elapsed_ms = 1000 * draw.uniform(0.1, 1.0)
+            stopping.host.stop_admission.answer_times.record(
+                path.split("/")[1], elapsed_ms
+            )
+    callers = {}
+
+    async def send(number, at_s):
+        await trio.sleep(at_s)
+        path = draw.choice(paths)
+        # Taken at once, before any other request is sent.
+        back_ends.scripts = [drawn_script(draw, path)]
+        deadline = draw.choice(["1500", "4000", "8000"])
+        request = f"r{number}"
+        callers[request] = await stopping.send(path, deadline, Request_Id=request)
+
+    async with trio.open_nursery() as sending:
+        for number in range(120):
+            sending.start_soon(send, number, draw.uniform(0.0, 1.0 + LIMIT_S))
+        nursery.start_soon(_run_stop_after, stopping, 1.0)
+    await trio.sleep(1)
+    assert stopping.stop.n_cut == 0
+    assert not {
+        (r, c.scope["path"], c.status) for r, c in callers.items() if not c.ended
+    }
+    sent = {headers[b"request-id"].decode() for _, headers in back_ends.calls}
+    not_run = {r for r, caller in callers.items() if caller.status in (429, 503)}
+    assert not sent & not_run
+    assert {r for r, caller in callers.items() if caller.status == 200} <= sent
+    assert len(sent) > 60
