Leave only the time of a pause out of a member's silence

On the project's own interface, a host that had been paused counted every member as seen just now, also those that had been silent before. With a pause every few seconds, a dead host stayed in the callers' address answers for as long as that went on. Now the silence before the pause counts.

test_dead_member_is_dead_to_a_host_that_is_paused_again_and_again failed before.

--- a/teaselwall/gossip.py
+++ b/teaselwall/gossip.py
@@ -67,7 +67,7 @@
             now_ms = self.clock.now_ms()
             late_ms = now_ms - last_ms - self.interval_ms
             if late_ms > PAUSE_FACTOR * self.membership.dead_after_ms:
-                self.membership.grant_grace()
+                self.membership.grant_grace(late_ms)
             last_ms = now_ms
             await self.step()
             elapsed_ms = self.clock.now_ms() - now_ms
--- a/teaselwall/membership.py
+++ b/teaselwall/membership.py
@@ -197,17 +197,21 @@
         for row in exchange.summaries:
             self._merge_summary(row)
 
-    def grant_grace(self):
-        """Count every member as seen now.
+    def grant_grace(self, paused_ms):
+        """Leave the time of a pause out of the silence of every member.
 
-        Called after this process was paused: heartbeats missed meanwhile don't show
-        that other members are dead.
+        Heartbeats missed while this process was paused don't show that other members
+        are dead. Silence before the pause still counts, however many pauses follow.
+
+        Parameters
+        ----------
+        paused_ms : float
         """
         now_ms = self.clock.now_ms()
         for member in self.members_by_nonce.values():
-            member.seen_ms = now_ms
+            member.seen_ms = min(now_ms, member.seen_ms + paused_ms)
         for summary in self.summaries.values():
-            summary.seen_ms = now_ms
+            summary.seen_ms = min(now_ms, summary.seen_ms + paused_ms)
 
     def _summary_dead_ms(self):
         return SUMMARY_DEAD_FACTOR * self.summary_interval_ms + self.dead_after_ms
--- a/teaselwall/tests/test_membership.py
+++ b/teaselwall/tests/test_membership.py
@@ -130,10 +130,24 @@
     for member in paused.members_by_nonce.values():
         member.seen_ms -= 60000
     assert len(paused.neighbours()) == 1
-    paused.grant_grace()
+    paused.grant_grace(60000)
     assert len(paused.neighbours()) == N_PER_CENTRE
 
 
+async def test_dead_member_is_dead_to_a_host_that_is_paused_again_and_again(
+    fleet, autojump_clock
+):
+    """Guards against a grace period that each pause starts anew."""
+    paused = fleet.hosts[0].membership
+    nonce = fleet.hosts[1].membership.me.nonce
+    fleet.kill(fleet.hosts[1])
+    paused_ms = gossip.PAUSE_FACTOR * paused.dead_after_ms + 1
+    for _ in range(5):
+        await trio.sleep((0.5 * paused.dead_after_ms + paused_ms) / 1000)
+        paused.grant_grace(paused_ms)
+    assert not paused.is_member(nonce)
+
+
 async def test_views_merge_after_a_network_partition(fleet, autojump_clock):
     inside = {h.membership.me.address for h in fleet.hosts[:N_PER_CENTRE]}
     outside = {h.membership.me.address for h in fleet.hosts[N_PER_CENTRE:]}
