--- a/teaselwall/tools/platform_faults.py
+++ b/teaselwall/tools/platform_faults.py
@@ -20,6 +20,8 @@
         Until then nothing is run and every reply asks to come back at that time.
     leaving : bool
         Whether every reply says that the server leaves.
+    unregistered : bool
+        Whether the server no longer writes its entry.
     limit : float
         Requests a second that every reply names until ``limited_until_s``.
     limited_since_s : float
@@ -35,6 +37,7 @@
         self.silent_until_s = 0.0
         self.rest_until_s = 0.0
         self.leaving = False
+        self.unregistered = False
         self.limit = 0.0
         self.limited_since_s = 0.0
         self.limited_until_s = 0.0
@@ -48,6 +51,7 @@
         silent_s=0.0,
         rest_s=0.0,
         leaving=False,
+        unregistered=False,
         limit=0.0,
         limited_s=0.0,
         brittle=0,
@@ -58,6 +62,7 @@
         self.silent_until_s = max(self.silent_until_s, now_s + silent_s)
         self.rest_until_s = max(self.rest_until_s, now_s + rest_s)
         self.leaving = self.leaving or leaving
+        self.unregistered = self.unregistered or unregistered
         if limited_s:
             self.limit = limit
             self.limited_since_s = now_s
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -311,7 +311,7 @@
         host, _, port = self.options.store.rpartition(":")
         url = f"http://{host}:{port}/v1/log-append?topic=keyed.servers&part=0"
         async with httpcore.AsyncConnectionPool() as pool:
-            while True:
+            while not self.server_faults.unregistered:
                 record = platform_store.encode_record(
                     self.options.id, msgspec.json.encode(self._registration())
                 )
--- a/teaselwall/tools/soak.py
+++ b/teaselwall/tools/soak.py
@@ -25,6 +25,7 @@
     soak_configuration,
     soak_crashes,
     soak_cuts,
+    soak_departures,
     soak_faults,
     soak_fleet,
     soak_limits,
@@ -140,6 +141,9 @@
     violations += soak_rollouts.find_violations(
         requests, records, faults.rollouts.played, fleet.disturbances
     )
+    violations += soak_departures.find_violations(
+        requests, records, faults.departures.played, fleet
+    )
     violations += soak_brittle.find_violations(records, fleet.servers)
     return violations
 
--- a/teaselwall/tools/soak_faults.py
+++ b/teaselwall/tools/soak_faults.py
@@ -6,6 +6,7 @@
 import trio
 
 from teaselwall.tools import (
+    soak_departures,
     soak_hostfaults,
     soak_rollouts,
     soak_serverfaults,
@@ -38,6 +39,7 @@
     servers : soak_serverfaults.ServerFaults
     store : soak_storefaults.StoreFaults
     rollouts : soak_rollouts.RollOuts
+    departures : soak_departures.Departures
     kinds : tuple of callable
         One method for each kind; its name is the kind that the soak prints. A kind
         that is named twice is drawn more often.
@@ -63,7 +65,14 @@
             *self.store.kinds(),
             self.rollouts.roll_out,
         )
-        self.optional_kinds = (self.servers.crash_servers, self.servers.crash_contents)
+        self.departures = soak_departures.Departures(
+            fleet, self.targets, self.servers.replace_server
+        )
+        self.optional_kinds = (
+            self.servers.crash_servers,
+            self.servers.crash_contents,
+            self.departures.depart_server,
+        )
         self.played = ()
 
     def restrict(self, only, also):
--- a/teaselwall/tools/soak_serverfaults.py
+++ b/teaselwall/tools/soak_serverfaults.py
@@ -75,9 +75,13 @@
         """Kill a server and start it again."""
         server = self._pick_server()
         if server is not None:
-            with self.targets.disturbances.during(server.name):
-                await server.process.stop(signal.SIGKILL, 1.0)
-                await self._restart_server(server)
+            await self.replace_server(server)
+
+    async def replace_server(self, server):
+        """Kill a server that is marked as in use and start it again."""
+        with self.targets.disturbances.during(server.name):
+            await server.process.stop(signal.SIGKILL, 1.0)
+            await self._restart_server(server)
 
     async def drain_server(self):
         """Have a server drain and start again, perhaps with another version."""
--- a/teaselwall/tools/soak_storefaults.py
+++ b/teaselwall/tools/soak_storefaults.py
@@ -51,16 +51,18 @@
 
     async def store_away(self):
         """Have every call to the store fail."""
-        await self.fleet.set_store_faults(outage=True)
-        await self.targets.sleep_fault_duration()
-        await self.fleet.set_store_faults(outage=False)
+        with self.fleet.cuts.out_of_touch.during("store"):
+            await self.fleet.set_store_faults(outage=True)
+            await self.targets.sleep_fault_duration()
+            await self.fleet.set_store_faults(outage=False)
 
     async def store_loses(self):
         """Have the store lose replies."""
         slow_ms = self.random.choice((0, 200))
-        await self.fleet.set_store_faults(lose_replies=2, slow_ms=slow_ms)
-        await self.targets.sleep_fault_duration()
-        await self.fleet.set_store_faults(lose_replies=0, slow_ms=0)
+        with self.fleet.cuts.out_of_touch.during("store"):
+            await self.fleet.set_store_faults(lose_replies=2, slow_ms=slow_ms)
+            await self.targets.sleep_fault_duration()
+            await self.fleet.set_store_faults(lose_replies=0, slow_ms=0)
 
     async def restore_store(self):
         """Have the store lose an order and more, and its writers write again."""
