Hand a request over to a stopping host if no other has a path

A stopping host takes what it can finish and refuses the rest at once, so it is asked last, after all others.

test_request_is_answered_by_a_stopping_host_if_no_other_has_a_path failed before (503).

--- a/teaselwall/handovers.py
+++ b/teaselwall/handovers.py
@@ -192,22 +192,19 @@
         return expression.Error(error)
 
     def _choose(self, call, asked):
-        """Return the less busy one of two random hosts that have a path, or None."""
+        """Return the less busy of two random hosts with a path; stopping ones last."""
         regions = call.regions()
         found = [
-            member
-            for member in self.membership.alive()
-            if member is not self.membership.me
-            and not member.draining
-            and member.address not in asked
-            and call.pool.name not in member.unreachable
-            and not self.gossip.is_silent(member.address)
-            and (not regions or self.region_of.get(member.data_centre) in regions)
+            m
+            for m in self.membership.alive()
+            if not (m is self.membership.me or m.address in asked)
+            and call.pool.name not in m.unreachable
+            and not self.gossip.is_silent(m.address)
+            and (not regions or self.region_of.get(m.data_centre) in regions)
         ]
-        if not found:
-            return None
+        found = [m for m in found if not m.draining] or found
         two = self.random.sample(found, min(2, len(found)))
-        return min(two, key=self._load)
+        return min(two, key=self._load, default=None)
 
     def _load(self, member):
         n_requests = member.n_requests + self.in_progress.get(member.address, 0)
--- a/teaselwall/tests/test_handovers.py
+++ b/teaselwall/tests/test_handovers.py
@@ -47,6 +47,24 @@
     assert caller.headers[b"Server-Stamp"] == server.encode()
 
 
+async def test_request_is_answered_by_a_stopping_host_if_no_other_has_a_path(
+    autojump_clock, world
+):
+    """All requests were refused while the only host with a path was stopping."""
+    world.cuts.append(cut_fleet.Cut({"10.0.0.2:4"}, set(world.servers), "refuse"))
+    await send(world, "/safe/1", "second", address="10.0.0.2:1")
+    stopping = world.hosts["10.0.0.3:4"]
+    stopping.stop_admission.open_requests.begin_stop(6000.0, 3000.0)
+    for host in world.hosts.values():
+        for member in host.membership.alive():
+            if member.address == "10.0.0.3:4":
+                member.draining = True
+    world.arrivals.clear()
+    caller = await send(world, "/safe/1")
+    assert (caller.status, caller.ended) == (200, True)
+    assert {host for _, _, host in world.arrivals} == {"10.0.0.3:4"}
+
+
 async def test_request_runs_once_where_the_answer_between_the_hosts_is_lost(
     autojump_clock, world
 ):
