--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -163,7 +163,7 @@
     read_ms : float
         When the newest successful read completed, here or on the relaying host.
     outages : storeoutages.StoreOutages
-        Lost history is no outage.
+        Failed reads and what follows from them; lost history is none.
     recent : collections.deque
         ``(next_offset, Record)`` of the newest changes, for reads of other hosts.
     recent_from : int or None
@@ -271,7 +271,7 @@
 
     async def step(self):
         """Read once; return the page, or None if the read failed."""
-        before_ms, sent_ms = self.sent_ms, self.clock.now_ms()
+        previous_ms, sent_ms = self.sent_ms, self.clock.now_ms()
         self.sent_ms = sent_ms
         if self.reread_ms is not None and sent_ms >= self.reread_ms:
             self.reread_ms = None
@@ -294,7 +294,7 @@
         if not self._accept_era(page, is_full):
             return None
         self.offset = page.next_offset
-        self.outages.record_read(page, self.age_ms(), before_ms)
+        self.outages.record_read(page, self.age_ms(), previous_ms)
         self._pass_on(page.records, is_full)
         self._add_recent(page, is_full)
         if self.reread_ms is None and sent_ms >= self.current_from_ms:
--- a/teaselwall/storeoutages.py
+++ b/teaselwall/storeoutages.py
@@ -75,7 +75,7 @@
         if self.n_failed == 1:
             self.log(logging.WARNING, "store_lost", age_ms, detail=str(error))
 
-    def record_read(self, page, age_ms, before_ms):
+    def record_read(self, page, age_ms, previous_ms):
         """Record a successful read; tell the listener if it ends an outage.
 
         The outage may also be one of the host that relayed the page.
@@ -85,11 +85,11 @@
         page : keyedtopics.Page
         age_ms : float
             Age of the records known here before the read.
-        before_ms : float
+        previous_ms : float
             When the read before this one was sent.
         """
         if self.n_failed:
-            failed_ms = self.clock.now_ms() - before_ms
+            failed_ms = self.clock.now_ms() - previous_ms
             self.log(
                 logging.INFO,
                 "store_regained",
