--- a/teaselwall/sse.py
+++ b/teaselwall/sse.py
@@ -10,13 +10,13 @@
 MAX_OVERLAP_BYTES = max(len(separator) for separator in SEPARATORS) - 1
 MAX_EVENT_BYTES = 256 * 1024
 MAX_ID_BYTES = 256
-# What a header can carry to the server at which a stream is resumed.
 # The head of another reply: its status line begins a line of an event, or follows an
 # event that breaks off within a line and is followed by a header.
 HEAD_PATTERN = re.compile(
     rb"(?:\A|[\r\n])HTTP/1\.[01] \d{3}"
     rb"|HTTP/1\.[01] \d{3}[^\r\n]*\r?\n(?!(?:data|id|event|retry)?:)[!#-9;-~]+:"
 )
+# What a header can carry to the server at which a stream is resumed.
 ID_PATTERN = re.compile(rb"[^\x00-\x1f\x7f]{1,%d}" % MAX_ID_BYTES)
 
 
