--- a/teaselwall/tests/conftest.py
+++ b/teaselwall/tests/conftest.py
@@ -1,5 +1,6 @@
 """Pytest settings: deterministic runs, and tests that are known to fail."""
 
+import functools
 import inspect
 import pathlib
 import random
@@ -8,12 +9,13 @@
 import pytest
 from trio._core import _run
 
-from teaselwall import gateway
+from teaselwall import clock, gateway, httpclient
 from teaselwall.tests import (
     datagram_network,
     fake_engines,
     fake_stages,
     platform_entry,
+    raw_back_end,
 )
 
 hypothesis.settings.register_profile("fixed", derandomize=True, deadline=None)
@@ -74,6 +76,30 @@
     return platform_entry.BackEnds()
 
 
+@pytest.fixture
+def serve(nursery):
+    """Return a function that serves scripts of bytes on a socket of this machine."""
+    return functools.partial(raw_back_end.serve, nursery)
+
+
+@pytest.fixture
+def gateway_to():
+    """Return a gateway before back ends on sockets of this machine."""
+
+    def make(pool, *back_ends):
+        host = platform_entry.make_entry_host(
+            httpclient.Client(clock.Clock()),
+            fake_stages.FakeServers(),
+            servers={
+                f"s{i}": platform_entry.registration(pool, address=back_end.address)
+                for i, back_end in enumerate(back_ends)
+            },
+        )
+        return gateway.Gateway(host)
+
+    return make
+
+
 @pytest.fixture
 async def host(autojump_clock, nursery, back_ends, monkeypatch):
     """Return an entry host on the platform that runs stages on fake servers."""
--- a/teaselwall/tests/test_errors_in_streams.py
+++ b/teaselwall/tests/test_errors_in_streams.py
@@ -1,11 +1,9 @@
 """Errors of servers after a stream has begun, and heads that break off."""
 
-import functools
-
 import pytest
 
-from teaselwall import clock, errors, gateway, httpclient, replies, transport
-from teaselwall.tests import fake_stages, platform_entry, raw_back_end
+from teaselwall import clock, errors, httpclient, replies, transport
+from teaselwall.tests import platform_entry
 from teaselwall.tests.raw_back_end import HEAD, RawScript
 
 END = b"\r\n"
@@ -28,29 +26,6 @@
     return b"\r\n".join(lines) + END + END + body
 
 
-@pytest.fixture
-def serve(nursery):
-    return functools.partial(raw_back_end.serve, nursery)
-
-
-@pytest.fixture
-def gateway_to():
-    """Return a gateway before back ends on sockets of this machine."""
-
-    def make(pool, *back_ends):
-        host = platform_entry.make_entry_host(
-            httpclient.Client(clock.Clock()),
-            fake_stages.FakeServers(),
-            servers={
-                f"s{i}": platform_entry.registration(pool, address=back_end.address)
-                for i, back_end in enumerate(back_ends)
-            },
-        )
-        return gateway.Gateway(host)
-
-    return make
-
-
 NEXT_REPLIES = {
     "500": error_reply(b"500 Internal Server Error", b"server-stamp: s"),
     "500 without a stamp": error_reply(b"500 Internal Server Error"),
--- a/teaselwall/tests/test_unframed_replies.py
+++ b/teaselwall/tests/test_unframed_replies.py
@@ -1,16 +1,9 @@
 """Replies with neither a length nor chunks, which end with their connection."""
 
-import functools
-
 import pytest
 
-from teaselwall import clock, errors, gateway, httpclient, replies, transport
-from teaselwall.tests import (
-    fake_stages,
-    platform_entry,
-    raw_back_end,
-    token_relays,
-)
+from teaselwall import clock, errors, httpclient, replies, transport
+from teaselwall.tests import token_relays
 from teaselwall.tests.platform_entry import Caller
 from teaselwall.tests.raw_back_end import HEAD, RawScript
 
@@ -23,29 +16,6 @@
     return request.param(clock.Clock())
 
 
-@pytest.fixture
-def serve(nursery):
-    return functools.partial(raw_back_end.serve, nursery)
-
-
-@pytest.fixture
-def gateway_to():
-    """Return a gateway before back ends on sockets of this machine."""
-
-    def make(pool, *back_ends):
-        host = platform_entry.make_entry_host(
-            httpclient.Client(clock.Clock()),
-            fake_stages.FakeServers(),
-            servers={
-                f"s{i}": platform_entry.registration(pool, address=back_end.address)
-                for i, back_end in enumerate(back_ends)
-            },
-        )
-        return gateway.Gateway(host)
-
-    return make
-
-
 @pytest.mark.parametrize("fresh", [True, False])
 async def test_an_unframed_reply_is_whole_and_its_connection_not_kept(
     client, serve, fresh
