Send nothing to a server that left after it was chosen

Whoever had chosen a server and waited before the call (for a permit of a limited server, in a queue of stage work, while an engine was asked for its version) checked it again by the object that it held, and that object never learned that its server had gone from the list, or that another process had its address: only leaving servers were marked. So the request was sent there. Stage calls were not checked again at all.

Servers that the list lacks are marked now, and stage calls and attempts are checked after their last wait.

--- a/teaselwall/fleet.py
+++ b/teaselwall/fleet.py
@@ -152,9 +152,8 @@
         new = self.leaving.add(incarnations)
         if not new:
             return
-        for servers_by_address in self.by_pool.values():
-            for server in servers_by_address.values():
-                server.leaving = server.leaving or server.incarnation in self.leaving
+        for server in _all_servers(self.by_pool):
+            server.leaving = server.leaving or server.incarnation in self.leaving
         events.log(logger, logging.INFO, "servers_leaving", ids=new)
         self.choose()
 
@@ -254,10 +253,11 @@
     def in_service(self, server):
         """Return whether a server is in service, ejected or not.
 
-        A server is not in service while it is leaving or drained, once a new process
-        has replaced it, or while its data centre is taken out.
+        A server is not in service while it is leaving or drained, once the host list
+        lacks it or a new process has replaced it, or while its data centre is taken
+        out.
         """
-        return not (
+        return server.is_listed and not (
             server.leaving
             or server.successor
             or server.data_centre in self.state.data_centres_out
@@ -338,6 +338,9 @@
             server = servers.updated(server, entry, self.clock)
             server.leaving = server.leaving or server.incarnation in self.leaving
             by_pool.setdefault(entry.pool, {})[entry.address] = server
+        for server in _all_servers(self.by_pool) - _all_servers(by_pool):
+            # Whoever chose it before checks again before a call.
+            server.is_listed = False
         self.by_pool = by_pool
         self.list_received = True
         if (
@@ -360,12 +363,7 @@
         return self.subsets.hosts() if self.subsets else None
 
     def _servers_in_service(self):
-        return {
-            server
-            for servers_by_address in self.by_pool.values()
-            for server in servers_by_address.values()
-            if self.in_service(server)
-        }
+        return set(filter(self.in_service, _all_servers(self.by_pool)))
 
     def _subset(self, servers_by_address):
         candidates = [s for s in servers_by_address.values() if self.in_service(s)]
@@ -392,3 +390,8 @@
         ring = self.chosen.get(old.pool)
         if ring is not None:
             ring.replace(old, server)
+
+
+def _all_servers(by_pool):
+    """Return the servers of all pools as a set."""
+    return {server for listed in by_pool.values() for server in listed.values()}
--- a/teaselwall/serverattempts.py
+++ b/teaselwall/serverattempts.py
@@ -172,6 +172,9 @@
         if not await self.attempts.stream_versions.is_safe(call, server):
             detail = f"{server.address} may have other software by now."
             raise errors.ServerFailed(detail, outcome=errors.Outcome.NOT_RUN)
+        if not self.attempts.server_choices.fleet.in_service(server):
+            detail = f"{server.address} has left service."
+            raise errors.ServerFailed(detail, outcome=errors.Outcome.NOT_RUN)
         attempt = protocols.Attempt(
             remaining_ms=remaining_ms,
             incarnation=server.incarnation,
--- a/teaselwall/servers.py
+++ b/teaselwall/servers.py
@@ -40,6 +40,8 @@
         a prefix's preferred server.
     leaving : bool
         Whether the host list shows that the server is about to stop.
+    is_listed : bool
+        Whether the host list still has this process of the server.
     ejected : bool
         Whether the server gets no new work after failures or slow calls.
     eject_until_ms : float
@@ -93,6 +95,7 @@
         "successor",
         "token",
         "leaving",
+        "is_listed",
         "ejected",
         "eject_until_ms",
         "n_ejections",
@@ -125,6 +128,7 @@
         self.successor = ""
         self.token = xxhash.xxh3_64_intdigest(entry.address.encode())
         self.leaving = entry.state == "leaving"
+        self.is_listed = True
         self.ejected = False
         self.eject_until_ms = 0.0
         self.n_ejections = 0
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -163,8 +163,7 @@
 
     def release(self, request, run=0):
         """End a request's job, forget it and free its results."""
-        job = self.jobs.pop((request, run), None)
-        if job is None:
+        if (job := self.jobs.pop((request, run), None)) is None:
             return
         job.fail(errors.Error("The request's stages were released."))
         for stage in job.stages:
@@ -327,7 +326,8 @@
 
     async def _run(self, state, items):
         server = state.server
-        if not await self.fleet.limits.obtain(server, requestlimits.STAGE_URGENCY):
+        may_send = await self.fleet.limits.obtain(server, requestlimits.STAGE_URGENCY)
+        if not (may_send and self.fleet.in_service(server)):
             detail = f"{server.address} takes no more calls for now."
             return expression.Error(errors.Overloaded(detail))
         started_ms = self.clock.now_ms()
