Begin the grace period with the first answer of the store, whole or not

Found by reading the servers' list in other ways after an outage: with lost history, the store answers and sends nothing to go on from, and the whole topic is read next. If that took longer, or broke off, the grace period began with the first whole page only, up to 1.5 s late, and failed reads in between moved its latest end. An answer without records now ends the outage, too, and how long it lasted is the time without any answer.

New beside it, passing as written: a host that starts during an outage, the list read through another host, and live servers that register again after lost history.

--- a/teaselwall/keyedtopics.py
+++ b/teaselwall/keyedtopics.py
@@ -287,7 +287,7 @@
             # Another read has gone on meanwhile.
             return None
         if result.is_error():
-            self._record_failure(result.error)
+            self._record_failure(result.error, previous_ms)
             return None
         page = result.ok
         is_full = asks_all or page.whole
@@ -367,10 +367,11 @@
         while len(self.recent) > MAX_RECENT:
             self.recent_from, _ = self.recent.popleft()
 
-    def _record_failure(self, error):
+    def _record_failure(self, error, previous_ms):
         if isinstance(error, HistoryLost):
             self.offset = None
             self._log("history_lost", detail=str(error))
+            self.outages.record_lost_history(self.age_ms(), previous_ms)
             return
         self.outages.record_failure(error, self.age_ms())
 
--- a/teaselwall/storeoutages.py
+++ b/teaselwall/storeoutages.py
@@ -10,15 +10,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Outage:
-    """Time without a successful read of a topic.
+    """Time without an answer to a read of a topic.
 
     Attributes
     ----------
     lasted_ms : float
-        Time from the newest successful read before it to the first one after it,
-        infinite if there was none before.
+        Time from the newest answer before it to the first one after it, infinite if
+        there was none before.
     ended_ms : float
-        Time since that first successful read.
+        Time since that first answer.
     failed_ms : float
         Time since the newest read before that one was sent, which shows that the store
         could not be reached yet.
@@ -43,6 +43,9 @@
     ----------
     n_failed : int
         Failed reads since the last successful read.
+    answered_ms : float
+        When the store answered the newest read, of this host or of the one that
+        relayed the page.
     recovered_ms : float or None
         When reads succeeded again after the newest outage.
     """
@@ -52,6 +55,7 @@
         "topic",
         "listener",
         "n_failed",
+        "answered_ms",
         "recovered_ms",
     )
 
@@ -60,6 +64,7 @@
         self.topic = topic
         self.listener = listener
         self.n_failed = 0
+        self.answered_ms = float("-inf")
         self.recovered_ms = None
 
     def record_failure(self, error, age_ms):
@@ -88,31 +93,51 @@
         previous_ms : float
             When the read before this one was sent.
         """
+        now_ms = self.clock.now_ms()
         if self.n_failed:
-            failed_ms = self.clock.now_ms() - previous_ms
-            self.log(
-                logging.INFO,
-                "store_regained",
-                age_ms,
-                relayed=page.relayed,
-                n_failed=self.n_failed,
-                failed_ms=round(failed_ms),
-            )
-            self.n_failed = 0
-            self.recovered_ms = self.clock.now_ms()
-            self.listener.record_recovery(Outage(age_ms, 0.0, failed_ms))
+            self._record_recovery(age_ms, previous_ms, page.relayed)
         elif page.recovered_ms is not None:
-            recovered_ms = self.clock.now_ms() - page.recovered_ms
+            recovered_ms = now_ms - page.recovered_ms
             if self.recovered_ms is None or recovered_ms > self.recovered_ms:
+                elapsed_ms = page.recovered_ms
                 self.log(
                     logging.INFO,
                     "store_regained_elsewhere",
                     age_ms,
-                    elapsed_ms=round(page.recovered_ms),
+                    elapsed_ms=round(elapsed_ms),
                 )
                 self.recovered_ms = recovered_ms
-                outage = Outage(age_ms, page.recovered_ms, page.recovered_ms)
-                self.listener.record_recovery(outage)
+                lasted_ms = now_ms - self.answered_ms
+                self.listener.record_recovery(Outage(lasted_ms, elapsed_ms, elapsed_ms))
+        self.answered_ms = max(self.answered_ms, now_ms - page.idle_ms)
+
+    def record_lost_history(self, age_ms, previous_ms):
+        """Record that the store has no records to go on from; it answers, though.
+
+        Parameters
+        ----------
+        age_ms, previous_ms : float
+            See ``record_read``.
+        """
+        if self.n_failed:
+            self._record_recovery(age_ms, previous_ms, relayed=False)
+        self.answered_ms = self.clock.now_ms()
+
+    def _record_recovery(self, age_ms, previous_ms, relayed):
+        now_ms = self.clock.now_ms()
+        failed_ms = now_ms - previous_ms
+        self.log(
+            logging.INFO,
+            "store_regained",
+            age_ms,
+            relayed=relayed,
+            n_failed=self.n_failed,
+            failed_ms=round(failed_ms),
+        )
+        self.n_failed = 0
+        self.recovered_ms = now_ms
+        lasted_ms = now_ms - self.answered_ms
+        self.listener.record_recovery(Outage(lasted_ms, 0.0, failed_ms))
 
     def log(self, level, event, age_ms, **fields):
         """Log an event of the store with the age of the records known here."""
--- a/teaselwall/tests/test_departed_servers.py
+++ b/teaselwall/tests/test_departed_servers.py
@@ -30,6 +30,9 @@
 RETURN_MS = 2000.0
 STAYS, LEAVES = "stays", "leaves"
 N_SEEDS = 20
+WAYS = ("changes", "lost history", "half an answer", "another host")
+# A host that reads for others answers when it has read itself.
+RELAY_MS = 400.0
 
 
 class ServersTopic(keyedtopics.Store):
@@ -41,6 +44,8 @@
         Begin and end in ms of each outage; whether calls hang or are refused in it.
     relay_recovered_ms : float or None
         When the host through which this one reads had an outage, if it does.
+    way : str
+        How the host reads after an outage, one of ``WAYS``.
     """
 
     def __init__(self, time):
@@ -48,6 +53,8 @@
         self.records = []
         self.outages = []
         self.relay_recovered_ms = None
+        self.way = "changes"
+        self.n_halves = 0
 
     def write(self, key, value):
         self.records.append(keyedtopics.Record(key, value))
@@ -64,15 +71,40 @@
     async def newest(self, topic):
         if not await self._reach():
             return expression.Error(errors.TransportError("unreachable"))
+        if (
+            self.is_after_outage()
+            and self.way == "half an answer"
+            and self.n_halves < 2
+        ):
+            self.n_halves += 1
+            return expression.Error(errors.ServerFailed("the second page broke off"))
+        self.outages = [outage for outage in self.outages if not self._is_over(outage)]
+        return expression.Ok(keyedtopics.Page(self.newest_records(), len(self.records)))
+
+    def newest_records(self):
         newest = {record.key: record for record in self.records}
-        kept = [record for record in newest.values() if record.value is not None]
-        return expression.Ok(keyedtopics.Page(kept, len(self.records)))
+        return [record for record in newest.values() if record.value is not None]
+
+    def _is_over(self, outage):
+        return outage[1] <= self.time.now_ms()
+
+    def is_after_outage(self):
+        """Return whether an outage is over after which nothing was read as a whole."""
+        return any(map(self._is_over, self.outages))
 
     async def changes(self, topic, offset, wait_ms, era=None):
         if not await self._reach():
             return expression.Error(errors.TransportError("unreachable"))
+        if self.is_after_outage() and self.way in ("lost history", "half an answer"):
+            return expression.Error(keyedtopics.HistoryLost("compacted"))
         records = self.records[offset:]
         page = keyedtopics.Page(records, offset + len(records))
+        if self.way == "another host":
+            await self.time.sleep_ms(RELAY_MS)
+            records = self.newest_records()
+            page = keyedtopics.Page(
+                records, len(self.records), age_ms=400.0, relayed=True, whole=True
+            )
         if self.relay_recovered_ms is not None:
             elapsed_ms = self.time.now_ms() - self.relay_recovered_ms
             page = dataclasses.replace(page, recovered_ms=elapsed_ms)
@@ -196,6 +228,38 @@
     assert host.last_used_ms(STAYS) > end_ms + 9000
 
 
+@pytest.mark.parametrize("way", WAYS[1:])
+@pytest.mark.parametrize("seed", range(N_SEEDS))
+async def test_a_server_that_left_gets_no_calls_however_the_list_is_read_again(
+    autojump_clock, nursery, time, store, host, seed, way
+):
+    """Guards against ways to read the list on which a grace period ends too late."""
+    draw = random.Random(seed)
+    store.way = way
+    hangs = draw.random() < 0.5
+    end_ms = await leave_during_an_outage(time, store, host, nursery, draw, hangs)
+    await time.sleep_ms(end_ms + 10_000 - time.now_ms())
+    assert host.last_used_ms(LEAVES) < end_ms + CATCH_UP_MS
+    assert host.last_used_ms(STAYS) > end_ms + 9000
+
+
+@pytest.mark.parametrize("hangs", [True, False], ids=["hangs", "refused"])
+@pytest.mark.parametrize("seed", range(N_SEEDS))
+async def test_a_host_that_starts_during_an_outage_lists_no_server_that_left(
+    autojump_clock, nursery, time, store, host, seed, hangs
+):
+    """Guards against a first read that counts on what went before it."""
+    draw = random.Random(seed)
+    end_ms = time.now_ms() + draw.uniform(500, 6000)
+    store.outages.append((time.now_ms() - 1, end_ms, hangs))
+    nursery.start_soon(host.run)
+    await time.sleep_ms(draw.uniform(100, 400))
+    store.write(LEAVES, None)
+    await time.sleep_ms(end_ms + 5000 - time.now_ms())
+    assert not any(found == address(LEAVES) for _, found in host.used)
+    assert host.unused_ms(STAYS, end_ms + 1000, end_ms + 5000) < 100
+
+
 @pytest.mark.parametrize("seed", range(N_SEEDS))
 async def test_single_failed_reads_keep_no_server_that_has_left(
     autojump_clock, nursery, time, store, host, seed
@@ -223,13 +287,15 @@
     assert host.last_used_ms(LEAVES) < written_ms + SETTINGS.listing_interval_ms + 100
 
 
+@pytest.mark.parametrize("way", WAYS[:2])
 @pytest.mark.parametrize("hangs", [True, False], ids=["hangs", "refused"])
 @pytest.mark.parametrize("seed", range(N_SEEDS))
 async def test_a_server_that_registers_again_in_time_is_used_throughout(
-    autojump_clock, nursery, time, store, host, seed, hangs
+    autojump_clock, nursery, time, store, host, seed, hangs, way
 ):
     """Guards against live servers left out because their registrations lapsed."""
     draw = random.Random(seed)
+    store.way = way
     end_ms = await leave_during_an_outage(time, store, host, nursery, draw, hangs)
     store.write(STAYS, None)
     await time.sleep_ms(end_ms + draw.uniform(0, RETURN_MS) - time.now_ms())
