--- a/teaselwall/serverregistry.py
+++ b/teaselwall/serverregistry.py
@@ -303,13 +303,9 @@
         self.cold_starts.record(new)
         if old is not None and old.entry() == new.entry():
             return False
-        events.log(
-            logger,
-            logging.INFO,
+        _log(
             "server_listed",
-            server=new.address,
-            id=new.id,
-            pool=new.pool,
+            new,
             data_centre=new.data_centre,
             leaving=new.leaving,
             software=new.software,
@@ -339,13 +335,9 @@
             return
         self.missing.add(key)
         registration = self.registrations[key]
-        events.log(
-            logger,
-            logging.INFO,
+        _log(
             "server_missing",
-            server=registration.address,
-            id=key,
-            pool=registration.pool,
+            registration,
             leaving=registration.leaving,
             sequence=registration.sequence,
             grace_ms=round(self.grace.left_ms()),
@@ -360,15 +352,19 @@
         self.dropped[key] = (dropped.started_ms, dropped.sequence)
         while len(self.dropped) > MAX_DROPPED:
             del self.dropped[next(iter(self.dropped))]
-        events.log(
-            logger,
-            logging.INFO,
-            "server_dropped",
-            server=dropped.address,
-            id=dropped.id,
-            pool=dropped.pool,
-            reason=reason,
-        )
+        _log("server_dropped", dropped, reason=reason)
+
+
+def _log(event, registration, **fields):
+    events.log(
+        logger,
+        logging.INFO,
+        event,
+        server=registration.address,
+        id=registration.id,
+        pool=registration.pool,
+        **fields,
+    )
 
 
 def _any_pool(name):
--- a/teaselwall/storeoutages.py
+++ b/teaselwall/storeoutages.py
@@ -99,16 +99,12 @@
         elif page.recovered_ms is not None:
             recovered_ms = now_ms - page.recovered_ms
             if self.recovered_ms is None or recovered_ms > self.recovered_ms:
-                elapsed_ms = page.recovered_ms
-                self.log(
-                    logging.INFO,
-                    "store_regained_elsewhere",
-                    age_ms,
-                    elapsed_ms=round(elapsed_ms),
-                )
                 self.recovered_ms = recovered_ms
+                since_ms = page.recovered_ms
+                event, rounded_ms = "store_regained_elsewhere", round(since_ms)
+                self.log(logging.INFO, event, age_ms, elapsed_ms=rounded_ms)
                 lasted_ms = now_ms - self.answered_ms
-                self.listener.record_recovery(Outage(lasted_ms, elapsed_ms, elapsed_ms))
+                self.listener.record_recovery(Outage(lasted_ms, since_ms, since_ms))
         self.answered_ms = max(self.answered_ms, now_ms - page.idle_ms)
 
     def record_lost_history(self, age_ms, previous_ms):
