--- a/teaselwall/tests/test_departed_choices.py
+++ b/teaselwall/tests/test_departed_choices.py
@@ -6,7 +6,7 @@
 
 from teaselwall import keyedtopics, requestlimits
 from teaselwall.generated import messages
-from teaselwall.tests import platform_entry, test_fleet
+from teaselwall.tests import cut_fleet, platform_entry, test_fleet
 
 BROKEN = platform_entry.BROKEN
 ADDRESSES = {"c1": "10.0.1.1:80", "c2": "10.0.1.2:80"}
@@ -169,3 +169,25 @@
     depart(host, ADDRESSES["c1"])
     await trio.sleep(1)
     assert called(back_ends) == [ADDRESSES["c2"]]
+
+
+async def test_request_that_is_handed_over_goes_to_no_server_that_left_there(
+    autojump_clock, nursery
+):
+    """The host that hands it over may not have heard of it yet."""
+    world = cut_fleet.World(nursery)
+    await world.start(2)
+    world.cuts.append(cut_fleet.Cut({"10.0.0.1:4"}, set(world.servers), "refuse"))
+    application = world.applications["10.0.0.1:1"]
+    await platform_entry.Caller("/safe/0", Request_Id="r0").send_request(application)
+    await trio.sleep(1.5)
+    taking = world.hosts["10.0.0.2:4"]
+    left = taking.fleet.serving("core")[0].address
+    depart(taking, left)
+    world.arrivals.clear()
+    for number in range(20):
+        caller = platform_entry.Caller("/safe/1", Request_Id=f"s{number}")
+        await caller.send_request(application)
+        assert caller.status == 200
+    servers = {server for server, _, _ in world.arrivals}
+    assert servers and left not in servers
