Test all failures of a target together before its roll-out is completed

Cause: a target is given up at the deadline if its answers are doubtful in one of many tests, by route, kind and window, each corrected for the number of tests. At the few requests a second of that pool (4 to 8), a version that fails 60 in 100 answers gets 10 to 25 of them, too few for that.

Three of the 21 new cases fail without the change.

--- a/teaselwall/rolloutcomparisons.py
+++ b/teaselwall/rolloutcomparisons.py
@@ -133,6 +133,28 @@
         """Return the set of target servers whose answers were told apart."""
         return {server for moment in self.moments for server in moment.servers}
 
+    def _rows(self, without):
+        """Return each moment with the target's answers, some servers left out."""
+        return [
+            (m, m.target_without(without) if without else m.target)
+            for m in self.moments
+        ]
+
+    def all_failures(self, without=()):
+        """Return the ``Suspicion`` by the failures on all routes in all moments.
+
+        It is one test, so that less evidence suffices than with ``suspicion``.
+
+        Parameters
+        ----------
+        without : collection of str
+            Target servers whose answers are left out.
+        """
+        tables = _failures(self._rows(without), self.routes())
+        found = _suspicion(_filled(_summed(tables))) or Suspicion()
+        found.kind = "failing"
+        return found
+
     def suspicion(self, without=(), drops_event=True):
         """Return the strongest ``Suspicion`` over routes, kinds and windows.
 
@@ -143,18 +165,8 @@
         drops_event : bool
             Whether the strongest event of each window is left out.
         """
-        routes = self.routes()
-        rows = [
-            (m, m.target_without(without) if without else m.target)
-            for m in self.moments
-        ]
-        tables = {
-            route: [
-                _row(m, target.get(route), m.old.get(route), _n_bad)
-                for m, target in rows
-            ]
-            for route in routes
-        }
+        routes, rows = self.routes(), self._rows(without)
+        tables = _failures(rows, routes)
         strongest = _strongest("failing", tables, Suspicion(), drops_event)
         rows = [row for row in rows if row[0].latency_counts]
         thresholds = {
@@ -233,10 +245,7 @@
     """
     tables = dict(tables)
     if len(tables) > 1:
-        tables[""] = [
-            (rows[0][0], *(sum(column) for column in list(zip(*rows, strict=True))[1:]))
-            for rows in zip(*tables.values(), strict=True)
-        ]
+        tables[""] = _summed(tables)
     for route, table in tables.items():
         if not any(row[2] for row in table):
             continue
@@ -253,6 +262,24 @@
     return strongest
 
 
+def _failures(rows, routes):
+    """Return by route the answers and failures in each moment, see ``_strongest``."""
+    return {
+        route: [
+            _row(m, target.get(route), m.old.get(route), _n_bad) for m, target in rows
+        ]
+        for route in routes
+    }
+
+
+def _summed(tables):
+    """Return the sum of the tables of all routes."""
+    return [
+        (rows[0][0], *(sum(column) for column in list(zip(*rows, strict=True))[1:]))
+        for rows in zip(*tables.values(), strict=True)
+    ]
+
+
 def _suspicion(rows):
     n_answers = sum(row[1] for row in rows)
     n_bad = sum(row[2] for row in rows)
--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -259,13 +259,28 @@
         """Return whether the answers are doubtful if no event is left out.
 
         A completed version can't be taken back, and one event may be all that was seen
-        of its faults.
+        of its faults. All failures together are a test of their own, as a few answers
+        can't be significant in as many tests as there are routes and windows.
         """
         suspicion = self.observer.comparison.suspicion(self.suspects.cleared, False)
         if suspicion.nats < math.log(self._n_tests() / DOUBT_PROBABILITY):
-            return False
-        self.suspicion = suspicion
-        return True
+            suspicion = self._suspicion_by_all_failures()
+        if suspicion is not None:
+            self.suspicion = suspicion
+        return suspicion is not None
+
+    def _suspicion_by_all_failures(self):
+        """Return the suspicion that a single test raises, or None.
+
+        There is none if it goes with one server, which may be bad by itself.
+        """
+        comparison, cleared = self.observer.comparison, self.suspects.cleared
+        suspicion = comparison.all_failures(cleared)
+        if suspicion.nats < math.log(1.0 / DOUBT_PROBABILITY):
+            return None
+        servers = comparison.servers().difference(cleared)
+        is_shared = all(comparison.all_failures({*cleared, s}).nats for s in servers)
+        return suspicion if is_shared else None
 
     def _decide(self, situation):
         """Return the state, the share and the reason."""
--- a/teaselwall/tests/test_rolloutdecisions.py
+++ b/teaselwall/tests/test_rolloutdecisions.py
@@ -296,3 +296,36 @@
         service.run(service.now_ms, answer_all=False)
     step = service.run(12_000.0, answer_all=False)
     assert step.state == state
+
+
+def test_a_version_that_fails_some_of_its_few_answers_at_two_routes_is_not_completed(
+    service,
+):
+    """Guards against a bad version that is completed as its answers were few.
+
+    With two failures among the six answers that two routes got, no test of a route or
+    a window was significant by itself.
+    """
+    rollout = service.rollout
+    while service.now_ms < 9000.0:
+        route = ("/buy", "/look")[int(service.now_ms) % 500 != 0]
+        for _ in range(2):
+            service.evidence.record("v1", route, False, 50.0)
+        if service.now_ms in (1000.0, 2250.0, 3000.0, 4250.0, 5000.0, 6250.0):
+            is_bad = service.now_ms in (2250.0, 5000.0)
+            service.evidence.record("v2", route, is_bad, 50.0)
+        rollout.step(service.now_ms, service.evidence, service.situation)
+        service.now_ms += STEP_MS
+    step = service.run(12_000.0, answer_all=False)
+    assert step.state == rolloutdecisions.ROLLED_BACK
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_version_that_fails_most_answers_is_not_completed_at_few_requests(seed):
+    """Guards against bad versions completed at a few requests a second."""
+    case = rollout_histories.Case(seed, rollout_histories.FAILING)
+    case.rate, case.duration_ms = 6.0, 10_000.0
+    case.n_old = case.n_target = 2
+    case.weights, case.medians, case.portion = [0.5, 0.5], [50.0, 50.0], 0.6
+    result = rollout_histories.History(case).play()
+    assert result.state == rolloutdecisions.ROLLED_BACK
