Take servers that are out of service for none of no other version

One server of the old version was leaving and the other one in a data centre that was out, so none was in service; both were registered and one came back 2 s later.

The decision asks for listed servers of other versions now, in service or not.

--- a/teaselwall/rolloutdeciders.py
+++ b/teaselwall/rolloutdeciders.py
@@ -128,12 +128,15 @@
         return decider
 
     def _situation(self, order):
-        serving = self.rollouts.fleet.serving(order.pool)
+        fleet = self.rollouts.fleet
+        serving = fleet.serving(order.pool)
+        listed = fleet.by_pool.get(order.pool, {}).values()
         targets = [s for s in serving if s.software == order.target]
         fresh = self.reports.fresh(order.pool, order.id)
         return rolloutdecisions.Situation(
             n_target_ready=len(targets),
             n_old_ready=len(serving) - len(targets),
+            n_old_listed=sum(s.software != order.target for s in listed),
             n_target_cold=sum(self.cold_starts.is_cold(s) for s in targets),
             n_slots_per_server=max((s.capacity() for s in targets), default=1),
             reporting_share=self.reports.reporting_share(order.pool, order.id),
--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -64,6 +64,8 @@
     ----------
     n_target_ready, n_old_ready : int
         Servers in service.
+    n_old_listed : int
+        Servers of other versions, also those out of service for now.
     n_target_cold : int
         Target servers among them that say they are cold.
     n_slots_per_server : int
@@ -78,6 +80,7 @@
     __slots__ = (
         "n_target_ready",
         "n_old_ready",
+        "n_old_listed",
         "n_target_cold",
         "n_slots_per_server",
         "reporting_share",
@@ -94,9 +97,11 @@
         reporting_share=1.0,
         n_old_streams=0,
         store_current=True,
+        n_old_listed=0,
     ):
         self.n_target_ready = n_target_ready
         self.n_old_ready = n_old_ready
+        self.n_old_listed = max(n_old_ready, n_old_listed)
         self.n_target_cold = n_target_cold
         self.n_slots_per_server = n_slots_per_server
         self.reporting_share = reporting_share
@@ -209,7 +214,7 @@
         if self.start_ms is None:
             self.start_ms = now_ms - self.elapsed_ms
         self.elapsed_ms = now_ms - self.start_ms
-        self.old_seen = self.old_seen or situation.n_old_ready > 0
+        self.old_seen = self.old_seen or situation.n_old_listed > 0
         observer = self.observer
         if observer.observe(self.elapsed_ms, evidence, situation, self.share):
             self.suspicion = observer.comparison.suspicion(self.suspects.cleared)
--- a/teaselwall/tests/test_rolloutdecisions.py
+++ b/teaselwall/tests/test_rolloutdecisions.py
@@ -113,16 +113,23 @@
 
 
 def test_a_target_that_is_the_only_version_is_completed(service):
-    service.situation.n_old_ready = 0
+    service.situation.n_old_ready = service.situation.n_old_listed = 0
     assert service.run(2_000.0).state == rolloutdecisions.COMPLETED
 
 
 def test_a_target_that_is_the_only_version_is_completed_by_a_late_first_leader(service):
     service.rollout = rolloutdecisions.Rollout("v2", 12_000.0, LIMITS, 400.0)
-    service.situation.n_old_ready = 0
+    service.situation.n_old_ready = service.situation.n_old_listed = 0
     assert service.run(2_000.0).state == rolloutdecisions.COMPLETED
 
 
+def test_a_target_beside_servers_that_are_only_out_of_service_is_not_completed(service):
+    """Guards against a version completed untried as all others were drained."""
+    service.situation.n_old_ready = 0
+    service.situation.n_old_listed = 4
+    assert service.run(6_000.0).state == rolloutdecisions.RUNNING
+
+
 def test_old_servers_that_went_out_of_service_are_not_taken_for_gone(service):
     service.run(2_000.0)
     service.situation.n_old_ready = 0
