Keep a target to its share while all other versions are out of service

Hosts sent all requests of a pool to its target while no other version had a server in service, also where such servers were registered and only leaving or in a data centre that was out. Now they do so only while no other version is registered; the new test fails without that. A request that the target's share leaves out is refused at once meanwhile, as the bound on untried versions is the users'.

--- a/teaselwall/rolloutleaders.py
+++ b/teaselwall/rolloutleaders.py
@@ -229,7 +229,7 @@
         )
 
     def _old_versions(self, order, known):
-        found = self.rollouts.versions_in_service(order.pool) - {order.target}
+        found = self.rollouts.versions.in_service(order.pool) - {order.target}
         return sorted({*known, *found})[:MAX_REFUSED]
 
     def _following(self, plan, **fields):
--- a/teaselwall/rollouts.py
+++ b/teaselwall/rollouts.py
@@ -13,6 +13,7 @@
 from teaselwall import (
     clock,
     events,
+    poolversions,
     rolloutevidence,
     rolloutgates,
     rolloutplans,
@@ -24,8 +25,6 @@
 # Orders read through another host are up to 2.4 s old by its and this host's waits.
 PLANS_STALE_MS = 2000.0
 ORDERS_STALE_MS = 3000.0
-# The list of servers changes about once a second.
-REFRESH_MS = 250.0
 # Time for which the target gets nothing after a leader could not write a lower share.
 HELD_MS = 2000.0
 # Routes whose answers are counted apart in one pool; the others are counted together.
@@ -65,8 +64,7 @@
         Stage servers that this host calls.
     ordered : trio.Event
         Set when an order or a plan has changed, then replaced by a new event.
-    versions : dict of str to tuple of (float, frozenset of str)
-        Versions of each pool in service and when they were looked up.
+    versions : poolversions.PoolVersions
     """
 
     __slots__ = (
@@ -102,7 +100,7 @@
         self.cleared = set()
         self.verified = set()
         self.first_seen_ms = {}
-        self.versions = {}
+        self.versions = poolversions.PoolVersions(clock, fleet)
         self.stage_states = {}
         self.ordered = trio.Event()
         orders.on_change = plans.on_change = self._update
@@ -178,12 +176,12 @@
         software = server.software
         if software == gate.target:
             is_open = gate.is_planned and self.is_in_touch()
-            return is_open or self._is_only(server.pool, software)
+            return is_open or self.versions.is_alone(server.pool, software)
         if software in gate.refused:
             # A release without an order may have brought the version back.
-            return not gate.is_ordered and self._is_only(server.pool, software)
+            return not gate.is_ordered and self.versions.is_only(server.pool, software)
         if software in gate.retired:
-            return self.versions_in_service(server.pool) <= gate.retired
+            return self.versions.in_service(server.pool) <= gate.retired
         return self._is_verified(server)
 
     def _is_cleared(self, server):
@@ -210,9 +208,9 @@
             self._verify({key})
             return True
         if any(pool == server.pool for pool, _ in self.verified):
-            return self._is_only(server.pool, server.software)
+            return self.versions.is_only(server.pool, server.software)
         # The pool's servers have just become known here.
-        versions = self.versions_in_service(server.pool)
+        versions = self.versions.in_service(server.pool)
         if len(versions) == 1 or self.orders_follower.age_ms() < ORDERS_STALE_MS:
             self._verify({key, *((server.pool, version) for version in versions)})
             return True
@@ -223,18 +221,6 @@
         for key in keys:
             self.first_seen_ms.pop(key, None)
 
-    def versions_in_service(self, pool):
-        """Return the versions of a pool that have a server in service."""
-        now_ms = self.clock.now_ms()
-        since_ms, found = self.versions.get(pool, (float("-inf"), None))
-        if now_ms - since_ms >= REFRESH_MS:
-            found = frozenset(s.software for s in self.fleet.serving(pool))
-            self.versions[pool] = now_ms, found
-        return found
-
-    def _is_only(self, pool, software):
-        return self.versions_in_service(pool) == {software}
-
     def sides(self, pool, request, is_retry=False):
         """Return which servers may get a request, the preferred ones first.
 
@@ -251,8 +237,8 @@
         tuple of (callable or None)
             Each ``accepts(server)``, or None for all servers that the fleet allows.
         """
-        gate = self.gates.get(pool)
-        if gate is None or gate.target is None or self._is_only(pool, gate.target):
+        gate = self._sharing_gate(pool)
+        if gate is None:
             return (None,)
         others = functools.partial(_is_other, gate.target)
         is_spared = is_retry and gate.share < 1.0
@@ -260,9 +246,16 @@
             return (self._used_targets(pool, gate), others)
         return (others,)
 
+    def _sharing_gate(self, pool):
+        """Return the gate of a pool whose target shares its requests with others."""
+        gate = self.gates.get(pool)
+        if gate is None or gate.target is None:
+            return None
+        return None if self.versions.is_alone(pool, gate.target) else gate
+
     def _used_targets(self, pool, gate):
         now_ms = self.clock.now_ms()
-        if now_ms - gate.in_use_ms >= REFRESH_MS:
+        if now_ms - gate.in_use_ms >= poolversions.REFRESH_MS:
             serving = self.fleet.serving(pool)
             found = [s for s in serving if s.software == gate.target]
             gate.refresh_in_use(found, now_ms)
@@ -283,8 +276,8 @@
         -------
         list of servers.Server
         """
-        gate = self.gates.get(pool)
-        if gate is None or gate.target is None or self._is_only(pool, gate.target):
+        gate = self._sharing_gate(pool)
+        if gate is None:
             return servers
         others = [s for s in servers if s.software != gate.target]
         now_ms = self.clock.now_ms()
--- a/teaselwall/tests/test_rollout_service.py
+++ b/teaselwall/tests/test_rollout_service.py
@@ -65,3 +65,35 @@
     reports.gossip = types.SimpleNamespace(tell=withdraw)
     await trio.sleep(1)
     assert not reports.rollouts.running()
+
+
+@pytest.fixture
+async def drained_fleet(autojump_clock, nursery):
+    """Return a fleet whose servers all leave, before a bad version is ordered."""
+    fleet = await rollout_fleet.started(nursery)
+    fleet.back_ends.n_bad_of[rollout_fleet.NEW] = 2
+    for host in fleet.hosts.values():
+        serving = host.fleet.serving(rollout_fleet.POOL)
+        host.fleet.record_leaving([server.incarnation for server in serving])
+    return fleet
+
+
+async def test_a_bad_version_is_not_completed_while_all_others_are_out_of_service(
+    autojump_clock, drained_fleet
+):
+    """Guards against servers that leave or are evacuated, taken for no servers."""
+    await test_rollouts.run_order(drained_fleet, until_s=4)
+    assert drained_fleet.status() == "running"
+    drained_fleet.add_servers("v3", 3)
+    await trio.sleep(test_rollouts.DURATION_S - 4)
+    assert drained_fleet.status() == "rolled_back"
+
+
+async def test_a_bad_version_is_kept_to_its_share_while_all_others_are_out_of_service(
+    autojump_clock, drained_fleet
+):
+    """Guards against all requests at a version of which nothing is known yet."""
+    ordered_s = await test_rollouts.run_order(drained_fleet, until_s=4)
+    drained_fleet.add_servers("v3", 3)
+    await trio.sleep(test_rollouts.DURATION_S - 4)
+    drained_fleet.check_exposure(ordered_s, test_rollouts.DURATION_S)
