Complete a roll-out only on five answers of the target

It had given four answers, all good, though it fails 60 in 100; then the hosts lost their paths to the servers until the deadline. Three answers were enough, with which a version that fails half of them looks good in one case of eight. Five leave one of 32.

The new test fails without the change.

--- a/teaselwall/rolloutdecisions.py
+++ b/teaselwall/rolloutdecisions.py
@@ -28,8 +28,8 @@
 MIN_REPORTING_SHARE = 0.5
 # Time before the deadline at which a target that isn't known well enough is given up.
 GIVING_UP_MS = 350.0
-# Answers of the target without which a version isn't known at all.
-MIN_TARGET_ANSWERS = 3
+# So many good answers exclude, at 95 in 100, a version that fails half of them.
+MIN_TARGET_ANSWERS = 5
 # Part of the old servers that the target needs in service to take all traffic.
 MIN_READY_PART = 0.5
 # Windows that are as short as this are taken as independent looks at the evidence.
@@ -325,7 +325,7 @@
         if situation.n_target_ready < n_needed:
             return f"the target has {situation.n_target_ready} of {n_needed} servers"
         if self.observer.demand.n_target_answers < MIN_TARGET_ANSWERS:
-            return "the target has given no answers yet"
+            return "the target has given too few answers"
         return ""
 
     def _advance(self, remaining_ms, situation):
--- a/teaselwall/tests/test_rolloutdecisions.py
+++ b/teaselwall/tests/test_rolloutdecisions.py
@@ -305,6 +305,23 @@
     assert step.state == state
 
 
+def test_a_version_is_not_completed_on_four_good_answers(service):
+    """Guards against a bad version that had no time to show a failure.
+
+    A bad version had given four answers, good by chance, when the hosts lost their
+    paths to the servers until the deadline.
+    """
+    while service.now_ms < 4000.0:
+        for _ in range(5):
+            service.answer("v1")
+        if service.now_ms >= 3000.0:
+            service.answer("v2")
+        service.run(service.now_ms, answer_all=False)
+    step = service.run(12_000.0, answer_all=False)
+    assert step.evidence["n_target_answers"] == 4
+    assert step.state == rolloutdecisions.ROLLED_BACK
+
+
 def test_a_version_that_fails_some_of_its_few_answers_at_two_routes_is_not_completed(
     service,
 ):
