--- a/teaselwall/storeoutages.py
+++ b/teaselwall/storeoutages.py
@@ -93,19 +93,12 @@
         previous_ms : float
             When the read before this one was sent.
         """
-        now_ms = self.clock.now_ms()
         if self.n_failed:
             self._record_recovery(age_ms, previous_ms, page.relayed)
         elif page.recovered_ms is not None:
-            recovered_ms = now_ms - page.recovered_ms
-            if self.recovered_ms is None or recovered_ms > self.recovered_ms:
-                self.recovered_ms = recovered_ms
-                since_ms = page.recovered_ms
-                event, rounded_ms = "store_regained_elsewhere", round(since_ms)
-                self.log(logging.INFO, event, age_ms, elapsed_ms=rounded_ms)
-                lasted_ms = now_ms - self.answered_ms
-                self.listener.record_recovery(Outage(lasted_ms, since_ms, since_ms))
-        self.answered_ms = max(self.answered_ms, now_ms - page.idle_ms)
+            self._record_recovery_elsewhere(age_ms, page.recovered_ms)
+        answered_ms = self.clock.now_ms() - page.idle_ms
+        self.answered_ms = max(self.answered_ms, answered_ms)
 
     def record_lost_history(self, age_ms, previous_ms):
         """Record that the store has no records to go on from; it answers, though.
@@ -135,6 +128,22 @@
         lasted_ms = now_ms - self.answered_ms
         self.listener.record_recovery(Outage(lasted_ms, 0.0, failed_ms))
 
+    def _record_recovery_elsewhere(self, age_ms, since_ms):
+        """Tell the listener, unless this recovery of the relaying host is known."""
+        now_ms = self.clock.now_ms()
+        recovered_ms = now_ms - since_ms
+        if self.recovered_ms is not None and recovered_ms <= self.recovered_ms:
+            return
+        self.recovered_ms = recovered_ms
+        self.log(
+            logging.INFO,
+            "store_regained_elsewhere",
+            age_ms,
+            elapsed_ms=round(since_ms),
+        )
+        lasted_ms = now_ms - self.answered_ms
+        self.listener.record_recovery(Outage(lasted_ms, since_ms, since_ms))
+
     def log(self, level, event, age_ms, **fields):
         """Log an event of the store with the age of the records known here."""
         known_ms = round(age_ms) if age_ms != float("inf") else None
