--- a/teaselwall/tests/conftest.py
+++ b/teaselwall/tests/conftest.py
@@ -4,6 +4,7 @@
 import inspect
 import pathlib
 import random
+import resource
 
 import hypothesis
 import pytest
@@ -11,6 +12,7 @@
 
 from teaselwall import clock, gateway, httpclient
 from teaselwall.tests import (
+    crowding,
     datagram_network,
     fake_engines,
     fake_stages,
@@ -70,6 +72,20 @@
     monkeypatch.setattr(_run, "_r", random.Random(0))
 
 
+@pytest.fixture
+def run_host(tmp_path):
+    """Return a function that runs an entry host as a process, to be met by a crowd."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    n_needed = max(soft, min(crowding.N_NEEDED, hard))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (n_needed, hard))
+
+    def run(interface, n_descriptors=crowding.N_DESCRIPTORS):
+        return crowding.make_host(tmp_path, interface, n_descriptors).run()
+
+    yield run
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 @pytest.fixture
 def back_ends():
     """Return fake back ends without scripts, so that all requests succeed."""
