Serve the product's own interface by the HTTP server of the entry hosts

What callers saw: a client of the product's own interface could hold its host without any limit that the host could set: idle and unfinished connections for an hour, and over a switch to HTTP/2 in plain text (a preface, or "Upgrade: h2c") as many requests as it likes on one connection.

Cause: hypercorn served it. It reads ahead of the application, makes an object of each part, and speaks HTTP/2 to anybody who asks; nothing can be put between its reads to count what a client makes the host hold. The entry hosts of the platform have had a server of their own on h11 for long.

Change: httpserver serves callers and peers of both interfaces; hypercorn serves the stand-ins only (teaselwall/tools/listeners.py). A request for a WebSocket is refused by the application, as before by hypercorn.

--- a/teaselwall/acceptors.py
+++ b/teaselwall/acceptors.py
@@ -4,9 +4,10 @@
 import logging
 import socket
 
+import expression
 import trio
 
-from teaselwall import events
+from teaselwall import events, settings
 
 logger = logging.getLogger(__name__)
 
@@ -17,6 +18,35 @@
 ABORTED_ERRNOS = (errno.ECONNABORTED, errno.EPROTO, errno.EPERM)
 
 
+def check_addresses(loaded, source):
+    """Check that the addresses to listen on can be bound on this host.
+
+    Parameters
+    ----------
+    loaded : generated.settings.Settings
+    source : str
+        Name of the settings file, for error messages.
+
+    Returns
+    -------
+    expression.Result
+        The settings, or ``errors.SettingsError``.
+    """
+    for name in ("callers", "peers"):
+        address = getattr(loaded.listen, name)
+        host, _, port = address.rpartition(":")
+        family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
+        with socket.socket(family) as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((host.strip("[]"), int(port)))
+            except OSError as error:
+                reason = f"cannot be bound: {error} (value {address!r})"
+                remedy = "Give a free port on an address of this host."
+                return settings.fault(source, f"listen.{name}", reason, remedy)
+    return expression.Ok(loaded)
+
+
 async def run(address, start, shutdown):
     """Accept connections until ``shutdown`` is set, then close the listener.
 
--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -80,6 +80,7 @@
 
     async def _route(self, scope, receive, send):
         method, path = scope["method"], scope["path"]
+        refuse_websocket(scope)
         match = REQUEST_PATH.fullmatch(path)
         if match:
             require_method(method, "POST", path)
@@ -266,6 +267,19 @@
         raise errors.MethodNotAllowed(path, allowed)
 
 
+def refuse_websocket(scope):
+    """Refuse a request that asks for a WebSocket connection.
+
+    Raises
+    ------
+    errors.Forbidden
+    """
+    wanted = {value.lower() for name, value in scope["headers"] if name == b"upgrade"}
+    if b"websocket" in wanted:
+        remedy = "Send requests over HTTP/1.1."
+        raise errors.Forbidden("There are no WebSocket connections.", remedy=remedy)
+
+
 def outcome_if_unread(headers):
     """Return the outcome to report for a request that is refused before it is parsed.
 
--- a/teaselwall/daemon.py
+++ b/teaselwall/daemon.py
@@ -1,7 +1,6 @@
 """The ``teaselwalld`` program, which runs an entry host."""
 
 import argparse
-import functools
 import logging
 import signal
 import sys
@@ -9,17 +8,22 @@
 import trio
 
 from teaselwall import (
+    acceptors,
     application,
     earlysignals,
     events,
     hosts,
-    listeners,
+    httpserver,
+    responses,
     settings,
     stops,
 )
 
 logger = logging.getLogger(__name__)
 
+# Idle timeout of connections, longer than the clients of this package keep one.
+CONNECTION_IDLE_S = 60.0
+
 
 def main(argv=None):
     """Run an entry host until it is asked to stop; return the exit status."""
@@ -30,7 +34,7 @@
     arguments = parser.parse_args(argv)
     path = arguments.settings
     result = settings.read(path).bind(
-        lambda parsed: listeners.check_addresses(parsed, path)
+        lambda parsed: acceptors.check_addresses(parsed, path)
     )
     if result.is_error():
         print(f"teaselwalld: {result.error}", file=sys.stderr)
@@ -80,20 +84,11 @@
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_close_listeners, stop, shutdown, nursery.cancel_scope)
-        serve_callers = functools.partial(
-            listeners.serve,
-            listeners.closing(callers_app, stop.requested.is_set),
-            listen.callers,
-            task_status=trio.TASK_STATUS_IGNORED,
-        )
-        nursery.start_soon(stop.run_listener, serve_callers)
-        nursery.start_soon(
-            listeners.serve,
-            host.control,
-            listen.peers,
-            shutdown,
-            trio.TASK_STATUS_IGNORED,
-        )
+        closing_app = responses.closing(callers_app, stop.requested.is_set)
+        callers = httpserver.Server(closing_app, listen.callers, CONNECTION_IDLE_S)
+        peers = httpserver.Server(host.control, listen.peers, CONNECTION_IDLE_S)
+        nursery.start_soon(stop.run_listener, callers.run)
+        nursery.start_soon(peers.run, shutdown)
 
 
 async def _close_listeners(stop, shutdown, cancel_scope):
--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -1,7 +1,8 @@
 """HTTP/1.1 server on h11 for an ASGI application, one task for each connection.
 
-It serves the entry hosts of a platform, where it takes the place of ``listeners``: the
-processor time of a request is a small part of that under a general ASGI server.
+It serves the entry hosts, where it takes the place of a general ASGI server: the
+processor time of a request is a small part of that, and what clients make the host hold
+is bounded.
 """
 
 import functools
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -191,6 +191,29 @@
             return
 
 
+def closing(application, is_closing):
+    """Return an ASGI application whose replies may end their connections.
+
+    Parameters
+    ----------
+    application : callable
+        ASGI application.
+    is_closing : callable
+        ``is_closing()`` returns whether callers are asked to leave.
+    """
+
+    async def serve_request(scope, receive, send):
+        async def send_closing(message):
+            if message["type"] == "http.response.start" and is_closing():
+                headers = [*message["headers"], (b"connection", b"close")]
+                message = message | {"headers": headers}
+            await send(message)
+
+        await application(scope, receive, send_closing)
+
+    return serve_request
+
+
 def to_error(error):
     """Return an exception as a typed error.
 
--- a/teaselwall/tests/test_application.py
+++ b/teaselwall/tests/test_application.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 
 from teaselwall import (
     application,
@@ -10,7 +11,7 @@
     configuration,
     control,
     errors,
-    listeners,
+    httpserver,
     membership,
     metrics,
     traces,
@@ -298,6 +299,10 @@
     b"GET /livez?a=%ff&&&=%00 HTTP/1.1\r\nhost: a\r\n\r\n": b"200",
     b"GET /livez HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: websocket\r\n"
     b"sec-websocket-key: YQ==\r\nsec-websocket-version: 13\r\n\r\n": b"403",
+    # A switch to HTTP/2 left all limits of a connection behind.
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0": b"HTTP/1.1 404",
+    b"GET /livez HTTP/1.1\r\nhost: a\r\nconnection: upgrade, http2-settings\r\n"
+    b"upgrade: h2c\r\nhttp2-settings: AAMAAABkAAQAAP__\r\n\r\n": b"200",
 }
 
 
@@ -307,7 +312,9 @@
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         app = application.Application(host)
-        await nursery.start(listeners.starter(app, address, shutdown))
+        server = httpserver.Server(app, address, 60.0)
+        nursery.start_soon(server.run, shutdown)
+        await trio.testing.wait_all_tasks_blocked()
         for raw, status in STATUS_BY_RAW_REQUEST.items():
             stream = await trio.open_tcp_stream(name, int(port))
             async with stream:
--- a/teaselwall/tests/test_entry.py
+++ b/teaselwall/tests/test_entry.py
@@ -8,8 +8,9 @@
 import trio
 import trio.testing
 
-from teaselwall import entrydaemon, listeners
+from teaselwall import entrydaemon
 from teaselwall.tests import test_earlysignals
+from teaselwall.tools import listeners
 
 PACKAGE = pathlib.Path(entrydaemon.__file__).parent
 # Entry hosts agree among themselves through these modules. On a platform, a gateway
--- a/teaselwall/tests/test_settings.py
+++ b/teaselwall/tests/test_settings.py
@@ -7,10 +7,10 @@
 from cleo.testers import command_tester
 
 from teaselwall import (
+    acceptors,
     cli,
     console,
     daemon,
-    listeners,
     service_commands,
     services,
     settings,
@@ -198,7 +198,7 @@
 def test_listen_address_of_another_host_is_refused(tmp_path):
     body = toml_with(valid_settings(), ("listen", "callers"), "203.0.113.9:8100")
     parsed = settings.read(write_file(tmp_path, body)).ok
-    assert "listen.callers" in str(listeners.check_addresses(parsed, "file").error)
+    assert "listen.callers" in str(acceptors.check_addresses(parsed, "file").error)
 
 
 @pytest.mark.parametrize(
--- a/teaselwall/listeners.py
+++ b/teaselwall/tools/listeners.py
@@ -1,16 +1,14 @@
-"""HTTP server (Hypercorn on trio) for an ASGI application on one address."""
+"""HTTP server (Hypercorn on trio) of the stand-ins, for an ASGI application."""
 
 import functools
 import logging
-import socket
 
-import expression
 import trio
 from hypercorn import app_wrappers, typing
 from hypercorn import config as hypercorn_config
 from hypercorn.trio import tcp_server, worker_context
 
-from teaselwall import events, settings
+from teaselwall import events
 
 logger = logging.getLogger(__name__)
 
@@ -18,39 +16,9 @@
 KEEP_ALIVE_S = 3600.0
 ACCEPT_BACKLOG = 1024
 MAX_REQUESTS_PER_CONNECTION = 1_000_000
-# Limit of this package's own interface; callers of the users' platform stay below it.
 MAX_HEAD_BYTES = 16 * 1024
 
 
-def check_addresses(loaded, source):
-    """Check that the addresses to listen on can be bound on this host.
-
-    Parameters
-    ----------
-    loaded : generated.settings.Settings
-    source : str
-        Name of the settings file, for error messages.
-
-    Returns
-    -------
-    expression.Result
-        The settings, or ``errors.SettingsError``.
-    """
-    for name in ("callers", "peers"):
-        address = getattr(loaded.listen, name)
-        host, _, port = address.rpartition(":")
-        family = socket.AF_INET6 if host.startswith("[") else socket.AF_INET
-        with socket.socket(family) as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((host.strip("[]"), int(port)))
-            except OSError as error:
-                reason = f"cannot be bound: {error} (value {address!r})"
-                remedy = "Give a free port on an address of this host."
-                return settings.fault(source, f"listen.{name}", reason, remedy)
-    return expression.Ok(loaded)
-
-
 async def serve(application, address, shutdown, task_status, keep_alive_s=KEEP_ALIVE_S):
     """Serve until ``shutdown`` is set and the requests in flight have ended.
 
@@ -100,29 +68,6 @@
         connections.cancel_scope.deadline = trio.current_time() + SHUTDOWN_GRACE_S
 
 
-def closing(application, is_closing):
-    """Return an ASGI application whose replies may end their connections.
-
-    Parameters
-    ----------
-    application : callable
-        ASGI application.
-    is_closing : callable
-        ``is_closing()`` returns whether callers are asked to leave.
-    """
-
-    async def serve_request(scope, receive, send):
-        async def send_closing(message):
-            if message["type"] == "http.response.start" and is_closing():
-                headers = [*message["headers"], (b"connection", b"close")]
-                message = message | {"headers": headers}
-            await send(message)
-
-        await application(scope, receive, send_closing)
-
-    return serve_request
-
-
 def _config(address, keep_alive_s):
     config = hypercorn_config.Config()
     config.bind = [address]
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -18,8 +18,14 @@
 import msgspec
 import trio
 
-from teaselwall import listeners, responses
-from teaselwall.tools import platform_faults, platform_results, platform_store, standins
+from teaselwall import responses
+from teaselwall.tools import (
+    listeners,
+    platform_faults,
+    platform_results,
+    platform_store,
+    standins,
+)
 
 HEARTBEAT_INTERVAL_S = 0.4
 # The users' servers also serve for this long after they report that they drain.
--- a/teaselwall/tools/standins.py
+++ b/teaselwall/tools/standins.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 
-from teaselwall import clock, errors, listeners, responses
+from teaselwall import clock, errors, responses
+from teaselwall.tools import listeners
 
 SHUTDOWN_GRACE_S = 0.5
 
