--- /dev/null
+++ b/teaselwall/httpconnections.py
@@ -0,0 +1,293 @@
+"""One client's connection to an HTTP server."""
+
+import logging
+import urllib.parse
+
+import h11
+import trio
+
+from teaselwall import events, unreadreplies
+
+logger = logging.getLogger(__name__)
+
+MAX_HEAD_BYTES = 16 * 1024
+# Time from the first byte of a request's head to its last.
+HEAD_TIMEOUT_S = 15.0
+# The same from the time at which the server closes: the request has to end as well
+# before the process does.
+CLOSING_HEAD_TIMEOUT_S = 0.5
+# Time for the next bytes of a body.
+BODY_TIMEOUT_S = 10.0
+# After an early reply, the rest of the request is read for this long, as closing with
+# unread bytes would reset the connection before the caller has the reply.
+LINGER_S = 1.0
+# Bytes of further requests that are read while one is in progress.
+MAX_PIPELINED_BYTES = 64 * 1024
+
+
+class Connection:
+    """One caller's connection.
+
+    Parameters
+    ----------
+    server : httpserver.Server
+    stream : sockets.Stream
+
+    Attributes
+    ----------
+    protocol : h11.Connection
+    sender : unreadreplies.Sender or None
+        None before ``run``.
+    idle_scope : trio.CancelScope or None
+        Set while the connection waits for a request.
+    head_scope : trio.CancelScope or None
+        Set while the rest of a request's head is read.
+    caller_gone : bool
+        Whether the caller has closed its end.
+    method : bytes
+        Method of the request in progress.
+    head : h11.Response or None
+        Head of a reply that is sent with the first bytes of its body.
+    """
+
+    __slots__ = (
+        "server",
+        "stream",
+        "protocol",
+        "sender",
+        "idle_scope",
+        "head_scope",
+        "caller_gone",
+        "method",
+        "head",
+    )
+
+    def __init__(self, server, stream):
+        self.server = server
+        self.stream = stream
+        self.protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.sender = None
+        self.idle_scope = None
+        self.head_scope = None
+        self.caller_gone = False
+        self.method = b""
+        self.head = None
+
+    async def run(self):
+        """Serve the requests of the connection, one after the other."""
+        server = self.server
+        self.sender = unreadreplies.Sender(
+            self.stream, server.unread, server.nursery.start_soon
+        )
+        try:
+            while await self._serve_one():
+                pass
+        except Exception:
+            await self.sender.finish(LINGER_S)
+            raise
+        finally:
+            if self._looks_complete_when_cut():
+                self.stream.reset_on_close()
+            self.stream.close()
+            self.sender.drop()
+
+    def close_if_idle(self):
+        """Close the connection if it waits for a request, or soon for its head."""
+        if self.idle_scope is not None:
+            self.idle_scope.cancel()
+        if self.head_scope is not None:
+            limit_s = trio.current_time() + CLOSING_HEAD_TIMEOUT_S
+            self.head_scope.deadline = min(self.head_scope.deadline, limit_s)
+
+    async def _serve_one(self):
+        """Serve the next request; return whether another may follow."""
+        try:
+            request = await self._next_request()
+        except h11.RemoteProtocolError as error:
+            await self._refuse_unreadable(error)
+            return False
+        if request is None:
+            return False
+        self.method = request.method
+        await self.server.application(_scope(request), self.receive, self.send)
+        if self.protocol.our_state not in (h11.DONE, h11.MUST_CLOSE):
+            raise h11.LocalProtocolError("the application sent no whole reply")
+        if not await self._read_rest() or self.caller_gone:
+            return False
+        self.protocol.start_next_cycle()
+        return True
+
+    async def _next_request(self):
+        """Return the next request's head, or None if the connection ended or idled."""
+        event = self.protocol.next_event()
+        if event is h11.NEED_DATA and not self.protocol.trailing_data[0]:
+            if not await self._wait_for_request():
+                return None
+            event = self.protocol.next_event()
+        if event is h11.NEED_DATA:
+            event = await self._read_rest_of_head()
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_rest_of_head(self):
+        event = h11.NEED_DATA
+        limit_s = CLOSING_HEAD_TIMEOUT_S if self.server.closing else HEAD_TIMEOUT_S
+        with trio.move_on_after(limit_s) as self.head_scope:
+            while event is h11.NEED_DATA:
+                self.protocol.receive_data(await self.stream.receive())
+                event = self.protocol.next_event()
+        self.head_scope = None
+        return event
+
+    async def _wait_for_request(self):
+        """Receive the first bytes of a request; return whether there are any."""
+        data = None
+        if not self.server.closing:
+            with trio.move_on_after(self.server.idle_s) as self.idle_scope:
+                data = await self.stream.receive()
+            self.idle_scope = None
+        if data is None:
+            # A request may have arrived since the connection was found idle.
+            data = self.stream.receive_now()
+        if data:
+            self.protocol.receive_data(data)
+        return bool(data)
+
+    async def receive(self):
+        """Return the next part of the request's body, or the caller's leaving.
+
+        The ASGI ``receive`` of the request in progress.
+        """
+        if self.protocol.their_state is not h11.SEND_BODY:
+            await self._wait_until_gone()
+            return {"type": "http.disconnect"}
+        try:
+            event = await self._next_body_event()
+        except (OSError, h11.RemoteProtocolError, trio.TooSlowError) as error:
+            log_failure(logging.DEBUG, error)
+            self.caller_gone = True
+            return {"type": "http.disconnect"}
+        if isinstance(event, h11.Data):
+            body = bytes(event.data)
+            return {"type": "http.request", "body": body, "more_body": True}
+        return {"type": "http.request", "body": b"", "more_body": False}
+
+    async def _next_body_event(self):
+        protocol = self.protocol
+        if protocol.they_are_waiting_for_100_continue:
+            await self._send_bytes(
+                protocol.send(h11.InformationalResponse(status_code=100, headers=[]))
+            )
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            with trio.fail_after(BODY_TIMEOUT_S):
+                while event is h11.NEED_DATA:
+                    protocol.receive_data(await self.stream.receive())
+                    event = protocol.next_event()
+        return event
+
+    async def _wait_until_gone(self):
+        """Return once the caller has closed its end."""
+        while not self.caller_gone:
+            if len(self.protocol.trailing_data[0]) > MAX_PIPELINED_BYTES:
+                await trio.sleep_forever()
+            try:
+                data = await self.stream.receive()
+            except OSError:
+                data = b""
+            if data:
+                self.protocol.receive_data(data)
+            else:
+                self.caller_gone = True
+
+    async def send(self, message):
+        """Send the head or a part of the body of the reply.
+
+        The ASGI ``send`` of the request in progress. The head is sent together with the
+        first part of the body. Nothing is sent once the caller has closed its end.
+
+        Raises
+        ------
+        unreadreplies.CallerStalled
+        """
+        if message["type"] == "http.response.start":
+            headers = list(message["headers"])
+            if self.server.closing:
+                headers.append((b"connection", b"close"))
+            self.head = h11.Response(status_code=message["status"], headers=headers)
+            return
+        data = b""
+        if self.head is not None:
+            data = self.protocol.send(self.head)
+            self.head = None
+        body = message.get("body", b"")
+        if body and self.method != b"HEAD":
+            data += self.protocol.send(h11.Data(data=body))
+        is_last = not message.get("more_body")
+        if is_last:
+            data += self.protocol.send(h11.EndOfMessage())
+        await self._send_bytes(data, is_last)
+
+    async def _send_bytes(self, data, is_last=True):
+        """Send bytes; do nothing once the caller has closed its end."""
+        if self.caller_gone:
+            return
+        try:
+            await self.sender.send(data, is_last)
+        except OSError as error:
+            log_failure(logging.DEBUG, error)
+            self.caller_gone = True
+        except unreadreplies.CallerStalled:
+            self.caller_gone = True
+            raise
+
+    async def _read_rest(self):
+        """Read what is left of the request; return whether the connection is kept."""
+        protocol = self.protocol
+        if protocol.their_state is h11.SEND_BODY:
+            with trio.move_on_after(LINGER_S):
+                while (await self.receive())["type"] == "http.request":
+                    if protocol.their_state is not h11.SEND_BODY:
+                        break
+        if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
+            return True
+        self.stream.end_sending()
+        return False
+
+    async def _refuse_unreadable(self, error):
+        """Answer bytes that are not a request, if no reply has begun."""
+        log_failure(logging.INFO, error)
+        if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        head = h11.Response(status_code=error.error_status_hint, headers=headers)
+        data = self.protocol.send(head) + self.protocol.send(h11.EndOfMessage())
+        await self._send_bytes(data)
+        self.stream.end_sending()
+        with trio.move_on_after(LINGER_S):
+            while await self.stream.receive():
+                pass
+
+    def _looks_complete_when_cut(self):
+        """Return whether the end of the connection would seem to end a cut reply."""
+        is_cut = self.protocol.our_state is h11.SEND_BODY or self.sender.is_cut()
+        return is_cut and self.protocol.their_http_version == b"1.0"
+
+
+def _scope(request):
+    """Return the ASGI scope of a request."""
+    path, _, query = request.target.partition(b"?")
+    return {
+        "type": "http",
+        "method": request.method.decode("ascii"),
+        "path": urllib.parse.unquote(path.decode("ascii")),
+        "raw_path": path,
+        "query_string": query,
+        "headers": list(request.headers),
+    }
+
+
+def log_failure(level, error):
+    """Log why a connection has ended early."""
+    events.log(logger, level, "connection_failed", detail=repr(error)[:300])
--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -8,6 +8,7 @@
 import errno
 import os
 import socket
+import struct
 
 import trio
 
@@ -15,6 +16,8 @@
 RECEIVE_BYTES = 64 * 1024
 # After this many bytes without a wait, a receiver lets other tasks run.
 BYTES_PER_TURN = RECEIVE_BYTES
+# SO_LINGER with a time of 0: closing the socket resets the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Stream:
@@ -133,6 +136,11 @@
             if error.errno not in (errno.ENOTCONN, errno.ECONNRESET, errno.EPIPE):
                 raise
 
+    def reset_on_close(self):
+        """Have the other end see a reset, not a regular end, once this is closed."""
+        if self.sock.fileno() >= 0:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def close(self):
         """Close the connection."""
         if self.sock.fileno() >= 0:
--- a/teaselwall/tests/test_socket_options.py
+++ b/teaselwall/tests/test_socket_options.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from teaselwall import acceptors, httpclient, httpserver, sockets
+from teaselwall import acceptors, httpclient, httpconnections, sockets
 from teaselwall.tests import test_http
 
 
@@ -34,7 +34,7 @@
                 await trio.sleep(0.01)
         while not accepted:
             await trio.sleep(0.01)
-    served = httpserver.Connection(None, sockets.Stream(accepted[0]))
+    served = httpconnections.Connection(None, sockets.Stream(accepted[0]))
     called = httpclient.Connection(stream)
     assert options_of(served.stream.sock) == (0, 0)
     assert options_of(called.stream.sock) == (0, 0)
