Join the small chunks of a body before h11 reads them

What callers saw: a body within the limits that came in chunks of one byte got no answer in time: 4 MiB took h11 13.6 to 20.7 s here, longer than the body's time limit. A crowd with bodies in chunks of 32 bytes took a host beyond the memory of its machine.

Cause: h11 makes an event of each chunk (some 4 us each on this machine, 12 us on the users'), and read_body kept an object for each of them, of at least 42 bytes. The body's time limit also counted the host's own time for it.

Change: framing.RequestReader gives h11 whole small chunks joined to one; h11 still decides what is a request, and anything but plain whole chunks is left to it. read_body fills one bytearray. The ten seconds for a body count only while the host waits for its client.

--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -33,7 +33,9 @@
 MAX_SHOWN_CHARS = 100
 # So many digits are above the deadline of any service document.
 MAX_DEADLINE_DIGITS = 18
-BODY_TIMEOUT_MS = 10_000
+# Time for a body, with that for handling what has arrived; the caller itself has less,
+# see ``httpconnections.BODY_TIMEOUT_S``.
+BODY_TIMEOUT_MS = 30_000
 SEND_TIMEOUT_MS = 10_000
 
 
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -26,8 +26,9 @@
 # The causes of most refusals end sooner than this. Within a second, the directory
 # lists another host.
 RETRY_AFTER_MS = 300.0
-# As in application.py: enough for the largest body at 4 Mbit/s.
-BODY_TIMEOUT_MS = 10_000.0
+# Time for a body, with that for handling what has arrived; the caller itself has less,
+# see ``httpconnections.BODY_TIMEOUT_S``.
+BODY_TIMEOUT_MS = 30_000.0
 # This host sends its own error reply this long before the request's deadline.
 REPLY_MARGIN_MS = 30.0
 # A configuration this old may lack a route or key that a request names. Covers two
--- a/teaselwall/httpconnections.py
+++ b/teaselwall/httpconnections.py
@@ -6,17 +6,16 @@
 import h11
 import trio
 
-from teaselwall import events, unreadreplies
+from teaselwall import errors, events, framing, unreadreplies
 
 logger = logging.getLogger(__name__)
 
-MAX_HEAD_BYTES = 16 * 1024
 # Time from the first byte of a request's head to its last.
 HEAD_TIMEOUT_S = 15.0
 # The same from the time at which the server closes: the request has to end as well
 # before the process does.
 CLOSING_HEAD_TIMEOUT_S = 0.5
-# Time for the next bytes of a body.
+# Time in which a client has to send a body, without that for handling it.
 BODY_TIMEOUT_S = 10.0
 # After an early reply, the rest of the request is read for this long, as closing with
 # unread bytes would reset the connection before the caller has the reply.
@@ -35,13 +34,15 @@
 
     Attributes
     ----------
-    protocol : h11.Connection
+    protocol : framing.RequestReader
     sender : unreadreplies.Sender or None
         None before ``run``.
     idle_scope : trio.CancelScope or None
         Set while the connection waits for a request.
     head_scope : trio.CancelScope or None
         Set while the rest of a request's head is read.
+    body_left_s : float
+        Time that the client has left to send the body.
     caller_gone : bool
         Whether the caller has closed its end.
     method : bytes
@@ -57,6 +58,7 @@
         "sender",
         "idle_scope",
         "head_scope",
+        "body_left_s",
         "caller_gone",
         "method",
         "head",
@@ -65,12 +67,11 @@
     def __init__(self, server, stream):
         self.server = server
         self.stream = stream
-        self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self.protocol = framing.RequestReader()
         self.sender = None
         self.idle_scope = None
         self.head_scope = None
+        self.body_left_s = BODY_TIMEOUT_S
         self.caller_gone = False
         self.method = b""
         self.head = None
@@ -111,6 +112,7 @@
         if request is None:
             return False
         self.method = request.method
+        self.body_left_s = BODY_TIMEOUT_S
         await self.server.application(_scope(request), self.receive, self.send)
         if self.protocol.our_state not in (h11.DONE, h11.MUST_CLOSE):
             raise h11.LocalProtocolError("the application sent no whole reply")
@@ -122,7 +124,7 @@
     async def _next_request(self):
         """Return the next request's head, or None if the connection ended or idled."""
         event = self.protocol.next_event()
-        if event is h11.NEED_DATA and not self.protocol.trailing_data[0]:
+        if event is h11.NEED_DATA and not self.protocol.n_unread():
             if not await self._wait_for_request():
                 return None
             event = self.protocol.next_event()
@@ -164,33 +166,48 @@
             return {"type": "http.disconnect"}
         try:
             event = await self._next_body_event()
-        except (OSError, h11.RemoteProtocolError, trio.TooSlowError) as error:
+        except (OSError, h11.RemoteProtocolError) as error:
             log_failure(logging.DEBUG, error)
             self.caller_gone = True
             return {"type": "http.disconnect"}
         if isinstance(event, h11.Data):
-            body = bytes(event.data)
-            return {"type": "http.request", "body": body, "more_body": True}
+            return {"type": "http.request", "body": event.data, "more_body": True}
         return {"type": "http.request", "body": b"", "more_body": False}
 
     async def _next_body_event(self):
+        """Return the next event of a body.
+
+        Raises
+        ------
+        errors.BodyTooSlow
+        """
         protocol = self.protocol
         if protocol.they_are_waiting_for_100_continue:
             await self._send_bytes(
                 protocol.send(h11.InformationalResponse(status_code=100, headers=[]))
             )
         event = protocol.next_event()
-        if event is h11.NEED_DATA:
-            with trio.fail_after(BODY_TIMEOUT_S):
-                while event is h11.NEED_DATA:
-                    protocol.receive_data(await self.stream.receive())
-                    event = protocol.next_event()
+        while event is h11.NEED_DATA:
+            protocol.receive_data(await self._receive_body())
+            event = protocol.next_event()
         return event
 
+    async def _receive_body(self):
+        """Wait for further bytes of the body; see ``_next_body_event``."""
+        started_s = trio.current_time()
+        data = None
+        with trio.move_on_after(self.body_left_s):
+            data = await self.stream.receive()
+        if data is None:
+            detail = "The request body did not arrive within the body timeout."
+            raise errors.BodyTooSlow(detail)
+        self.body_left_s -= trio.current_time() - started_s
+        return data
+
     async def _wait_until_gone(self):
         """Return once the caller has closed its end."""
         while not self.caller_gone:
-            if len(self.protocol.trailing_data[0]) > MAX_PIPELINED_BYTES:
+            if self.protocol.n_unread() > MAX_PIPELINED_BYTES:
                 await trio.sleep_forever()
             try:
                 data = await self.stream.receive()
@@ -247,14 +264,22 @@
         protocol = self.protocol
         if protocol.their_state is h11.SEND_BODY:
             with trio.move_on_after(LINGER_S):
-                while (await self.receive())["type"] == "http.request":
-                    if protocol.their_state is not h11.SEND_BODY:
-                        break
+                await self._read_rest_of_body()
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
             return True
         self.stream.end_sending()
         return False
 
+    async def _read_rest_of_body(self):
+        while self.protocol.their_state is h11.SEND_BODY:
+            try:
+                message = await self.receive()
+            except errors.BodyTooSlow as error:
+                log_failure(logging.DEBUG, error)
+                return
+            if message["type"] == "http.disconnect":
+                return
+
     async def _refuse_unreadable(self, error):
         """Answer bytes that are not a request, if no reply has begun."""
         log_failure(logging.INFO, error)
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -34,18 +34,16 @@
     errors.InvalidRequest
         The caller disconnected.
     """
-    parts = []
-    n_bytes = 0
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise errors.InvalidRequest("The caller disconnected.")
-        parts.append(message.get("body", b""))
-        n_bytes += len(parts[-1])
-        if n_bytes > max_bytes:
+        body += message.get("body", b"")
+        if len(body) > max_bytes:
             raise errors.BodyTooLarge(f"The body is over {max_bytes} bytes.")
         if not message.get("more_body"):
-            return b"".join(parts)
+            return bytes(body)
 
 
 def decode(body, kind=None):
