Refuse what can't be served before its body is held

What callers saw: 100 clients without a key, with bodies of 1 MiB one byte short, took a host of the platform's interface to 147 MB and one of the own interface to 171 MB; so did callers who announced 1 GiB, of which each host read 4 MiB (1 MiB) before it answered 413.

Cause: the body was read whole before the route, the service, the key or the organisation were looked up, and its announced length was not looked at.

Change: requestmatches.Matcher finds route and key before the body is read and again after it, as the configuration may change meanwhile; the own interface checks its headers likewise. A body that announces too much is refused at once. A body is read for at most the time that its request has, so that its caller has an answer by then (408, not run).

--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -10,6 +10,7 @@
 
 from teaselwall import (
     addresses,
+    callerheaders,
     callerreplies,
     clock,
     errors,
@@ -26,13 +27,10 @@
 logger = logging.getLogger(__name__)
 
 REQUEST_PATH = re.compile(r"/v1/services/([a-z][a-z0-9-]{0,62})/requests")
-KEY_PATTERN = re.compile(r"[!-~]{1,128}")
 GET_PATHS = ("/v1/entry-hosts", "/livez", "/readyz", "/metrics")
 # Retry-After of replies from a host that is full or has no configuration yet.
 RETRY_AFTER_MS = 1000
 MAX_SHOWN_CHARS = 100
-# So many digits are above the deadline of any service document.
-MAX_DEADLINE_DIGITS = 18
 # Time for a body, with that for handling what has arrived; the caller itself has less,
 # see ``httpconnections.BODY_TIMEOUT_S``.
 BODY_TIMEOUT_MS = 30_000
@@ -122,7 +120,7 @@
         self.n_in_flight += 1
         self.host.membership.me.n_requests = self.n_in_flight
         try:
-            request = await self._read(service, headers, receive)
+            request = await self._read(service, headers, scope, receive)
             streams = "text/event-stream" in headers.get("accept", "")
             kind = callerreplies.StreamReply if streams else callerreplies.WholeReply
             reply = kind(send)
@@ -133,19 +131,15 @@
 
     def _overloaded_error(self, headers):
         detail = "This entry host has too many requests in flight."
-        outcome = outcome_if_unread(headers)
+        outcome = callerheaders.outcome_if_unread(headers)
         return errors.Overloaded(detail, outcome, RETRY_AFTER_MS)
 
-    async def _read(self, service, headers, receive):
-        limits = self.host.settings.limits
-        body = await self._read_body(receive, limits.max_body_bytes)
-        document = self.host.state.services.get(service)
-        if document is None:
-            raise self._unknown_service_error(service, headers)
-        organisation = read_organisation(headers, self.host.state, service)
-        deadline_ms = read_deadline(headers, document.deadline_ms)
-        self._check_time_left(document, deadline_ms, headers)
-        key = read_key(headers, document)
+    async def _read(self, service, headers, scope, receive):
+        # What can't be served is refused before its body is held.
+        self._check_headers(service, headers)
+        body = await self._read_body(scope, receive)
+        checked = self._check_headers(service, headers)
+        document, organisation, deadline_ms, key = checked
         message = responses.decode(body)
         if "input" not in message:
             raise errors.InvalidRequest("The body has no 'input'.")
@@ -167,6 +161,28 @@
             content=requests.content_hash(organisation.name, service, text),
         )
 
+    def _check_headers(self, service, headers):
+        """Return what the headers say: document, organisation, deadline in ms, key.
+
+        Raises
+        ------
+        errors.Error
+        """
+        document = self.host.state.services.get(service)
+        if document is None:
+            raise self._unknown_service_error(service, headers)
+        organisation = callerheaders.read_organisation(
+            headers, self.host.state, service
+        )
+        deadline_ms = callerheaders.read_deadline(headers, document.deadline_ms)
+        self._check_time_left(document, deadline_ms, headers)
+        return (
+            document,
+            organisation,
+            deadline_ms,
+            callerheaders.read_key(headers, document),
+        )
+
     def _check_time_left(self, document, deadline_ms, headers):
         """Refuse a request that can't be answered before a planned stop ends.
 
@@ -178,7 +194,7 @@
         needed_ms = min(deadline_ms, services.longest_path_ms(document))
         if needed_ms > left_ms:
             detail = f"This host stops; the request needs about {needed_ms:.0f} ms."
-            raise self._stopping(detail, outcome_if_unread(headers))
+            raise self._stopping(detail, callerheaders.outcome_if_unread(headers))
 
     def _stopping(self, detail, outcome):
         return_ms = stopadmission.returns_after_ms(
@@ -190,11 +206,14 @@
         if self.host.state.services:
             return errors.NotFound(f"There is no service {service}.")
         detail = "This entry host has not read the configuration yet."
-        return errors.Unavailable(detail, outcome_if_unread(headers), RETRY_AFTER_MS)
+        return errors.Unavailable(
+            detail, callerheaders.outcome_if_unread(headers), RETRY_AFTER_MS
+        )
 
-    async def _read_body(self, receive, max_bytes):
+    async def _read_body(self, scope, receive):
+        max_bytes = self.host.settings.limits.max_body_bytes
         with self.host.clock.timeout_ms(BODY_TIMEOUT_MS):
-            return await responses.read_body(receive, max_bytes)
+            return await responses.read_body(scope, receive, max_bytes)
         raise errors.BodyTooSlow("The request body did not arrive in time.")
 
     def _next_id(self):
@@ -282,71 +301,6 @@
         raise errors.Forbidden("There are no WebSocket connections.", remedy=remedy)
 
 
-def outcome_if_unread(headers):
-    """Return the outcome to report for a request that is refused before it is parsed.
-
-    A request with an idempotency key may be a retry of a request that has run, so
-    its outcome is unknown.
-    """
-    if "idempotency-key" in headers:
-        return errors.Outcome.UNKNOWN
-    return errors.Outcome.NOT_RUN
-
-
-def read_organisation(headers, state, service):
-    """Return the organisation that the Organisation header names.
-
-    Raises
-    ------
-    errors.InvalidRequest
-        It is not one of the service's organisations.
-    """
-    name = headers.get("organisation", "")
-    organisation = state.organisation(service, name)
-    if organisation is None:
-        detail = f"The service {service} does not serve organisation {name!r}."
-        remedy = "Name one of its organisations in the Organisation header."
-        raise errors.InvalidRequest(detail, remedy=remedy)
-    return organisation
-
-
-def read_deadline(headers, service_deadline_ms):
-    """Return the caller's deadline in ms, at most that of the service document.
-
-    Raises
-    ------
-    errors.InvalidRequest
-        The Deadline-Ms header is not a whole number above 0.
-    """
-    text = headers.get("deadline-ms")
-    if text is None:
-        return service_deadline_ms
-    digits = text.lstrip("0")
-    if not text.isdecimal() or not digits:
-        remedy = "Send Deadline-Ms as a whole number of milliseconds above 0."
-        raise errors.InvalidRequest("Deadline-Ms is not valid.", remedy=remedy)
-    return min(int(digits[:MAX_DEADLINE_DIGITS]), service_deadline_ms)
-
-
-def read_key(headers, document):
-    """Return the idempotency key, or an empty text if the caller sent none.
-
-    Raises
-    ------
-    errors.InvalidRequest
-        The key is not valid, or the service is not idempotent and there is no key.
-    """
-    key = headers.get("idempotency-key", "")
-    if not key and not document.idempotent:
-        remedy = "Send an Idempotency-Key with the prefix from GET /v1/entry-hosts."
-        detail = f"{document.service} is not idempotent; requests need a key."
-        raise errors.InvalidRequest(detail, remedy=remedy)
-    if key and not KEY_PATTERN.fullmatch(key):
-        remedy = "Use 1 to 128 visible ASCII characters."
-        raise errors.InvalidRequest("Idempotency-Key is not valid.", remedy=remedy)
-    return key
-
-
 def to_error(error, subject):
     """Return an exception as a typed error; log the exception if it is unexpected.
 
--- a/teaselwall/control.py
+++ b/teaselwall/control.py
@@ -82,7 +82,7 @@
             )
         if scope["method"] != "POST":
             raise errors.MethodNotAllowed(path, "POST")
-        body = await responses.read_body(receive, MAX_BODY_BYTES)
+        body = await responses.read_body(scope, receive, MAX_BODY_BYTES)
         message = responses.decode(body or b"{}")
         if path in self.watched:
             return await _handle_watched(handler, message, receive)
--- a/teaselwall/gateway.py
+++ b/teaselwall/gateway.py
@@ -8,12 +8,12 @@
 
 from teaselwall import (
     calls,
-    clock,
     errors,
     events,
     handovers,
     replies,
     requestattempts,
+    requestmatches,
     responses,
     routes,
     serverchoices,
@@ -23,17 +23,8 @@
 
 logger = logging.getLogger(__name__)
 
-# The causes of most refusals end sooner than this. Within a second, the directory
-# lists another host.
-RETRY_AFTER_MS = 300.0
-# Time for a body, with that for handling what has arrived; the caller itself has less,
-# see ``httpconnections.BODY_TIMEOUT_S``.
-BODY_TIMEOUT_MS = 30_000.0
 # This host sends its own error reply this long before the request's deadline.
 REPLY_MARGIN_MS = 30.0
-# A configuration this old may lack a route or key that a request names. Covers two
-# reads that the store holds open and their network time.
-STALE_CONFIGURATION_MS = 3200.0
 # Time from the end of the stages to an engine's first event: the engine fetches inputs
 # and processes a prompt of some thousand tokens.
 ENGINE_FIRST_EVENT_MS = 200.0
@@ -45,14 +36,6 @@
 MAX_STAGE_RUNS = 2
 
 
-class UnknownKey(errors.Error):
-    """The request has no access key or an unknown one."""
-
-    status = 401
-    title = "Unknown key"
-    remedy = "Send a current key as 'Authorization: Bearer KEY'."
-
-
 class Gateway:
     """ASGI application that forwards callers' requests to back ends.
 
@@ -63,14 +46,16 @@
 
     Attributes
     ----------
+    matcher : requestmatches.Matcher
     n_in_flight : int
         Callers' requests in progress, including those that are being refused.
     """
 
-    __slots__ = ("entry", "n_in_flight")
+    __slots__ = ("entry", "matcher", "n_in_flight")
 
     def __init__(self, entry):
         self.entry = entry
+        self.matcher = requestmatches.Matcher(entry)
         self.n_in_flight = 0
 
     async def __call__(self, scope, receive, send):
@@ -82,8 +67,7 @@
         self._add_in_flight(1)
         try:
             head = self.entry.protocol.read_request(scope)
-            handover = scope.get(handovers.SCOPE_KEY)
-            await self._serve(head, receive, reply, handover)
+            await self._serve(head, scope, receive, reply)
         except errors.Error as error:
             await self._send_error(head, reply, error)
         except replies.AnswerBroken:
@@ -139,13 +123,18 @@
         table = self.entry.operator_state.table
         return table.version if table is not None else None
 
-    async def _serve(self, head, receive, reply, handover):
+    async def _serve(self, head, scope, receive, reply):
         started_ms = self.entry.clock.now_ms()
         if self.n_in_flight > self.entry.settings.limits.max_requests_in_flight:
             detail = "This entry host has reached its limit of requests in flight."
-            raise errors.Overloaded(detail, retry_after_ms=RETRY_AFTER_MS)
-        body = await self._read_body(receive)
-        call = self._match(head, body, started_ms)
+            retry_after_ms = requestmatches.RETRY_AFTER_MS
+            raise errors.Overloaded(detail, retry_after_ms=retry_after_ms)
+        # What can't be served is refused before its body is held.
+        route, _ = self.matcher.find(head)
+        limit_ms = requestmatches.allowed_ms(head, route)
+        body = await self._read_body(scope, receive, limit_ms)
+        call = self.matcher.call(head, body, started_ms)
+        handover = scope.get(handovers.SCOPE_KEY)
         if handover is not None:
             handovers.accept(call, handover)
         admission = self.entry.stop_admission
@@ -165,85 +154,12 @@
         if result is not None and result.is_error():
             await self._send_error(head, reply, result.error)
 
-    async def _read_body(self, receive):
-        table = self.entry.operator_state.table
-        max_bytes = table.max_body_bytes if table is not None else routes.MAX_BODY_BYTES
-        with self.entry.clock.timeout_ms(BODY_TIMEOUT_MS):
-            return await responses.read_body(receive, max_bytes)
-        raise errors.BodyTooSlow(
-            "The request body did not arrive within the body timeout."
-        )
-
-    def _match(self, head, body, started_ms):
-        """Return the ``calls.Call`` for a request under the configuration in force.
-
-        Raises
-        ------
-        errors.NotFound
-            No route matches and the configuration is recent.
-        errors.Unavailable
-            The configuration or the pool is missing here, or the configuration or the
-            keys may be out of date.
-        UnknownKey
-        """
-        entry = self.entry
-        if not entry.has_orders():
-            raise self._unavailable("This entry host has not read a configuration yet.")
-        table = entry.operator_state.table
-        is_stale = entry.configuration_age_ms() > STALE_CONFIGURATION_MS
-        route = table.find(head.host, head.path)
-        if route is None:
-            if is_stale:
-                raise self._unavailable("This host's configuration may be out of date.")
-            raise errors.NotFound("No route matches the request's host and path.")
-        organisation = None
-        if table.requires_keys and not route.public:
-            organisation = self._authenticate(table, head, is_stale)
-        pool = table.pools.get(route.pool())
-        if pool is None:
-            raise self._unavailable(
-                f"The configuration lacks the pool of route {route.name}."
-            )
-        elapsed_ms = entry.clock.now_ms() - started_ms
-        allowed_ms = route.timeout_ms
-        if head.caller_timeout_ms is not None:
-            allowed_ms = min(allowed_ms, head.caller_timeout_ms)
-        return calls.Call(
-            head=head,
-            body=body,
-            route=route,
-            pool=pool,
-            organisation=organisation,
-            priority=table.priority(route, organisation),
-            deadline=clock.Deadline(entry.clock, allowed_ms - elapsed_ms),
-            due_ms=started_ms + route.target_ms,
-            span=entry.tracer.start(f"request {route.name}"),
-        )
-
-    def _authenticate(self, table, head, is_stale):
-        """Return the organisation that a request's access key belongs to.
-
-        While this host can't tell whether a key has been revoked, it accepts no key.
-
-        Raises
-        ------
-        errors.Unavailable
-            The keys known here are too old to accept or to refuse the request's key.
-        UnknownKey
-        """
-        if not self.entry.keys_current():
-            raise self._unavailable(
-                "This host can't check access keys: its copy of them is too old."
-            )
-        organisation = table.organisations.get(head.access_key)
-        if organisation is None:
-            if is_stale:
-                raise self._unavailable("This host's access keys may be out of date.")
-            raise UnknownKey("The access key is not known.")
-        return organisation
-
-    def _unavailable(self, detail):
-        return errors.Unavailable(detail, retry_after_ms=RETRY_AFTER_MS)
+    async def _read_body(self, scope, receive, limit_ms):
+        max_bytes = self.entry.operator_state.table.max_body_bytes
+        with self.entry.clock.timeout_ms(limit_ms):
+            return await responses.read_body(scope, receive, max_bytes)
+        detail = "The request body did not arrive within the request's timeout."
+        raise errors.BodyTooSlow(detail)
 
     async def _run_within_deadline(self, call, reply):
         """Run the stages and forward the request before its deadline.
@@ -277,7 +193,7 @@
                     return result
             return expression.Error(call.overall_error(result.error))
         detail = "The request was not answered within its timeout."
-        return _ended(call, self._unavailable(detail))
+        return _ended(call, requestmatches.unavailable(detail))
 
     async def _run_stages_and_forward(self, call, reply, run):
         if reply.started:
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -24,16 +24,30 @@
     }
 
 
-async def read_body(receive, max_bytes):
+async def read_body(scope, receive, max_bytes):
     """Read a request's body.
 
+    Parameters
+    ----------
+    scope : dict
+        ASGI scope of the request.
+    receive : callable
+    max_bytes : int
+
+    Returns
+    -------
+    bytes
+
     Raises
     ------
     errors.BodyTooLarge
-        The body is over ``max_bytes``.
+        The body is over ``max_bytes``, or is announced to be.
     errors.InvalidRequest
         The caller disconnected.
     """
+    too_large = errors.BodyTooLarge(f"The body is over {max_bytes} bytes.")
+    if announced_bytes(scope) > max_bytes:
+        raise too_large
     body = bytearray()
     while True:
         message = await receive()
@@ -41,11 +55,17 @@
             raise errors.InvalidRequest("The caller disconnected.")
         body += message.get("body", b"")
         if len(body) > max_bytes:
-            raise errors.BodyTooLarge(f"The body is over {max_bytes} bytes.")
+            raise too_large
         if not message.get("more_body"):
             return bytes(body)
 
 
+def announced_bytes(scope):
+    """Return the length that a request gives for its body, 0 if it gives none."""
+    lengths = [value for name, value in scope["headers"] if name == b"content-length"]
+    return int(lengths[0]) if lengths and lengths[0].isdigit() else 0
+
+
 def decode(body, kind=None):
     """Decode a JSON body.
 
--- a/teaselwall/tests/test_application.py
+++ b/teaselwall/tests/test_application.py
@@ -7,6 +7,7 @@
 
 from teaselwall import (
     application,
+    callerheaders,
     clock,
     configuration,
     control,
@@ -233,7 +234,8 @@
     async def send(message):
         sent.append(message)
 
-    scope = {"type": "http", "method": "POST", "path": PATH, "headers": []}
+    headers = [(b"organisation", b"kiosks")]
+    scope = {"type": "http", "method": "POST", "path": PATH, "headers": headers}
     await app(scope, trio.sleep_forever, send)
     assert sent[0]["status"] == 408
     assert app.n_in_flight == 0
@@ -340,4 +342,4 @@
     [("5000000000", 60_000), ("0000000001500", 1500), ("9" * 9000, 60_000)],
 )
 def test_deadline_of_any_length_is_read(text, expected_ms):
-    assert application.read_deadline({"deadline-ms": text}, 60_000) == expected_ms
+    assert callerheaders.read_deadline({"deadline-ms": text}, 60_000) == expected_ms
--- a/teaselwall/tests/test_docs.py
+++ b/teaselwall/tests/test_docs.py
@@ -6,8 +6,7 @@
 import msgspec
 import pytest
 
-from teaselwall import application, errors, responses
-from teaselwall import gateway as gateway_interface
+from teaselwall import application, errors, requestmatches, responses
 from teaselwall.generated import gateway, messages, settings
 from teaselwall.tools import capacity
 
@@ -50,7 +49,7 @@
     # Forbidden is sent by the control interface, UnknownKey by the gateway's.
     callers_error_types = set(error_types()) - {
         errors.Forbidden,
-        gateway_interface.UnknownKey,
+        requestmatches.UnknownKey,
     }
     for error_type in callers_error_types:
         assert str(error_type.status) in described, error_type
--- a/teaselwall/tests/test_framing.py
+++ b/teaselwall/tests/test_framing.py
@@ -93,7 +93,7 @@
 
 
 def without_cut_data(seen):
-    """Leave out the data of a body without an end: how much is seen of it may differ."""
+    """Leave out data of a body without an end: how much of it is seen may differ."""
     if seen and seen[-1][0] == "data":
         return seen[:-1]
     if len(seen) > 1 and seen[-1][0] == "error" and seen[-2][0] == "data":
--- a/teaselwall/tests/test_gateway.py
+++ b/teaselwall/tests/test_gateway.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from teaselwall import directories, entrydaemon, gateway, replies
+from teaselwall import directories, entrydaemon, replies, requestmatches
 from teaselwall.tests import fakes, platform_entry
 from teaselwall.tests.platform_entry import BROKEN, REFUSED, Caller, Script
 
@@ -138,7 +138,7 @@
 ):
     """A newer configuration may have the route or key, so the refusal is not final."""
     assert (await send_request(application, "/nowhere")).status == 404
-    host.orders.current_as_of_ms -= gateway.STALE_CONFIGURATION_MS + 1
+    host.orders.current_as_of_ms -= requestmatches.STALE_CONFIGURATION_MS + 1
     assert (await send_request(application, "/nowhere")).status == 503
     assert (await send_request(application, "/safe/1", key="new")).status == 503
 
--- a/teaselwall/tests/test_platform_words.py
+++ b/teaselwall/tests/test_platform_words.py
@@ -42,7 +42,10 @@
     text = path.read_text().lower()
     found = [name for name in PLATFORM_NAMES if name.lower() in text]
     # The product's own protocol and its test servers use headers of the same name.
-    allowed_by_file = {"servers.py": ["server-load"], "application.py": ["deadline-ms"]}
+    allowed_by_file = {
+        "servers.py": ["server-load"],
+        "callerheaders.py": ["deadline-ms"],
+    }
     allowed = allowed_by_file.get(path.name, [])
     assert [name for name in found if name not in allowed] == []
 
--- a/teaselwall/tools/plain_relay.py
+++ b/teaselwall/tools/plain_relay.py
@@ -36,7 +36,7 @@
         if scope["type"] == "lifespan":
             await responses.answer_lifespan(receive, send)
             return
-        body = await responses.read_body(receive, 1 << 20)
+        body = await responses.read_body(scope, receive, 1 << 20)
         call = messages.GenerateCall(
             request=str(next(self.ids)),
             attempt=1,
--- a/teaselwall/tools/platform_server.py
+++ b/teaselwall/tools/platform_server.py
@@ -92,7 +92,7 @@
         if scope["type"] != "http":
             return
         headers = responses.headers_of(scope)
-        body = await responses.read_body(receive, 1 << 22)
+        body = await responses.read_body(scope, receive, 1 << 22)
         if scope["path"] == "/faults":
             self.server_faults.set(**json.loads(body))
             await responses.send_json(send, {})
--- a/teaselwall/tools/standins.py
+++ b/teaselwall/tools/standins.py
@@ -89,7 +89,7 @@
             return
         if scope["type"] != "http":
             return
-        body = await responses.read_body(receive, 1 << 24)
+        body = await responses.read_body(scope, receive, 1 << 24)
         if scope["path"] == "/faults":
             await self._set_faults(body, send)
             return
