Bound the bytes of requests that a host holds

What callers saw: the users' process ran out of memory.

Cause: a host counted its requests (600, or 2,000) and never the bytes that it holds for them: parts of bodies, heads, bytes behind a request, bodies until their request ends.

Change: requestmemory.RequestMemory counts these bytes for all listeners of a process; limits.max_request_bytes is the limit (67,108,864, on the platform 33,554,432 and by its template a tenth of the machine's memory). Unfinished requests make way, the largest first; whole ones never do, but large ones take half of it at most; one that is alone always has room. They are refused before anything is sent (429, not run).

Evidence: with the limit at 10 MB in the tests' own settings, test_bodies_that_do_not_end, test_whole_bodies_of_requests_in_progress, test_heads_that_do_not_end, test_bytes_behind_a_request_in_progress and test_heads_of_many_headers pass on both interfaces; crowd and bounds are those that failed.

--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -17,6 +17,7 @@
     events,
     openrequests,
     outcomes,
+    requestmemory,
     requests,
     responses,
     services,
@@ -137,7 +138,7 @@
     async def _read(self, service, headers, scope, receive):
         # What can't be served is refused before its body is held.
         self._check_headers(service, headers)
-        body = await self._read_body(scope, receive)
+        body = await self._read_body(headers, scope, receive)
         checked = self._check_headers(service, headers)
         document, organisation, deadline_ms, key = checked
         message = responses.decode(body)
@@ -210,10 +211,14 @@
             detail, callerheaders.outcome_if_unread(headers), RETRY_AFTER_MS
         )
 
-    async def _read_body(self, scope, receive):
+    async def _read_body(self, headers, scope, receive):
         max_bytes = self.host.settings.limits.max_body_bytes
-        with self.host.clock.timeout_ms(BODY_TIMEOUT_MS):
-            return await responses.read_body(scope, receive, max_bytes)
+        try:
+            with self.host.clock.timeout_ms(BODY_TIMEOUT_MS):
+                return await responses.read_body(scope, receive, max_bytes)
+        except requestmemory.NoMemory as error:
+            error.outcome = callerheaders.outcome_if_unread(headers)
+            raise
         raise errors.BodyTooSlow("The request body did not arrive in time.")
 
     def _next_id(self):
--- a/teaselwall/daemon.py
+++ b/teaselwall/daemon.py
@@ -13,7 +13,8 @@
     earlysignals,
     events,
     hosts,
-    httpserver,
+    httplimits,
+    requestmemory,
     responses,
     settings,
     stops,
@@ -21,9 +22,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Idle timeout of connections, longer than the clients of this package keep one.
-CONNECTION_IDLE_S = 60.0
-
 
 def main(argv=None):
     """Run an entry host until it is asked to stop; return the exit status."""
@@ -85,8 +83,10 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_close_listeners, stop, shutdown, nursery.cancel_scope)
         closing_app = responses.closing(callers_app, stop.requested.is_set)
-        callers = httpserver.Server(closing_app, listen.callers, CONNECTION_IDLE_S)
-        peers = httpserver.Server(host.control, listen.peers, CONNECTION_IDLE_S)
+        memory = requestmemory.of(host.settings, host.metrics)
+        limits = httplimits.HttpLimits(memory)
+        callers = limits.server(closing_app, listen.callers)
+        peers = limits.server(host.control, listen.peers)
         nursery.start_soon(stop.run_listener, callers.run)
         nursery.start_soon(peers.run, shutdown)
 
--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -32,6 +32,7 @@
     prefixes,
     probes,
     quarantinearchive,
+    requestmemory,
     retries,
     rolloutparts,
     serverattempts,
@@ -70,10 +71,11 @@
 
     Attributes
     ----------
+    request_memory : requestmemory.RequestMemory
+        What this host holds of requests.
     control : control.Control
         ASGI application for peers and operators.
     shared_reads : sharedreads.SharedReads
-        Store client through which hosts share the reads of topics.
     orders : keyedtopics.TopicFollower
         Follows the operators' orders: the configuration and data centres taken out.
     servers : keyedtopics.TopicFollower
@@ -81,16 +83,12 @@
     stage_work : stagework.StageWork
         Stage calls for which this host is the coordinator.
     crash_guard : crashguard.CrashGuard
-        Refuses requests that end backend servers.
     server_limits : serverlimits.ServerLimits
-        Limits of requests that servers name.
     stop : stops.Stop or None
-        None until the process runs its listeners.
+        None until the listeners run.
     stop_admission : stopadmission.StopAdmission
     announcements : announcements.Announcements
-        Writes this host's address to the store and finds the other hosts.
     handovers : handovers.Handovers
-        Hands requests over to hosts that reach servers which this one does not.
     rollout_parts : rolloutparts.RolloutParts or None
     """
 
@@ -101,6 +99,7 @@
         "clock",
         "transport",
         "metrics",
+        "request_memory",
         "tracer",
         "control",
         "peers",
@@ -136,6 +135,7 @@
         self.clock = time or clock.BootClock()
         self.transport = httpclient.Client(self.clock)
         self.metrics = metrics.Metrics()
+        self.request_memory = requestmemory.of(settings, self.metrics)
         self.tracer = traces.Tracer(settings.traces, settings.host.name)
         self.control = control.Control(settings.access)
         self.peers = peers.Peers(self.transport, settings.access.peer_key)
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -17,7 +17,7 @@
     events,
     gateway,
     handovers,
-    httpserver,
+    httplimits,
     logsinks,
     settings,
     stops,
@@ -31,8 +31,6 @@
 # Share of the stop limit that the stop may use: at the limit, the platform kills the
 # process.
 STOP_TIME_SHARE = 0.93
-# Idle timeout of callers' connections: four times as long as callers keep one idle.
-CONNECTION_IDLE_S = 60.0
 # New objects between two collections. A request makes some thousand objects, nearly all
 # of them without cycles.
 GC_THRESHOLD = 20_000
@@ -175,9 +173,8 @@
     unread = unreadreplies.UnreadReplies(
         lambda: host.settings.limits.max_unread_bytes, host.metrics
     )
-    callers = httpserver.Server(
-        gateway_application, listen.callers, CONNECTION_IDLE_S, unread
-    )
+    limits = httplimits.HttpLimits(host.request_memory)
+    callers = limits.server(gateway_application, listen.callers, unread)
     applications = {
         listen.readiness: directory_application,
         listen.directory: directory_application,
@@ -190,7 +187,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(stop.run_listener, callers.run)
         for address, application in applications.items():
-            server = httpserver.Server(application, address, CONNECTION_IDLE_S)
+            server = limits.server(application, address)
             nursery.start_soon(server.run, shutdown)
         await stop.run()
         shutdown.set()
--- a/teaselwall/httpconnections.py
+++ b/teaselwall/httpconnections.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from teaselwall import errors, events, framing, unreadreplies
+from teaselwall import errors, events, framing, requestmemory, unreadreplies
 
 logger = logging.getLogger(__name__)
 
@@ -20,8 +20,9 @@
 # After an early reply, the rest of the request is read for this long, as closing with
 # unread bytes would reset the connection before the caller has the reply.
 LINGER_S = 1.0
-# Bytes of further requests that are read while one is in progress.
-MAX_PIPELINED_BYTES = 64 * 1024
+# Bytes behind a request in progress that are read to notice that the client leaves.
+MAX_PIPELINED_BYTES = 16 * 1024
+PIPELINED_READ_BYTES = 4 * 1024
 
 
 class Connection:
@@ -35,14 +36,20 @@
     Attributes
     ----------
     protocol : framing.RequestReader
+    holding : requestmemory.Holding
+        What the request that arrives or is in progress makes this host hold.
     sender : unreadreplies.Sender or None
         None before ``run``.
     idle_scope : trio.CancelScope or None
         Set while the connection waits for a request.
     head_scope : trio.CancelScope or None
         Set while the rest of a request's head is read.
+    body_scope : trio.CancelScope or None
+        Set while further bytes of a request's body are awaited.
     body_left_s : float
         Time that the client has left to send the body.
+    is_cut : bool
+        Whether bytes of the request were dropped, so that no other can follow.
     caller_gone : bool
         Whether the caller has closed its end.
     method : bytes
@@ -55,10 +62,13 @@
         "server",
         "stream",
         "protocol",
+        "holding",
         "sender",
         "idle_scope",
         "head_scope",
+        "body_scope",
         "body_left_s",
+        "is_cut",
         "caller_gone",
         "method",
         "head",
@@ -68,10 +78,14 @@
         self.server = server
         self.stream = stream
         self.protocol = framing.RequestReader()
+        memory = server.memory if server is not None else None
+        self.holding = requestmemory.Holding(memory, self._give_up)
         self.sender = None
         self.idle_scope = None
         self.head_scope = None
+        self.body_scope = None
         self.body_left_s = BODY_TIMEOUT_S
+        self.is_cut = False
         self.caller_gone = False
         self.method = b""
         self.head = None
@@ -93,6 +107,17 @@
                 self.stream.reset_on_close()
             self.stream.close()
             self.sender.drop()
+            self.holding.release()
+
+    def _give_up(self):
+        """Stop reading a request, as others need the memory."""
+        self.is_cut = True
+        if self.head_scope is not None:
+            self.protocol = framing.RequestReader()
+            self.head_scope.cancel()
+        if self.body_scope is not None:
+            self.protocol.unread.clear()
+            self.body_scope.cancel()
 
     def close_if_idle(self):
         """Close the connection if it waits for a request, or soon for its head."""
@@ -111,16 +136,23 @@
             return False
         if request is None:
             return False
-        self.method = request.method
-        self.body_left_s = BODY_TIMEOUT_S
-        await self.server.application(_scope(request), self.receive, self.send)
+        self._begin(request)
+        scope = _scope(request)
+        scope["extensions"] = {requestmemory.EXTENSION: self.holding}
+        await self.server.application(scope, self.receive, self.send)
         if self.protocol.our_state not in (h11.DONE, h11.MUST_CLOSE):
             raise h11.LocalProtocolError("the application sent no whole reply")
+        self.holding.release()
         if not await self._read_rest() or self.caller_gone:
             return False
         self.protocol.start_next_cycle()
         return True
 
+    def _begin(self, request):
+        self.method = request.method
+        self.body_left_s = BODY_TIMEOUT_S
+        self.holding.grow(requestmemory.HEADER_BYTES * len(request.headers))
+
     async def _next_request(self):
         """Return the next request's head, or None if the connection ended or idled."""
         event = self.protocol.next_event()
@@ -135,9 +167,12 @@
     async def _read_rest_of_head(self):
         event = h11.NEED_DATA
         limit_s = CLOSING_HEAD_TIMEOUT_S if self.server.closing else HEAD_TIMEOUT_S
+        self.holding.grow(self.protocol.n_unread())
         with trio.move_on_after(limit_s) as self.head_scope:
-            while event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.stream.receive())
+            while event is h11.NEED_DATA and self.holding.refusal is None:
+                data = await self.stream.receive()
+                self.holding.grow(len(data))
+                self.protocol.receive_data(data)
                 event = self.protocol.next_event()
         self.head_scope = None
         return event
@@ -166,7 +201,7 @@
             return {"type": "http.disconnect"}
         try:
             event = await self._next_body_event()
-        except (OSError, h11.RemoteProtocolError) as error:
+        except (OSError, trio.ClosedResourceError, h11.RemoteProtocolError) as error:
             log_failure(logging.DEBUG, error)
             self.caller_gone = True
             return {"type": "http.disconnect"}
@@ -180,6 +215,8 @@
         Raises
         ------
         errors.BodyTooSlow
+        requestmemory.NoMemory
+            The request was given up for others.
         """
         protocol = self.protocol
         if protocol.they_are_waiting_for_100_continue:
@@ -196,8 +233,10 @@
         """Wait for further bytes of the body; see ``_next_body_event``."""
         started_s = trio.current_time()
         data = None
-        with trio.move_on_after(self.body_left_s):
+        with trio.move_on_after(self.body_left_s) as self.body_scope:
             data = await self.stream.receive()
+        self.body_scope = None
+        self.holding.check()
         if data is None:
             detail = "The request body did not arrive within the body timeout."
             raise errors.BodyTooSlow(detail)
@@ -207,13 +246,16 @@
     async def _wait_until_gone(self):
         """Return once the caller has closed its end."""
         while not self.caller_gone:
-            if self.protocol.n_unread() > MAX_PIPELINED_BYTES:
+            n_behind = self.protocol.n_unread()
+            has_room = self.server.memory.has_room(PIPELINED_READ_BYTES)
+            if n_behind > MAX_PIPELINED_BYTES or (n_behind and not has_room):
                 await trio.sleep_forever()
             try:
-                data = await self.stream.receive()
+                data = await self.stream.receive(PIPELINED_READ_BYTES)
             except OSError:
                 data = b""
             if data:
+                self.holding.grow(len(data))
                 self.protocol.receive_data(data)
             else:
                 self.caller_gone = True
@@ -262,7 +304,7 @@
     async def _read_rest(self):
         """Read what is left of the request; return whether the connection is kept."""
         protocol = self.protocol
-        if protocol.their_state is h11.SEND_BODY:
+        if protocol.their_state is h11.SEND_BODY and not self.is_cut:
             with trio.move_on_after(LINGER_S):
                 await self._read_rest_of_body()
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -11,7 +11,13 @@
 import h11
 import trio
 
-from teaselwall import acceptors, httpconnections, sockets, unreadreplies
+from teaselwall import (
+    acceptors,
+    httpconnections,
+    requestmemory,
+    sockets,
+    unreadreplies,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -29,6 +35,8 @@
         Time after which an idle connection is closed, also before its first request.
     unread : unreadreplies.UnreadReplies, optional
         Bounds what is kept for callers who read slowly; by default nothing is kept.
+    memory : requestmemory.RequestMemory, optional
+        Bounds what is held of requests; without a limit by default.
 
     Attributes
     ----------
@@ -45,16 +53,18 @@
         "address",
         "idle_s",
         "unread",
+        "memory",
         "connections",
         "closing",
         "nursery",
     )
 
-    def __init__(self, application, address, idle_s, unread=None):
+    def __init__(self, application, address, idle_s, unread=None, memory=None):
         self.application = application
         self.address = address
         self.idle_s = idle_s
         self.unread = unread or unreadreplies.UnreadReplies(lambda: 0)
+        self.memory = memory or requestmemory.unlimited()
         self.connections = set()
         self.closing = False
         self.nursery = None
--- a/teaselwall/responses.py
+++ b/teaselwall/responses.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from teaselwall import errors
+from teaselwall import errors, requestmemory
 from teaselwall.generated import messages
 
 JSON = b"application/json"
@@ -44,20 +44,22 @@
         The body is over ``max_bytes``, or is announced to be.
     errors.InvalidRequest
         The caller disconnected.
+    requestmemory.NoMemory
     """
     too_large = errors.BodyTooLarge(f"The body is over {max_bytes} bytes.")
     if announced_bytes(scope) > max_bytes:
         raise too_large
-    body = bytearray()
+    holding = requestmemory.holding_of(scope)
+    holding.check()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise errors.InvalidRequest("The caller disconnected.")
-        body += message.get("body", b"")
-        if len(body) > max_bytes:
+        holding.add(message.get("body", b""))
+        if len(holding.body) > max_bytes:
             raise too_large
         if not message.get("more_body"):
-            return bytes(body)
+            return holding.take()
 
 
 def announced_bytes(scope):
--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -50,9 +50,13 @@
         self.n_turn_bytes = 0
         await trio.lowlevel.checkpoint()
 
-    async def receive(self):
+    async def receive(self, max_bytes=RECEIVE_BYTES):
         """Return the next bytes, or no bytes once the other end has closed.
 
+        Parameters
+        ----------
+        max_bytes : int, optional
+
         Raises
         ------
         OSError
@@ -61,15 +65,15 @@
         if self.n_turn_bytes >= BYTES_PER_TURN:
             await self.end_turn()
         while True:
-            data = self.receive_now()
+            data = self.receive_now(max_bytes)
             if data is not None:
                 return data
             await trio.lowlevel.wait_readable(self.sock)
 
-    def receive_now(self):
+    def receive_now(self, max_bytes=RECEIVE_BYTES):
         """Return bytes that have arrived, or None if there are none yet."""
         try:
-            data = self.sock.recv(RECEIVE_BYTES)
+            data = self.sock.recv(max_bytes)
         except (BlockingIOError, InterruptedError):
             self.n_turn_bytes = 0
             return None
--- a/teaselwall/tests/crowding.py
+++ b/teaselwall/tests/crowding.py
@@ -11,8 +11,8 @@
 MACHINE_MB = 100
 N_DESCRIPTORS = 4100
 LIMITS = {
-    "platform": {},
-    "own": {},
+    "platform": {"max_request_bytes": 10_000_000},
+    "own": {"max_request_bytes": 10_000_000},
 }
 HOSTS = {"platform": crowd_hosts.PlatformHost, "own": crowd_hosts.OwnHost}
 # A machine with few descriptors, of which the host needs some for its own calls.
--- a/teaselwall/tests/test_stops.py
+++ b/teaselwall/tests/test_stops.py
@@ -8,7 +8,15 @@
 import pytest
 import trio
 
-from teaselwall import clock, daemon, earlysignals, entrydaemon, stops
+from teaselwall import (
+    clock,
+    daemon,
+    earlysignals,
+    entrydaemon,
+    requestmemory,
+    stops,
+)
+from teaselwall.generated import settings
 from teaselwall.tests import test_http
 
 HEAD = b"POST /echo HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n"
@@ -70,12 +78,15 @@
             ),
             stop=types.SimpleNamespace(limit_ms=LIMIT_MS),
             access=types.SimpleNamespace(peer_key="p"),
+            limits=settings.LimitSettings(),
         )
         self.platform = types.SimpleNamespace(
             directory_path="/d", readiness_path="/r", encode_address_answer=None
         )
         self.control = test_http.application
+        self.clock = clock.Clock()
         self.metrics = None
+        self.request_memory = requestmemory.of(self.settings, self.metrics)
         self.stop = stops.Stop(
             clock.Clock(),
             self.settings,
