Keep descriptors for a host's own calls

What callers saw: 500 clients who connect and send nothing, at any port of a host with 300 descriptors, left ordinary callers without an answer for 15 to 30 s.

Without a descriptor a host accepts nobody and can't call its servers either.

Change: each listener has a share of the descriptors (limits.max_descriptors; by default the limit of the process, by the template that of the platform); three eighths are for the host's own calls. At the limit a new connection takes the place of one without a request in progress: silent for a second, else the longest idle, else slow to send.

--- a/teaselwall/daemon.py
+++ b/teaselwall/daemon.py
@@ -84,9 +84,9 @@
         nursery.start_soon(_close_listeners, stop, shutdown, nursery.cancel_scope)
         closing_app = responses.closing(callers_app, stop.requested.is_set)
         memory = requestmemory.of(host.settings, host.metrics)
-        limits = httplimits.HttpLimits(memory)
-        callers = limits.server(closing_app, listen.callers)
-        peers = limits.server(host.control, listen.peers)
+        limits = httplimits.HttpLimits(host.settings.limits, memory)
+        callers = limits.server("callers", closing_app, listen.callers)
+        peers = limits.server("peers", host.control, listen.peers)
         nursery.start_soon(stop.run_listener, callers.run)
         nursery.start_soon(peers.run, shutdown)
 
--- a/teaselwall/entrydaemon.py
+++ b/teaselwall/entrydaemon.py
@@ -173,21 +173,21 @@
     unread = unreadreplies.UnreadReplies(
         lambda: host.settings.limits.max_unread_bytes, host.metrics
     )
-    limits = httplimits.HttpLimits(host.request_memory)
-    callers = limits.server(gateway_application, listen.callers, unread)
+    limits = httplimits.HttpLimits(host.settings.limits, host.request_memory)
+    callers = limits.server("callers", gateway_application, listen.callers, unread)
     applications = {
-        listen.readiness: directory_application,
-        listen.directory: directory_application,
-        listen.metrics: directory_application,
-        listen.peers: handovers.PeerApplication(
+        "readiness": directory_application,
+        "directory": directory_application,
+        "metrics": directory_application,
+        "peers": handovers.PeerApplication(
             host.control, gateway_application, host.settings.access.peer_key
         ),
     }
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(stop.run_listener, callers.run)
-        for address, application in applications.items():
-            server = limits.server(application, address)
+        for name, application in applications.items():
+            server = limits.server(name, application, getattr(listen, name))
             nursery.start_soon(server.run, shutdown)
         await stop.run()
         shutdown.set()
--- a/teaselwall/httpconnections.py
+++ b/teaselwall/httpconnections.py
@@ -109,6 +109,11 @@
             self.sender.drop()
             self.holding.release()
 
+    def drop(self):
+        """Close the connection at once, as another one needs its descriptor."""
+        self.protocol = framing.RequestReader()
+        self.stream.close()
+
     def _give_up(self):
         """Stop reading a request, as others need the memory."""
         self.is_cut = True
@@ -152,6 +157,10 @@
         self.method = request.method
         self.body_left_s = BODY_TIMEOUT_S
         self.holding.grow(requestmemory.HEADER_BYTES * len(request.headers))
+        if self.protocol.their_state is h11.SEND_BODY:
+            self.server.open.set_sending(self)
+        else:
+            self.server.open.set_busy(self)
 
     async def _next_request(self):
         """Return the next request's head, or None if the connection ended or idled."""
@@ -165,6 +174,7 @@
         return event if isinstance(event, h11.Request) else None
 
     async def _read_rest_of_head(self):
+        self.server.open.set_sending(self)
         event = h11.NEED_DATA
         limit_s = CLOSING_HEAD_TIMEOUT_S if self.server.closing else HEAD_TIMEOUT_S
         self.holding.grow(self.protocol.n_unread())
@@ -179,6 +189,7 @@
 
     async def _wait_for_request(self):
         """Receive the first bytes of a request; return whether there are any."""
+        self.server.open.set_idle(self)
         data = None
         if not self.server.closing:
             with trio.move_on_after(self.server.idle_s) as self.idle_scope:
@@ -207,6 +218,7 @@
             return {"type": "http.disconnect"}
         if isinstance(event, h11.Data):
             return {"type": "http.request", "body": event.data, "more_body": True}
+        self.server.open.set_busy(self)
         return {"type": "http.request", "body": b"", "more_body": False}
 
     async def _next_body_event(self):
@@ -305,6 +317,7 @@
         """Read what is left of the request; return whether the connection is kept."""
         protocol = self.protocol
         if protocol.their_state is h11.SEND_BODY and not self.is_cut:
+            self.server.open.set_idle(self)
             with trio.move_on_after(LINGER_S):
                 await self._read_rest_of_body()
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
--- a/teaselwall/httplimits.py
+++ b/teaselwall/httplimits.py
@@ -1,6 +1,6 @@
 """Limits that the HTTP listeners of one process have in common."""
 
-from teaselwall import httpserver
+from teaselwall import httpserver, openconnections
 
 # Idle timeout of connections: four times as long as callers keep one idle.
 CONNECTION_IDLE_S = 60.0
@@ -11,25 +11,36 @@
 
     Parameters
     ----------
+    settings : generated.gateway.LimitSettings or generated.settings.LimitSettings
+        Read again whenever a limit is applied.
     memory : requestmemory.RequestMemory
     """
 
-    __slots__ = ("memory",)
+    __slots__ = ("settings", "memory")
 
-    def __init__(self, memory):
+    def __init__(self, settings, memory):
+        self.settings = settings
         self.memory = memory
 
-    def server(self, application, address, unread=None):
+    def server(self, name, application, address, unread=None):
         """Return an ``httpserver.Server``.
 
         Parameters
         ----------
+        name : str
+            Name of the listener's setting.
         application : callable
             ASGI application.
         address : str
             ``IP:port``.
         unread : unreadreplies.UnreadReplies, optional
         """
+        limits = openconnections.limits(self.settings.max_descriptors)
         return httpserver.Server(
-            application, address, CONNECTION_IDLE_S, unread, self.memory
+            application,
+            address,
+            CONNECTION_IDLE_S,
+            unread,
+            self.memory,
+            limits[name],
         )
--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -14,6 +14,7 @@
 from teaselwall import (
     acceptors,
     httpconnections,
+    openconnections,
     requestmemory,
     sockets,
     unreadreplies,
@@ -37,11 +38,12 @@
         Bounds what is kept for callers who read slowly; by default nothing is kept.
     memory : requestmemory.RequestMemory, optional
         Bounds what is held of requests; without a limit by default.
+    max_connections : int, optional
+        Without a limit by default.
 
     Attributes
     ----------
-    connections : set of httpconnections.Connection
-        Open connections.
+    open : openconnections.OpenConnections
     nursery : trio.Nursery or None
         Runs the connections; None before ``run``.
     closing : bool
@@ -54,21 +56,34 @@
         "idle_s",
         "unread",
         "memory",
-        "connections",
+        "open",
         "closing",
         "nursery",
     )
 
-    def __init__(self, application, address, idle_s, unread=None, memory=None):
+    def __init__(
+        self,
+        application,
+        address,
+        idle_s,
+        unread=None,
+        memory=None,
+        max_connections=None,
+    ):
         self.application = application
         self.address = address
         self.idle_s = idle_s
         self.unread = unread or unreadreplies.UnreadReplies(lambda: 0)
         self.memory = memory or requestmemory.unlimited()
-        self.connections = set()
+        self.open = openconnections.OpenConnections(max_connections)
         self.closing = False
         self.nursery = None
 
+    @property
+    def connections(self):
+        """The open connections, a set of ``httpconnections.Connection``."""
+        return self.open.connections
+
     async def run(self, shutdown):
         """Serve until ``shutdown`` is set and the requests in progress have ended.
 
@@ -79,25 +94,39 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             await acceptors.run(
-                self.address,
-                functools.partial(nursery.start_soon, self._handle),
-                shutdown,
+                self.address, functools.partial(self._start, nursery), shutdown
             )
             self.closing = True
             for connection in self.connections:
                 connection.close_if_idle()
 
-    async def _handle(self, sock):
-        """Serve one connection; an exception ends this connection only."""
-        connection = None
+    def _start(self, nursery, sock):
+        """Serve a connection, or close it if all others have a request in progress."""
         try:
             connection = httpconnections.Connection(self, sockets.Stream(sock))
-            self.connections.add(connection)
+        except OSError as error:
+            # It was reset before it was accepted.
+            httpconnections.log_failure(logging.DEBUG, error)
+            sock.close()
+            return
+        if self.open.open(connection):
+            nursery.start_soon(self._handle, connection)
+        else:
+            sock.close()
+
+    async def _handle(self, connection):
+        """Serve one connection; an exception ends this connection only."""
+        try:
             await connection.run()
-        except (OSError, unreadreplies.CallerStalled, h11.ProtocolError) as error:
+        except (
+            OSError,
+            trio.ClosedResourceError,
+            unreadreplies.CallerStalled,
+            h11.ProtocolError,
+        ) as error:
             httpconnections.log_failure(logging.DEBUG, error)
         except Exception as error:
             httpconnections.log_failure(logging.INFO, error)
         finally:
-            self.connections.discard(connection)
-            sock.close()
+            self.open.close(connection)
+            connection.stream.close()
