Let connections that always have work take turns

What callers saw: 50 connections that sent requests without waiting for replies left ordinary callers without an answer for 30 s, at the callers' port, the directory, the peers' port and the metrics; 300 that sent chunks of one byte did so, too.

Cause: a connection was served as long as its buffer had a request (up to 64 KiB, a thousand requests), and a body was read as long as there were events, without a pause for others. After a refusal, a body was parsed at full speed for another second.

Change: requests that wait behind others, the next request after one that was not taken whole, and bodies that have taken long so far go by turns: one connection, then all other tasks, then the next connection. After a refusal at most 64 KiB of a body are read to keep the connection; then what arrives is discarded at a pace.

Evidence: test_requests_sent_without_a_pause (callers, directory, peers, metrics) and test_chunks_of_one_byte_without_a_pause failed and pass. test_workturns.py: two of its three tests fail without the change.

--- a/teaselwall/httpconnections.py
+++ b/teaselwall/httpconnections.py
@@ -20,9 +20,14 @@
 # After an early reply, the rest of the request is read for this long, as closing with
 # unread bytes would reset the connection before the caller has the reply.
 LINGER_S = 1.0
+# Of these bytes, at the pace of one read in each pause.
+MAX_REST_BYTES = 64 * 1024
+LINGER_PAUSE_S = 0.01
 # Bytes behind a request in progress that are read to notice that the client leaves.
 MAX_PIPELINED_BYTES = 16 * 1024
 PIPELINED_READ_BYTES = 4 * 1024
+# Work of one turn, in units of ``framing.RequestReader.n_work``.
+TURN_WORK = 2048
 
 
 class Connection:
@@ -50,6 +55,10 @@
         Time that the client has left to send the body.
     is_cut : bool
         Whether bytes of the request were dropped, so that no other can follow.
+    was_admitted : bool
+        Whether the application has taken the whole of the request before.
+    n_turn_work : int
+        ``protocol.n_work`` when the present turn began.
     caller_gone : bool
         Whether the caller has closed its end.
     method : bytes
@@ -69,6 +78,8 @@
         "body_scope",
         "body_left_s",
         "is_cut",
+        "was_admitted",
+        "n_turn_work",
         "caller_gone",
         "method",
         "head",
@@ -86,6 +97,8 @@
         self.body_scope = None
         self.body_left_s = BODY_TIMEOUT_S
         self.is_cut = False
+        self.was_admitted = True
+        self.n_turn_work = 0
         self.caller_gone = False
         self.method = b""
         self.head = None
@@ -147,6 +160,7 @@
         await self.server.application(scope, self.receive, self.send)
         if self.protocol.our_state not in (h11.DONE, h11.MUST_CLOSE):
             raise h11.LocalProtocolError("the application sent no whole reply")
+        self.was_admitted = self.holding.is_whole
         self.holding.release()
         if not await self._read_rest() or self.caller_gone:
             return False
@@ -156,6 +170,7 @@
     def _begin(self, request):
         self.method = request.method
         self.body_left_s = BODY_TIMEOUT_S
+        self.n_turn_work = self.protocol.n_work
         self.holding.grow(requestmemory.HEADER_BYTES * len(request.headers))
         if self.protocol.their_state is h11.SEND_BODY:
             self.server.open.set_sending(self)
@@ -164,11 +179,12 @@
 
     async def _next_request(self):
         """Return the next request's head, or None if the connection ended or idled."""
+        is_pipelined = self.protocol.n_unread() > 0
+        if not is_pipelined and not await self._wait_for_request():
+            return None
+        if is_pipelined or not self.was_admitted:
+            await self.server.turns.next()
         event = self.protocol.next_event()
-        if event is h11.NEED_DATA and not self.protocol.n_unread():
-            if not await self._wait_for_request():
-                return None
-            event = self.protocol.next_event()
         if event is h11.NEED_DATA:
             event = await self._read_rest_of_head()
         return event if isinstance(event, h11.Request) else None
@@ -235,6 +251,9 @@
             await self._send_bytes(
                 protocol.send(h11.InformationalResponse(status_code=100, headers=[]))
             )
+        if protocol.n_work - self.n_turn_work > TURN_WORK:
+            await self.server.turns.next()
+            self.n_turn_work = protocol.n_work
         event = protocol.next_event()
         while event is h11.NEED_DATA:
             protocol.receive_data(await self._receive_body())
@@ -322,11 +341,14 @@
                 await self._read_rest_of_body()
         if protocol.our_state is h11.DONE and protocol.their_state is h11.DONE:
             return True
+        if protocol.their_state is h11.SEND_BODY:
+            await self._linger()
         self.stream.end_sending()
         return False
 
     async def _read_rest_of_body(self):
-        while self.protocol.their_state is h11.SEND_BODY:
+        n_bytes = 0
+        while self.protocol.their_state is h11.SEND_BODY and n_bytes < MAX_REST_BYTES:
             try:
                 message = await self.receive()
             except errors.BodyTooSlow as error:
@@ -334,6 +356,14 @@
                 return
             if message["type"] == "http.disconnect":
                 return
+            n_bytes += len(message["body"])
+
+    async def _linger(self):
+        """Discard what still arrives, so that the caller can read the reply first."""
+        self.stream.end_sending()
+        with trio.move_on_after(LINGER_S):
+            while await self.stream.receive():
+                await trio.sleep(LINGER_PAUSE_S)
 
     async def _refuse_unreadable(self, error):
         """Answer bytes that are not a request, if no reply has begun."""
@@ -344,10 +374,7 @@
         head = h11.Response(status_code=error.error_status_hint, headers=headers)
         data = self.protocol.send(head) + self.protocol.send(h11.EndOfMessage())
         await self._send_bytes(data)
-        self.stream.end_sending()
-        with trio.move_on_after(LINGER_S):
-            while await self.stream.receive():
-                pass
+        await self._linger()
 
     def _looks_complete_when_cut(self):
         """Return whether the end of the connection would seem to end a cut reply."""
--- a/teaselwall/httplimits.py
+++ b/teaselwall/httplimits.py
@@ -1,6 +1,6 @@
 """Limits that the HTTP listeners of one process have in common."""
 
-from teaselwall import httpserver, openconnections
+from teaselwall import httpserver, openconnections, workturns
 
 # Idle timeout of connections: four times as long as callers keep one idle.
 CONNECTION_IDLE_S = 60.0
@@ -14,13 +14,18 @@
     settings : generated.gateway.LimitSettings or generated.settings.LimitSettings
         Read again whenever a limit is applied.
     memory : requestmemory.RequestMemory
+
+    Attributes
+    ----------
+    turns : workturns.WorkTurns
     """
 
-    __slots__ = ("settings", "memory")
+    __slots__ = ("settings", "memory", "turns")
 
     def __init__(self, settings, memory):
         self.settings = settings
         self.memory = memory
+        self.turns = workturns.WorkTurns()
 
     def server(self, name, application, address, unread=None):
         """Return an ``httpserver.Server``.
@@ -42,5 +47,6 @@
             CONNECTION_IDLE_S,
             unread,
             self.memory,
+            self.turns,
             limits[name],
         )
--- a/teaselwall/httpserver.py
+++ b/teaselwall/httpserver.py
@@ -18,6 +18,7 @@
     requestmemory,
     sockets,
     unreadreplies,
+    workturns,
 )
 
 logger = logging.getLogger(__name__)
@@ -38,6 +39,8 @@
         Bounds what is kept for callers who read slowly; by default nothing is kept.
     memory : requestmemory.RequestMemory, optional
         Bounds what is held of requests; without a limit by default.
+    turns : workturns.WorkTurns, optional
+        Shared by the listeners of a process.
     max_connections : int, optional
         Without a limit by default.
 
@@ -56,6 +59,7 @@
         "idle_s",
         "unread",
         "memory",
+        "turns",
         "open",
         "closing",
         "nursery",
@@ -68,6 +72,7 @@
         idle_s,
         unread=None,
         memory=None,
+        turns=None,
         max_connections=None,
     ):
         self.application = application
@@ -75,6 +80,7 @@
         self.idle_s = idle_s
         self.unread = unread or unreadreplies.UnreadReplies(lambda: 0)
         self.memory = memory or requestmemory.unlimited()
+        self.turns = turns or workturns.WorkTurns()
         self.open = openconnections.OpenConnections(max_connections)
         self.closing = False
         self.nursery = None
