Leave turns to other tasks while datagrams arrive

What callers saw: two senders of datagrams to the port that hosts use among themselves left ordinary callers without an answer for 30 s.

Cause: DatagramSocket.recvfrom waits for the event loop only when there is no datagram. A flood that arrives faster than it is handled (some 50 us a datagram, with the log line of one that can't be read) never lets the task wait.

Change: after eight datagrams without a wait, other tasks have their turn.

--- a/teaselwall/sockets.py
+++ b/teaselwall/sockets.py
@@ -16,6 +16,8 @@
 RECEIVE_BYTES = 64 * 1024
 # After this many bytes without a wait, a receiver lets other tasks run.
 BYTES_PER_TURN = RECEIVE_BYTES
+# The same for datagrams.
+DATAGRAMS_PER_TURN = 8
 # SO_LINGER with a time of 0: closing the socket resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -159,11 +161,17 @@
     ----------
     host : str
     port : int
+
+    Attributes
+    ----------
+    n_turn : int
+        Datagrams received since the last wait for the event loop.
     """
 
-    __slots__ = ("sock",)
+    __slots__ = ("sock", "n_turn")
 
     def __init__(self, host, port):
+        self.n_turn = 0
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.setblocking(False)
         self.sock.bind((host, port))
@@ -186,11 +194,18 @@
         OSError
             Also for a datagram sent before that found no receiver.
         """
+        if self.n_turn >= DATAGRAMS_PER_TURN:
+            self.n_turn = 0
+            await trio.lowlevel.checkpoint()
         while True:
             try:
-                return self.sock.recvfrom(max_bytes)
+                received = self.sock.recvfrom(max_bytes)
             except BlockingIOError:
+                self.n_turn = 0
                 await trio.lowlevel.wait_readable(self.sock)
+            else:
+                self.n_turn += 1
+                return received
 
     def close(self):
         """Close the socket."""
--- a/teaselwall/tests/test_endless_sockets.py
+++ b/teaselwall/tests/test_endless_sockets.py
@@ -1,6 +1,8 @@
 """Servers and callers that keep a connection's socket full without end."""
 
+import contextlib
 import socket
+import types
 
 import pytest
 import trio
@@ -136,3 +138,18 @@
             while await stream.receive():
                 pass
         assert scope.cancelled_caught
+
+
+async def test_datagrams_without_end_leave_turns_to_others():
+    """Guards against a flood of datagrams that keeps the event loop."""
+    peers = sockets.DatagramSocket("127.0.0.1", 0)
+    with contextlib.closing(peers.sock):
+        peers.sock = types.SimpleNamespace(recvfrom=lambda n_bytes: (b"x", ("h", 1)))
+        n_received = 0
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cancel_soon, scope, 3)
+                while n_received < 1000:
+                    await peers.recvfrom(1)
+                    n_received += 1
+    assert 0 < n_received < 1000
