Count the progress of a stage by what changes

What callers saw: ten clients with a request of 9,999 pieces each, again and again, and an ordinary request of the same host was not answered within 30 s.

Cause: each change of a piece counted the missing results and the work left over all pieces of its stage: three changes a piece, so the time grows with their square.

Change: a piece (stagepieces, a module of its own now) adds to and takes from its stage what it changes. Calls of servers went to stagesender, to keep stagework short.

--- a/teaselwall/rolloutparts.py
+++ b/teaselwall/rolloutparts.py
@@ -105,8 +105,9 @@
         self.rollouts.stage_states = stage_work.states
         servers_of = functools.partial(self._stage_servers, stage_work.servers_of)
         stage_work.servers_of = stage_work.wait_estimates.servers_of = servers_of
-        stage_work.client = rolloutanswers.CountedStageClient(
-            host.clock, stage_work.client, self.rollouts, host.operator_state.pool
+        sender = stage_work.sender
+        sender.client = rolloutanswers.CountedStageClient(
+            host.clock, sender.client, self.rollouts, host.operator_state.pool
         )
 
     def _record_restore(self, on_restore):
--- a/teaselwall/stagecalls.py
+++ b/teaselwall/stagecalls.py
@@ -59,7 +59,7 @@
 
     Parameters
     ----------
-    piece : stagejobs.Piece
+    piece : stagepieces.Piece
     """
     job, inputs = piece.job, piece.stage.inputs()
     return Item(
--- a/teaselwall/stagechoices.py
+++ b/teaselwall/stagechoices.py
@@ -25,7 +25,7 @@
     backlogs : backlogs.Backlogs
     state : stageservers.StageServer
         Server that could take the piece now.
-    piece : stagejobs.Piece
+    piece : stagepieces.Piece
     """
     job = piece.job
     if (
--- a/teaselwall/stagecleanup.py
+++ b/teaselwall/stagecleanup.py
@@ -74,6 +74,12 @@
             self.waiting.setdefault(server, []).append(handle)
             self.wake.set()
 
+    def add_stage(self, stage):
+        """Have the results of all pieces of a stage freed."""
+        for piece in stage.pieces:
+            if piece.handle:
+                self.add(piece.handle, piece.server)
+
     async def run(self):
         """Free results until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -2,6 +2,8 @@
 
 import trio
 
+from teaselwall import stagepieces
+
 # Most attempts at one piece, and most losses of inputs in one job, before the request
 # fails. They allow for the loss of each server of a small pool once.
 MAX_ATTEMPTS = 4
@@ -10,89 +12,6 @@
 FIRST_RANK = (0, 0, 0, 0)
 
 
-class Piece:
-    """One unit of a stage's work; its result stays on the server that ran it.
-
-    Attributes
-    ----------
-    handle : str
-        Handle of the result; empty until there is a result.
-    server : servers.Server or None
-        Server that holds the result.
-    n_attempts : int
-        Calls that included the piece, without those that do not count against
-        ``MAX_ATTEMPTS``: the server had no space, ran nothing or lacked an input.
-    running : set of servers.Server
-        Servers with a call in progress for it.
-    queued : bool
-        Whether it is in the queue of its pool.
-    """
-
-    __slots__ = (
-        "job",
-        "stage",
-        "index",
-        "handle",
-        "server",
-        "n_attempts",
-        "running",
-        "queued",
-    )
-
-    def __init__(self, job, stage, index):
-        self.job = job
-        self.stage = stage
-        self.index = index
-        self.handle = ""
-        self.server = None
-        self.n_attempts = 0
-        self.running = set()
-        self.queued = False
-
-    def begin_attempt(self, server):
-        """Count a call of a server as in progress for the piece."""
-        self.running.add(server)
-        self.n_attempts += 1
-        self.stage.update_progress()
-
-    def end_attempt(self, server):
-        """Count a call of a server as ended."""
-        self.running.discard(server)
-        self.stage.update_progress()
-
-    def store_result(self, handle, server):
-        """Record the result and the server that holds it."""
-        self.handle = handle
-        self.server = server
-        self.stage.update_progress()
-
-    def drop_result(self):
-        """Forget the result, as it is lost or no longer usable."""
-        self.handle = ""
-        self.stage.update_progress()
-
-    @property
-    def slack_ms(self):
-        """Time until its stage has to start for the job to be on time."""
-        return self.stage.slack_ms()
-
-    @property
-    def data_centre(self):
-        """Preferred data centre: that of the inputs, or else of the job's engine."""
-        for stage in self.stage.sources:
-            for piece in stage.pieces:
-                if piece.server is not None:
-                    return piece.server.data_centre
-        return self.job.data_centre
-
-    @property
-    def n_moved_bytes(self):
-        """Bytes sent between data centres if the piece runs in another one."""
-        if self.stage.sources:
-            return sum(s.n_bytes * len(s.pieces) for s in self.stage.sources)
-        return self.stage.n_bytes
-
-
 class Stage:
     """One stage of a job.
 
@@ -100,6 +19,7 @@
     ----------
     n_bytes : int
         Approximate size of the result of each piece.
+    n_pieces : int
     sources : list of Stage
         Stages whose results are its inputs.
     consumers : list of Stage
@@ -125,6 +45,7 @@
         "number",
         "pool",
         "n_bytes",
+        "n_pieces",
         "pieces",
         "sources",
         "consumers",
@@ -142,7 +63,9 @@
         self.number = number
         self.pool = row.pool
         self.n_bytes = row.n_bytes
-        self.pieces = [Piece(job, self, index) for index in range(row.n_pieces)]
+        self.n_pieces = row.n_pieces
+        numbers = range(row.n_pieces)
+        self.pieces = [stagepieces.Piece(job, self, number) for number in numbers]
         self.sources = []
         self.consumers = []
         self.tail_ms = 0.0
@@ -150,15 +73,9 @@
         self.earliest_start_ms = 0.0
         self.started_ms = None
         self.freed = False
-        self.n_missing = len(self.pieces)
+        self.n_missing = self.n_pieces
         self.work_left = float(self.n_missing)
 
-    def update_progress(self):
-        """Count the missing results and the work left after a change of a piece."""
-        missing = [piece for piece in self.pieces if not piece.handle]
-        self.n_missing = len(missing)
-        self.work_left = sum(0.5 if piece.running else 1.0 for piece in missing)
-
     def slack_ms(self):
         """Return the time until the stage has to start for the job to be on time."""
         return self.job.due_ms - self.job.clock.now_ms() - self.tail_ms
@@ -311,20 +228,24 @@
         built = [Stage(self, number, row) for number, row in enumerate(rows)]
         for stage, row in zip(built, rows, strict=True):
             # Stages without pieces are left out of the job.
-            stage.sources = [built[n] for n in row.after if built[n].pieces]
+            stage.sources = [built[n] for n in row.after if built[n].n_pieces]
             for source in stage.sources:
-                if stage.pieces:
+                if stage.n_pieces:
                     source.consumers.append(stage)
         for stage in reversed(built):
             after_ms = max((c.tail_ms for c in stage.consumers), default=0.0)
-            stage.call_ms = expected_ms(stage.pool, len(stage.pieces))
+            stage.call_ms = expected_ms(stage.pool, stage.n_pieces)
             stage.tail_ms = stage.call_ms + after_ms
         for stage in built:
             ends = (
                 source.earliest_start_ms + source.call_ms for source in stage.sources
             )
             stage.earliest_start_ms = max(ends, default=0.0)
-        self.stages = [stage for stage in built if stage.pieces]
+        self.stages = [stage for stage in built if stage.n_pieces]
+
+    def n_pieces(self):
+        """Return the number of pieces of all stages."""
+        return sum(stage.n_pieces for stage in self.stages)
 
     def slack_ms(self):
         """Return the time until ``due_ms`` beyond what its stages still need."""
@@ -377,7 +298,7 @@
 
         Returns
         -------
-        list of tuple of str and Piece
+        list of tuple of str and stagepieces.Piece
             Old handle and piece of each discarded input; empty after more than
             ``MAX_INPUT_LOSSES`` losses in the job.
         """
--- a/teaselwall/stagelogs.py
+++ b/teaselwall/stagelogs.py
@@ -13,7 +13,7 @@
     Parameters
     ----------
     state : stageservers.StageServer
-    batch : list of stagejobs.Piece
+    batch : list of stagepieces.Piece
     result : expression.Result
     elapsed_ms : float
     n_waiting : int
@@ -48,7 +48,7 @@
         request=ended_job.request,
         elapsed_ms=round(clock.now_ms() - ended_job.submitted_ms),
         spare_ms=round(ended_job.due_ms - clock.now_ms()),
-        n_pieces=sum(len(stage.pieces) for stage in ended_job.stages),
+        n_pieces=ended_job.n_pieces(),
         tail_ms=round(max((s.tail_ms for s in ended_job.stages), default=0.0)),
         error=str(ended_job.error) if ended_job.error is not None else "",
     )
--- a/teaselwall/stagequeues.py
+++ b/teaselwall/stagequeues.py
@@ -27,7 +27,7 @@
 
     Attributes
     ----------
-    pieces : list of stagejobs.Piece
+    pieces : list of stagepieces.Piece
         In the order of the last ``sort``, followed by those added since.
     """
 
@@ -73,7 +73,7 @@
 
         Returns
         -------
-        list of stagejobs.Piece
+        list of stagepieces.Piece
         """
         taken = []
         free_bytes = state.free_bytes()
--- a/teaselwall/stageservers.py
+++ b/teaselwall/stageservers.py
@@ -213,7 +213,7 @@
 
         Parameters
         ----------
-        pieces : list of stagejobs.Piece
+        pieces : list of stagepieces.Piece
         error : errors.Error
         """
         is_refusal = error.outcome is errors.Outcome.NOT_RUN
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -17,6 +17,7 @@
     stagejobs,
     stagelogs,
     stagequeues,
+    stagesender,
     stageservers,
     waitestimates,
 )
@@ -33,8 +34,8 @@
 class StageWork:
     """Runs the stages of requests on the servers of stage pools.
 
-    Only one process at a time should send work to a server, so that batches are full
-    and its space is counted once. With two, it refuses some calls; they are retried.
+    Only one process at a time should send work to a server: otherwise batches are not
+    full, and the server refuses some calls for lack of space; they are retried.
 
     Parameters
     ----------
@@ -45,8 +46,8 @@
         ``pool_of(name)`` gives a ``routes.Pool`` or None.
     metrics : metrics.Metrics
     servers_of : callable, optional
-        ``servers_of(pool)`` gives the servers that may get work from this process; by
-        default all of the pool that may get new work.
+        ``servers_of(pool)`` gives the servers that may get work from this process; all
+        that may get new work by default.
     shares_room : callable, optional
         Returns whether jobs wait for room before they begin; by default none does.
 
@@ -58,6 +59,7 @@
         Pieces that can run now, by pool.
     room : room.Room
         Jobs that wait for room at the pools.
+    sender : stagesender.StageSender
     work_changed : trio.Event
         Set when queued pieces may be assigned to servers.
     job_submitted : trio.Event
@@ -68,7 +70,6 @@
         "clock",
         "fleet",
         "servers_of",
-        "client",
         "metrics",
         "jobs",
         "queues",
@@ -77,18 +78,25 @@
         "admission",
         "states",
         "cleanup",
+        "sender",
         "work_changed",
         "job_submitted",
         "nursery",
     )
 
     def __init__(
-        self, clock, fleet, client, pool_of, metrics, servers_of=None, shares_room=None
+        self,
+        clock,
+        fleet,
+        client,
+        pool_of,
+        metrics,
+        servers_of=None,
+        shares_room=None,
     ):
         self.clock = clock
         self.fleet = fleet
         self.servers_of = servers_of or fleet.choices
-        self.client = client
         self.metrics = metrics
         self.jobs = {}
         self.queues = {}
@@ -103,8 +111,9 @@
         self.work_changed = trio.Event()
         self.job_submitted = trio.Event()
         self.cleanup = stagecleanup.StageCleanup(
-            clock, client, self.states, self._on_freed, fleet
+            clock, client, self.states, lambda: self.work_changed.set(), fleet
         )
+        self.sender = stagesender.StageSender(fleet, client)
         self.nursery = None
 
     async def run(self):
@@ -167,9 +176,8 @@
             return
         job.fail(errors.Error("The request's stages were released."))
         for stage in job.stages:
-            for piece in stage.pieces:
-                if piece.handle and not stage.freed:
-                    self.cleanup.add(piece.handle, piece.server)
+            if not stage.freed:
+                self.cleanup.add_stage(stage)
 
     def give_up(self, applies, detail):
         """End jobs, so that their hosts send them to another coordinator.
@@ -185,9 +193,6 @@
             if not job.ended() and applies(job):
                 self._end(job, errors.NotCoordinator(detail))
 
-    def _on_freed(self):
-        self.work_changed.set()
-
     def _begin_jobs(self):
         for job in self.room.begin():
             self._queue_runnable(job)
@@ -304,7 +309,7 @@
         items = [stagecalls.item_of(piece) for piece in batch]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._hedge, state, batch)
-            result = await self._run(state, items)
+            result = await self.sender.send(state, items)
             nursery.cancel_scope.cancel()
         elapsed_ms = self.clock.now_ms() - started_ms
         state.end_call(batch)
@@ -324,18 +329,6 @@
             self._advance(job)
         self.work_changed.set()
 
-    async def _run(self, state, items):
-        server = state.server
-        may_send = await self.fleet.limits.obtain(server, requestlimits.STAGE_URGENCY)
-        if not (may_send and self.fleet.in_service(server)):
-            detail = f"{server.address} takes no more calls for now."
-            return expression.Error(errors.Overloaded(detail))
-        started_ms = self.clock.now_ms()
-        result = await self.client.run(server, items, state.timeout_ms(len(items)))
-        self.fleet.paths.record_call(server, result, started_ms)
-        self.fleet.record_rejection(server, result.swap().default_value(None))
-        return result
-
     async def _hedge(self, state, batch):
         """Queue pieces for a second attempt if their call is slower than expected."""
         await self.clock.sleep_ms(state.hedge_delay_ms(len(batch)))
@@ -387,8 +380,7 @@
         if job.ended():
             return
         for stage in job.take_unneeded():
-            for piece in stage.pieces:
-                self.cleanup.add(piece.handle, piece.server)
+            self.cleanup.add_stage(stage)
         if job.done():
             self.room.work.record_finished(job)
             job.finished.set()
--- a/teaselwall/tests/test_departed_choices.py
+++ b/teaselwall/tests/test_departed_choices.py
@@ -107,7 +107,7 @@
     depart(host, address)
     await trio.sleep(1.5)
     assert caller.status == 200
-    assert address not in {call[0] for call in host.stage_work.client.calls}
+    assert address not in {call[0] for call in host.stage_work.sender.client.calls}
 
 
 async def test_begun_stream_does_not_go_on_at_a_server_that_left_while_it_was_asked(
--- a/teaselwall/tests/test_limitedwork.py
+++ b/teaselwall/tests/test_limitedwork.py
@@ -120,7 +120,7 @@
     work = stage_host.stage_work
     limits = work.wait_estimates.limits_of("enc")
     state = work._states_of("enc", limits)[0]
-    result = await work._run(state, [])
+    result = await work.sender.send(state, [])
     assert result.error.outcome is errors.Outcome.NOT_RUN
     assert work.wait_estimates.n_servers("enc") < 1
     assert not work.fleet.limits.allows(server, requestlimits.STAGE_URGENCY)
@@ -137,5 +137,5 @@
     state.add_result("h1", 100)
     work.cleanup.add("h1", server)
     await trio.sleep(state.batches.result_kept_ms / 1000 + 1.0)
-    assert not work.client.n_frees
+    assert not work.sender.client.n_frees
     assert not state.results
--- a/teaselwall/tests/test_stopping_hosts.py
+++ b/teaselwall/tests/test_stopping_hosts.py
@@ -88,7 +88,7 @@
 
 
 def slow_stages(host):
-    host.stage_work.client.slowdown["10.0.3.1:80"] = 1000.0
+    host.stage_work.sender.client.slowdown["10.0.3.1:80"] = 1000.0
 
 
 def no_engine(host):
@@ -237,7 +237,7 @@
 ):
     """A stream was sent to an engine moments before its host ended."""
     stopping.record_answers("/staged/1", 2.0)
-    stopping.host.stage_work.client.slowdown["10.0.3.1:80"] = 100.0
+    stopping.host.stage_work.sender.client.slowdown["10.0.3.1:80"] = 100.0
     nursery.start_soon(stopping.run)
     caller = await stopping.send("/staged/1", Pieces="2", Piece_Key="k")
     assert caller.status == 503
