Make the pieces of a request once it is admitted

What callers saw: 150 short requests with 9,999 pieces each took their host to 126 MB, though all but a few of them were refused.

Cause: a job's pieces were made, each with a set of its own, before it was known whether the job is admitted; refused jobs refer to their pieces and back, so their memory stayed until the garbage collector found them. The pieces of admitted jobs were not bounded at all.

Change: stageadmission decides on the numbers of pieces; they are made for an admitted job and count toward limits.max_request_bytes until the job is released. Beyond it a job is refused as not run, with a time to come back.

--- a/teaselwall/entry.py
+++ b/teaselwall/entry.py
@@ -72,7 +72,7 @@
     Attributes
     ----------
     request_memory : requestmemory.RequestMemory
-        What this host holds of requests.
+        What this host holds of requests and their pieces.
     control : control.Control
         ASGI application for peers and operators.
     shared_reads : sharedreads.SharedReads
@@ -255,6 +255,7 @@
             self.metrics,
             lambda pool: self.data_centre_groups.servers(pool, home),
             shared_machines.found,
+            self.request_memory,
         )
         self.coordination = coordination.Coordination(
             self.clock,
--- a/teaselwall/stageadmission.py
+++ b/teaselwall/stageadmission.py
@@ -13,25 +13,44 @@
 # TAIL_FACTOR times its stages' time exceeds its time left: on-time jobs overtake it.
 WAIT_FACTOR = 2.0
 TAIL_FACTOR = 1.5
+# Memory of a piece of a job, with the handle of its result.
+PIECE_BYTES = 300
 
 
 class StageAdmission:
-    """Refuses jobs that can't finish, or not in time.
+    """Refuses jobs that can't finish, or not in time, or for which memory lacks.
 
     Parameters
     ----------
     wait_estimates : waitestimates.WaitEstimates
     fleet : fleet.Fleet
+    memory : requestmemory.RequestMemory
     """
 
-    __slots__ = ("wait_estimates", "fleet")
+    __slots__ = ("wait_estimates", "fleet", "memory")
 
-    def __init__(self, wait_estimates, fleet):
+    def __init__(self, wait_estimates, fleet, memory):
         self.wait_estimates = wait_estimates
         self.fleet = fleet
+        self.memory = memory
+
+    def admit(self, job):
+        """Create the pieces of a job that is not refused."""
+        job.create_pieces()
+        self.memory.n_bytes += PIECE_BYTES * job.n_pieces()
+
+    def forget(self, job):
+        """Take that the pieces of a job are not needed any more."""
+        self.memory.n_bytes -= PIECE_BYTES * job.n_pieces()
 
     def refusal(self, job):
-        """Return the error for a new job that can't finish in time, or None."""
+        """Return the error for a new job that can't finish in time, or None.
+
+        Also for one whose pieces there is no memory for.
+        """
+        if not self.memory.has_room(PIECE_BYTES * job.n_pieces()):
+            detail = "This coordinator has no memory left for the request's pieces."
+            return _overloaded(detail, NO_POOL_RETRY_AFTER_MS)
         wait_ms = 0.0
         for stage in job.stages:
             if self.wait_estimates.limits_of(stage.pool) is None:
--- a/teaselwall/stagejobs.py
+++ b/teaselwall/stagejobs.py
@@ -20,6 +20,8 @@
     n_bytes : int
         Approximate size of the result of each piece.
     n_pieces : int
+    pieces : list of stagepieces.Piece
+        Empty until ``Job.create_pieces``.
     sources : list of Stage
         Stages whose results are its inputs.
     consumers : list of Stage
@@ -64,8 +66,7 @@
         self.pool = row.pool
         self.n_bytes = row.n_bytes
         self.n_pieces = row.n_pieces
-        numbers = range(row.n_pieces)
-        self.pieces = [stagepieces.Piece(job, self, number) for number in numbers]
+        self.pieces = []
         self.sources = []
         self.consumers = []
         self.tail_ms = 0.0
@@ -243,6 +244,14 @@
             stage.earliest_start_ms = max(ends, default=0.0)
         self.stages = [stage for stage in built if stage.n_pieces]
 
+    def create_pieces(self):
+        """Create the pieces of all stages, once the job has been admitted."""
+        for stage in self.stages:
+            numbers = range(stage.n_pieces)
+            stage.pieces = [
+                stagepieces.Piece(self, stage, number) for number in numbers
+            ]
+
     def n_pieces(self):
         """Return the number of pieces of all stages."""
         return sum(stage.n_pieces for stage in self.stages)
--- a/teaselwall/stagework.py
+++ b/teaselwall/stagework.py
@@ -9,6 +9,7 @@
     backlogs,
     errors,
     requestlimits,
+    requestmemory,
     room,
     stageadmission,
     stagecalls,
@@ -50,6 +51,8 @@
         that may get new work by default.
     shares_room : callable, optional
         Returns whether jobs wait for room before they begin; by default none does.
+    memory : requestmemory.RequestMemory, optional
+        Bounds the memory of pieces; without a limit by default.
 
     Attributes
     ----------
@@ -93,6 +96,7 @@
         metrics,
         servers_of=None,
         shares_room=None,
+        memory=None,
     ):
         self.clock = clock
         self.fleet = fleet
@@ -103,7 +107,9 @@
         self.wait_estimates = waitestimates.WaitEstimates(
             self.queues, pool_of, self.servers_of, fleet
         )
-        self.admission = stageadmission.StageAdmission(self.wait_estimates, fleet)
+        self.admission = stageadmission.StageAdmission(
+            self.wait_estimates, fleet, memory or requestmemory.unlimited()
+        )
         self.room = room.Room(
             clock, self.jobs, self.wait_estimates, metrics, shares_room or room.never
         )
@@ -152,6 +158,7 @@
             refused = self.admission.refusal(job) or self.room.refusal(job)
             if refused is not None:
                 return expression.Error(refused)
+            self.admission.admit(job)
             self.jobs[job.request, job.run] = job
             self.job_submitted.set()
             if self.room.add(job):
@@ -174,6 +181,7 @@
         """End a request's job, forget it and free its results."""
         if (job := self.jobs.pop((request, run), None)) is None:
             return
+        self.admission.forget(job)
         job.fail(errors.Error("The request's stages were released."))
         for stage in job.stages:
             if not stage.freed:
--- a/teaselwall/tests/test_stagepieces.py
+++ b/teaselwall/tests/test_stagepieces.py
@@ -23,6 +23,7 @@
         stages=[row],
     )
     job = stagejobs.Job(clock.Clock(), message, lambda pool, n_pieces: 100.0)
+    job.create_pieces()
     return job.stages[0]
 
 
--- a/teaselwall/tools/bench_stages.py
+++ b/teaselwall/tools/bench_stages.py
@@ -373,6 +373,7 @@
             job = stagejobs.Job(
                 bench_run.clock, message, bench_run.work.wait_estimates.expected_ms
             )
+            job.create_pieces()
             bench_run.work.jobs[job.request, 0] = job
             bench_run.work._queue_runnable(job)
         bench_run.work.nursery = IdleNursery()
