Refuse pieces with too many inputs

What callers saw: one short request with 2,000 pieces in each of two stages took its coordinator to 123 MB.

Cause: each piece of the second stage names all 2,000 results of the first one: a call of 500 pieces has a million handles, some 40 MB of JSON.

Change: requestmatches counts the inputs of a request's pieces before its body is read and refuses over 100,000 of them (400). The sheets of the deployments have some hundreds.

--- a/teaselwall/calls.py
+++ b/teaselwall/calls.py
@@ -192,10 +192,18 @@
 
 
 def piece_counts(call):
-    """Return the number of pieces for each stage of a call's route.
+    """Return the number of pieces for each stage of a call's route."""
+    return counts_by_stage(call.route, call.head.n_pieces)
 
-    Stages that the request gives no number for have none.
+
+def counts_by_stage(route, given):
+    """Return the number of pieces for each stage of a route.
+
+    Parameters
+    ----------
+    route : routes.Route
+    given : tuple of int
+        The numbers in a request; stages that it gives no number for have none.
     """
-    given = call.head.n_pieces
-    n_missing = len(call.route.stages) - len(given)
-    return (given + (0,) * max(0, n_missing))[: len(call.route.stages)]
+    n_missing = len(route.stages) - len(given)
+    return (given + (0,) * max(0, n_missing))[: len(route.stages)]
--- a/teaselwall/requestmatches.py
+++ b/teaselwall/requestmatches.py
@@ -8,6 +8,8 @@
 # A configuration this old may lack a route or key that a request names. Covers two
 # reads that the store holds open and their network time.
 STALE_CONFIGURATION_MS = 3200.0
+# Inputs of all pieces of one request, each some 40 bytes of a call.
+MAX_INPUTS = 100_000
 
 
 class UnknownKey(errors.Error):
@@ -86,6 +88,8 @@
         errors.Unavailable
             The configuration is missing here, or it or the keys may be out of date.
         UnknownKey
+        errors.InvalidRequest
+            See ``check_inputs``.
         """
         entry = self.entry
         if not entry.has_orders():
@@ -100,6 +104,7 @@
         organisation = None
         if table.requires_keys and not route.public:
             organisation = self._authenticate(table, head, is_stale)
+        check_inputs(route, head.n_pieces)
         return route, organisation
 
     def _authenticate(self, table, head, is_stale):
@@ -125,6 +130,34 @@
         return organisation
 
 
+def check_inputs(route, n_pieces):
+    """Check that the pieces of a request do not have too many inputs.
+
+    Each piece of a stage is sent with the results of all pieces that it is made from.
+
+    Parameters
+    ----------
+    route : routes.Route
+    n_pieces : tuple of int
+        Of each stage; missing ones have none.
+
+    Raises
+    ------
+    errors.InvalidRequest
+        They have more than ``MAX_INPUTS`` together.
+    """
+    counts = calls.counts_by_stage(route, n_pieces)
+    if not any(counts):
+        return
+    n_inputs = sum(
+        count * sum(counts[number] for number in stage.after)
+        for stage, count in zip(route.stages, counts, strict=True)
+    )
+    if n_inputs > MAX_INPUTS:
+        detail = f"The pieces have {n_inputs} inputs, over {MAX_INPUTS}."
+        raise errors.InvalidRequest(detail, remedy="Send fewer pieces.")
+
+
 def allowed_ms(head, route):
     """Return the time that a request may take under its route and its caller."""
     if head.caller_timeout_ms is None:
