Keep long names that callers choose as hashes

What callers saw: 6,000 requests whose prompt parts have names of 15,000 characters took their host over 100 MB, and the memory stayed.

Cause: a host remembers 4,000 prompt parts for each engine by the names that callers gave them, up to 16 KB each: with 70 engines 4 GB. Likewise, a coordinator remembers 4,096 refused callers by what their stages are computed from.

Change: the platform's adapter shortens the name of a prompt part to a hash where it is longer than 64 characters, as the evidence of crashes did already; so hosts of the version before name the same suspects. What is sent to servers stays as it came. Returners keeps a hash of the key.

Evidence: test_prompt_parts_with_long_names failed and passes; test_long_names_of_prompt_parts_are_shortened and test_a_long_key_is_not_kept fail without the change. That the second cause can be brought about by callers is read, not shown on a process: 4,096 keys of 15 KB are 61 MB, within the machine of the tests.

--- a/teaselwall/crashevidence.py
+++ b/teaselwall/crashevidence.py
@@ -318,9 +318,14 @@
 
 def part_suspect(pool, part):
     """Return the suspect for a part of a prompt, given its id."""
-    if len(part) > MAX_PART_CHARACTERS:
-        part = xxhash.xxh3_64_hexdigest(part.encode())
-    return f"{pool}/{PART}/{part}"
+    return f"{pool}/{PART}/{short(part)}"
+
+
+def short(part):
+    """Return the id of a prompt part, or a hash of it if it is long."""
+    if len(part) <= MAX_PART_CHARACTERS:
+        return part
+    return xxhash.xxh3_64_hexdigest(part.encode())
 
 
 def is_content(suspect):
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -2,7 +2,7 @@
 
 import math
 
-from teaselwall import errors, protocols
+from teaselwall import crashevidence, errors, protocols
 from teaselwall.platform import names
 
 BEARER_PREFIX = "bearer "
@@ -159,7 +159,7 @@
         part, _, tokens = entry.strip().partition(":")
         if not names.is_count(tokens):
             return ()
-        parts.append(protocols.PromptPart(part, int(tokens)))
+        parts.append(protocols.PromptPart(crashevidence.short(part), int(tokens)))
     return tuple(parts)
 
 
--- a/teaselwall/returners.py
+++ b/teaselwall/returners.py
@@ -2,6 +2,8 @@
 
 import collections
 
+import xxhash
+
 # Callers honour a time of up to a third of what they have left.
 LEFT_SHARE = 1 / 3
 MAX_RETURN_MS = 2000.0
@@ -45,8 +47,8 @@
 
     Attributes
     ----------
-    known : collections.OrderedDict of (str, str) to Return
-        By organisation and key of the job, the oldest first.
+    known : collections.OrderedDict of (str, int) to Return
+        By organisation and hash of the key of the job, the oldest first.
     last_told_ms : dict of tuple of (tuple of int, frozenset) to float
         Latest time told, by urgency and pools.
     n_spread : int
@@ -116,4 +118,5 @@
 
 
 def _key(job):
-    return job.organisation, job.key
+    # Callers choose the key, of any length.
+    return job.organisation, xxhash.xxh3_64_intdigest(job.key.encode())
--- a/teaselwall/tests/test_platform_heads.py
+++ b/teaselwall/tests/test_platform_heads.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from teaselwall import errors, protocols
+from teaselwall import crashevidence, errors, protocols
 from teaselwall.platform import heads, names
 
 
@@ -89,6 +89,19 @@
     assert head.stage_key == "pk"
 
 
+def test_long_names_of_prompt_parts_are_shortened():
+    """Guards against names that are kept for each engine, as long as callers like."""
+    long_name = "5c1e" * 1000
+    head = read(**{"Prompt-Prefix": f"{long_name}:800,91bd:410,{long_name}:1"})
+    names = [part.id for part in head.prompt_parts]
+    assert max(map(len, names)) <= crashevidence.MAX_PART_CHARACTERS
+    assert names[0] == names[2] != names[1]
+    # Hosts of the version before name the same suspect.
+    suspect = crashevidence.part_suspect("llm", names[0])
+    assert suspect == crashevidence.part_suspect("llm", long_name)
+    assert dict(sent(head))[b"prompt-prefix"].startswith(long_name.encode())
+
+
 def test_attempt_that_a_request_resumes_is_decoded_and_passed_on():
     """Streams that callers resumed went to servers of any version."""
     head = read(**{"Resumes": "r0", "Last-Event-Id": "3"})
--- a/teaselwall/tests/test_returners.py
+++ b/teaselwall/tests/test_returners.py
@@ -46,6 +46,17 @@
     assert (other.returned, other.due_ms) == (False, clock.now_ms() + 2000.0)
 
 
+def test_a_long_key_is_not_kept(clock, known):
+    """Guards against keys that callers choose and a coordinator remembers."""
+    key = "k" * 10_000
+    known.refuse(job(clock, key), TOLD_MS, 0.0)
+    clock.at_ms += TOLD_MS
+    back = job(clock, key)
+    assert key not in str(list(known.known))
+    known.recognise(back)
+    assert back.returned
+
+
 def test_a_caller_that_comes_back_too_early_is_a_newcomer(clock, known):
     known.refuse(job(clock), TOLD_MS, 0.0)
     clock.at_ms += TOLD_MS / 2
