Look at a bounded number of a prompt's parts

What callers saw: 200 clients whose prompts have some 2,300 parts in a header of 15 KB, again and again, left an ordinary request without an answer for 30 s; each such request took 180 to 370 ms instead of 4.

Cause: for the session's home the choice of an engine looked each part up in the list of all others, and all parts were looked at for each engine.

Change: whether a part is shared follows from its place; a prompt of over 256 parts is read with those before its last two joined. Nothing is refused, and what is sent to servers stays as it came.

--- a/teaselwall/enginechoices.py
+++ b/teaselwall/enginechoices.py
@@ -132,9 +132,9 @@
     def _n_uncached_tokens(self, engine, parts, is_home):
         """Return how many prompt tokens the engine probably has not cached."""
         cached = self.sent_parts.get(engine.incarnation, {})
-        shared = parts[:-1]
+        n_shared = len(parts) - 1
         for index, part in enumerate(parts):
-            if part.id not in cached and not (is_home and part in shared):
+            if part.id not in cached and not (is_home and index < n_shared):
                 return sum(rest.n_tokens for rest in parts[index:])
         return 0
 
--- a/teaselwall/platform/heads.py
+++ b/teaselwall/platform/heads.py
@@ -11,6 +11,8 @@
 BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE")
 # Pieces of all stages of one request; each takes memory at the coordinator.
 MAX_PIECES = 10_000
+# Parts of one prompt that the choice of an engine looks at.
+MAX_PROMPT_PARTS = 256
 
 
 class UsersProtocol(protocols.Protocol):
@@ -160,7 +162,15 @@
         if not names.is_count(tokens):
             return ()
         parts.append(protocols.PromptPart(crashevidence.short(part), int(tokens)))
-    return tuple(parts)
+    return _joined(parts) if len(parts) > MAX_PROMPT_PARTS else tuple(parts)
+
+
+def _joined(parts):
+    """Return a long prompt with fewer parts: those before its last two are joined."""
+    first, last = parts[: MAX_PROMPT_PARTS - 3], parts[-2:]
+    between = parts[MAX_PROMPT_PARTS - 3 : -2]
+    n_tokens = sum(part.n_tokens for part in between)
+    return (*first, protocols.PromptPart(between[-1].id, n_tokens), *last)
 
 
 def _piece_counts(text):
--- a/teaselwall/tests/test_platform_heads.py
+++ b/teaselwall/tests/test_platform_heads.py
@@ -102,6 +102,18 @@
     assert dict(sent(head))[b"prompt-prefix"].startswith(long_name.encode())
 
 
+def test_a_prompt_of_many_parts_is_read_with_fewer():
+    """Guards against a choice of engine that looks at thousands of parts."""
+    n_parts = 3 * heads.MAX_PROMPT_PARTS
+    prefix = ",".join(f"{number:x}:{number}" for number in range(n_parts))
+    parts = read(**{"Prompt-Prefix": prefix}).prompt_parts
+    assert len(parts) == heads.MAX_PROMPT_PARTS
+    assert sum(part.n_tokens for part in parts) == sum(range(n_parts))
+    # The session is named by the last two.
+    assert [part.id for part in parts[-2:]] == [f"{n_parts - 2:x}", f"{n_parts - 1:x}"]
+    assert parts[0] == protocols.PromptPart("0", 0)
+
+
 def test_attempt_that_a_request_resumes_is_decoded_and_passed_on():
     """Streams that callers resumed went to servers of any version."""
     head = read(**{"Resumes": "r0", "Last-Event-Id": "3"})
