Make the page of metrics at most every half second

Cause: the text was made anew for each request, some milliseconds for some hundred series.

Change: metricspages.MetricsPage keeps it for half a second, on both interfaces.

Evidence: test_the_page_is_made_at_most_every_half_second; with turns shared, test_requests_one_after_the_other passes with and without this change, so that part of the effect is a suspicion.

--- a/teaselwall/application.py
+++ b/teaselwall/application.py
@@ -16,6 +16,7 @@
     clock,
     errors,
     events,
+    metricspages,
     openrequests,
     outcomes,
     requestmemory,
@@ -69,6 +70,7 @@
         "n_ids",
         "open_requests",
         "turns",
+        "metrics_page",
     )
 
     def __init__(self, host):
@@ -78,6 +80,7 @@
         self.n_ids = 0
         self.open_requests = openrequests.OpenRequests(host.clock)
         self.turns = workturns.WorkTurns()
+        self.metrics_page = metricspages.MetricsPage(host.clock, host.metrics)
 
     async def __call__(self, scope, receive, send):
         """Handle one ASGI connection; every exception becomes a problem reply."""
@@ -113,7 +116,7 @@
             ready = self.host.ready()
             await responses.send_json(send, {"ready": ready}, 200 if ready else 503)
         else:
-            text = self.host.metrics.text()
+            text = self.metrics_page.text()
             await responses.send(send, 200, text, responses.TEXT)
 
     def _addresses(self):
--- a/teaselwall/directories.py
+++ b/teaselwall/directories.py
@@ -1,6 +1,6 @@
 """Serves the directory of entry hosts, the readiness check and the metrics."""
 
-from teaselwall import members, responses
+from teaselwall import members, metricspages, responses
 
 # Callers use at most this many addresses of one answer.
 MAX_ADDRESSES = 64
@@ -20,13 +20,20 @@
         may keep for ``kept_s`` seconds.
     """
 
-    __slots__ = ("entry", "directory_path", "readiness_path", "encode")
+    __slots__ = (
+        "entry",
+        "directory_path",
+        "readiness_path",
+        "encode",
+        "metrics_page",
+    )
 
     def __init__(self, entry, directory_path, readiness_path, encode):
         self.entry = entry
         self.directory_path = directory_path
         self.readiness_path = readiness_path
         self.encode = encode
+        self.metrics_page = metricspages.MetricsPage(entry.clock, entry.metrics)
 
     async def __call__(self, scope, receive, send):
         """Handle one ASGI connection scope."""
@@ -39,7 +46,7 @@
             status = 200 if ready else 503
             await responses.send_json(send, {"ready": ready}, status)
         elif scope["path"] == METRICS_PATH:
-            text = self.entry.metrics.text()
+            text = self.metrics_page.text()
             await responses.send(send, 200, text, responses.TEXT)
         else:
             await responses.send_json(send, {"error": "not found"}, 404)
