Send a large body without a copy of it

What callers saw: nothing by itself. Of each body that its host was sending, the host held a second copy until the server had read all of it, beside the one that counts.

Cause: the head and the body of a call were joined before they were sent.

Change: a body over 16 KiB is sent after its head as it is.

Evidence: test_a_large_body_is_sent_without_a_copy fails without the change.

--- a/teaselwall/httpclient.py
+++ b/teaselwall/httpclient.py
@@ -15,6 +15,8 @@
 KEEP_IDLE_S = 5.0
 MAX_IDLE_PER_ADDRESS = 4
 MAX_IDLE_ADDRESSES = 1000
+# A longer body is sent without a copy that joins it to its head.
+MAX_JOINED_BYTES = 16 * 1024
 # Parts of a body that are decoded before other tasks run.
 MAX_PARTS_PER_TURN = 256
 
@@ -195,21 +197,24 @@
     async def _send(self, limit):
         protocol = self.connection.protocol
         try:
-            data = protocol.send(self.request)
+            parts = [protocol.send(self.request)]
             if self.body:
-                data += protocol.send(h11.Data(data=self.body))
-            data += protocol.send(h11.EndOfMessage())
+                parts.append(protocol.send(h11.Data(data=self.body)))
+            parts.append(protocol.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as error:
             raise httpcalls.BadCall(str(error)) from error
+        if len(self.body) <= MAX_JOINED_BYTES:
+            parts = [b"".join(parts)]
         self.progress.sent = True
         stream = self.connection.stream
         try:
-            rest = stream.send_now(data)
-            while rest:
-                await limit.wait(stream.wait_ready, "room for the request")
-                if self._has_early_reply():
-                    return
-                rest = stream.send_now(rest)
+            for part in parts:
+                rest = stream.send_now(part) if part else b""
+                while rest:
+                    await limit.wait(stream.wait_ready, "room for the request")
+                    if self._has_early_reply():
+                        return
+                    rest = stream.send_now(rest)
         except OSError as error:
             # A server may answer and close before it has read the whole request.
             if not self._has_early_reply():
--- a/teaselwall/tests/test_http.py
+++ b/teaselwall/tests/test_http.py
@@ -9,7 +9,7 @@
 import trio.testing
 from hypothesis import strategies as st
 
-from teaselwall import clock, errors, httpcalls, httpclient, httpserver
+from teaselwall import clock, errors, httpcalls, httpclient, httpserver, sockets
 
 REPLY = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 LATE_S = 0.05
@@ -293,3 +293,20 @@
             async for part in response.aiter_stream():
                 parts.append(part)
     assert b"".join(parts) == b"ab"
+
+
+async def test_a_large_body_is_sent_without_a_copy(client, make_back_end, monkeypatch):
+    """A host took twice the memory of each body while a server read it slowly."""
+    sent = []
+    send_now = sockets.Stream.send_now
+
+    def record(stream, data):
+        sent.append(data)
+        return send_now(stream, data)
+
+    monkeypatch.setattr(sockets.Stream, "send_now", record)
+    back_end = await make_back_end(REPLY)
+    body = b"x" * (2 * httpclient.MAX_JOINED_BYTES)
+    result = await client.call_raw(b"POST", back_end.address, b"/x", body, 2000)
+    assert result.ok.body == b"ok"
+    assert any(data is body for data in sent)
