Bound the bytes of log lines that wait for a slow reader

What callers saw: nothing by itself. Ids that callers choose, of up to 16 KB, stand in several lines of each request, so that the 1,000 lines that wait for a slow reader took 16 MB and more, where docs/settings.md says 0.5 MB.

Cause: the buffer was bounded in lines.

Change: it is bounded in bytes, too, by 512 for each line that it may have.

Evidence: test_long_lines_wait_for_a_slow_reader_within_a_limit fails without the change. That a crowd brings it about on a process was not shown: 16 MB fit into the machine of the crowd tests.

--- a/teaselwall/logsinks.py
+++ b/teaselwall/logsinks.py
@@ -11,6 +11,8 @@
 FLUSH_INTERVAL_MS = 20.0
 # Size of one write: the capacity of a pipe.
 MAX_CHUNK_BYTES = 65536
+# Callers choose some of the values in a line, so its length is theirs.
+MAX_MEAN_LINE_BYTES = 512
 
 
 class Sink:
@@ -25,12 +27,15 @@
         The file descriptor; it is set to non-blocking mode.
     max_lines_per_s : int
     max_buffered : int
-        Maximum number of lines in the buffer.
+        Maximum number of lines in the buffer; of their bytes, ``MAX_MEAN_LINE_BYTES``
+        times as many.
 
     Attributes
     ----------
     lines : collections.deque of bytes
         The buffer; its first line may be the rest of a partly written line.
+    n_bytes : int
+        Bytes in the buffer.
     rate_second : int
         Second of the monotonic clock in which lines are being counted.
     n_lines_in_second : int
@@ -48,6 +53,7 @@
         "max_lines_per_s",
         "max_buffered",
         "lines",
+        "n_bytes",
         "rate_second",
         "n_lines_in_second",
         "n_dropped",
@@ -60,6 +66,7 @@
         self.max_lines_per_s = max_lines_per_s
         self.max_buffered = max_buffered
         self.lines = collections.deque()
+        self.n_bytes = 0
         self.rate_second = 0
         self.n_lines_in_second = 0
         self.n_dropped = 0
@@ -95,6 +102,7 @@
             except OSError:
                 # The reading end is closed, and there is no other log to report it in.
                 self.lines.clear()
+                self.n_bytes = 0
                 return
             self._remove_written(n_written)
             if n_written < len(data):
@@ -113,6 +121,7 @@
 
     def _remove_written(self, n_bytes):
         """Remove written bytes from the buffer; the rest of a cut line stays."""
+        self.n_bytes -= n_bytes
         while n_bytes and len(self.lines[0]) <= n_bytes:
             n_bytes -= len(self.lines.popleft())
         if n_bytes:
@@ -137,10 +146,17 @@
         if n_new and len(self.lines) < self.max_buffered:
             self.n_dropped_reported = self.n_dropped
             fields = {"level": "warning", "event": "lines_left_out", "n_lines": n_new}
-            self.lines.append(msgspec.json.encode(fields) + b"\n")
+            self._append(msgspec.json.encode(fields) + b"\n")
 
     def _buffer_line(self, text):
-        if len(self.lines) >= self.max_buffered:
+        line = text.encode()
+        max_bytes = MAX_MEAN_LINE_BYTES * self.max_buffered
+        is_full = len(self.lines) >= self.max_buffered
+        if is_full or self.n_bytes + len(line) > max_bytes:
             self.n_dropped += 1
             return
-        self.lines.append(text.encode())
+        self._append(line)
+
+    def _append(self, line):
+        self.lines.append(line)
+        self.n_bytes += len(line)
--- a/teaselwall/tests/test_logs.py
+++ b/teaselwall/tests/test_logs.py
@@ -80,3 +80,22 @@
     assert lines[:3] == ["0", "1", "2"]
     assert json.loads(lines[3])["n_lines"] == 7
     assert lines[4] == "later"
+
+
+def test_long_lines_wait_for_a_slow_reader_within_a_limit(pipe):
+    """Callers choose ids of up to 16 KB, which several lines of a request contain."""
+    reader, writer = pipe
+    sink = logsinks.Sink(writer, 10**9, 50)
+    max_bytes = 50 * logsinks.MAX_MEAN_LINE_BYTES
+    for _ in range(200):
+        sink.write("x" * 16_000 + "\n")
+        sink.drain()
+        assert sum(map(len, sink.lines)) == sink.n_bytes <= max_bytes
+    assert sink.n_dropped > 0
+    while sink.lines:
+        os.read(reader, 10**7)
+        sink.drain()
+    assert sink.n_bytes == 0
+    sink.write("short\n")
+    sink.drain()
+    assert b"short" in os.read(reader, 10**7)
