--- a/review/harness2.py
+++ b/review/harness2.py
@@ -565,7 +565,7 @@
     """Run the coroutine function of a case and exit with its status."""
     try:
         status = asyncio.run(main())
-    except CaseError as error:
-        print(f"the case could not run: {error}", file=sys.stderr)
+    except Exception as error:
+        print(f"the case could not run: {error!r}", file=sys.stderr)
         status = EXIT_NOT_RUN
     sys.exit(status)
