--- a/review/9/case.py
+++ b/review/9/case.py
@@ -25,8 +25,11 @@
 # Clients that give up leave after half of the objective.
 LEAVE_S = 0.2
 LEAVING_SHARE = 0.3
-PAUSE_S = 0.05
-RUN_S = 60.0
+# Clients give up for so long at a time, with a pause between.
+GIVE_UP_S = 5.5
+GIVE_UP_PAUSE_S = 1.5
+PAUSE_S = 0.08
+RUN_S = 100.0
 # What may reach a server this long after its client has left is a few requests.
 LATE_S = 0.5
 MAX_LATE = 5
@@ -72,6 +75,7 @@
     def __init__(self, deployment):
         self.deployment = deployment
         self.random = random.Random(SEED)
+        self.started_s = time.monotonic()
         self.n_sent = 0
         self.left_s = {}
         self.statuses = {}
@@ -84,9 +88,14 @@
                 self.n_sent += 1
                 group.create_task(self._send(f"r{self.n_sent}", self.n_sent))
 
+    def _is_giving_up(self):
+        since_s = time.monotonic() - self.started_s
+        in_turn_s = since_s % (GIVE_UP_S + GIVE_UP_PAUSE_S)
+        return harness2.HAS_TROUBLE and in_turn_s < GIVE_UP_S
+
     async def _send(self, request, number):
         hosts = self.deployment.hosts
-        leaves = self.random.random() < LEAVING_SHARE and harness2.HAS_TROUBLE
+        leaves = self.random.random() < LEAVING_SHARE and self._is_giving_up()
         headers = {"Request-Id": request, "Deadline-Ms": int(DEADLINE_S * 1000)}
         self.deployment.record.write(f"sent {request}")
         answer = await harness2.send_request(
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -24,6 +24,8 @@
 PORTS = (10_240, 30_000)
 _given_ports = set()
 HEARTBEAT_S = 1.2
+# The store drops an entry after three ping intervals without a word from its server.
+N_SILENT_INTERVALS = 3
 KEY = "key-of-alpha"
 TENANT = "alpha"
 HOST_NAME = "shop.example"
@@ -243,6 +245,7 @@
         self.is_up = False
         self.listener = Listener(self.port, self._handle)
         self.heartbeat = None
+        self.written_s = 0.0
 
     @property
     def address(self):
@@ -266,6 +269,14 @@
         self.listener.crash()
         self.record.write(f"server {self.name} crashes, version {self.version}")
 
+    def rename(self, name):
+        """Take a new id before the next start; the entry under the old one lapses."""
+        lapse_s = self.written_s + N_SILENT_INTERVALS * HEARTBEAT_S
+        delay_s = max(0.0, lapse_s - time.monotonic())
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.store.put, "keyed.servers", self.name, b"")
+        self.name = name
+
     async def _register(self):
         while True:
             self.write_entry()
@@ -273,6 +284,7 @@
 
     def write_entry(self):
         """Write the server's entry to the store."""
+        self.written_s = time.monotonic()
         self.sequence += 1
         entry = {
             "service": self.service,
